build: base modules, build, checks and design page

Cause: the repository was empty; every later part needs the frame type, the codec, the ring, the status and findings types and the checks in place.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,119 @@
+# ebonypier: see README.md. `make demo` and `make check` do everything,
+# the installation of packages included.
+
+CC ?= gcc
+CXX ?= g++
+B ?= build
+PKGS := apr-1 libzmq libmicrohttpd jansson msgpack libxxhash libsodium \
+	libcurl gnutls
+WARN := -Wall -Wextra -Werror -Wdeclaration-after-statement -Wvla \
+	-Wstrict-prototypes -Wmissing-prototypes -Wshadow
+OPT ?= -O2 -g
+SAN ?=
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2
+CFLAGS = -std=gnu11 $(OPT) $(SAN) $(WARN) -D_GNU_SOURCE -Isrc $(PKG_CFLAGS)
+CXXFLAGS = -std=gnu++17 -O1 -g $(SAN) -Wall -Wextra -Werror -D_GNU_SOURCE \
+	-Isrc -Itests $(PKG_CFLAGS)
+LDLIBS = $(PKG_LIBS) -lpthread -lm
+
+PROGRAMS := ebonypierd ebonypier
+LIB_SRC := $(filter-out $(PROGRAMS:%=src/%.c),$(wildcard src/*.c))
+LIB_OBJ := $(LIB_SRC:src/%.c=$(B)/src/%.o)
+LIB := $(B)/libebonypier.a
+STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
+BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
+TEST_HELP := $(B)/tests/harness.o
+TESTS := $(patsubst tests/%.cc,$(B)/tests/%,$(wildcard tests/test_*.cc) \
+	$(wildcard tests/it_*.cc))
+C_FILES := $(wildcard src/*.c src/*.h standins/*.c standins/*.h bench/*.c \
+	bench/*.h)
+CC_FILES := $(wildcard tests/*.cc tests/*.h)
+
+.PHONY: all deps demo check bench soak format format-check lint unit clean \
+	charts
+.SECONDARY:
+
+all: $(PROGRAMS:%=$(B)/%) $(STANDINS) $(BENCHES)
+
+deps:
+	@scripts/deps.sh
+
+demo: deps
+	@$(MAKE) --no-print-directory -j all
+	@scripts/demo.sh $(B)
+
+check: deps
+	@$(MAKE) --no-print-directory format-check
+	@$(MAKE) --no-print-directory -j10 lint
+	@$(MAKE) --no-print-directory -j10 all $(TESTS)
+	@$(MAKE) --no-print-directory unit
+
+bench: deps
+	@$(MAKE) --no-print-directory -j all
+	@scripts/bench.sh $(B)
+
+unit: all $(TESTS)
+	@scripts/run_tests.sh $(B) $(TESTS)
+
+format:
+	clang-format -i $(C_FILES) $(CC_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
+
+lint: $(patsubst %,$(B)/lint/%.ok,$(filter %.c,$(C_FILES)))
+	cppcheck -q --std=c11 --error-exitcode=1 --inline-suppr \
+		--enable=warning,performance,portability -j 10 \
+		--suppressions-list=.cppcheck-suppressions -Isrc \
+		$(filter %.c,$(C_FILES))
+
+$(B)/lint/%.ok: % .clang-tidy $(wildcard src/*.h)
+	@mkdir -p $(@D)
+	@clang-tidy --quiet --warnings-as-errors='*' $< -- -std=gnu11 \
+		-D_GNU_SOURCE -Isrc $(PKG_CFLAGS) 2>$@.log || \
+		{ cat $@.log; exit 1; }
+	@touch $@
+
+# The texts of the state charts are embedded; the result is committed, so
+# that the build needs no generator.
+charts:
+	scripts/embed_charts.sh charts src/eb_charts_data.c
+
+$(B)/src/%.o: src/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/%: $(B)/src/%.o $(LIB)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(B)/standins/%: standins/%.c $(LIB) $(wildcard standins/*.h)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -Istandins -o $@ $< $(LIB) $(LDLIBS)
+
+$(B)/bench/%: bench/%.c $(LIB) $(wildcard bench/*.h)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -Ibench -o $@ $< $(LIB) $(LDLIBS)
+
+$(B)/tests/harness.o: tests/harness.cc $(wildcard tests/*.h)
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/tests/test_%: tests/test_%.cc $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -o $@ $< $(LIB) -lgtest -lgtest_main \
+		-lrapidcheck $(LDLIBS)
+
+$(B)/tests/it_%: tests/it_%.cc $(TEST_HELP) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -o $@ $< $(TEST_HELP) $(LIB) -lgtest \
+		-lgtest_main -lrapidcheck $(LDLIBS)
+
+clean:
+	rm -rf $(B)
+
+-include $(wildcard $(B)/src/*.d $(B)/tests/*.d)
--- /dev/null
+++ b/src/eb_admit.h
@@ -0,0 +1,60 @@
+#ifndef EB_ADMIT_H
+#define EB_ADMIT_H
+
+#include <stdint.h>
+
+#include "eb_frame.h"
+
+/*
+ * Admission at a gate: which request gets a slot of the upstream now, which
+ * one waits, and which one is refused as not run. Pure: the caller passes
+ * the monotonic time and carries out the actions.
+ */
+struct eb_admit;
+
+struct eb_admit_config {
+	uint32_t slots;
+	uint32_t queue; /* requests that may wait */
+};
+
+struct eb_admit_request {
+	uint64_t id;
+	uint64_t caller;
+	int64_t deadline_us; /* monotonic time of this daemon */
+	uint8_t idempotent;
+};
+
+enum eb_admit_verdict {
+	EB_ADMIT_RUN,	 /* takes a slot now */
+	EB_ADMIT_WAIT,	 /* queued; eb_admit_next() tells later */
+	EB_ADMIT_REFUSE, /* not run; see reason */
+};
+
+struct eb_admit_action {
+	uint64_t id;
+	uint8_t verdict; /* enum eb_admit_verdict */
+	uint8_t reason;	 /* enum eb_reason, for EB_ADMIT_REFUSE */
+	uint32_t retry_after_ms;
+	int64_t waited_us;
+};
+
+struct eb_admit *eb_admit_new(const struct eb_admit_config *cf);
+void eb_admit_free(struct eb_admit *ad);
+void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf);
+void eb_admit_drain(struct eb_admit *ad, int draining);
+void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
+		    int64_t now_us, struct eb_admit_action *act);
+/* A request that ran has left its slot. */
+void eb_admit_done(struct eb_admit *ad, uint64_t id, int64_t service_us,
+		   int64_t now_us);
+/* A waiting request was cancelled; returns 1 if it was waiting. */
+int eb_admit_cancel(struct eb_admit *ad, uint64_t id);
+/*
+ * Takes the next decision on waiting requests: one that gets a slot or one
+ * that is refused. Returns 0 when there is none now.
+ */
+int eb_admit_next(struct eb_admit *ad, int64_t now_us,
+		  struct eb_admit_action *act);
+void eb_admit_load(const struct eb_admit *ad, struct eb_load *ld);
+
+#endif
--- /dev/null
+++ b/src/eb_config.h
@@ -0,0 +1,73 @@
+#ifndef EB_CONFIG_H
+#define EB_CONFIG_H
+
+#include <stdint.h>
+
+/* Index of an item that is not there. */
+#define EB_NONE UINT32_MAX
+
+/* How requests of a service are handled. */
+struct eb_rule {
+	int32_t refs;
+	char *name;
+	uint32_t retry_permille;    /* retries allowed for 1000 requests */
+	uint32_t queue;		    /* requests that wait at a gate */
+	uint32_t watch_bytes_per_s; /* budget of watching load, a daemon */
+	uint32_t caller_rate_per_s; /* 0: no limit */
+	uint8_t claims;		    /* idempotency keys are honoured */
+	char *idempotent_methods;   /* separated by spaces */
+};
+
+struct eb_service {
+	int32_t refs;
+	char *name;
+	char *host;	   /* NULL: any */
+	char *path_prefix; /* NULL: any */
+	char *rule_name;   /* NULL: defaults */
+	uint32_t deadline_ms;
+	uint32_t rule; /* index into rules, or EB_NONE */
+};
+
+struct eb_upstream {
+	int32_t refs;
+	char *name;
+	char *service_name;
+	char *address; /* IP:port of its HTTP server */
+	char *daemon;  /* IP:port of the daemon beside it */
+	char *region;
+	char *failure_domain;
+	char key[41]; /* CURVE public key of the daemon, Z85; or "" */
+	uint32_t slots;
+	uint32_t connections;
+};
+
+/*
+ * The configuration in force after a release note: immutable and reference
+ * counted. Items are shared between configurations.
+ */
+struct eb_config {
+	int32_t refs;
+	uint64_t release;
+	uint64_t index;	 /* place of the last note in the platform's log */
+	uint64_t digest; /* of all notes applied so far */
+	struct eb_rule **rules;
+	struct eb_service **services;
+	struct eb_upstream **upstreams; /* sorted by service, then name */
+	uint32_t *upstream_service;	/* service index of each upstream */
+	uint32_t *service_first;	/* first upstream of each service */
+	uint32_t *service_count;
+	uint32_t rule_count;
+	uint32_t service_total;
+	uint32_t upstream_total;
+};
+
+struct eb_config *eb_config_new_empty(void);
+struct eb_config *eb_config_ref(struct eb_config *cf);
+void eb_config_unref(struct eb_config *cf);
+uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name);
+uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
+/* Longest matching prefix wins; a host match goes before none. */
+uint32_t eb_config_match(const struct eb_config *cf, const char *host,
+			 const char *path);
+
+#endif
--- /dev/null
+++ b/src/eb_findings.h
@@ -0,0 +1,30 @@
+#ifndef EB_FINDINGS_H
+#define EB_FINDINGS_H
+
+#include <stdint.h>
+#include <stdio.h>
+
+/* Findings are collected with their place and reported together. */
+struct eb_finding {
+	char *source; /* file name, flag or environment variable */
+	char *field;
+	char *reason;
+	int32_t line; /* 0: no line */
+};
+
+struct eb_findings {
+	struct eb_finding *items;
+	uint32_t count;
+	uint32_t space;
+	uint32_t dropped; /* past EB_FINDINGS_MAX */
+};
+
+#define EB_FINDINGS_MAX 1000
+
+void eb_findings_add(struct eb_findings *fs, const char *source, int32_t line,
+		     const char *field, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+void eb_findings_print(const struct eb_findings *fs, FILE *out);
+void eb_findings_clear(struct eb_findings *fs);
+
+#endif
--- /dev/null
+++ b/src/eb_frame.h
@@ -0,0 +1,139 @@
+#ifndef EB_FRAME_H
+#define EB_FRAME_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "eb_headers.h"
+#include "eb_tunables.h"
+
+enum eb_frame_type {
+	EB_FRAME_HEAD = 1, /* a request: origin to gate */
+	EB_FRAME_DATA,	   /* body bytes of a request */
+	EB_FRAME_END,	   /* the body of a request is complete */
+	EB_FRAME_CREDIT,   /* gate grants request body bytes */
+	EB_FRAME_CANCEL,   /* origin gives the call up */
+	EB_FRAME_RHEAD,	   /* status and headers of an answer */
+	EB_FRAME_RDATA,	   /* body bytes of an answer */
+	EB_FRAME_REND,	   /* the answer is complete */
+	EB_FRAME_RCREDIT,  /* origin grants answer body bytes */
+	EB_FRAME_REFUSE,   /* the request was not run */
+	EB_FRAME_ABORT,	   /* the call failed; see outcome */
+	EB_FRAME_HELLO,	   /* heartbeat between two daemons */
+	EB_FRAME_GOSSIP,   /* membership and releases */
+	EB_FRAME_CLAIM,	   /* claims of idempotency keys */
+	EB_FRAME_CONFIG,   /* within a daemon: a new configuration */
+	EB_FRAME_VMS,	   /* within a daemon: the list of VMs */
+	EB_FRAME_QUERY,	   /* within a daemon: a query of the admin port */
+	EB_FRAME_TYPE_MAX = EB_FRAME_QUERY,
+};
+
+/* What is known of a request when its call ends. */
+enum eb_outcome {
+	EB_OUTCOME_UNKNOWN = 0,
+	EB_OUTCOME_RAN,
+	EB_OUTCOME_NOT_RUN,
+};
+
+/* Why a request was refused or its call failed. */
+enum eb_reason {
+	EB_REASON_NONE = 0,
+	EB_REASON_NO_ROUTE,
+	EB_REASON_NO_UPSTREAM,
+	EB_REASON_QUEUE_FULL,
+	EB_REASON_DEADLINE,
+	EB_REASON_DRAINING,
+	EB_REASON_CONNECT,
+	EB_REASON_HANDED_BACK,
+	EB_REASON_CALLER_LIMIT,
+	EB_REASON_CRASHES,
+	EB_REASON_CLAIM,
+	EB_REASON_HOPS,
+	EB_REASON_LOST_PEER,
+	EB_REASON_UPSTREAM_CLOSED,
+	EB_REASON_STALLED,
+	EB_REASON_INTERNAL,
+	EB_REASON_MAX = EB_REASON_INTERNAL,
+};
+
+enum eb_body_kind {
+	EB_BODY_NONE = 0,
+	EB_BODY_INLINE,	 /* whole body in the HEAD frame */
+	EB_BODY_LENGTH,	 /* `body_bytes` follow in DATA frames */
+	EB_BODY_CHUNKED, /* unknown length, DATA frames until END */
+};
+
+/* The load of an upstream as its gate sees it; rides on answers. */
+struct eb_load {
+	uint16_t in_flight;
+	uint16_t queued;
+	uint16_t slots;
+	uint16_t draining;
+	uint32_t service_us; /* smoothed time of one request in a slot */
+};
+
+struct eb_trace_id {
+	uint8_t trace[16];
+	uint8_t span[8]; /* of the sender: the parent of the next span */
+	uint8_t sampled;
+};
+
+/* What HEAD carries besides the body. Strings are owned by the frame. */
+struct eb_head {
+	char *service;
+	char *upstream; /* name of the upstream that the origin chose */
+	char *method;
+	char *target; /* path and query, as the caller sent them */
+	char *key;    /* idempotency key or NULL */
+	struct eb_headers headers;
+	uint64_t caller;     /* hash of the caller's address */
+	uint64_t body_bytes; /* for EB_BODY_INLINE and EB_BODY_LENGTH */
+	int64_t remaining_us;
+	uint8_t hops;
+	uint8_t body_kind;
+	uint8_t attempt; /* 0 for the first */
+	uint8_t idempotent;
+	struct eb_trace_id trace;
+};
+
+/* What RHEAD, REND, REFUSE and ABORT carry. */
+struct eb_reply {
+	uint16_t status;
+	uint8_t outcome;
+	uint8_t reason;
+	uint8_t body_kind; /* of RHEAD: NONE, LENGTH or CHUNKED */
+	uint64_t body_bytes;
+	uint32_t retry_after_ms;
+	struct eb_load load;
+	struct eb_headers headers;
+};
+
+/*
+ * The unit that threads and daemons exchange. A frame is reference counted
+ * and not changed once it has been handed on.
+ */
+struct eb_frame {
+	int32_t refs;
+	uint8_t type;
+	uint64_t call;	 /* number given by the origin */
+	uint64_t sender; /* incarnation of the sending daemon */
+	uint64_t target; /* incarnation it is meant for, 0: any */
+	uint64_t credit_bytes;
+	struct eb_head *head;	/* HEAD */
+	struct eb_reply *reply; /* RHEAD, REND, REFUSE, ABORT */
+	void *object;		/* frames within a daemon */
+	void (*object_free)(void *object);
+	uint32_t data_bytes;
+	uint8_t *data; /* body bytes or an opaque payload */
+};
+
+struct eb_frame *eb_frame_new(enum eb_frame_type type, uint64_t call);
+struct eb_frame *eb_frame_new_data(enum eb_frame_type type, uint64_t call,
+				   const void *data, uint32_t bytes);
+struct eb_frame *eb_frame_ref(struct eb_frame *f);
+void eb_frame_unref(struct eb_frame *f);
+const char *eb_frame_type_name(unsigned type);
+const char *eb_outcome_name(unsigned outcome);
+const char *eb_reason_name(unsigned reason);
+
+#endif
--- /dev/null
+++ b/src/eb_log.c
@@ -0,0 +1,127 @@
+#include "eb_log.h"
+
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "eb_tunables.h"
+
+struct eb_log {
+	pthread_mutex_t lock;
+	int fd;
+	enum eb_log_level level;
+	time_t window_s;
+	uint32_t lines;
+	uint64_t dropped;
+};
+
+static const char *const level_names[] = { "error", "warn", "info", "debug" };
+
+/* Creates a logger that writes to `fd`, which stays the caller's. */
+struct eb_log *eb_log_new(int fd, enum eb_log_level level)
+{
+	struct eb_log *lg = calloc(1, sizeof(*lg));
+
+	if (!lg)
+		return NULL;
+	pthread_mutex_init(&lg->lock, NULL);
+	lg->fd = fd;
+	lg->level = level;
+	return lg;
+}
+
+/* Frees the logger; its file descriptor stays open. */
+void eb_log_free(struct eb_log *lg)
+{
+	if (!lg)
+		return;
+	pthread_mutex_destroy(&lg->lock);
+	free(lg);
+}
+
+/* Finds a level by its name; returns 0, or -1 for an unknown name. */
+int eb_log_level_parse(const char *name, enum eb_log_level *level)
+{
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		if (!strcmp(name, level_names[i])) {
+			*level = (enum eb_log_level)i;
+			return 0;
+		}
+	}
+	return -1;
+}
+
+/* Counts the line against this second's budget. Errors are never dropped. */
+static int take_line(struct eb_log *lg, enum eb_log_level level, time_t now_s)
+{
+	int ok = 1;
+
+	pthread_mutex_lock(&lg->lock);
+	if (lg->window_s != now_s) {
+		lg->window_s = now_s;
+		lg->lines = 0;
+	}
+	if (lg->lines >= EB_LOG_LINES_PER_S && level != EB_LOG_ERROR) {
+		lg->dropped++;
+		ok = 0;
+	} else {
+		lg->lines++;
+	}
+	pthread_mutex_unlock(&lg->lock);
+	return ok;
+}
+
+/* Writes one line; see the header. Control characters are replaced. */
+void eb_log_write(struct eb_log *lg, enum eb_log_level level,
+		  const char *module, const char *msg, const char *fmt, ...)
+{
+	char line[1024];
+	struct timespec ts;
+	struct tm tm;
+	va_list ap;
+	int n, m, i;
+
+	if (!lg || level > lg->level)
+		return;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	if (!take_line(lg, level, ts.tv_sec))
+		return;
+	gmtime_r(&ts.tv_sec, &tm);
+	n = (int)strftime(line, sizeof(line), "time=%Y-%m-%dT%H:%M:%S", &tm);
+	n += snprintf(line + n, sizeof(line) - (size_t)n,
+		      ".%03ldZ level=%s module=%s msg=\"%s\"",
+		      ts.tv_nsec / 1000000, level_names[level], module, msg);
+	if (fmt && n < (int)sizeof(line) - 2) {
+		line[n++] = ' ';
+		va_start(ap, fmt);
+		m = vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+		va_end(ap);
+		if (m > 0)
+			n += m;
+	}
+	if (n > (int)sizeof(line) - 2)
+		n = (int)sizeof(line) - 2;
+	for (i = 0; i < n; i++)
+		if ((unsigned char)line[i] < ' ')
+			line[i] = '?';
+	line[n++] = '\n';
+	if (write(lg->fd, line, (size_t)n) < 0)
+		return;
+}
+
+/* Returns the number of lines dropped by the rate limit so far. */
+uint64_t eb_log_dropped(struct eb_log *lg)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&lg->lock);
+	n = lg->dropped;
+	pthread_mutex_unlock(&lg->lock);
+	return n;
+}
--- /dev/null
+++ b/src/eb_metrics.c
@@ -0,0 +1,161 @@
+#include "eb_metrics.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS 18
+
+struct histogram {
+	uint64_t counts[BUCKETS + 1];
+	uint64_t sum_us;
+};
+
+struct eb_metrics {
+	int64_t values[EB_METRIC_COUNT];
+	struct histogram histograms[EB_HISTOGRAM_COUNT];
+};
+
+struct metric_info {
+	const char *name;
+	const char *help;
+};
+
+static const struct metric_info metric_infos[] = {
+#define INFO(id, name, help) { name, help },
+	EB_METRIC_TABLE(INFO)
+#undef INFO
+};
+
+static const struct metric_info histogram_infos[EB_HISTOGRAM_COUNT] = {
+	[EB_HISTOGRAM_CALL_US] = { "call_us", "Time from the request to its "
+					      "whole answer" },
+	[EB_HISTOGRAM_UPSTREAM_US] = { "upstream_us",
+				       "Time of a request at the upstream" },
+	[EB_HISTOGRAM_QUEUE_US] = { "queue_us", "Wait for a slot at the gate" },
+};
+
+/* Upper bounds; 960 us is the limit for added latency. */
+static const int64_t bounds_us[BUCKETS] = { 50,	      100,     200,	300,
+					    500,      960,     2000,	5000,
+					    10000,    20000,   50000,	100000,
+					    200000,   500000,  1000000, 5000000,
+					    10000000, 30000000 };
+
+/* Creates counters that all start at 0. Returns NULL without memory. */
+struct eb_metrics *eb_metrics_new(void)
+{
+	return calloc(1, sizeof(struct eb_metrics));
+}
+
+/* Frees the counters. */
+void eb_metrics_free(struct eb_metrics *mt)
+{
+	free(mt);
+}
+
+/* Adds to a counter or gauge; from any thread. */
+void eb_metrics_add(struct eb_metrics *mt, enum eb_metric m, int64_t by)
+{
+	__atomic_add_fetch(&mt->values[m], by, __ATOMIC_RELAXED);
+}
+
+/* Sets a gauge; from any thread. */
+void eb_metrics_set(struct eb_metrics *mt, enum eb_metric m, int64_t value)
+{
+	__atomic_store_n(&mt->values[m], value, __ATOMIC_RELAXED);
+}
+
+/* Reads a counter or gauge. */
+int64_t eb_metrics_get(const struct eb_metrics *mt, enum eb_metric m)
+{
+	return __atomic_load_n(&mt->values[m], __ATOMIC_RELAXED);
+}
+
+/* Records a duration in microseconds. */
+void eb_metrics_observe(struct eb_metrics *mt, enum eb_histogram h, int64_t us)
+{
+	struct histogram *hg = &mt->histograms[h];
+	int i = 0;
+
+	if (us < 0)
+		us = 0;
+	while (i < BUCKETS && us > bounds_us[i])
+		i++;
+	__atomic_add_fetch(&hg->counts[i], 1, __ATOMIC_RELAXED);
+	__atomic_add_fetch(&hg->sum_us, (uint64_t)us, __ATOMIC_RELAXED);
+}
+
+/*
+ * Returns the upper bound, in microseconds, of the bucket that holds the
+ * quantile, or 0 when nothing was recorded.
+ */
+int64_t eb_metrics_quantile_us(const struct eb_metrics *mt, enum eb_histogram h,
+			       uint32_t permille)
+{
+	const struct histogram *hg = &mt->histograms[h];
+	uint64_t total = 0, seen = 0;
+	int i;
+
+	for (i = 0; i <= BUCKETS; i++)
+		total += hg->counts[i];
+	if (!total)
+		return 0;
+	for (i = 0; i < BUCKETS; i++) {
+		seen += hg->counts[i];
+		if (seen * 1000 >= total * permille)
+			return bounds_us[i];
+	}
+	return bounds_us[BUCKETS - 1];
+}
+
+/* Prints the help and type lines once for the labelled values of a name. */
+static void print_help(FILE *out, const struct metric_info *in,
+		       const char *previous)
+{
+	size_t n = strcspn(in->name, "{");
+
+	if (previous && !strncmp(previous, in->name, n) &&
+	    (previous[n] == '{' || !previous[n]))
+		return;
+	fprintf(out, "# HELP ebonypier_%.*s %s\n", (int)n, in->name, in->help);
+	fprintf(out, "# TYPE ebonypier_%.*s %s\n", (int)n, in->name,
+		strstr(in->name, "_total") ? "counter" : "gauge");
+}
+
+static void print_histogram(FILE *out, const struct metric_info *in,
+			    const struct histogram *hg)
+{
+	uint64_t seen = 0;
+	int i;
+
+	fprintf(out, "# HELP ebonypier_%s %s\n# TYPE ebonypier_%s histogram\n",
+		in->name, in->help, in->name);
+	for (i = 0; i < BUCKETS; i++) {
+		seen += hg->counts[i];
+		fprintf(out, "ebonypier_%s_bucket{le=\"%lld\"} %llu\n",
+			in->name, (long long)bounds_us[i],
+			(unsigned long long)seen);
+	}
+	seen += hg->counts[BUCKETS];
+	fprintf(out, "ebonypier_%s_bucket{le=\"+Inf\"} %llu\n", in->name,
+		(unsigned long long)seen);
+	fprintf(out, "ebonypier_%s_sum %llu\nebonypier_%s_count %llu\n",
+		in->name, (unsigned long long)hg->sum_us, in->name,
+		(unsigned long long)seen);
+}
+
+/* Prints everything in Prometheus text form. */
+void eb_metrics_print(const struct eb_metrics *mt, FILE *out)
+{
+	const char *previous = NULL;
+	int i;
+
+	for (i = 0; i < EB_METRIC_COUNT; i++) {
+		print_help(out, &metric_infos[i], previous);
+		previous = metric_infos[i].name;
+		fprintf(out, "ebonypier_%s %lld\n", metric_infos[i].name,
+			(long long)eb_metrics_get(mt, (enum eb_metric)i));
+	}
+	for (i = 0; i < EB_HISTOGRAM_COUNT; i++)
+		print_histogram(out, &histogram_infos[i], &mt->histograms[i]);
+}
--- /dev/null
+++ b/src/eb_retry.h
@@ -0,0 +1,28 @@
+#ifndef EB_RETRY_H
+#define EB_RETRY_H
+
+#include <stdint.h>
+
+/*
+ * Retry budget of a daemon for one service. Retries are paid from a share of
+ * the recent requests, so that a failing service sees at most that much more.
+ */
+struct eb_retry {
+	uint32_t retry_permille;
+	int64_t tokens; /* thousandths of a retry */
+};
+
+struct eb_retry_attempt {
+	uint8_t outcome; /* enum eb_outcome of the failed attempt */
+	uint8_t reason;	 /* enum eb_reason */
+	uint8_t idempotent;
+	uint8_t attempts;  /* made so far */
+	uint8_t body_sent; /* a body that cannot be sent again has begun */
+	int64_t remaining_us;
+};
+
+void eb_retry_init(struct eb_retry *rb, uint32_t retry_permille);
+void eb_retry_request(struct eb_retry *rb);
+int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
+
+#endif
--- /dev/null
+++ b/src/eb_route.h
@@ -0,0 +1,62 @@
+#ifndef EB_ROUTE_H
+#define EB_ROUTE_H
+
+#include <stdint.h>
+
+#include "eb_frame.h"
+
+/*
+ * Picks the upstream of each request at its origin, from what the origin
+ * itself has sent and from the loads that ride on answers. Pure: no socket,
+ * clock or lock; the caller passes the monotonic time.
+ */
+struct eb_route;
+
+/* How near an upstream is to this daemon. */
+enum eb_distance {
+	EB_DISTANCE_SELF = 0, /* beside this daemon */
+	EB_DISTANCE_DOMAIN,   /* in the same failure domain */
+	EB_DISTANCE_REGION,   /* in the same region */
+	EB_DISTANCE_FAR,      /* in another region */
+};
+
+/* An upstream as the router needs it; `id` is stable while it is known. */
+struct eb_route_upstream {
+	uint32_t id;
+	uint16_t slots;
+	uint8_t distance; /* enum eb_distance */
+	uint8_t leaving;  /* gets no new requests */
+};
+
+struct eb_route_query {
+	uint64_t caller;
+	int64_t remaining_us;
+	uint8_t idempotent;
+	const uint32_t *tried; /* ids that are not picked again */
+	uint32_t tried_count;
+};
+
+/* How an attempt ended, as the origin saw it. */
+struct eb_route_result {
+	uint8_t outcome; /* enum eb_outcome */
+	uint8_t reason;	 /* enum eb_reason */
+	uint16_t status; /* HTTP status, or 0 without an answer */
+	int64_t elapsed_us;
+};
+
+/* One router for each service. */
+struct eb_route *eb_route_new(uint64_t seed);
+void eb_route_free(struct eb_route *rt);
+enum eb_status eb_route_set_upstreams(struct eb_route *rt,
+				      const struct eb_route_upstream *ups,
+				      uint32_t count, int64_t now_us);
+enum eb_status eb_route_pick(struct eb_route *rt,
+			     const struct eb_route_query *q, int64_t now_us,
+			     uint32_t *id);
+void eb_route_sent(struct eb_route *rt, uint32_t id, int64_t now_us);
+void eb_route_done(struct eb_route *rt, uint32_t id,
+		   const struct eb_route_result *rs, int64_t now_us);
+void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
+		   int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/eb_settings.h
@@ -0,0 +1,44 @@
+#ifndef EB_SETTINGS_H
+#define EB_SETTINGS_H
+
+#include <stdint.h>
+
+#include "eb_findings.h"
+#include "eb_log.h"
+#include "eb_status.h"
+
+/*
+ * Settings of the daemon. Each flag has an environment variable of the same
+ * name: --admin-port and EBONYPIER_ADMIN_PORT. A flag wins.
+ */
+struct eb_settings {
+	char *upstream;	       /* --upstream: name in the release notes */
+	char *listen_address;  /* --listen: IP:port for callers */
+	char *daemon_address;  /* --daemon: IP:port for other daemons */
+	char *admin_address;   /* --admin-address: IP, default 127.0.0.1 */
+	uint16_t admin_port;   /* --admin-port */
+	char *platform;	       /* --platform: IP:port */
+	char *region;	       /* --region */
+	char *failure_domain;  /* --failure-domain */
+	char *peers;	       /* --peers: IP:port of other daemons, commas */
+	char *curve_public;    /* --curve-public-key: Z85, 40 characters */
+	char *curve_secret;    /* --curve-secret-key: Z85, 40 characters */
+	uint8_t plain_peers;   /* --plain-peers: no CURVE between daemons */
+	char *tls_certificate; /* --tls-certificate: PEM file */
+	char *tls_key;	       /* --tls-key: PEM file */
+	uint8_t admin_remote;  /* --admin-remote: admin port may be remote */
+	uint32_t drain_timeout_ms;   /* --drain-timeout-ms, default 600000 */
+	enum eb_log_level log_level; /* --log-level */
+};
+
+enum eb_settings_verdict {
+	EB_SETTINGS_RUN = 0,
+	EB_SETTINGS_EXIT, /* --help or --version was printed */
+	EB_SETTINGS_WRONG,
+};
+
+enum eb_settings_verdict eb_settings_read(struct eb_settings *se, int argc,
+					  char **argv, struct eb_findings *fs);
+void eb_settings_clear(struct eb_settings *se);
+
+#endif
--- /dev/null
+++ b/src/eb_trace.c
@@ -0,0 +1,164 @@
+#include "eb_trace.h"
+
+#include <pthread.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const kind_names[] = { "call", "attempt", "gate", "queue",
+					  "upstream" };
+
+struct eb_tracer {
+	pthread_mutex_t lock;
+	char daemon[64];
+	uint32_t space;
+	uint64_t added;
+	struct eb_span *spans;
+};
+
+/*
+ * Creates a store that keeps the last `spans` spans of this daemon. Returns
+ * NULL without memory.
+ */
+struct eb_tracer *eb_tracer_new(const char *daemon, uint32_t spans)
+{
+	struct eb_tracer *tr = calloc(1, sizeof(*tr));
+
+	if (!tr)
+		return NULL;
+	tr->spans = calloc(spans, sizeof(*tr->spans));
+	if (!tr->spans) {
+		free(tr);
+		return NULL;
+	}
+	tr->space = spans;
+	snprintf(tr->daemon, sizeof(tr->daemon), "%s", daemon);
+	pthread_mutex_init(&tr->lock, NULL);
+	return tr;
+}
+
+/* Frees the store. */
+void eb_tracer_free(struct eb_tracer *tr)
+{
+	if (!tr)
+		return;
+	pthread_mutex_destroy(&tr->lock);
+	free(tr->spans);
+	free(tr);
+}
+
+/* Stores a copy of the span; the oldest one makes room. */
+void eb_tracer_add(struct eb_tracer *tr, const struct eb_span *sp)
+{
+	pthread_mutex_lock(&tr->lock);
+	tr->spans[tr->added++ % tr->space] = *sp;
+	pthread_mutex_unlock(&tr->lock);
+}
+
+static json_t *span_json(const struct eb_tracer *tr, const struct eb_span *sp)
+{
+	char trace[33], id[17], parent[17];
+
+	eb_trace_hex(sp->trace, 16, trace);
+	eb_trace_hex(sp->id, 8, id);
+	eb_trace_hex(sp->parent, 8, parent);
+	return json_pack("{ss ss ss ss ss ss ss ss si sI sI}", "trace", trace,
+			 "span", id, "parent", parent, "daemon", tr->daemon,
+			 "kind", kind_names[sp->kind], "upstream", sp->upstream,
+			 "outcome", eb_outcome_name(sp->outcome), "reason",
+			 eb_reason_name(sp->reason), "status", (int)sp->status,
+			 "start_wall_us", (json_int_t)sp->start_wall_us,
+			 "duration_us", (json_int_t)sp->duration_us);
+}
+
+/*
+ * Returns a new array with the spans of a trace, given in hexadecimal. The
+ * array is empty when nothing is known of it.
+ */
+json_t *eb_tracer_find(struct eb_tracer *tr, const char *trace_hex)
+{
+	json_t *out = json_array();
+	uint8_t want[16];
+	uint64_t i, first;
+	size_t n = 0;
+
+	if (sodium_hex2bin(want, 16, trace_hex, strlen(trace_hex), NULL, &n,
+			   NULL) ||
+	    n != 16)
+		return out;
+	pthread_mutex_lock(&tr->lock);
+	first = tr->added > tr->space ? tr->added - tr->space : 0;
+	for (i = first; i < tr->added; i++) {
+		const struct eb_span *sp = &tr->spans[i % tr->space];
+
+		if (!memcmp(sp->trace, want, 16))
+			json_array_append_new(out, span_json(tr, sp));
+	}
+	pthread_mutex_unlock(&tr->lock);
+	return out;
+}
+
+/* Fills in a random span number, which is never all zero. */
+void eb_trace_new_span(uint8_t id[8])
+{
+	randombytes_buf(id, 8);
+	id[0] |= 1;
+}
+
+/* Starts a new trace without a parent span. */
+void eb_trace_new_trace(struct eb_trace_id *tid)
+{
+	memset(tid, 0, sizeof(*tid));
+	randombytes_buf(tid->trace, sizeof(tid->trace));
+	tid->trace[0] |= 1;
+	tid->sampled = 1;
+}
+
+static int read_hex(const char *text, uint32_t n, uint8_t *out)
+{
+	size_t got = 0;
+	uint32_t i;
+
+	for (i = 0; i < n * 2; i++)
+		if (!strchr("0123456789abcdef", text[i]) || !text[i])
+			return -1;
+	if (sodium_hex2bin(out, n, text, (size_t)n * 2, NULL, &got, NULL))
+		return -1;
+	return sodium_is_zero(out, n) ? -1 : 0;
+}
+
+/*
+ * Reads a W3C traceparent header. Returns -1, and leaves `tid` undefined,
+ * when it is not valid.
+ */
+int eb_trace_parse(const char *traceparent, struct eb_trace_id *tid)
+{
+	const char *p = traceparent;
+	size_t n = strlen(p);
+
+	if (n < 55 || p[2] != '-' || p[35] != '-' || p[52] != '-')
+		return -1;
+	if (!strncmp(p, "ff", 2) || (!strncmp(p, "00", 2) && n != 55))
+		return -1;
+	if (read_hex(p + 3, 16, tid->trace) || read_hex(p + 36, 8, tid->span))
+		return -1;
+	tid->sampled = p[54] & 1;
+	return 0;
+}
+
+/* Writes the traceparent header with its closing NUL. */
+void eb_trace_format(const struct eb_trace_id *tid, char out[56])
+{
+	char trace[33], span[17];
+
+	eb_trace_hex(tid->trace, 16, trace);
+	eb_trace_hex(tid->span, 8, span);
+	snprintf(out, 56, "00-%s-%s-%02x", trace, span, tid->sampled & 1U);
+}
+
+/* Writes `n` bytes as 2 * n hexadecimal digits and a NUL. */
+void eb_trace_hex(const uint8_t *bytes, uint32_t n, char *out)
+{
+	sodium_bin2hex(out, (size_t)n * 2 + 1, bytes, n);
+}
--- /dev/null
+++ b/src/eb_tunables.h
@@ -0,0 +1,58 @@
+#ifndef EB_TUNABLES_H
+#define EB_TUNABLES_H
+
+/* Bodies up to this size travel inside HEAD and can be sent again. */
+#define EB_INLINE_BODY_BYTES 16384
+/* Largest payload of one DATA or RDATA frame. */
+#define EB_CHUNK_BYTES 65536
+/* Bytes of a body in flight for each call and direction. */
+#define EB_CREDIT_WINDOW_BYTES 262144
+/* Largest message that is accepted from a peer. */
+#define EB_MESSAGE_MAX_BYTES 262144
+/* Largest sum of the header names and values of a request or answer. */
+#define EB_HEADERS_MAX_BYTES 16384
+#define EB_HEADERS_MAX_COUNT 100
+#define EB_TARGET_MAX_BYTES 8192
+#define EB_IDEMPOTENCY_KEY_MAX_BYTES 200
+
+/* Calls a daemon holds at once, as origin and as gate together. */
+#define EB_CALLS_MAX 4096
+/*
+ * Credit lets a call have at most eight data frames in a ring, and a call has
+ * a few control frames, so a ring of this size never turns a frame away.
+ */
+#define EB_RING_SLOTS 65536
+#define EB_FRONT_CONNECTIONS_MAX 2048
+#define EB_FRONT_CONNECTION_BYTES 32768
+/* Closes a caller's connection that makes no progress. */
+#define EB_FRONT_IDLE_TIMEOUT_S 75
+
+#define EB_HOPS_DEFAULT 24
+#define EB_DEADLINE_DEFAULT_MS 30000
+/* Attempts of one call, the first one included. */
+#define EB_ATTEMPTS_MAX 4
+
+#define EB_CORE_TICK_MS 10
+/* Frames taken from a ring or socket before the others get their turn. */
+#define EB_BATCH_FRAMES 64
+/* A call without progress of its body for this long is ended. */
+#define EB_PROGRESS_TIMEOUT_MS 60000
+#define EB_UPSTREAM_CONNECT_TIMEOUT_MS 2000
+
+#define EB_PEER_HEARTBEAT_MS 1000
+/* A peer that sent nothing for this long counts as silent. */
+#define EB_PEER_SILENT_MS 4000
+/* Idle time after which the socket to a peer is closed. */
+#define EB_PEER_IDLE_MS 60000
+#define EB_PEERS_MAX 1024
+#define EB_PEER_HIGH_WATER_MESSAGES 8192
+
+#define EB_PLATFORM_WAIT_MS 10000
+#define EB_PLATFORM_RETRY_MS 500
+/* The list of VMs is polled; it has no watch. */
+#define EB_PLATFORM_VMS_POLL_MS 1000
+
+#define EB_SPANS_MAX 8192
+#define EB_LOG_LINES_PER_S 200
+
+#endif
--- /dev/null
+++ b/src/eb_wire.h
@@ -0,0 +1,19 @@
+#ifndef EB_WIRE_H
+#define EB_WIRE_H
+
+#include <msgpack.h>
+
+#include "eb_frame.h"
+#include "eb_status.h"
+
+#define EB_WIRE_VERSION 1
+
+/*
+ * Frames between daemons are MessagePack arrays:
+ * [version, type, call, sender, target, ...fields of the type].
+ */
+enum eb_status eb_wire_encode(const struct eb_frame *f, msgpack_sbuffer *out);
+enum eb_status eb_wire_decode(const void *bytes, size_t n,
+			      struct eb_frame **out);
+
+#endif
--- /dev/null
+++ b/src/ebonypier.c
@@ -0,0 +1,6 @@
+#include "ebonypier.h"
+
+int main(int argc, char **argv)
+{
+	return ebonypier_tool_main(argc, argv);
+}
--- /dev/null
+++ b/tests/test_eb_wire.cc
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <vector>
+
+extern "C" {
+#include "eb_wire.h"
+}
+
+namespace
+{
+
+eb_frame *sample(eb_frame_type type)
+{
+	eb_frame *f = eb_frame_new_data(type, 7, "abc", 3);
+
+	f->sender = 11;
+	f->target = UINT64_MAX;
+	f->credit_bytes = 5;
+	if (f->head) {
+		f->head->service = strdup("agenda");
+		f->head->upstream = strdup("agenda-1");
+		f->head->method = strdup("POST");
+		f->head->target = strdup("/agenda/x?y=1");
+		f->head->body_kind = EB_BODY_INLINE;
+		f->head->body_bytes = 3;
+		f->head->remaining_us = -4;
+		eb_headers_add(&f->head->headers, "Accept", "*/*");
+	}
+	if (f->reply) {
+		f->reply->status = 200;
+		f->reply->outcome = EB_OUTCOME_RAN;
+		f->reply->load.service_us = 1234;
+		eb_headers_add(&f->reply->headers, "Etag", "");
+	}
+	return f;
+}
+
+std::string encode(const eb_frame *f)
+{
+	msgpack_sbuffer sb;
+
+	msgpack_sbuffer_init(&sb);
+	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
+	std::string out(sb.data, sb.size);
+	msgpack_sbuffer_destroy(&sb);
+	return out;
+}
+
+/* Guards against a field that is written but not read back. */
+TEST(Wire, RoundTripOfEachType)
+{
+	for (int type = EB_FRAME_HEAD; type <= EB_FRAME_CLAIM; type++) {
+		eb_frame *f = sample((eb_frame_type)type), *g = nullptr;
+		std::string bytes = encode(f);
+
+		ASSERT_EQ(EB_OK, eb_wire_decode(bytes.data(), bytes.size(), &g))
+			<< eb_frame_type_name((unsigned)type);
+		EXPECT_EQ(type, g->type);
+		EXPECT_EQ(7u, g->call);
+		EXPECT_EQ(11u, g->sender);
+		EXPECT_EQ(UINT64_MAX, g->target);
+		EXPECT_EQ(bytes, encode(g));
+		eb_frame_unref(f);
+		eb_frame_unref(g);
+	}
+}
+
+/* Guards against reading past the end of a truncated message. */
+TEST(Wire, EveryTruncationIsRefused)
+{
+	eb_frame *f = sample(EB_FRAME_HEAD);
+	std::string bytes = encode(f);
+
+	for (size_t n = 0; n < bytes.size(); n++) {
+		std::vector<char> part(bytes.begin(), bytes.begin() + n);
+		eb_frame *g = nullptr;
+
+		EXPECT_NE(EB_OK, eb_wire_decode(part.data(), n, &g)) << n;
+	}
+	eb_frame_unref(f);
+}
+
+struct bad_case {
+	const char *name;
+	std::string bytes;
+};
+
+/* Guards against accepting a message that is not one frame. */
+TEST(Wire, BadMessagesAreRefused)
+{
+	eb_frame *f = sample(EB_FRAME_DATA);
+	std::string good = encode(f);
+	std::string version = good, type = good;
+
+	version[1] = 99;
+	type[2] = 0;
+	const bad_case cases[] = {
+		{ "empty", "" },
+		{ "not an array", std::string("\x01", 1) },
+		{ "other version", version },
+		{ "type zero", type },
+		{ "trailing byte", good + std::string(1, '\0') },
+		{ "huge array", std::string("\xdd\xff\xff\xff\xff", 5) },
+		{ "over the limit",
+		  good + std::string(EB_MESSAGE_MAX_BYTES, 'x') },
+	};
+
+	for (const bad_case &c : cases) {
+		eb_frame *g = nullptr;
+
+		EXPECT_NE(EB_OK,
+			  eb_wire_decode(c.bytes.data(), c.bytes.size(), &g))
+			<< c.name;
+	}
+	eb_frame_unref(f);
+}
+
+} // namespace
