--- /dev/null
+++ b/src/eb_client.c
@@ -0,0 +1,714 @@
+#include "eb_client.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <apr_thread_proc.h>
+#include <assert.h>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "eb_clock.h"
+#include "eb_http.h"
+#include "eb_trace.h"
+#include "eb_tunables.h"
+
+#define POLL_MS 1000
+#define SPARE_HANDLES_MAX 64
+/* An idle connection older than this may have been forgotten on the way. */
+#define IDLE_CONNECTION_MAX_S 15
+/* Sent bytes that stay unacknowledged for this long end the connection. */
+#define UNACKNOWLEDGED_MAX_MS 5000
+
+/* Calls are told apart by the origin's incarnation and its number. */
+struct call_key {
+	uint64_t origin;
+	uint64_t call;
+};
+
+struct queued {
+	struct queued *next;
+	struct eb_frame *frame;
+};
+
+struct transfer {
+	struct eb_client *client;
+	struct call_key key;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct eb_frame *head; /* request; keeps its strings and body alive */
+	/* Request body that waits for curl. */
+	struct queued *first, *last;
+	uint32_t offset_bytes;
+	uint8_t body_ended;
+	uint8_t send_paused;
+	uint8_t window_granted;
+	uint8_t sends; /* times that curl was about to send the request */
+	/* Answer. */
+	uint8_t answer_head; /* final header block is complete */
+	uint8_t answer_sent; /* RHEAD was pushed */
+	uint8_t answer_bad;
+	uint8_t receive_paused;
+	uint8_t body_kind;
+	uint8_t refused_by_upstream;
+	uint16_t status;
+	uint64_t body_bytes;
+	uint64_t credit_bytes;
+	struct eb_headers answer;
+	uint8_t *inline_body;
+	uint32_t inline_used_bytes;
+	int64_t progress_us;
+};
+
+struct eb_client {
+	struct eb_client_config config;
+	CURLM *multi;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	apr_hash_t *transfers;
+	CURL *spare[SPARE_HANDLES_MAX];
+	uint32_t spares;
+	int stopping;
+	int64_t swept_us;
+};
+
+static void push(struct eb_client *cl, const struct transfer *tf,
+		 struct eb_frame *f)
+{
+	if (!f)
+		return;
+	f->call = tf->key.call;
+	f->target = tf->key.origin;
+	if (eb_ring_push(cl->config.out, f)) {
+		eb_log_write(cl->config.log, EB_LOG_ERROR, "client",
+			     "ring to the core is full", NULL);
+		eb_frame_unref(f);
+	}
+}
+
+static struct eb_frame *reply_frame(const struct transfer *tf,
+				    enum eb_frame_type type,
+				    enum eb_outcome outcome,
+				    enum eb_reason reason)
+{
+	struct eb_frame *f = eb_frame_new(type, tf->key.call);
+
+	if (!f)
+		return NULL;
+	f->reply->outcome = (uint8_t)outcome;
+	f->reply->reason = (uint8_t)reason;
+	f->reply->status = tf->status;
+	return f;
+}
+
+/* Sends the head of the answer; an inline body makes it the last frame. */
+static void push_answer_head(struct transfer *tf)
+{
+	struct eb_frame *f =
+		reply_frame(tf, EB_FRAME_RHEAD, EB_OUTCOME_RAN, EB_REASON_NONE);
+
+	if (!f)
+		return;
+	f->reply->body_kind = tf->body_kind;
+	f->reply->body_bytes = tf->body_bytes;
+	f->reply->headers = tf->answer;
+	memset(&tf->answer, 0, sizeof(tf->answer));
+	if (tf->body_kind == EB_BODY_INLINE) {
+		f->data = tf->inline_body;
+		f->data_bytes = tf->inline_used_bytes;
+		tf->inline_body = NULL;
+	}
+	tf->answer_sent = 1;
+	push(tf->client, tf, f);
+}
+
+static void grant_credit(struct transfer *tf, uint64_t bytes)
+{
+	struct eb_frame *f = eb_frame_new(EB_FRAME_CREDIT, tf->key.call);
+
+	if (!f)
+		return;
+	f->credit_bytes = bytes;
+	push(tf->client, tf, f);
+}
+
+/* curl asks for request body bytes; the first call grants the window. */
+static size_t read_body(char *buf, size_t size, size_t items, void *data)
+{
+	struct transfer *tf = data;
+	size_t space = size * items, n, left;
+	struct queued *qd = tf->first;
+
+	tf->progress_us = eb_clock_now_us();
+	if (!tf->window_granted) {
+		tf->window_granted = 1;
+		grant_credit(tf, EB_CREDIT_WINDOW_BYTES);
+	}
+	if (!qd) {
+		if (tf->body_ended)
+			return 0;
+		tf->send_paused = 1;
+		return CURL_READFUNC_PAUSE;
+	}
+	left = qd->frame->data_bytes - tf->offset_bytes;
+	n = left < space ? left : space;
+	memcpy(buf, qd->frame->data + tf->offset_bytes, n);
+	tf->offset_bytes += (uint32_t)n;
+	if (n == left) {
+		tf->first = qd->next;
+		if (!tf->first)
+			tf->last = NULL;
+		grant_credit(tf, qd->frame->data_bytes);
+		eb_frame_unref(qd->frame);
+		free(qd);
+		tf->offset_bytes = 0;
+	}
+	return n;
+}
+
+/*
+ * Decides how the answer travels. An answer must say how long it is, or be
+ * chunked: one that ends with its connection could be cut unnoticed.
+ */
+static void answer_head_complete(struct transfer *tf)
+{
+	const char *te = eb_headers_find(&tf->answer, "Transfer-Encoding");
+	const char *cl = eb_headers_find(&tf->answer, "Content-Length");
+	int chunked = te && !strcasecmp(te, "chunked");
+	int no_body = !strcmp(tf->head->head->method, "HEAD") ||
+		      tf->status == 204 || tf->status == 304;
+
+	tf->answer_head = 1;
+	if (cl && eb_http_parse_number(cl, &tf->body_bytes))
+		tf->answer_bad = 1;
+	if (no_body) {
+		tf->body_kind = EB_BODY_NONE;
+	} else if (chunked) {
+		tf->body_kind = EB_BODY_CHUNKED;
+	} else if (!cl) {
+		tf->answer_bad = 1;
+	} else if (tf->body_bytes <= EB_INLINE_BODY_BYTES) {
+		tf->body_kind = EB_BODY_INLINE;
+		tf->inline_body = malloc(tf->body_bytes ? tf->body_bytes : 1);
+		tf->answer_bad |= !tf->inline_body;
+	} else {
+		tf->body_kind = EB_BODY_LENGTH;
+	}
+}
+
+/* Splits a header line in place and adds it to the answer. */
+static int add_answer_header(struct transfer *tf, char *line)
+{
+	char *colon = strchr(line, ':'), *value, *end;
+
+	if (!colon)
+		return -1;
+	*colon = 0;
+	value = colon + 1;
+	value += strspn(value, " \t");
+	end = value + strlen(value);
+	while (end > value && (end[-1] == ' ' || end[-1] == '\t'))
+		*--end = 0;
+	if (!strcasecmp(line, "Ebonypier-Outcome") && !strcmp(value, "not-run"))
+		tf->refused_by_upstream = 1;
+	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
+}
+
+/* Takes one line of the answer's head; also those of 1xx answers. */
+static size_t read_header(char *buf, size_t size, size_t items, void *data)
+{
+	struct transfer *tf = data;
+	size_t n = size * items, len = n;
+	char line[EB_HEADERS_MAX_BYTES];
+
+	tf->progress_us = eb_clock_now_us();
+	if (tf->answer_head)
+		return n; /* trailer fields are dropped */
+	while (len && (buf[len - 1] == '\r' || buf[len - 1] == '\n'))
+		len--;
+	if (len >= sizeof(line) || memchr(buf, 0, len))
+		return 0;
+	memcpy(line, buf, len);
+	line[len] = 0;
+	if (!strncmp(line, "HTTP/", 5)) {
+		eb_headers_clear(&tf->answer);
+		tf->refused_by_upstream = 0;
+		tf->status = (uint16_t)atoi(line + strcspn(line, " "));
+	} else if (len) {
+		if (add_answer_header(tf, line))
+			return 0;
+	} else if (tf->status >= 200) {
+		answer_head_complete(tf);
+		if (tf->answer_bad)
+			return 0;
+		if (tf->body_kind == EB_BODY_LENGTH ||
+		    tf->body_kind == EB_BODY_CHUNKED)
+			push_answer_head(tf);
+	}
+	return n;
+}
+
+static size_t read_answer(char *buf, size_t size, size_t items, void *data)
+{
+	struct transfer *tf = data;
+	size_t n = size * items;
+
+	tf->progress_us = eb_clock_now_us();
+	if (!tf->answer_head)
+		return 0;
+	if (tf->body_kind == EB_BODY_INLINE) {
+		if (tf->inline_used_bytes + n > tf->body_bytes)
+			return 0;
+		memcpy(tf->inline_body + tf->inline_used_bytes, buf, n);
+		tf->inline_used_bytes += (uint32_t)n;
+		return n;
+	}
+	if (tf->credit_bytes < n) {
+		tf->receive_paused = 1;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	tf->credit_bytes -= n;
+	push(tf->client, tf,
+	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, buf, (uint32_t)n));
+	return n;
+}
+
+/*
+ * Called just before curl sends a request. libcurl sends a request again by
+ * itself when a reused connection closes without an answer; the second call
+ * for one transfer stops that, since the first one may have run.
+ */
+static int before_send(void *data, char *ip, char *local_ip, int port,
+		       int local_port)
+{
+	struct transfer *tf = data;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	if (tf->sends++ == 0)
+		return CURL_PREREQFUNC_OK;
+	eb_metrics_add(tf->client->config.metrics,
+		       EB_METRIC_UPSTREAM_RESENDS_STOPPED, 1);
+	return CURL_PREREQFUNC_ABORT;
+}
+
+static int set_socket(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned int ms = UNACKNOWLEDGED_MAX_MS;
+
+	(void)data;
+	if (purpose == CURLSOCKTYPE_IPCXN)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void add_line(struct transfer *tf, const char *name, const char *value)
+{
+	char line[EB_HEADERS_MAX_BYTES + 256];
+	struct curl_slist *hs;
+
+	/* curl sends an empty header only when its line ends in ';'. */
+	if (value && !*value)
+		snprintf(line, sizeof(line), "%s;", name);
+	else
+		snprintf(line, sizeof(line), "%s:%s%s", name, value ? " " : "",
+			 value ? value : "");
+	hs = curl_slist_append(tf->headers, line);
+	if (hs)
+		tf->headers = hs;
+}
+
+/* Builds the header list; NULL values stop curl's own defaults. */
+static void set_headers(struct transfer *tf)
+{
+	const struct eb_head *h = tf->head->head;
+	struct eb_header hd;
+	char text[56];
+	uint32_t pos = 0;
+
+	while (eb_headers_next(&h->headers, &pos, &hd))
+		add_line(tf, hd.name, hd.value);
+	if (!eb_headers_find(&h->headers, "Accept"))
+		add_line(tf, "Accept", NULL);
+	if (!eb_headers_find(&h->headers, "Content-Type"))
+		add_line(tf, "Content-Type", NULL);
+	add_line(tf, "Expect", NULL);
+	eb_trace_format(&h->trace, text);
+	add_line(tf, "traceparent", text);
+	snprintf(text, sizeof(text), "%u", h->hops);
+	add_line(tf, "Ebonypier-Hops", text);
+	snprintf(text, sizeof(text), "%lld",
+		 (long long)(h->remaining_us > 0 ? h->remaining_us / 1000 : 0));
+	add_line(tf, "Ebonypier-Deadline-Ms", text);
+	curl_easy_setopt(tf->easy, CURLOPT_HTTPHEADER, tf->headers);
+}
+
+static void set_body(struct transfer *tf)
+{
+	const struct eb_head *h = tf->head->head;
+	CURL *e = tf->easy;
+
+	switch (h->body_kind) {
+	case EB_BODY_NONE:
+		if (!strcmp(h->method, "HEAD"))
+			curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+		break;
+	case EB_BODY_INLINE:
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)tf->head->data_bytes);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS,
+				 tf->head->data ? (char *)tf->head->data : "");
+		break;
+	default:
+		curl_easy_setopt(e, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(e, CURLOPT_READFUNCTION, read_body);
+		curl_easy_setopt(e, CURLOPT_READDATA, tf);
+		curl_easy_setopt(e, CURLOPT_INFILESIZE_LARGE,
+				 h->body_kind == EB_BODY_LENGTH
+					 ? (curl_off_t)h->body_bytes
+					 : (curl_off_t)-1);
+		break;
+	}
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, h->method);
+}
+
+static void set_options(struct transfer *tf, const char *address)
+{
+	CURL *e = tf->easy;
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://%s/", address);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, tf->head->head->target);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_BUFFERSIZE, (long)EB_CHUNK_BYTES);
+	curl_easy_setopt(e, CURLOPT_UPLOAD_BUFFERSIZE, (long)EB_CHUNK_BYTES);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)EB_UPSTREAM_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_CONNECTION_MAX_S);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, set_socket);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, tf);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, read_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, tf);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, read_answer);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, tf);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, tf);
+}
+
+static void free_transfer(struct transfer *tf)
+{
+	struct eb_client *cl = tf->client;
+	struct queued *qd;
+
+	while ((qd = tf->first)) {
+		tf->first = qd->next;
+		eb_frame_unref(qd->frame);
+		free(qd);
+	}
+	apr_hash_set(cl->transfers, &tf->key, sizeof(tf->key), NULL);
+	if (tf->easy && cl->spares < SPARE_HANDLES_MAX) {
+		curl_easy_reset(tf->easy);
+		cl->spare[cl->spares++] = tf->easy;
+	} else {
+		curl_easy_cleanup(tf->easy);
+	}
+	curl_slist_free_all(tf->headers);
+	eb_headers_clear(&tf->answer);
+	free(tf->inline_body);
+	eb_frame_unref(tf->head);
+	free(tf);
+}
+
+/* Starts a request; the address of the upstream comes in `data`. */
+static void start(struct eb_client *cl, struct eb_frame *f)
+{
+	struct transfer *tf = calloc(1, sizeof(*tf));
+
+	if (!tf) {
+		eb_frame_unref(f);
+		return;
+	}
+	tf->client = cl;
+	tf->head = f;
+	tf->key.origin = f->sender;
+	tf->key.call = f->call;
+	tf->credit_bytes = EB_CREDIT_WINDOW_BYTES;
+	tf->progress_us = eb_clock_now_us();
+	tf->easy = cl->spares ? cl->spare[--cl->spares] : curl_easy_init();
+	apr_hash_set(cl->transfers, &tf->key, sizeof(tf->key), tf);
+	if (!tf->easy) {
+		push(cl, tf,
+		     reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
+				 EB_REASON_INTERNAL));
+		free_transfer(tf);
+		return;
+	}
+	set_options(tf, f->object);
+	set_headers(tf);
+	set_body(tf);
+	curl_multi_add_handle(cl->multi, tf->easy);
+}
+
+/* Ends a transfer before its time; the connection is closed. */
+static void stop_transfer(struct transfer *tf, enum eb_reason reason)
+{
+	struct eb_client *cl = tf->client;
+
+	curl_multi_remove_handle(cl->multi, tf->easy);
+	eb_metrics_add(cl->config.metrics, EB_METRIC_UPSTREAM_CANCELLED, 1);
+	push(cl, tf,
+	     reply_frame(tf, EB_FRAME_ABORT,
+			 tf->sends ? EB_OUTCOME_UNKNOWN : EB_OUTCOME_NOT_RUN,
+			 reason));
+	free_transfer(tf);
+}
+
+static void queue_body(struct transfer *tf, struct eb_frame *f)
+{
+	struct queued *qd = calloc(1, sizeof(*qd));
+
+	if (!qd) {
+		eb_frame_unref(f);
+		stop_transfer(tf, EB_REASON_INTERNAL);
+		return;
+	}
+	qd->frame = f;
+	if (tf->last)
+		tf->last->next = qd;
+	else
+		tf->first = qd;
+	tf->last = qd;
+}
+
+/* Lets curl go on after a pause whose cause is gone. */
+static void resume(struct transfer *tf)
+{
+	int send = tf->send_paused && (tf->first || tf->body_ended);
+	int receive = tf->receive_paused && tf->credit_bytes >= EB_CHUNK_BYTES;
+
+	if (!send && !receive)
+		return;
+	if (send)
+		tf->send_paused = 0;
+	if (receive)
+		tf->receive_paused = 0;
+	curl_easy_pause(tf->easy,
+			(tf->send_paused ? CURLPAUSE_SEND : 0) |
+				(tf->receive_paused ? CURLPAUSE_RECV : 0));
+}
+
+static void handle_frame(struct eb_client *cl, struct eb_frame *f)
+{
+	struct call_key key = { f->sender, f->call };
+	struct transfer *tf;
+
+	if (f->type == EB_FRAME_HEAD) {
+		start(cl, f);
+		return;
+	}
+	tf = apr_hash_get(cl->transfers, &key, sizeof(key));
+	if (!tf) {
+		eb_metrics_add(cl->config.metrics, EB_METRIC_LATE_FRAMES, 1);
+		eb_frame_unref(f);
+		return;
+	}
+	switch (f->type) {
+	case EB_FRAME_DATA:
+		if (f->data_bytes) {
+			queue_body(tf, f);
+			f = NULL;
+			tf = apr_hash_get(cl->transfers, &key, sizeof(key));
+		}
+		break;
+	case EB_FRAME_END:
+		tf->body_ended = 1;
+		break;
+	case EB_FRAME_RCREDIT:
+		tf->credit_bytes += f->credit_bytes;
+		break;
+	case EB_FRAME_CANCEL:
+		stop_transfer(tf, EB_REASON_NONE);
+		tf = NULL;
+		break;
+	default:
+		break;
+	}
+	eb_frame_unref(f);
+	if (tf)
+		resume(tf);
+}
+
+/* Sends the last frame of a request that curl has finished with. */
+static void finish(struct transfer *tf, CURLcode rc)
+{
+	struct eb_client *cl = tf->client;
+	struct eb_frame *f = NULL;
+	long connects = 0;
+
+	curl_easy_getinfo(tf->easy, CURLINFO_NUM_CONNECTS, &connects);
+	eb_metrics_add(cl->config.metrics, EB_METRIC_UPSTREAM_CONNECTIONS,
+		       connects);
+	curl_multi_remove_handle(cl->multi, tf->easy);
+	if (!tf->sends) {
+		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
+				EB_REASON_CONNECT);
+	} else if (rc || !tf->answer_head) {
+		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
+				EB_REASON_UPSTREAM_CLOSED);
+	} else if (tf->refused_by_upstream && !tf->answer_sent) {
+		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
+				EB_REASON_QUEUE_FULL);
+	} else if (tf->answer_sent) {
+		f = reply_frame(tf, EB_FRAME_REND, EB_OUTCOME_RAN,
+				EB_REASON_NONE);
+	} else {
+		push_answer_head(tf);
+	}
+	if (rc)
+		eb_log_write(cl->config.log, EB_LOG_DEBUG, "client",
+			     "request to the upstream failed",
+			     "target=\"%s\" error=\"%s\" sends=%u",
+			     tf->head->head->target, curl_easy_strerror(rc),
+			     tf->sends);
+	if (f)
+		push(cl, tf, f);
+	free_transfer(tf);
+}
+
+static void collect(struct eb_client *cl)
+{
+	struct transfer *tf = NULL;
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(cl->multi, &left))) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tf);
+		finish(tf, msg->data.result);
+	}
+}
+
+/* Ends transfers whose upstream makes no progress with a body. */
+static void sweep(struct eb_client *cl, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct transfer *tf;
+	void *value;
+
+	if (now_us - cl->swept_us < POLL_MS * 1000)
+		return;
+	cl->swept_us = now_us;
+	for (hi = apr_hash_first(NULL, cl->transfers); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		tf = value;
+		/* Before the answer begins, the deadline of the call rules. */
+		if (tf->send_paused || tf->receive_paused || !tf->answer_head)
+			continue;
+		if (now_us - tf->progress_us > EB_PROGRESS_TIMEOUT_MS * 1000LL)
+			stop_transfer(tf, EB_REASON_STALLED);
+	}
+}
+
+static void take_frames(struct eb_client *cl)
+{
+	void *items[EB_BATCH_FRAMES];
+	uint32_t i, n;
+
+	do {
+		n = eb_ring_pop(cl->config.in, items, EB_BATCH_FRAMES);
+		for (i = 0; i < n; i++)
+			handle_frame(cl, items[i]);
+	} while (n == EB_BATCH_FRAMES);
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
+{
+	struct eb_client *cl = data;
+	struct curl_waitfd wait = { .events = CURL_WAIT_POLLIN };
+	int running;
+
+	(void)thread;
+	wait.fd = eb_ring_fd(cl->config.in);
+	while (!__atomic_load_n(&cl->stopping, __ATOMIC_ACQUIRE)) {
+		take_frames(cl);
+		curl_multi_perform(cl->multi, &running);
+		collect(cl);
+		sweep(cl, eb_clock_now_us());
+		wait.revents = 0;
+		curl_multi_poll(cl->multi, &wait, 1, POLL_MS, NULL);
+	}
+	return NULL;
+}
+
+/*
+ * Starts the thread. Returns NULL and sets `err` without memory or when the
+ * thread can't be made.
+ */
+struct eb_client *eb_client_start(const struct eb_client_config *cf,
+				  struct eb_error *err)
+{
+	struct eb_client *cl = calloc(1, sizeof(*cl));
+
+	if (!cl || apr_pool_create(&cl->pool, NULL) != APR_SUCCESS) {
+		free(cl);
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		return NULL;
+	}
+	cl->config = *cf;
+	cl->transfers = apr_hash_make(cl->pool);
+	cl->multi = curl_multi_init();
+	curl_multi_setopt(cl->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	curl_multi_setopt(cl->multi, CURLMOPT_MAXCONNECTS,
+			  (long)cf->connections);
+	curl_multi_setopt(cl->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)cf->connections);
+	if (apr_thread_create(&cl->thread, NULL, run, cl, cl->pool) !=
+	    APR_SUCCESS) {
+		eb_error_set(err, EB_EIO, "cannot create the client thread");
+		eb_client_stop(cl);
+		return NULL;
+	}
+	return cl;
+}
+
+/* Stops the thread and drops what is still in flight. */
+void eb_client_stop(struct eb_client *cl)
+{
+	apr_hash_index_t *hi;
+	struct transfer *tf;
+	apr_status_t status;
+	void *value;
+
+	if (!cl)
+		return;
+	__atomic_store_n(&cl->stopping, 1, __ATOMIC_RELEASE);
+	curl_multi_wakeup(cl->multi);
+	if (cl->thread)
+		apr_thread_join(&status, cl->thread);
+	for (hi = apr_hash_first(NULL, cl->transfers); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		tf = value;
+		curl_multi_remove_handle(cl->multi, tf->easy);
+		free_transfer(tf);
+	}
+	while (cl->spares)
+		curl_easy_cleanup(cl->spare[--cl->spares]);
+	curl_multi_cleanup(cl->multi);
+	apr_pool_destroy(cl->pool);
+	free(cl);
+}
--- /dev/null
+++ b/src/eb_core.c
@@ -0,0 +1,584 @@
+#include "eb_core.h"
+
+#include <apr_pools.h>
+#include <apr_thread_proc.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "eb_clock.h"
+#include "eb_gate.h"
+#include "eb_mesh.h"
+#include "eb_nodes.h"
+#include "eb_origin.h"
+#include "eb_tunables.h"
+
+#define STATUS_TIMEOUT_S 2
+/* A gap between two turns that says that the process was stopped. */
+#define PAUSE_US 1000000
+/* Announcements that this daemon leaves, in case one is lost. */
+#define IDLE_WAIT_MS 100
+
+enum query_kind { QUERY_STATUS, QUERY_DRAIN };
+
+/* A question of another thread, which waits for the answer. */
+struct query {
+	int32_t refs;
+	enum query_kind kind;
+	pthread_mutex_t lock;
+	pthread_cond_t done;
+	int answered;
+	json_t *answer;
+};
+
+/* A frame between this daemon's own origin and gate. */
+struct local_frame {
+	struct local_frame *next;
+	struct eb_frame *frame;
+	uint8_t to_gate;
+};
+
+struct eb_core {
+	struct eb_core_config config;
+	uint64_t incarnation;
+	struct eb_mesh *mesh;
+	struct eb_nodes *nodes;
+	struct eb_gate *gate;
+	struct eb_origin *origin;
+	struct local_frame *first, *last;
+	uint32_t self; /* number of the node of this daemon, or EB_NONE */
+	uint32_t active;
+	int epoll_fd;
+	int stopping;
+	int draining;
+	int64_t turn_us;
+	int64_t tick_us;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+};
+
+/* ---- Outlets of origin and gate ---- */
+
+static void push(struct eb_core *co, struct eb_ring *rg, struct eb_frame *f)
+{
+	if (!eb_ring_push(rg, f))
+		return;
+	eb_log_write(co->config.log, EB_LOG_ERROR, "core", "ring is full",
+		     "type=%s", eb_frame_type_name(f->type));
+	eb_frame_unref(f);
+}
+
+/*
+ * Queues a frame between the own origin and gate, so that neither is called
+ * while it is in the middle of a step.
+ */
+static enum eb_status queue_local(struct eb_core *co, struct eb_frame *f,
+				  int to_gate)
+{
+	struct local_frame *lf = calloc(1, sizeof(*lf));
+
+	if (!lf) {
+		eb_frame_unref(f);
+		return EB_ENOMEM;
+	}
+	lf->frame = f;
+	lf->to_gate = (uint8_t)to_gate;
+	if (co->last)
+		co->last->next = lf;
+	else
+		co->first = lf;
+	co->last = lf;
+	return EB_OK;
+}
+
+static void out_front(void *ctx, struct eb_frame *f)
+{
+	struct eb_core *co = ctx;
+
+	push(co, co->config.to_front, f);
+}
+
+static void out_client(void *ctx, struct eb_frame *f)
+{
+	struct eb_core *co = ctx;
+
+	push(co, co->config.to_client, f);
+}
+
+static enum eb_status out_gate(void *ctx, uint32_t node, struct eb_frame *f)
+{
+	struct eb_core *co = ctx;
+	struct eb_node *n = eb_nodes_get(co->nodes, node);
+	enum eb_status st = EB_EPEER;
+
+	if (n && n->self)
+		return queue_local(co, f, 1);
+	if (n && n->peer)
+		st = eb_mesh_send(co->mesh, n->peer, f, co->turn_us);
+	eb_frame_unref(f);
+	return st;
+}
+
+static void out_origin(void *ctx, const struct eb_back_route *back,
+		       struct eb_frame *f)
+{
+	struct eb_core *co = ctx;
+
+	if (!back) {
+		queue_local(co, f, 0);
+		return;
+	}
+	/* An origin that can't be reached is noticed by its silence. */
+	eb_mesh_reply(co->mesh, back, f);
+	eb_frame_unref(f);
+}
+
+/* ---- Frames of the mesh ---- */
+
+static void on_frame(void *ctx, struct eb_frame *f, struct eb_peer *pr,
+		     const struct eb_back_route *back)
+{
+	struct eb_core *co = ctx;
+
+	if (pr)
+		eb_origin_from_gate(co->origin, pr->user, f, co->turn_us);
+	else
+		eb_gate_from_origin(co->gate, f, back, co->turn_us);
+}
+
+static void on_lost(void *ctx, struct eb_peer *pr)
+{
+	struct eb_core *co = ctx;
+	struct eb_node *n = eb_nodes_get(co->nodes, pr->user);
+
+	eb_log_write(co->config.log, EB_LOG_WARN, "core", "peer lost",
+		     "upstream=%s address=%s", n->name, pr->address);
+	n->draining = 0;
+	eb_origin_lost(co->origin, pr->user, co->turn_us);
+}
+
+static void on_up(void *ctx, struct eb_peer *pr)
+{
+	struct eb_core *co = ctx;
+
+	eb_nodes_changed(co->nodes, pr->user, co->turn_us);
+	eb_origin_up(co->origin, co->turn_us);
+}
+
+/* ---- Frames of other threads ---- */
+
+static void apply_config(struct eb_core *co, struct eb_config *cf)
+{
+	const struct eb_service_state *sv;
+	struct eb_node *n;
+
+	if (cf->index <= eb_nodes_config(co->nodes)->index)
+		return; /* never back to an older state */
+	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
+		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
+			     "keys of the peers could not be stored", NULL);
+	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
+	n = eb_nodes_get(co->nodes, co->self);
+	if (n && n->present) {
+		sv = eb_nodes_service(co->nodes, n->service, co->turn_us);
+		eb_gate_configure(co->gate, n->info,
+				  eb_nodes_rule(co->nodes, sv));
+	} else {
+		eb_gate_configure(co->gate, NULL, NULL);
+	}
+	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
+		       (int64_t)cf->release);
+	eb_log_write(co->config.log, EB_LOG_INFO, "core", "release in force",
+		     "release=%llu upstreams=%u known=%d",
+		     (unsigned long long)cf->release, cf->upstream_total,
+		     n && n->present);
+}
+
+static void drain(struct eb_core *co)
+{
+	if (co->draining)
+		return;
+	co->draining = 1;
+	eb_gate_drain(co->gate);
+	eb_metrics_set(co->config.metrics, EB_METRIC_DRAINING, 1);
+	if (co->self != EB_NONE) {
+		eb_nodes_get(co->nodes, co->self)->draining = 1;
+		eb_nodes_changed(co->nodes, co->self, co->turn_us);
+	}
+	eb_log_write(co->config.log, EB_LOG_INFO, "core", "draining", NULL);
+}
+
+static void note_vms(struct eb_core *co, const struct eb_vm_list *list)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++)
+		eb_nodes_note_vm(co->nodes, list->vms[i].address,
+				 list->vms[i].leaving, co->turn_us);
+}
+
+static json_t *node_status(const struct eb_node *n)
+{
+	const char *state = "down";
+
+	if (n->leaving)
+		state = "leaving";
+	else if (n->draining)
+		state = "draining";
+	else if (n->self || (n->peer && n->peer->up))
+		state = "up";
+	return json_pack("{ss ss ss ss}", "upstream", n->name, "service",
+			 n->info->service_name, "failure_domain",
+			 n->info->failure_domain, "state", state);
+}
+
+static json_t *make_status(struct eb_core *co)
+{
+	const struct eb_config *cf = eb_nodes_config(co->nodes);
+	const struct eb_settings *se = co->config.settings;
+	json_t *nodes = json_array();
+	struct eb_load ld = { 0 };
+	struct eb_node *n;
+	uint32_t i;
+
+	eb_gate_load(co->gate, &ld);
+	for (i = 0; i < eb_nodes_count(co->nodes); i++) {
+		n = eb_nodes_get(co->nodes, i);
+		if (n->present && (n->self || n->peer))
+			json_array_append_new(nodes, node_status(n));
+	}
+	return json_pack(
+		"{ss ss ss sI sI ss sb si si si si si si so}", "upstream",
+		se->upstream, "region", se->region, "failure_domain",
+		se->failure_domain, "release", (json_int_t)cf->release, "index",
+		(json_int_t)cf->index, "state",
+		co->draining  ? "draining"
+		: cf->release ? "serving"
+			      : "waiting",
+		"known", co->self != EB_NONE, "in_flight", (int)ld.in_flight,
+		"queued", (int)ld.queued, "slots", (int)ld.slots, "service_us",
+		(int)ld.service_us, "calls_origin",
+		(int)eb_origin_active(co->origin), "calls_gate",
+		(int)eb_gate_active(co->gate), "peers", nodes);
+}
+
+static void unref_query(void *object)
+{
+	struct query *qu = object;
+
+	if (__atomic_sub_fetch(&qu->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	json_decref(qu->answer);
+	pthread_mutex_destroy(&qu->lock);
+	pthread_cond_destroy(&qu->done);
+	free(qu);
+}
+
+static void answer_query(struct eb_core *co, struct query *qu)
+{
+	json_t *answer = NULL;
+
+	if (qu->kind == QUERY_DRAIN)
+		drain(co);
+	else
+		answer = make_status(co);
+	pthread_mutex_lock(&qu->lock);
+	qu->answer = answer;
+	qu->answered = 1;
+	pthread_cond_signal(&qu->done);
+	pthread_mutex_unlock(&qu->lock);
+}
+
+static void on_control(struct eb_core *co, struct eb_frame *f)
+{
+	if (f->type == EB_FRAME_CONFIG)
+		apply_config(co, f->object);
+	else if (f->type == EB_FRAME_VMS)
+		note_vms(co, f->object);
+	else if (f->type == EB_FRAME_QUERY)
+		answer_query(co, f->object);
+	eb_frame_unref(f);
+}
+
+/* ---- Thread ---- */
+
+static void run_local(struct eb_core *co)
+{
+	struct local_frame *lf;
+
+	while ((lf = co->first)) {
+		co->first = lf->next;
+		if (!co->first)
+			co->last = NULL;
+		if (lf->to_gate)
+			eb_gate_from_origin(co->gate, lf->frame, NULL,
+					    co->turn_us);
+		else
+			eb_origin_from_gate(co->origin, co->self, lf->frame,
+					    co->turn_us);
+		free(lf);
+	}
+}
+
+/* Takes a batch from each ring; returns 1 when more may wait. */
+static int take_frames(struct eb_core *co)
+{
+	void *items[EB_BATCH_FRAMES];
+	uint32_t i, n;
+	int more = 0;
+
+	n = eb_ring_pop(co->config.in, items, EB_BATCH_FRAMES);
+	more |= n == EB_BATCH_FRAMES;
+	for (i = 0; i < n; i++)
+		on_control(co, items[i]);
+	n = eb_ring_pop(co->config.from_client, items, EB_BATCH_FRAMES);
+	more |= n == EB_BATCH_FRAMES;
+	for (i = 0; i < n; i++)
+		eb_gate_from_client(co->gate, items[i], co->turn_us);
+	run_local(co);
+	n = eb_ring_pop(co->config.from_front, items, EB_BATCH_FRAMES);
+	more |= n == EB_BATCH_FRAMES;
+	for (i = 0; i < n; i++)
+		eb_origin_from_front(co->origin, items[i], co->turn_us);
+	run_local(co);
+	return more;
+}
+
+/* One turn: everything that waits, then the timers. */
+static void turn(struct eb_core *co, const struct eb_mesh_sink *sink)
+{
+	int64_t now_us = eb_clock_now_us(), before_us = co->turn_us;
+	int more;
+
+	co->turn_us = now_us;
+	if (before_us && now_us - before_us > PAUSE_US)
+		eb_gate_resumed(co->gate, 1);
+	do {
+		more = take_frames(co);
+		more |= eb_mesh_receive(co->mesh, sink, co->turn_us);
+		run_local(co);
+		co->turn_us = eb_clock_now_us();
+	} while (more && co->turn_us - co->tick_us < EB_CORE_TICK_MS * 1000);
+	if (!more)
+		eb_gate_resumed(co->gate, 0);
+	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
+		co->tick_us = co->turn_us;
+		eb_mesh_tick(co->mesh, sink, co->turn_us);
+		eb_gate_tick(co->gate, co->turn_us);
+		eb_origin_tick(co->origin, co->turn_us);
+		run_local(co);
+	}
+	__atomic_store_n(&co->active,
+			 eb_gate_active(co->gate) +
+				 eb_origin_active(co->origin),
+			 __ATOMIC_RELEASE);
+}
+
+/* Timers need short waits only while there are calls. */
+static int wait_ms(const struct eb_core *co)
+{
+	return co->active ? EB_CORE_TICK_MS : IDLE_WAIT_MS;
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
+{
+	struct eb_core *co = data;
+	struct eb_mesh_sink sink = { on_frame, on_lost, on_up, co };
+	struct epoll_event ev[8];
+
+	(void)thread;
+	while (!__atomic_load_n(&co->stopping, __ATOMIC_ACQUIRE)) {
+		turn(co, &sink);
+		epoll_wait(co->epoll_fd, ev, 8, wait_ms(co));
+	}
+	return NULL;
+}
+
+static int watch(struct eb_core *co)
+{
+	int fds[4], i;
+
+	fds[0] = eb_ring_fd(co->config.in);
+	fds[1] = eb_ring_fd(co->config.from_front);
+	fds[2] = eb_ring_fd(co->config.from_client);
+	fds[3] = eb_mesh_fd(co->mesh);
+	for (i = 0; i < 4; i++) {
+		struct epoll_event ev = { .events = EPOLLIN };
+
+		if (epoll_ctl(co->epoll_fd, EPOLL_CTL_ADD, fds[i], &ev))
+			return -1;
+	}
+	return 0;
+}
+
+/* Creates the parts; returns a status and sets `err`. */
+static enum eb_status create_parts(struct eb_core *co, struct eb_error *err)
+{
+	const struct eb_core_config *cf = &co->config;
+	struct eb_gate_outlets gate_out = { out_client, out_origin, co };
+	struct eb_origin_outlets origin_out = { out_front, out_gate, co };
+	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
+				       cf->metrics, cf->tracer };
+	struct eb_origin_config origin = { co->incarnation, NULL, cf->metrics,
+					   cf->tracer };
+	struct eb_findings fs = { 0 };
+
+	co->mesh = eb_mesh_new(cf->settings, co->incarnation, cf->metrics,
+			       cf->log, err);
+	if (!co->mesh)
+		return err->status;
+	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
+	origin.nodes = co->nodes;
+	if (co->nodes) {
+		co->gate = eb_gate_new(&gate, &gate_out, &fs);
+		co->origin = eb_origin_new(&origin, &origin_out, &fs);
+	}
+	eb_findings_print(&fs, stderr);
+	eb_findings_clear(&fs);
+	if (!co->gate || !co->origin)
+		return eb_error_set(err, EB_EINVAL, "cannot create the core");
+	co->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (co->epoll_fd < 0 || watch(co))
+		return eb_error_set(err, EB_EIO, "cannot watch descriptors");
+	return EB_OK;
+}
+
+/*
+ * Binds the endpoint for other daemons and starts the thread. Returns NULL
+ * and sets `err` on failure.
+ */
+struct eb_core *eb_core_start(const struct eb_core_config *cf,
+			      struct eb_error *err)
+{
+	struct eb_core *co = calloc(1, sizeof(*co));
+
+	if (!co || apr_pool_create(&co->pool, NULL) != APR_SUCCESS) {
+		free(co);
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		return NULL;
+	}
+	co->config = *cf;
+	co->self = EB_NONE;
+	co->epoll_fd = -1;
+	while (!co->incarnation)
+		randombytes_buf(&co->incarnation, sizeof(co->incarnation));
+	if (create_parts(co, err) ||
+	    apr_thread_create(&co->thread, NULL, run, co, co->pool) !=
+		    APR_SUCCESS) {
+		eb_core_stop(co);
+		return NULL;
+	}
+	return co;
+}
+
+/* Stops the thread and frees everything. */
+void eb_core_stop(struct eb_core *co)
+{
+	apr_status_t status;
+
+	if (!co)
+		return;
+	__atomic_store_n(&co->stopping, 1, __ATOMIC_RELEASE);
+	if (co->thread)
+		apr_thread_join(&status, co->thread);
+	run_local(co);
+	eb_origin_free(co->origin);
+	eb_gate_free(co->gate);
+	eb_nodes_free(co->nodes);
+	eb_mesh_free(co->mesh);
+	if (co->epoll_fd >= 0)
+		close(co->epoll_fd);
+	apr_pool_destroy(co->pool);
+	free(co);
+}
+
+static enum eb_status send_object(struct eb_core *co, enum eb_frame_type type,
+				  void *object, void (*object_free)(void *))
+{
+	struct eb_frame *f = eb_frame_new(type, 0);
+
+	if (!f) {
+		object_free(object);
+		return EB_ENOMEM;
+	}
+	f->object = object;
+	f->object_free = object_free;
+	if (!eb_ring_push(co->config.in, f))
+		return EB_OK;
+	eb_frame_unref(f);
+	return EB_EFULL;
+}
+
+static void free_config(void *object)
+{
+	eb_config_unref(object);
+}
+
+static void free_vms(void *object)
+{
+	struct eb_vm_list *list = object;
+
+	free(list->vms);
+	free(list);
+}
+
+/* Puts a configuration into force; takes the reference over. */
+enum eb_status eb_core_send_config(struct eb_core *co, struct eb_config *cf)
+{
+	return send_object(co, EB_FRAME_CONFIG, cf, free_config);
+}
+
+/* Passes on the platform's list of VMs; takes it over. */
+enum eb_status eb_core_send_vms(struct eb_core *co, struct eb_vm_list *list)
+{
+	return send_object(co, EB_FRAME_VMS, list, free_vms);
+}
+
+/* Asks the core and waits; returns NULL when it does not answer in time. */
+static json_t *ask(struct eb_core *co, enum query_kind kind)
+{
+	struct query *qu = calloc(1, sizeof(*qu));
+	struct timespec until;
+	json_t *answer = NULL;
+
+	if (!qu)
+		return NULL;
+	qu->refs = 2;
+	qu->kind = kind;
+	pthread_mutex_init(&qu->lock, NULL);
+	pthread_cond_init(&qu->done, NULL);
+	send_object(co, EB_FRAME_QUERY, qu, unref_query);
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += STATUS_TIMEOUT_S;
+	pthread_mutex_lock(&qu->lock);
+	while (!qu->answered)
+		if (pthread_cond_timedwait(&qu->done, &qu->lock, &until))
+			break;
+	answer = qu->answer;
+	qu->answer = NULL;
+	pthread_mutex_unlock(&qu->lock);
+	unref_query(qu);
+	return answer;
+}
+
+/* Returns a new object with the state of this daemon, or NULL. */
+json_t *eb_core_status(struct eb_core *co)
+{
+	return ask(co, QUERY_STATUS);
+}
+
+/* Lets this daemon's upstream leave: its gate takes no new calls. */
+void eb_core_drain(struct eb_core *co)
+{
+	json_decref(ask(co, QUERY_DRAIN));
+}
+
+/* Counts the calls that are not finished; from any thread. */
+uint32_t eb_core_active(const struct eb_core *co)
+{
+	return __atomic_load_n(&co->active, __ATOMIC_ACQUIRE);
+}
--- /dev/null
+++ b/src/eb_core.h
@@ -0,0 +1,54 @@
+#ifndef EB_CORE_H
+#define EB_CORE_H
+
+#include <jansson.h>
+
+#include "eb_config.h"
+#include "eb_log.h"
+#include "eb_metrics.h"
+#include "eb_ring.h"
+#include "eb_settings.h"
+#include "eb_status.h"
+#include "eb_trace.h"
+
+/*
+ * The core thread: it joins origin, gate and mesh, and switches frames
+ * between them, the front and the client.
+ */
+struct eb_core;
+
+struct eb_core_config {
+	const struct eb_settings *settings;
+	struct eb_ring *in; /* configurations, lists of VMs, queries */
+	struct eb_ring *from_front;
+	struct eb_ring *from_client;
+	struct eb_ring *to_front;
+	struct eb_ring *to_client;
+	struct eb_metrics *metrics;
+	struct eb_tracer *tracer;
+	struct eb_log *log;
+};
+
+/* A line of the platform's list of VMs. */
+struct eb_vm {
+	char address[64];
+	uint8_t leaving;
+};
+
+struct eb_vm_list {
+	uint32_t count;
+	struct eb_vm *vms;
+};
+
+struct eb_core *eb_core_start(const struct eb_core_config *cf,
+			      struct eb_error *err);
+void eb_core_stop(struct eb_core *co);
+/* From any thread: */
+enum eb_status eb_core_send_config(struct eb_core *co, struct eb_config *cf);
+enum eb_status eb_core_send_vms(struct eb_core *co, struct eb_vm_list *list);
+json_t *eb_core_status(struct eb_core *co);
+void eb_core_drain(struct eb_core *co);
+/* Calls that are not finished, as origin and as gate. */
+uint32_t eb_core_active(const struct eb_core *co);
+
+#endif
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -1,8 +1,249 @@
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "eb_admin.h"
+#include "eb_client.h"
+#include "eb_clock.h"
+#include "eb_core.h"
+#include "eb_front.h"
+#include "eb_platform.h"
+#include "eb_tunables.h"
 #include "ebonypier.h"
 
+#define STOP_POLL_MS 20
+/*
+ * A caller may send a request on a connection that stands until it sees
+ * "Connection: close"; the daemon stays for this long after the last answer.
+ */
+#define STOP_LINGER_MS 500
+/* Origins learn from answers and heartbeats that this daemon leaves. */
+#define STOP_ANNOUNCE_MS 1500
+
+struct daemon {
+	struct eb_settings settings;
+	struct eb_log *log;
+	struct eb_metrics *metrics;
+	struct eb_tracer *tracer;
+	struct eb_ring *rings[5];
+	struct eb_client *client;
+	struct eb_core *core;
+	struct eb_front *front;
+	struct eb_platform *platform;
+	struct eb_admin *admin;
+};
+
+enum ring {
+	RING_CONTROL,
+	RING_FRONT_IN,
+	RING_FRONT_OUT,
+	RING_CLIENT_IN,
+	RING_CLIENT_OUT
+};
+
+static json_t *admin_status(void *ctx)
+{
+	struct daemon *dm = ctx;
+
+	return eb_core_status(dm->core);
+}
+
+static void admin_drain(void *ctx)
+{
+	struct daemon *dm = ctx;
+
+	eb_core_drain(dm->core);
+}
+
+static enum eb_status start_base(struct daemon *dm, struct eb_error *err)
+{
+	int i;
+
+	dm->log = eb_log_new(STDERR_FILENO, dm->settings.log_level);
+	dm->metrics = eb_metrics_new();
+	dm->tracer = eb_tracer_new(dm->settings.upstream, EB_SPANS_MAX);
+	for (i = 0; i < 5; i++) {
+		dm->rings[i] = eb_ring_new(EB_RING_SLOTS);
+		if (!dm->rings[i])
+			return eb_error_set(err, EB_ENOMEM, "out of memory");
+	}
+	if (!dm->log || !dm->metrics || !dm->tracer)
+		return eb_error_set(err, EB_ENOMEM, "out of memory");
+	return EB_OK;
+}
+
+static enum eb_status start_threads(struct daemon *dm, struct eb_error *err)
+{
+	struct eb_client_config client = { dm->rings[RING_CLIENT_IN],
+					   dm->rings[RING_CLIENT_OUT],
+					   dm->metrics, dm->log, 200 };
+	struct eb_core_config core = {
+		&dm->settings,
+		dm->rings[RING_CONTROL],
+		dm->rings[RING_FRONT_OUT],
+		dm->rings[RING_CLIENT_OUT],
+		dm->rings[RING_FRONT_IN],
+		dm->rings[RING_CLIENT_IN],
+		dm->metrics,
+		dm->tracer,
+		dm->log,
+	};
+	struct eb_front_config front = { &dm->settings,
+					 dm->rings[RING_FRONT_IN],
+					 dm->rings[RING_FRONT_OUT], dm->metrics,
+					 dm->log };
+	struct eb_platform_config platform = { &dm->settings, NULL, dm->metrics,
+					       dm->log };
+	static const struct eb_admin_ops ops = { admin_status, admin_drain };
+
+	dm->client = eb_client_start(&client, err);
+	if (!dm->client)
+		return err->status;
+	dm->core = eb_core_start(&core, err);
+	if (!dm->core)
+		return err->status;
+	dm->front = eb_front_start(&front, err);
+	if (!dm->front)
+		return err->status;
+	dm->admin = eb_admin_start(&dm->settings, dm->metrics, dm->tracer,
+				   dm->log, &ops, dm, err);
+	if (!dm->admin)
+		return err->status;
+	platform.core = dm->core;
+	dm->platform = eb_platform_start(&platform, err);
+	return dm->platform ? EB_OK : err->status;
+}
+
+static void free_ring(struct eb_ring *rg)
+{
+	void *items[EB_BATCH_FRAMES];
+	uint32_t i, n;
+
+	if (!rg)
+		return;
+	while ((n = eb_ring_pop(rg, items, EB_BATCH_FRAMES)))
+		for (i = 0; i < n; i++)
+			eb_frame_unref(items[i]);
+	eb_ring_free(rg);
+}
+
+static void stop_all(struct daemon *dm)
+{
+	int i;
+
+	eb_admin_stop(dm->admin);
+	eb_platform_stop(dm->platform);
+	eb_front_stop(dm->front);
+	eb_core_stop(dm->core);
+	eb_client_stop(dm->client);
+	for (i = 0; i < 5; i++)
+		free_ring(dm->rings[i]);
+	eb_tracer_free(dm->tracer);
+	eb_metrics_free(dm->metrics);
+	eb_log_free(dm->log);
+}
+
+static void sleep_ms(int64_t ms)
+{
+	struct timespec ts = { ms / 1000, ms % 1000 * 1000000 };
+
+	nanosleep(&ts, NULL);
+}
+
+/*
+ * Leaves without cutting a request: the gate refuses new calls, the front
+ * takes no new connections, and everything in flight is finished.
+ */
+static void leave(struct daemon *dm)
+{
+	int64_t begun_us = eb_clock_now_us(), idle_us = begun_us, now_us;
+	int64_t limit_us = dm->settings.drain_timeout_ms * 1000LL;
+
+	eb_core_drain(dm->core);
+	eb_front_drain(dm->front);
+	for (;;) {
+		now_us = eb_clock_now_us();
+		if (eb_core_active(dm->core) || eb_front_active(dm->front))
+			idle_us = now_us;
+		if (now_us - begun_us >= STOP_ANNOUNCE_MS * 1000 &&
+		    now_us - idle_us >= STOP_LINGER_MS * 1000)
+			break;
+		if (now_us - begun_us > limit_us) {
+			eb_log_write(dm->log, EB_LOG_ERROR, "daemon",
+				     "requests were cut at the drain timeout",
+				     "calls=%u", eb_core_active(dm->core));
+			break;
+		}
+		sleep_ms(STOP_POLL_MS);
+	}
+}
+
+/* Signals are taken by this thread only, one after the other. */
+static void wait_for_signal(sigset_t *set)
+{
+	int sig;
+
+	sigwait(set, &sig);
+}
+
+static int run(struct daemon *dm, sigset_t *signals)
+{
+	struct eb_error err = { 0 };
+
+	if (start_base(dm, &err) || start_threads(dm, &err)) {
+		fprintf(stderr, "ebonypierd: %s\n", err.message);
+		stop_all(dm);
+		return EBONYPIER_EXIT_FAILURE;
+	}
+	eb_log_write(dm->log, EB_LOG_INFO, "daemon", "started",
+		     "upstream=%s listen=%s daemon=%s", dm->settings.upstream,
+		     dm->settings.listen_address, dm->settings.daemon_address);
+	wait_for_signal(signals);
+	leave(dm);
+	eb_log_write(dm->log, EB_LOG_INFO, "daemon", "stopped", NULL);
+	stop_all(dm);
+	return EBONYPIER_EXIT_OK;
+}
+
+/*
+ * Runs the daemon until the first SIGTERM or SIGINT has been carried out;
+ * further ones change nothing. Returns the exit status.
+ */
 int ebonypier_daemon_main(int argc, char **argv)
 {
-	(void)argc;
-	(void)argv;
-	return EBONYPIER_EXIT_FAILURE;
+	struct daemon dm = { 0 };
+	struct eb_findings fs = { 0 };
+	sigset_t signals;
+	int status = EBONYPIER_EXIT_OK;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0 ||
+	    curl_global_init(CURL_GLOBAL_DEFAULT))
+		return EBONYPIER_EXIT_FAILURE;
+	switch (eb_settings_read(&dm.settings, argc, argv, &fs)) {
+	case EB_SETTINGS_RUN:
+		status = run(&dm, &signals);
+		break;
+	case EB_SETTINGS_EXIT:
+		break;
+	default:
+		eb_findings_print(&fs, stderr);
+		status = EBONYPIER_EXIT_USAGE;
+		break;
+	}
+	eb_findings_clear(&fs);
+	eb_settings_clear(&dm.settings);
+	curl_global_cleanup();
+	apr_terminate();
+	return status;
 }
--- /dev/null
+++ b/src/eb_gate.c
@@ -0,0 +1,675 @@
+#include "eb_gate.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_chart.h"
+#include "eb_clock.h"
+#include "eb_tunables.h"
+
+/* States, events and actions in the order of the names below. */
+enum state { OFFERED, QUEUED, RUNNING, ANSWERING, STOPPING, DONE };
+
+enum event {
+	EVENT_RUN,
+	EVENT_WAIT,
+	EVENT_REFUSE,
+	EVENT_BODY,
+	EVENT_CREDIT,
+	EVENT_ANSWER_HEAD,
+	EVENT_ANSWER_DATA,
+	EVENT_ANSWER_LAST,
+	EVENT_FAILED,
+	EVENT_CANCEL,
+	EVENT_ORIGIN_LOST,
+	EVENT_EXPIRE,
+};
+
+static const char *const state_names[] = { "offered",	"queued",   "running",
+					   "answering", "stopping", "done",
+					   NULL };
+static const char *const event_names[] = {
+	"run",	       "wait",	      "refuse",	     "body",   "credit",
+	"answer_head", "answer_data", "answer_last", "failed", "cancel",
+	"origin_lost", "expire",      NULL
+};
+static const char *const action_names[] = {
+	"none",		  "start",     "refuse", "leave_queue",
+	"to_client",	  "to_origin", "finish", "stop",
+	"report_expired", "release",   "drop",	 NULL
+};
+
+struct key {
+	uint64_t origin; /* incarnation of the origin */
+	uint64_t call;
+};
+
+/* An origin that has calls here, to notice when it goes silent. */
+struct origin {
+	uint64_t incarnation;
+	int64_t heard_us;
+	uint32_t calls;
+	uint8_t local;
+};
+
+struct call {
+	struct key key;
+	uint64_t id; /* for admission */
+	struct origin *origin;
+	struct eb_back_route back;
+	struct eb_frame *head; /* until the request starts */
+	struct eb_admit_action verdict;
+	uint8_t state;
+	uint8_t local;
+	uint8_t streamed;  /* has a body that follows HEAD */
+	uint8_t body_done; /* the deadline counts from here on */
+	uint8_t outcome;
+	uint8_t reason;
+	uint16_t status;
+	int64_t budget_us;
+	int64_t deadline_us;
+	int64_t arrived_us;
+	int64_t started_us; /* 0: has no slot */
+	int64_t arrived_wall_us;
+	struct eb_trace_id parent;
+	uint8_t gate_span[8];
+	uint8_t upstream_span[8];
+};
+
+struct eb_gate {
+	struct eb_gate_outlets out;
+	struct eb_gate_config config;
+	struct eb_chart *chart;
+	struct eb_admit *admit;
+	char *address; /* of the upstream; NULL: not configured */
+	char *service;
+	uint32_t slots;
+	uint32_t queue;
+	int draining;
+	int resumed; /* requests come from before a pause of this process */
+	uint64_t next_id;
+	apr_pool_t *pool;
+	apr_hash_t *calls;   /* struct key -> struct call */
+	apr_hash_t *by_id;   /* admission number -> struct call */
+	apr_hash_t *origins; /* incarnation -> struct origin */
+};
+
+typedef void action_fn(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		       int64_t now_us);
+
+/*
+ * Creates a gate. Returns NULL, with findings, when its state chart is not
+ * valid, or without memory.
+ */
+struct eb_gate *eb_gate_new(const struct eb_gate_config *cf,
+			    const struct eb_gate_outlets *out,
+			    struct eb_findings *fs)
+{
+	static const struct eb_chart_names names = { state_names, event_names,
+						     action_names };
+	struct eb_admit_config none = { 0, 0 };
+	struct eb_gate *gt = calloc(1, sizeof(*gt));
+
+	if (!gt)
+		return NULL;
+	gt->config = *cf;
+	gt->out = *out;
+	gt->chart = eb_chart_load("gate", &names, fs);
+	gt->admit = eb_admit_new(&none);
+	if (!gt->chart || !gt->admit ||
+	    apr_pool_create(&gt->pool, NULL) != APR_SUCCESS) {
+		eb_gate_free(gt);
+		return NULL;
+	}
+	gt->calls = apr_hash_make(gt->pool);
+	gt->by_id = apr_hash_make(gt->pool);
+	gt->origins = apr_hash_make(gt->pool);
+	return gt;
+}
+
+static void free_call(struct eb_gate *gt, struct call *ca)
+{
+	apr_hash_set(gt->calls, &ca->key, sizeof(ca->key), NULL);
+	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
+	ca->origin->calls--;
+	eb_frame_unref(ca->head);
+	free(ca);
+	eb_metrics_add(gt->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
+}
+
+/* Frees the gate and the calls that are left. */
+void eb_gate_free(struct eb_gate *gt)
+{
+	apr_hash_index_t *hi;
+	void *value;
+
+	if (!gt)
+		return;
+	if (gt->pool) {
+		for (hi = apr_hash_first(NULL, gt->calls); hi;
+		     hi = apr_hash_next(hi)) {
+			apr_hash_this(hi, NULL, NULL, &value);
+			free_call(gt, value);
+		}
+		for (hi = apr_hash_first(NULL, gt->origins); hi;
+		     hi = apr_hash_next(hi)) {
+			apr_hash_this(hi, NULL, NULL, &value);
+			free(value);
+		}
+		apr_pool_destroy(gt->pool);
+	}
+	eb_chart_free(gt->chart);
+	eb_admit_free(gt->admit);
+	free(gt->address);
+	free(gt->service);
+	free(gt);
+}
+
+/* Takes over slots, queue and address of the upstream. */
+void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
+		       const struct eb_rule *rule)
+{
+	struct eb_admit_config cf = { 0, 0 };
+
+	free(gt->address);
+	free(gt->service);
+	gt->address = up ? strdup(up->address) : NULL;
+	gt->service = up ? strdup(up->service_name) : NULL;
+	if (up) {
+		cf.slots = up->slots;
+		cf.queue = rule->queue;
+	}
+	eb_admit_configure(gt->admit, &cf);
+}
+
+/* Refuses new calls from now on; those that are here are finished. */
+void eb_gate_drain(struct eb_gate *gt)
+{
+	gt->draining = 1;
+	eb_admit_drain(gt->admit, 1);
+}
+
+/*
+ * After a pause of this process, requests that waited in its queues are
+ * older than they look: their remaining time was counted from when they
+ * were sent. They are refused until the queues are empty.
+ */
+void eb_gate_resumed(struct eb_gate *gt, int resumed)
+{
+	gt->resumed = resumed;
+}
+
+/* Reports the load that rides on answers. */
+void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld)
+{
+	eb_admit_load(gt->admit, ld);
+	ld->draining = (uint16_t)gt->draining;
+}
+
+/* Returns the number of calls that are not finished. */
+uint32_t eb_gate_active(const struct eb_gate *gt)
+{
+	return apr_hash_count(gt->calls);
+}
+
+static void to_origin(struct eb_gate *gt, const struct call *ca,
+		      struct eb_frame *f)
+{
+	f->call = ca->key.call;
+	f->target = ca->key.origin;
+	f->sender = gt->config.incarnation;
+	if (f->reply)
+		eb_gate_load(gt, &f->reply->load);
+	gt->out.to_origin(gt->out.ctx, ca->local ? NULL : &ca->back, f);
+}
+
+static void add_span(struct eb_gate *gt, const struct call *ca,
+		     enum eb_span_kind kind, const uint8_t *id,
+		     const uint8_t *parent, int64_t from_us, int64_t to_us)
+{
+	struct eb_span sp = { 0 };
+
+	memcpy(sp.trace, ca->parent.trace, sizeof(sp.trace));
+	memcpy(sp.id, id, sizeof(sp.id));
+	memcpy(sp.parent, parent, sizeof(sp.parent));
+	sp.kind = (uint8_t)kind;
+	sp.outcome = ca->outcome;
+	sp.reason = ca->reason;
+	sp.status = ca->status;
+	sp.start_wall_us = ca->arrived_wall_us + from_us - ca->arrived_us;
+	sp.duration_us = to_us - from_us;
+	strncpy(sp.upstream, gt->config.upstream, sizeof(sp.upstream) - 1);
+	eb_tracer_add(gt->config.tracer, &sp);
+}
+
+static void record(struct eb_gate *gt, const struct call *ca, int64_t now_us)
+{
+	uint8_t queue_span[8];
+
+	if (ca->started_us && ca->started_us > ca->arrived_us) {
+		eb_trace_new_span(queue_span);
+		add_span(gt, ca, EB_SPAN_QUEUE, queue_span, ca->gate_span,
+			 ca->arrived_us, ca->started_us);
+	}
+	if (ca->started_us)
+		add_span(gt, ca, EB_SPAN_UPSTREAM, ca->upstream_span,
+			 ca->gate_span, ca->started_us, now_us);
+	add_span(gt, ca, EB_SPAN_GATE, ca->gate_span, ca->parent.span,
+		 ca->arrived_us, now_us);
+}
+
+/* ---- Actions of the chart ---- */
+
+static void do_none(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		    int64_t now_us)
+{
+	(void)gt;
+	(void)ca;
+	(void)now_us;
+	eb_frame_unref(f);
+}
+
+static void do_drop(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		    int64_t now_us)
+{
+	(void)ca;
+	(void)now_us;
+	eb_metrics_add(gt->config.metrics, EB_METRIC_LATE_FRAMES, 1);
+	eb_frame_unref(f);
+}
+
+static void do_start(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		     int64_t now_us)
+{
+	struct eb_frame *head = ca->head;
+
+	eb_frame_unref(f);
+	ca->head = NULL;
+	ca->started_us = now_us;
+	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_ADMITTED, 1);
+	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_QUEUE_US,
+			   now_us - ca->arrived_us);
+	eb_trace_new_span(ca->upstream_span);
+	memcpy(head->head->trace.span, ca->upstream_span, 8);
+	head->head->remaining_us = ca->deadline_us - now_us;
+	head->object = strdup(gt->address);
+	head->object_free = free;
+	gt->out.to_client(gt->out.ctx, head);
+}
+
+static void do_refuse(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, ca->key.call);
+
+	(void)now_us;
+	eb_frame_unref(f);
+	ca->outcome = EB_OUTCOME_NOT_RUN;
+	ca->reason = ca->verdict.reason;
+	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED, 1);
+	if (!out)
+		return;
+	out->reply->outcome = EB_OUTCOME_NOT_RUN;
+	out->reply->reason = ca->verdict.reason;
+	out->reply->retry_after_ms = ca->verdict.retry_after_ms;
+	to_origin(gt, ca, out);
+}
+
+static void do_leave_queue(struct eb_gate *gt, struct call *ca,
+			   struct eb_frame *f, int64_t now_us)
+{
+	(void)now_us;
+	eb_frame_unref(f);
+	eb_admit_cancel(gt->admit, ca->id);
+	ca->outcome = EB_OUTCOME_NOT_RUN;
+}
+
+static void do_to_client(struct eb_gate *gt, struct call *ca,
+			 struct eb_frame *f, int64_t now_us)
+{
+	if (f->type == EB_FRAME_END) {
+		ca->body_done = 1;
+		ca->deadline_us = now_us + ca->budget_us;
+	}
+	gt->out.to_client(gt->out.ctx, f);
+}
+
+static void do_to_origin(struct eb_gate *gt, struct call *ca,
+			 struct eb_frame *f, int64_t now_us)
+{
+	(void)now_us;
+	if (f->reply)
+		ca->status = f->reply->status;
+	to_origin(gt, ca, f);
+}
+
+/* Frees the slot; a stopped or streamed call says nothing of the speed. */
+static void do_release(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		       int64_t now_us)
+{
+	int64_t service_us = now_us - ca->started_us;
+
+	if (f) {
+		ca->outcome = f->reply->outcome;
+		ca->reason = f->reply->reason;
+		ca->status = f->reply->status;
+	}
+	if (ca->state == STOPPING || ca->streamed ||
+	    ca->outcome != EB_OUTCOME_RAN)
+		service_us = -1;
+	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_UPSTREAM_US,
+			   now_us - ca->started_us);
+	eb_admit_done(gt->admit, ca->id, service_us, now_us);
+	eb_frame_unref(f);
+}
+
+static void do_finish(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	do_release(gt, ca, eb_frame_ref(f), now_us);
+	to_origin(gt, ca, f);
+}
+
+static void do_stop(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		    int64_t now_us)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_CANCEL, ca->key.call);
+
+	(void)now_us;
+	eb_frame_unref(f);
+	if (!out)
+		return;
+	out->sender = ca->key.origin;
+	gt->out.to_client(gt->out.ctx, out);
+}
+
+static void do_report_expired(struct eb_gate *gt, struct call *ca,
+			      struct eb_frame *f, int64_t now_us)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_ABORT, ca->key.call);
+
+	do_stop(gt, ca, f, now_us);
+	if (!out)
+		return;
+	out->reply->outcome = EB_OUTCOME_UNKNOWN;
+	out->reply->reason = EB_REASON_DEADLINE;
+	to_origin(gt, ca, out);
+}
+
+/* In the order of action_names. */
+static action_fn *const actions[] = {
+	do_none,	   do_start,	 do_refuse, do_leave_queue,
+	do_to_client,	   do_to_origin, do_finish, do_stop,
+	do_report_expired, do_release,	 do_drop,
+};
+
+/* Takes an event through the chart; the call may be freed by it. */
+static void step(struct eb_gate *gt, struct call *ca, enum event ev,
+		 struct eb_frame *f, int64_t now_us)
+{
+	uint32_t next, action;
+
+	if (eb_chart_step(gt->chart, ca->state, ev, &next, &action)) {
+		do_drop(gt, ca, f, now_us);
+		return;
+	}
+	actions[action](gt, ca, f, now_us);
+	ca->state = (uint8_t)next;
+	if (next != DONE)
+		return;
+	record(gt, ca, now_us);
+	free_call(gt, ca);
+}
+
+/* Carries out what admission decides on waiting calls. */
+static void run_admission(struct eb_gate *gt, int64_t now_us)
+{
+	struct eb_admit_action act;
+	struct call *ca;
+
+	while (eb_admit_next(gt->admit, now_us, &act)) {
+		ca = apr_hash_get(gt->by_id, &act.id, sizeof(act.id));
+		assert(ca);
+		ca->verdict = act;
+		step(gt, ca,
+		     act.verdict == EB_ADMIT_RUN ? EVENT_RUN : EVENT_REFUSE,
+		     NULL, now_us);
+	}
+}
+
+/* ---- Frames ---- */
+
+static struct origin *find_origin(struct eb_gate *gt, uint64_t incarnation,
+				  int local, int64_t now_us)
+{
+	struct origin *og;
+
+	og = apr_hash_get(gt->origins, &incarnation, sizeof(incarnation));
+	if (!og) {
+		if (apr_hash_count(gt->origins) >= EB_ORIGINS_MAX)
+			return NULL;
+		og = calloc(1, sizeof(*og));
+		if (!og)
+			return NULL;
+		og->incarnation = incarnation;
+		og->local = (uint8_t)local;
+		apr_hash_set(gt->origins, &og->incarnation,
+			     sizeof(og->incarnation), og);
+	}
+	og->heard_us = now_us;
+	return og;
+}
+
+/* Answers HEAD without keeping a call. */
+static void refuse_head(struct eb_gate *gt, const struct eb_frame *f,
+			const struct eb_back_route *back, enum eb_reason reason)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
+
+	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED, 1);
+	if (!out)
+		return;
+	out->target = f->sender;
+	out->sender = gt->config.incarnation;
+	out->reply->outcome = EB_OUTCOME_NOT_RUN;
+	out->reply->reason = (uint8_t)reason;
+	eb_gate_load(gt, &out->reply->load);
+	gt->out.to_origin(gt->out.ctx, back, out);
+}
+
+/* Reasons to refuse a call before admission is asked. */
+static enum eb_reason check_head(const struct eb_gate *gt,
+				 const struct eb_frame *f)
+{
+	if (!gt->address || strcmp(f->head->upstream, gt->config.upstream) ||
+	    strcmp(f->head->service, gt->service))
+		return EB_REASON_NO_UPSTREAM;
+	if (gt->resumed)
+		return EB_REASON_DEADLINE;
+	if (apr_hash_count(gt->calls) >= EB_CALLS_MAX)
+		return EB_REASON_QUEUE_FULL;
+	return EB_REASON_NONE;
+}
+
+static struct call *new_call(struct eb_gate *gt, struct eb_frame *f,
+			     const struct eb_back_route *back,
+			     struct origin *og, int64_t now_us)
+{
+	struct call *ca = calloc(1, sizeof(*ca));
+
+	if (!ca)
+		return NULL;
+	ca->key.origin = f->sender;
+	ca->key.call = f->call;
+	ca->id = ++gt->next_id;
+	ca->origin = og;
+	ca->local = back == NULL;
+	if (back)
+		ca->back = *back;
+	ca->head = f;
+	ca->streamed = f->head->body_kind == EB_BODY_LENGTH ||
+		       f->head->body_kind == EB_BODY_CHUNKED;
+	ca->body_done = !ca->streamed;
+	ca->budget_us = f->head->remaining_us;
+	ca->deadline_us = now_us + f->head->remaining_us;
+	ca->arrived_us = now_us;
+	ca->arrived_wall_us = eb_clock_wall_us();
+	ca->parent = f->head->trace;
+	eb_trace_new_span(ca->gate_span);
+	og->calls++;
+	apr_hash_set(gt->calls, &ca->key, sizeof(ca->key), ca);
+	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), ca);
+	eb_metrics_add(gt->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
+	return ca;
+}
+
+static void offer(struct eb_gate *gt, struct eb_frame *f,
+		  const struct eb_back_route *back, struct origin *og,
+		  int64_t now_us)
+{
+	static const enum event events[] = {
+		[EB_ADMIT_RUN] = EVENT_RUN,
+		[EB_ADMIT_WAIT] = EVENT_WAIT,
+		[EB_ADMIT_REFUSE] = EVENT_REFUSE,
+	};
+	enum eb_reason reason = check_head(gt, f);
+	struct eb_admit_request rq = { 0 };
+	struct call *ca;
+
+	if (reason == EB_REASON_NONE) {
+		ca = new_call(gt, f, back, og, now_us);
+		if (ca) {
+			rq.id = ca->id;
+			rq.caller = f->head->caller;
+			rq.deadline_us = ca->deadline_us;
+			rq.idempotent = f->head->idempotent;
+			eb_admit_offer(gt->admit, &rq, now_us, &ca->verdict);
+			if (ca->verdict.verdict == EB_ADMIT_WAIT)
+				eb_metrics_add(gt->config.metrics,
+					       EB_METRIC_GATE_QUEUED, 1);
+			step(gt, ca, events[ca->verdict.verdict], NULL, now_us);
+			return;
+		}
+		reason = EB_REASON_INTERNAL;
+	}
+	refuse_head(gt, f, back, reason);
+	eb_frame_unref(f);
+}
+
+static void answer_hello(struct eb_gate *gt, const struct eb_frame *f,
+			 const struct eb_back_route *back)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_HELLO, 0);
+
+	if (!out)
+		return;
+	out->target = f->sender;
+	out->sender = gt->config.incarnation;
+	eb_gate_load(gt, &out->reply->load);
+	gt->out.to_origin(gt->out.ctx, back, out);
+}
+
+/* Takes a frame of an origin; see the header. */
+void eb_gate_from_origin(struct eb_gate *gt, struct eb_frame *f,
+			 const struct eb_back_route *back, int64_t now_us)
+{
+	struct key key = { f->sender, f->call };
+	struct origin *og = find_origin(gt, f->sender, !back, now_us);
+	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
+
+	if (f->type == EB_FRAME_HELLO) {
+		answer_hello(gt, f, back);
+		eb_frame_unref(f);
+	} else if (f->type == EB_FRAME_HEAD && !ca) {
+		if (og) {
+			offer(gt, f, back, og, now_us);
+			return;
+		}
+		refuse_head(gt, f, back, EB_REASON_QUEUE_FULL);
+		eb_frame_unref(f);
+	} else if (!ca || f->type == EB_FRAME_HEAD) {
+		/* Late, or HEAD for a second time. */
+		do_drop(gt, NULL, f, now_us);
+	} else if (f->type == EB_FRAME_CANCEL) {
+		step(gt, ca, EVENT_CANCEL, f, now_us);
+		run_admission(gt, now_us);
+	} else if (f->type == EB_FRAME_DATA || f->type == EB_FRAME_END ||
+		   f->type == EB_FRAME_RCREDIT) {
+		step(gt, ca, EVENT_BODY, f, now_us);
+	} else {
+		do_drop(gt, ca, f, now_us);
+	}
+}
+
+static enum event client_event(const struct eb_frame *f)
+{
+	switch (f->type) {
+	case EB_FRAME_CREDIT:
+		return EVENT_CREDIT;
+	case EB_FRAME_RHEAD:
+		if (f->reply->body_kind == EB_BODY_NONE ||
+		    f->reply->body_kind == EB_BODY_INLINE)
+			return EVENT_ANSWER_LAST;
+		return EVENT_ANSWER_HEAD;
+	case EB_FRAME_RDATA:
+		return EVENT_ANSWER_DATA;
+	case EB_FRAME_REND:
+		return EVENT_ANSWER_LAST;
+	default:
+		return EVENT_FAILED;
+	}
+}
+
+/* Takes a frame of the client thread. */
+void eb_gate_from_client(struct eb_gate *gt, struct eb_frame *f, int64_t now_us)
+{
+	struct key key = { f->target, f->call };
+	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
+
+	if (!ca) {
+		do_drop(gt, NULL, f, now_us);
+		return;
+	}
+	step(gt, ca, client_event(f), f, now_us);
+	run_admission(gt, now_us);
+}
+
+static void check_call(struct eb_gate *gt, struct call *ca, int64_t now_us)
+{
+	if (!ca->local &&
+	    now_us - ca->origin->heard_us >= EB_PEER_SILENT_MS * 1000LL)
+		step(gt, ca, EVENT_ORIGIN_LOST, NULL, now_us);
+	else if (ca->body_done && now_us >= ca->deadline_us)
+		step(gt, ca, EVENT_EXPIRE, NULL, now_us);
+}
+
+/*
+ * Ends calls whose deadline has passed or whose origin has gone silent, and
+ * forgets origins without calls.
+ */
+void eb_gate_tick(struct eb_gate *gt, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct origin *og;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		check_call(gt, value, now_us);
+	}
+	for (hi = apr_hash_first(NULL, gt->origins); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		og = value;
+		if (og->calls ||
+		    now_us - og->heard_us < EB_PEER_IDLE_MS * 1000LL)
+			continue;
+		apr_hash_set(gt->origins, &og->incarnation,
+			     sizeof(og->incarnation), NULL);
+		free(og);
+	}
+	run_admission(gt, now_us);
+}
--- /dev/null
+++ b/src/eb_gate.h
@@ -0,0 +1,56 @@
+#ifndef EB_GATE_H
+#define EB_GATE_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "eb_admit.h"
+#include "eb_config.h"
+#include "eb_findings.h"
+#include "eb_frame.h"
+#include "eb_mesh.h"
+#include "eb_metrics.h"
+#include "eb_trace.h"
+
+/*
+ * The gate: calls that are meant for the upstream beside this daemon, from
+ * their arrival to the last frame of the answer. It has no socket and no
+ * clock; frames leave through its outlets.
+ */
+struct eb_gate;
+
+/* Where frames go; each one takes the reference over. */
+struct eb_gate_outlets {
+	void (*to_client)(void *ctx, struct eb_frame *f);
+	/* `back` is NULL for a call of this daemon's own origin. */
+	void (*to_origin)(void *ctx, const struct eb_back_route *back,
+			  struct eb_frame *f);
+	void *ctx;
+};
+
+struct eb_gate_config {
+	const char *upstream; /* name of the upstream beside this daemon */
+	uint64_t incarnation;
+	struct eb_metrics *metrics;
+	struct eb_tracer *tracer;
+};
+
+struct eb_gate *eb_gate_new(const struct eb_gate_config *cf,
+			    const struct eb_gate_outlets *out,
+			    struct eb_findings *fs);
+void eb_gate_free(struct eb_gate *gt);
+/* `up` is NULL while the configuration does not know this upstream. */
+void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
+		       const struct eb_rule *rule);
+void eb_gate_drain(struct eb_gate *gt);
+void eb_gate_resumed(struct eb_gate *gt, int resumed);
+/* A frame of an origin; `back` is NULL for this daemon's own. */
+void eb_gate_from_origin(struct eb_gate *gt, struct eb_frame *f,
+			 const struct eb_back_route *back, int64_t now_us);
+void eb_gate_from_client(struct eb_gate *gt, struct eb_frame *f,
+			 int64_t now_us);
+void eb_gate_tick(struct eb_gate *gt, int64_t now_us);
+void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld);
+uint32_t eb_gate_active(const struct eb_gate *gt);
+
+#endif
--- /dev/null
+++ b/src/eb_mesh.c
@@ -0,0 +1,613 @@
+#include "eb_mesh.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <assert.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "eb_wire.h"
+
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_PARTS_MAX 8
+#define ZAP_PART_BYTES 256
+#define KEY_BYTES 32
+#define EVENTS_MAX 64
+
+struct eb_mesh {
+	const struct eb_settings *settings;
+	struct eb_metrics *metrics;
+	struct eb_log *log;
+	uint64_t incarnation;
+	void *zmq;
+	void *router;
+	void *zap; /* NULL without CURVE */
+	int epoll_fd;
+	struct eb_peer *peers[EB_PEERS_MAX];
+	uint32_t peer_count;
+	int64_t last_tick_us;
+	uint8_t router_dirty;
+	uint8_t zap_dirty;
+	apr_pool_t *pool;
+	apr_pool_t *key_pool;
+	apr_hash_t *keys; /* public keys that may connect, 32 bytes each */
+	msgpack_sbuffer out;
+};
+
+/* Which socket an event of epoll belongs to: a peer or one of these. */
+enum special {
+	SPECIAL_ROUTER = 1,
+	SPECIAL_ZAP = 2,
+};
+
+static int watch(struct eb_mesh *ms, void *socket, void *tag)
+{
+	struct epoll_event ev = { .events = EPOLLIN, .data.ptr = tag };
+	size_t n = sizeof(int);
+	int fd;
+
+	if (zmq_getsockopt(socket, ZMQ_FD, &fd, &n))
+		return -1;
+	return epoll_ctl(ms->epoll_fd, EPOLL_CTL_ADD, fd, &ev);
+}
+
+static void set_int(void *socket, int option, int value)
+{
+	int rc = zmq_setsockopt(socket, option, &value, sizeof(value));
+
+	assert(!rc);
+	(void)rc;
+}
+
+static void set_common(void *socket)
+{
+	set_int(socket, ZMQ_LINGER, 0);
+	set_int(socket, ZMQ_SNDHWM, EB_PEER_HIGH_WATER_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, EB_PEER_HIGH_WATER_MESSAGES);
+	set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
+}
+
+/* Sets the daemon's own key pair; the server side checks peers by ZAP. */
+static int set_curve(struct eb_mesh *ms, void *socket, const char *server_key)
+{
+	const struct eb_settings *se = ms->settings;
+
+	if (se->plain_peers)
+		return 0;
+	if (zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, se->curve_public, 41) ||
+	    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, se->curve_secret, 41))
+		return -1;
+	if (server_key)
+		return zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, server_key,
+				      41);
+	set_int(socket, ZMQ_CURVE_SERVER, 1);
+	return zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, "ebonypier", 9);
+}
+
+static int open_zap(struct eb_mesh *ms)
+{
+	if (ms->settings->plain_peers)
+		return 0;
+	ms->zap = zmq_socket(ms->zmq, ZMQ_REP);
+	if (!ms->zap)
+		return -1;
+	set_int(ms->zap, ZMQ_LINGER, 0);
+	if (zmq_bind(ms->zap, ZAP_ENDPOINT))
+		return -1;
+	ms->zap_dirty = 1;
+	return watch(ms, ms->zap, (void *)SPECIAL_ZAP);
+}
+
+static int open_router(struct eb_mesh *ms)
+{
+	char endpoint[96];
+
+	ms->router = zmq_socket(ms->zmq, ZMQ_ROUTER);
+	if (!ms->router)
+		return -1;
+	set_common(ms->router);
+	set_int(ms->router, ZMQ_ROUTER_MANDATORY, 1);
+	if (set_curve(ms, ms->router, NULL))
+		return -1;
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+		 ms->settings->daemon_address);
+	if (zmq_bind(ms->router, endpoint))
+		return -1;
+	ms->router_dirty = 1;
+	return watch(ms, ms->router, (void *)SPECIAL_ROUTER);
+}
+
+/*
+ * Binds the daemon's endpoint. Returns NULL and sets `err` when that fails,
+ * for instance because the address is in use.
+ */
+struct eb_mesh *eb_mesh_new(const struct eb_settings *se, uint64_t incarnation,
+			    struct eb_metrics *mt, struct eb_log *lg,
+			    struct eb_error *err)
+{
+	struct eb_mesh *ms = calloc(1, sizeof(*ms));
+
+	if (!ms) {
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		return NULL;
+	}
+	ms->settings = se;
+	ms->metrics = mt;
+	ms->log = lg;
+	ms->incarnation = incarnation;
+	msgpack_sbuffer_init(&ms->out);
+	apr_pool_create(&ms->pool, NULL);
+	ms->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	ms->zmq = zmq_ctx_new();
+	if (ms->zmq)
+		zmq_ctx_set(ms->zmq, ZMQ_MAX_SOCKETS, EB_PEERS_MAX + 16);
+	if (ms->epoll_fd < 0 || !ms->zmq || open_zap(ms) || open_router(ms)) {
+		eb_error_set(err, EB_EIO, "cannot listen on %s: %s",
+			     se->daemon_address, zmq_strerror(errno));
+		eb_mesh_free(ms);
+		return NULL;
+	}
+	return ms;
+}
+
+/* Closes all sockets. */
+void eb_mesh_free(struct eb_mesh *ms)
+{
+	if (!ms)
+		return;
+	while (ms->peer_count)
+		eb_mesh_close(ms, ms->peers[ms->peer_count - 1]);
+	if (ms->router)
+		zmq_close(ms->router);
+	if (ms->zap)
+		zmq_close(ms->zap);
+	if (ms->zmq)
+		zmq_ctx_term(ms->zmq);
+	if (ms->epoll_fd >= 0)
+		close(ms->epoll_fd);
+	msgpack_sbuffer_destroy(&ms->out);
+	apr_pool_destroy(ms->pool);
+	free(ms);
+}
+
+/* Returns a descriptor that is readable when there may be frames. */
+int eb_mesh_fd(const struct eb_mesh *ms)
+{
+	return ms->epoll_fd;
+}
+
+/* Lets exactly the daemons of this configuration connect. */
+enum eb_status eb_mesh_allow_keys(struct eb_mesh *ms,
+				  const struct eb_config *cf)
+{
+	apr_pool_t *pool;
+	apr_hash_t *keys;
+	uint8_t *key;
+	uint32_t i;
+
+	if (apr_pool_create(&pool, ms->pool) != APR_SUCCESS)
+		return EB_ENOMEM;
+	keys = apr_hash_make(pool);
+	for (i = 0; i < cf->upstream_total; i++) {
+		if (!cf->upstreams[i]->key[0])
+			continue;
+		key = apr_palloc(pool, KEY_BYTES);
+		if (zmq_z85_decode(key, cf->upstreams[i]->key))
+			apr_hash_set(keys, key, KEY_BYTES, key);
+	}
+	if (ms->key_pool)
+		apr_pool_destroy(ms->key_pool);
+	ms->key_pool = pool;
+	ms->keys = keys;
+	return EB_OK;
+}
+
+/*
+ * Opens a socket to a daemon. Nothing is queued before the connection
+ * stands, so that a later daemon at this address gets no old messages.
+ * Returns NULL when EB_PEERS_MAX is reached or the address is unusable.
+ */
+struct eb_peer *eb_mesh_dial(struct eb_mesh *ms, const char *address,
+			     const char *key, uint32_t user, int64_t now_us)
+{
+	struct eb_peer *pr;
+	char endpoint[96];
+
+	if (ms->peer_count == EB_PEERS_MAX)
+		return NULL;
+	pr = calloc(1, sizeof(*pr));
+	if (!pr)
+		return NULL;
+	snprintf(pr->address, sizeof(pr->address), "%s", address);
+	snprintf(pr->key, sizeof(pr->key), "%s", key);
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	pr->user = user;
+	pr->last_used_us = now_us;
+	pr->last_received_us = now_us;
+	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
+	if (!pr->socket) {
+		free(pr);
+		return NULL;
+	}
+	set_common(pr->socket);
+	set_int(pr->socket, ZMQ_IMMEDIATE, 1);
+	set_int(pr->socket, ZMQ_RECONNECT_IVL, 100);
+	set_int(pr->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+	if (set_curve(ms, pr->socket, pr->key) ||
+	    zmq_connect(pr->socket, endpoint) || watch(ms, pr->socket, pr)) {
+		zmq_close(pr->socket);
+		free(pr);
+		return NULL;
+	}
+	ms->peers[ms->peer_count++] = pr;
+	eb_metrics_set(ms->metrics, EB_METRIC_PEERS_ACTIVE, ms->peer_count);
+	return pr;
+}
+
+/* Closes the socket to a peer and frees the peer. */
+void eb_mesh_close(struct eb_mesh *ms, struct eb_peer *pr)
+{
+	size_t n = sizeof(int);
+	uint32_t i;
+	int fd;
+
+	for (i = 0; i < ms->peer_count; i++)
+		if (ms->peers[i] == pr)
+			break;
+	assert(i < ms->peer_count);
+	ms->peers[i] = ms->peers[--ms->peer_count];
+	if (!zmq_getsockopt(pr->socket, ZMQ_FD, &fd, &n))
+		epoll_ctl(ms->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+	zmq_close(pr->socket);
+	free(pr);
+	eb_metrics_set(ms->metrics, EB_METRIC_PEERS_ACTIVE, ms->peer_count);
+}
+
+static void count_out(struct eb_mesh *ms, const struct eb_frame *f)
+{
+	eb_metrics_add(ms->metrics, EB_METRIC_FRAMES_OUT, 1);
+	eb_metrics_add(ms->metrics, EB_METRIC_BYTES_OUT, (int64_t)ms->out.size);
+	if (f->type == EB_FRAME_HELLO)
+		eb_metrics_add(ms->metrics, EB_METRIC_WATCH_BYTES,
+			       (int64_t)ms->out.size);
+	else if (f->type == EB_FRAME_GOSSIP || f->type == EB_FRAME_CLAIM)
+		eb_metrics_add(ms->metrics, EB_METRIC_CONTROL_BYTES,
+			       (int64_t)ms->out.size);
+}
+
+static enum eb_status send_failed(struct eb_mesh *ms)
+{
+	eb_metrics_add(ms->metrics, EB_METRIC_PEER_SEND_FAILED, 1);
+	return errno == EAGAIN ? EB_EAGAIN : EB_EPEER;
+}
+
+/*
+ * Sends a frame to a peer; the reference stays with the caller. After an
+ * error the frame has not left this daemon and never will.
+ */
+enum eb_status eb_mesh_send(struct eb_mesh *ms, struct eb_peer *pr,
+			    struct eb_frame *f, int64_t now_us)
+{
+	f->sender = ms->incarnation;
+	f->target = pr->incarnation;
+	msgpack_sbuffer_clear(&ms->out);
+	if (eb_wire_encode(f, &ms->out))
+		return EB_EINVAL;
+	pr->dirty = 1;
+	if (zmq_send(pr->socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
+		return send_failed(ms);
+	pr->last_sent_us = now_us;
+	count_out(ms, f);
+	return EB_OK;
+}
+
+/* Sends a frame back to where a request came from; see eb_mesh_send(). */
+enum eb_status eb_mesh_reply(struct eb_mesh *ms,
+			     const struct eb_back_route *back,
+			     struct eb_frame *f)
+{
+	f->sender = ms->incarnation;
+	msgpack_sbuffer_clear(&ms->out);
+	if (eb_wire_encode(f, &ms->out))
+		return EB_EINVAL;
+	ms->router_dirty = 1;
+	if (zmq_send(ms->router, back->bytes, back->used_bytes,
+		     ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0 ||
+	    zmq_send(ms->router, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
+		return send_failed(ms);
+	count_out(ms, f);
+	return EB_OK;
+}
+
+/* Decodes a message; a bad one and one for another incarnation is counted. */
+static struct eb_frame *decode(struct eb_mesh *ms, const void *bytes, size_t n)
+{
+	struct eb_frame *f;
+
+	eb_metrics_add(ms->metrics, EB_METRIC_FRAMES_IN, 1);
+	eb_metrics_add(ms->metrics, EB_METRIC_BYTES_IN, (int64_t)n);
+	if (eb_wire_decode(bytes, n, &f)) {
+		eb_metrics_add(ms->metrics, EB_METRIC_BAD_FRAMES, 1);
+		return NULL;
+	}
+	if (!f->sender || (f->target && f->target != ms->incarnation)) {
+		eb_metrics_add(ms->metrics, EB_METRIC_STALE_FRAMES, 1);
+		eb_frame_unref(f);
+		return NULL;
+	}
+	return f;
+}
+
+/* Notes the peer's incarnation; another one means that calls are lost. */
+static void note_incarnation(struct eb_mesh *ms, struct eb_peer *pr,
+			     const struct eb_frame *f,
+			     const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	pr->last_received_us = now_us;
+	if (pr->up && pr->incarnation == f->sender)
+		return;
+	if (pr->incarnation && pr->incarnation != f->sender) {
+		eb_metrics_add(ms->metrics, EB_METRIC_PEERS_LOST, 1);
+		sink->lost(sink->ctx, pr);
+	}
+	pr->incarnation = f->sender;
+	pr->up = 1;
+	sink->up(sink->ctx, pr);
+}
+
+static int receive_peer(struct eb_mesh *ms, struct eb_peer *pr,
+			const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	struct eb_frame *f;
+	zmq_msg_t msg;
+	int i;
+
+	for (i = 0; i < EB_BATCH_FRAMES; i++) {
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, pr->socket, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&msg);
+			pr->dirty = 0;
+			return 0;
+		}
+		f = decode(ms, zmq_msg_data(&msg), zmq_msg_size(&msg));
+		zmq_msg_close(&msg);
+		if (!f)
+			continue;
+		note_incarnation(ms, pr, f, sink, now_us);
+		sink->frame(sink->ctx, f, pr, NULL);
+	}
+	return 1;
+}
+
+/* Drops the remaining parts of a message with too many. */
+static void skip_parts(void *socket)
+{
+	size_t n = sizeof(int);
+	zmq_msg_t msg;
+	int more = 1;
+
+	while (more) {
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, socket, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&msg);
+			return;
+		}
+		zmq_msg_close(&msg);
+		zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &n);
+	}
+}
+
+static int receive_router(struct eb_mesh *ms, const struct eb_mesh_sink *sink)
+{
+	struct eb_back_route back;
+	struct eb_frame *f;
+	zmq_msg_t msg;
+	int i, n;
+
+	for (i = 0; i < EB_BATCH_FRAMES; i++) {
+		n = zmq_recv(ms->router, back.bytes, sizeof(back.bytes),
+			     ZMQ_DONTWAIT);
+		if (n < 0) {
+			ms->router_dirty = 0;
+			return 0;
+		}
+		back.used_bytes = (uint8_t)n;
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, ms->router, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&msg);
+			continue;
+		}
+		f = NULL;
+		if (zmq_msg_more(&msg)) {
+			skip_parts(ms->router);
+			eb_metrics_add(ms->metrics, EB_METRIC_BAD_FRAMES, 1);
+		} else if (n <= (int)sizeof(back.bytes)) {
+			f = decode(ms, zmq_msg_data(&msg), zmq_msg_size(&msg));
+		} else {
+			eb_metrics_add(ms->metrics, EB_METRIC_BAD_FRAMES, 1);
+		}
+		zmq_msg_close(&msg);
+		if (f)
+			sink->frame(sink->ctx, f, NULL, &back);
+	}
+	return 1;
+}
+
+struct zap_request {
+	char parts[ZAP_PARTS_MAX][ZAP_PART_BYTES];
+	int sizes[ZAP_PARTS_MAX];
+	int count;
+};
+
+static int read_zap(void *socket, struct zap_request *rq)
+{
+	size_t size = sizeof(int);
+	int more = 1, n;
+
+	rq->count = 0;
+	while (more) {
+		if (rq->count == ZAP_PARTS_MAX) {
+			skip_parts(socket);
+			return 0;
+		}
+		n = zmq_recv(socket, rq->parts[rq->count], ZAP_PART_BYTES,
+			     ZMQ_DONTWAIT);
+		if (n < 0)
+			return -1;
+		if (n > ZAP_PART_BYTES)
+			n = ZAP_PART_BYTES;
+		rq->sizes[rq->count++] = n;
+		zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
+	}
+	return 0;
+}
+
+/*
+ * Answers ZeroMQ's questions whether a peer may connect (RFC 27). The parts
+ * are: version, request, domain, address, identity, mechanism, key.
+ */
+static int receive_zap(struct eb_mesh *ms)
+{
+	struct zap_request rq;
+	int ok, i;
+
+	for (i = 0; i < EB_BATCH_FRAMES; i++) {
+		if (read_zap(ms->zap, &rq)) {
+			ms->zap_dirty = 0;
+			return 0;
+		}
+		ok = rq.count >= 7 && rq.sizes[6] == KEY_BYTES && ms->keys &&
+		     apr_hash_get(ms->keys, rq.parts[6], KEY_BYTES);
+		if (!ok) {
+			eb_metrics_add(ms->metrics, EB_METRIC_PEER_AUTH_FAILED,
+				       1);
+			eb_log_write(ms->log, EB_LOG_WARN, "mesh",
+				     "refused a peer with an unknown key",
+				     "address=%.*s",
+				     rq.count > 3 ? rq.sizes[3] : 0,
+				     rq.parts[3]);
+		}
+		zmq_send(ms->zap, "1.0", 3, ZMQ_SNDMORE);
+		zmq_send(ms->zap, rq.parts[1], (size_t)rq.sizes[1],
+			 ZMQ_SNDMORE);
+		zmq_send(ms->zap, ok ? "200" : "400", 3, ZMQ_SNDMORE);
+		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
+		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
+		zmq_send(ms->zap, "", 0, 0);
+	}
+	return 1;
+}
+
+/* Marks the sockets that epoll reports. */
+static void mark_dirty(struct eb_mesh *ms)
+{
+	struct epoll_event ev[EVENTS_MAX];
+	int i, n = epoll_wait(ms->epoll_fd, ev, EVENTS_MAX, 0);
+
+	for (i = 0; i < n; i++) {
+		if (ev[i].data.ptr == (void *)SPECIAL_ROUTER)
+			ms->router_dirty = 1;
+		else if (ev[i].data.ptr == (void *)SPECIAL_ZAP)
+			ms->zap_dirty = 1;
+		else
+			((struct eb_peer *)ev[i].data.ptr)->dirty = 1;
+	}
+}
+
+/*
+ * Hands a batch of received frames to the sink. Returns 1 when more may
+ * wait, so that the caller comes back without sleeping. The descriptors of
+ * ZeroMQ are edge-triggered and also change on sends: a socket is read until
+ * it is empty after each event and after each send.
+ */
+int eb_mesh_receive(struct eb_mesh *ms, const struct eb_mesh_sink *sink,
+		    int64_t now_us)
+{
+	uint32_t i;
+	int more = 0;
+
+	mark_dirty(ms);
+	if (ms->zap_dirty && ms->zap)
+		more |= receive_zap(ms);
+	if (ms->router_dirty)
+		more |= receive_router(ms, sink);
+	for (i = 0; i < ms->peer_count; i++)
+		if (ms->peers[i]->dirty)
+			more |= receive_peer(ms, ms->peers[i], sink, now_us);
+	for (i = 0; i < ms->peer_count && !more; i++)
+		more = ms->peers[i]->dirty;
+	return more || ms->router_dirty;
+}
+
+static void send_hello(struct eb_mesh *ms, struct eb_peer *pr, int64_t now_us)
+{
+	struct eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
+
+	if (!f)
+		return;
+	pr->last_hello_us = now_us;
+	eb_mesh_send(ms, pr, f, now_us);
+	eb_frame_unref(f);
+}
+
+/* A heartbeat is due when one direction of the link has been quiet. */
+static int hello_due(const struct eb_peer *pr, int64_t now_us)
+{
+	int64_t pause_us = EB_PEER_HEARTBEAT_MS * 1000;
+
+	if (!pr->up)
+		return now_us - pr->last_hello_us >=
+		       EB_PEER_DIAL_HELLO_MS * 1000;
+	return now_us - pr->last_hello_us >= pause_us &&
+	       (now_us - pr->last_sent_us >= pause_us ||
+		now_us - pr->last_received_us >= pause_us);
+}
+
+/* Drops the connection and makes a new one. */
+static void reconnect(struct eb_peer *pr, int64_t now_us)
+{
+	char endpoint[96];
+
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", pr->address);
+	zmq_disconnect(pr->socket, endpoint);
+	zmq_connect(pr->socket, endpoint);
+	pr->dirty = 1;
+	pr->last_received_us = now_us;
+}
+
+/*
+ * Sends heartbeats on links that are quiet and finds silent peers. A silent
+ * link gets a new connection: something between may have forgotten the old.
+ */
+void eb_mesh_tick(struct eb_mesh *ms, const struct eb_mesh_sink *sink,
+		  int64_t now_us)
+{
+	int paused = ms->last_tick_us &&
+		     now_us - ms->last_tick_us > EB_PEER_HEARTBEAT_MS * 1000;
+	struct eb_peer *pr;
+	uint32_t i;
+
+	ms->last_tick_us = now_us;
+	for (i = 0; i < ms->peer_count; i++) {
+		pr = ms->peers[i];
+		/* After a pause of this process, silence says nothing. */
+		if (paused)
+			pr->last_received_us = now_us;
+		if (now_us - pr->last_received_us >= EB_PEER_SILENT_MS * 1000) {
+			if (pr->up) {
+				pr->up = 0;
+				eb_metrics_add(ms->metrics,
+					       EB_METRIC_PEERS_LOST, 1);
+				sink->lost(sink->ctx, pr);
+			}
+			reconnect(pr, now_us);
+		}
+		if (hello_due(pr, now_us))
+			send_hello(ms, pr, now_us);
+	}
+}
--- /dev/null
+++ b/src/eb_nodes.c
@@ -0,0 +1,374 @@
+#include "eb_nodes.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_tunables.h"
+
+struct eb_nodes {
+	const struct eb_settings *settings;
+	struct eb_mesh *mesh;
+	uint64_t seed;
+	struct eb_config *config;
+	struct eb_node **nodes;
+	uint32_t count;
+	uint32_t space;
+	apr_pool_t *pool;
+	apr_hash_t *by_name;	/* name -> node number + 1 */
+	apr_hash_t *by_address; /* daemon's IP:port -> node number + 1 */
+	apr_hash_t *services;	/* name -> struct eb_service_state */
+};
+
+/* Creates an empty registry. Returns NULL without memory. */
+struct eb_nodes *eb_nodes_new(const struct eb_settings *se, struct eb_mesh *ms,
+			      uint64_t seed)
+{
+	struct eb_nodes *nd = calloc(1, sizeof(*nd));
+
+	if (!nd)
+		return NULL;
+	nd->settings = se;
+	nd->mesh = ms;
+	nd->seed = seed;
+	nd->config = eb_config_new_empty();
+	if (!nd->config || apr_pool_create(&nd->pool, NULL) != APR_SUCCESS) {
+		eb_config_unref(nd->config);
+		free(nd);
+		return NULL;
+	}
+	nd->by_name = apr_hash_make(nd->pool);
+	nd->by_address = apr_hash_make(nd->pool);
+	nd->services = apr_hash_make(nd->pool);
+	return nd;
+}
+
+/* Frees the registry; the mesh closes its sockets itself. */
+void eb_nodes_free(struct eb_nodes *nd)
+{
+	struct eb_service_state *sv;
+	apr_hash_index_t *hi;
+	void *value;
+	uint32_t i;
+
+	if (!nd)
+		return;
+	for (hi = apr_hash_first(NULL, nd->services); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		sv = value;
+		eb_route_free(sv->route);
+		free(sv->name);
+		free(sv);
+	}
+	for (i = 0; i < nd->count; i++) {
+		free(nd->nodes[i]->name);
+		free(nd->nodes[i]);
+	}
+	free(nd->nodes);
+	eb_config_unref(nd->config);
+	apr_pool_destroy(nd->pool);
+	free(nd);
+}
+
+/* Returns the configuration in force; never NULL. */
+const struct eb_config *eb_nodes_config(const struct eb_nodes *nd)
+{
+	return nd->config;
+}
+
+/* Returns a node by its number. */
+struct eb_node *eb_nodes_get(const struct eb_nodes *nd, uint32_t id)
+{
+	return id < nd->count ? nd->nodes[id] : NULL;
+}
+
+/* Returns how many numbers have been given; some may be out of use. */
+uint32_t eb_nodes_count(const struct eb_nodes *nd)
+{
+	return nd->count;
+}
+
+static uint32_t lookup(apr_hash_t *table, const char *key)
+{
+	void *value = apr_hash_get(table, key, APR_HASH_KEY_STRING);
+
+	return value ? (uint32_t)((uintptr_t)value - 1) : EB_NONE;
+}
+
+/* Returns the number of the node with this upstream name, or EB_NONE. */
+uint32_t eb_nodes_find(const struct eb_nodes *nd, const char *name)
+{
+	return lookup(nd->by_name, name);
+}
+
+static uint8_t distance_of(const struct eb_settings *se,
+			   const struct eb_upstream *up)
+{
+	if (!strcmp(up->name, se->upstream))
+		return EB_DISTANCE_SELF;
+	if (!strcmp(up->failure_domain, se->failure_domain) &&
+	    !strcmp(up->region, se->region))
+		return EB_DISTANCE_DOMAIN;
+	if (!strcmp(up->region, se->region))
+		return EB_DISTANCE_REGION;
+	return EB_DISTANCE_FAR;
+}
+
+static struct eb_node *add_node(struct eb_nodes *nd, const char *name)
+{
+	uint32_t space = nd->space ? nd->space * 2 : 64;
+	struct eb_node **nodes, *n;
+
+	if (nd->count == nd->space) {
+		nodes = realloc(nd->nodes, space * sizeof(*nodes));
+		if (!nodes)
+			return NULL;
+		nd->nodes = nodes;
+		nd->space = space;
+	}
+	n = calloc(1, sizeof(*n));
+	if (!n)
+		return NULL;
+	n->name = strdup(name);
+	n->self = !strcmp(name, nd->settings->upstream);
+	nd->nodes[nd->count++] = n;
+	apr_hash_set(nd->by_name, n->name, APR_HASH_KEY_STRING,
+		     (void *)(uintptr_t)nd->count);
+	return n;
+}
+
+/* Closes a socket that no longer leads to the node's daemon. */
+static void check_peer(struct eb_nodes *nd, struct eb_node *n)
+{
+	struct eb_peer *pr = n->peer;
+
+	if (!pr)
+		return;
+	if (n->present && !strcmp(pr->address, n->info->daemon) &&
+	    !strcmp(pr->key, n->info->key))
+		return;
+	n->peer = NULL;
+	eb_mesh_close(nd->mesh, pr);
+}
+
+static void update_node(struct eb_nodes *nd, uint32_t i)
+{
+	struct eb_upstream *up = nd->config->upstreams[i];
+	uint32_t id = eb_nodes_find(nd, up->name);
+	struct eb_node *n;
+
+	n = id == EB_NONE ? add_node(nd, up->name) : nd->nodes[id];
+	if (!n)
+		return;
+	n->present = 1;
+	n->info = up;
+	n->service = nd->config->upstream_service[i];
+	n->distance = distance_of(nd->settings, up);
+	apr_hash_set(nd->by_address, up->daemon, APR_HASH_KEY_STRING,
+		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
+}
+
+static int usable(const struct eb_node *n)
+{
+	if (!n->present || n->leaving || n->draining)
+		return 0;
+	return n->self || (n->peer && n->peer->up);
+}
+
+/* Tells the router of a service about its upstreams. */
+static void refresh(struct eb_nodes *nd, struct eb_service_state *sv,
+		    int64_t now_us)
+{
+	struct eb_route_upstream *ups;
+	uint32_t first, count, i, id;
+	struct eb_node *n;
+
+	if (sv->index == EB_NONE) {
+		eb_route_set_upstreams(sv->route, NULL, 0, now_us);
+		return;
+	}
+	first = nd->config->service_first[sv->index];
+	count = nd->config->service_count[sv->index];
+	ups = calloc(count ? count : 1, sizeof(*ups));
+	if (!ups)
+		return;
+	for (i = 0; i < count; i++) {
+		id = eb_nodes_find(nd, nd->config->upstreams[first + i]->name);
+		n = nd->nodes[id];
+		ups[i].id = id;
+		ups[i].slots = (uint16_t)n->info->slots;
+		ups[i].distance = n->distance;
+		ups[i].leaving = !usable(n);
+	}
+	eb_route_set_upstreams(sv->route, ups, count, now_us);
+	free(ups);
+}
+
+/* Dials the daemons of a service, the nearest ones first. */
+static void dial(struct eb_nodes *nd, struct eb_service_state *sv,
+		 int64_t now_us)
+{
+	uint32_t first = nd->config->service_first[sv->index];
+	uint32_t count = nd->config->service_count[sv->index];
+	uint32_t i, id, dialled = 0;
+	struct eb_node *n;
+	int distance;
+
+	sv->dialled_us = now_us;
+	for (distance = EB_DISTANCE_DOMAIN; distance <= EB_DISTANCE_FAR;
+	     distance++) {
+		for (i = 0; i < count && dialled < EB_SERVICE_PEERS_MAX; i++) {
+			id = eb_nodes_find(
+				nd, nd->config->upstreams[first + i]->name);
+			n = nd->nodes[id];
+			if (n->self || n->distance != distance)
+				continue;
+			dialled++;
+			if (!n->peer)
+				n->peer =
+					eb_mesh_dial(nd->mesh, n->info->daemon,
+						     n->info->key, id, now_us);
+		}
+	}
+}
+
+static struct eb_service_state *add_service(struct eb_nodes *nd,
+					    const char *name)
+{
+	struct eb_service_state *sv = calloc(1, sizeof(*sv));
+
+	if (!sv)
+		return NULL;
+	sv->name = strdup(name);
+	sv->route = eb_route_new(nd->seed + apr_hash_count(nd->services));
+	sv->index = EB_NONE;
+	apr_hash_set(nd->services, sv->name, APR_HASH_KEY_STRING, sv);
+	return sv;
+}
+
+/*
+ * Returns the state of a service and brings it into use: its daemons are
+ * dialled and its router knows its upstreams.
+ */
+struct eb_service_state *eb_nodes_service(struct eb_nodes *nd, uint32_t index,
+					  int64_t now_us)
+{
+	const char *name = nd->config->services[index]->name;
+	struct eb_service_state *sv;
+
+	sv = apr_hash_get(nd->services, name, APR_HASH_KEY_STRING);
+	if (!sv)
+		sv = add_service(nd, name);
+	if (!sv || sv->dialled_us)
+		return sv;
+	sv->index = index;
+	eb_retry_init(&sv->retry, eb_nodes_rule(nd, sv)->retry_permille);
+	dial(nd, sv, now_us);
+	refresh(nd, sv, now_us);
+	return sv;
+}
+
+/* Carries the services in use over to the new configuration. */
+static void update_services(struct eb_nodes *nd, int64_t now_us)
+{
+	struct eb_service_state *sv;
+	apr_hash_index_t *hi;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, nd->services); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		sv = value;
+		sv->index = eb_config_find_service(nd->config, sv->name);
+		if (sv->index != EB_NONE) {
+			sv->retry.retry_permille =
+				eb_nodes_rule(nd, sv)->retry_permille;
+			dial(nd, sv, now_us);
+		}
+		refresh(nd, sv, now_us);
+	}
+}
+
+/*
+ * Puts a configuration into force and takes a reference to it. Returns
+ * EB_ENOMEM when the keys of the peers could not be stored.
+ */
+enum eb_status eb_nodes_configure(struct eb_nodes *nd, struct eb_config *cf,
+				  int64_t now_us)
+{
+	struct eb_config *old = nd->config;
+	enum eb_status st;
+	uint32_t i;
+
+	nd->config = eb_config_ref(cf);
+	apr_hash_clear(nd->by_address);
+	for (i = 0; i < nd->count; i++)
+		nd->nodes[i]->present = 0;
+	for (i = 0; i < cf->upstream_total; i++)
+		update_node(nd, i);
+	for (i = 0; i < nd->count; i++) {
+		check_peer(nd, nd->nodes[i]);
+		if (!nd->nodes[i]->present)
+			nd->nodes[i]->info = NULL;
+	}
+	st = eb_mesh_allow_keys(nd->mesh, cf);
+	update_services(nd, now_us);
+	if (cf->upstream_total <= EB_WARM_UPSTREAMS_MAX)
+		for (i = 0; i < cf->service_total; i++)
+			eb_nodes_service(nd, i, now_us);
+	eb_config_unref(old);
+	return st;
+}
+
+/* Passes a change of one node on to the router of its service. */
+void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(nd, id);
+	struct eb_service_state *sv;
+
+	if (!n || !n->present)
+		return;
+	sv = apr_hash_get(nd->services, n->info->service_name,
+			  APR_HASH_KEY_STRING);
+	if (sv && sv->dialled_us)
+		refresh(nd, sv, now_us);
+}
+
+/*
+ * Takes in one line of the platform's list of VMs, which lags: a VM that it
+ * calls leaving gets no new requests.
+ */
+void eb_nodes_note_vm(struct eb_nodes *nd, const char *address, int leaving,
+		      int64_t now_us)
+{
+	uint32_t id = lookup(nd->by_address, address);
+	struct eb_node *n = eb_nodes_get(nd, id);
+
+	if (!n || n->leaving == (leaving != 0))
+		return;
+	n->leaving = leaving != 0;
+	eb_nodes_changed(nd, id, now_us);
+}
+
+/* Returns the rule of a service; a default when it names none. */
+const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
+				    const struct eb_service_state *sv)
+{
+	static const struct eb_rule defaults = {
+		.refs = 1,
+		.name = "default",
+		.retry_permille = 100,
+		.queue = 64,
+		.watch_bytes_per_s = 2048,
+		.claims = 1,
+		.idempotent_methods = "GET HEAD OPTIONS PUT DELETE TRACE",
+	};
+	uint32_t rule;
+
+	if (sv->index == EB_NONE)
+		return &defaults;
+	rule = nd->config->services[sv->index]->rule;
+	return rule == EB_NONE ? &defaults : nd->config->rules[rule];
+}
--- /dev/null
+++ b/src/eb_nodes.h
@@ -0,0 +1,58 @@
+#ifndef EB_NODES_H
+#define EB_NODES_H
+
+#include <stdint.h>
+
+#include "eb_config.h"
+#include "eb_mesh.h"
+#include "eb_retry.h"
+#include "eb_route.h"
+#include "eb_settings.h"
+
+/*
+ * The upstreams that a daemon knows, the sockets to the daemons beside them,
+ * and a router for each service in use. Used by the core thread only.
+ */
+struct eb_nodes;
+
+/* An upstream and the daemon beside it. Its number stays the same. */
+struct eb_node {
+	char *name;
+	struct eb_upstream *info; /* of the configuration in force */
+	struct eb_peer *peer;	  /* NULL: no socket */
+	uint32_t service;	  /* index in the configuration */
+	uint8_t present;	  /* in the configuration */
+	uint8_t self;		  /* beside this daemon */
+	uint8_t leaving;	  /* by the platform's list of VMs */
+	uint8_t draining;	  /* as its daemon says */
+	uint8_t distance;	  /* enum eb_distance */
+};
+
+/* What an origin keeps for a service. */
+struct eb_service_state {
+	char *name;
+	struct eb_route *route;
+	struct eb_retry retry;
+	uint32_t index;	    /* in the configuration in force, or EB_NONE */
+	int64_t dialled_us; /* 0: not in use yet */
+};
+
+struct eb_nodes *eb_nodes_new(const struct eb_settings *se, struct eb_mesh *ms,
+			      uint64_t seed);
+void eb_nodes_free(struct eb_nodes *nd);
+enum eb_status eb_nodes_configure(struct eb_nodes *nd, struct eb_config *cf,
+				  int64_t now_us);
+const struct eb_config *eb_nodes_config(const struct eb_nodes *nd);
+struct eb_node *eb_nodes_get(const struct eb_nodes *nd, uint32_t id);
+uint32_t eb_nodes_find(const struct eb_nodes *nd, const char *name);
+uint32_t eb_nodes_count(const struct eb_nodes *nd);
+struct eb_service_state *eb_nodes_service(struct eb_nodes *nd, uint32_t index,
+					  int64_t now_us);
+/* To be called when a node has come up, gone, or is leaving. */
+void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+void eb_nodes_note_vm(struct eb_nodes *nd, const char *address, int leaving,
+		      int64_t now_us);
+const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
+				    const struct eb_service_state *sv);
+
+#endif
--- /dev/null
+++ b/src/eb_origin.c
@@ -0,0 +1,787 @@
+#include "eb_origin.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "eb_chart.h"
+#include "eb_clock.h"
+#include "eb_tunables.h"
+
+/* How much longer than its deadline an origin waits for the gate's word. */
+#define EXPIRE_GRACE_US 50000
+
+/* States, events and actions in the order of the names below. */
+enum state { ROUTING, WAITING, SENDING, ANSWERING, DONE };
+
+enum event {
+	EVENT_SENT,
+	EVENT_PARKED,
+	EVENT_EXHAUSTED,
+	EVENT_GONE,
+	EVENT_EXPIRE,
+	EVENT_BODY,
+	EVENT_CREDIT,
+	EVENT_REFUSE,
+	EVENT_FAILED,
+	EVENT_LOST,
+	EVENT_ANSWER_HEAD,
+	EVENT_ANSWER_DATA,
+	EVENT_ANSWER_LAST,
+};
+
+static const char *const state_names[] = { "routing",	"waiting", "sending",
+					   "answering", "done",	   NULL };
+static const char *const event_names[] = {
+	"sent",	       "parked",      "exhausted",   "gone",   "expire",
+	"body",	       "credit",      "refuse",	     "failed", "lost",
+	"answer_head", "answer_data", "answer_last", NULL
+};
+static const char *const action_names[] = {
+	"none",	  "drop",   "answer_failure", "to_front", "to_gate", "retry",
+	"answer", "finish", "cancel",	      "give_up",  "cut",     NULL
+};
+
+/* The HTTP status of a call that failed, by reason. */
+static const uint16_t reason_status[EB_REASON_MAX + 1] = {
+	[EB_REASON_NONE] = 502,		[EB_REASON_NO_ROUTE] = 404,
+	[EB_REASON_NO_UPSTREAM] = 503,	[EB_REASON_QUEUE_FULL] = 503,
+	[EB_REASON_DEADLINE] = 504,	[EB_REASON_DRAINING] = 503,
+	[EB_REASON_CONNECT] = 503,	[EB_REASON_HANDED_BACK] = 503,
+	[EB_REASON_CALLER_LIMIT] = 429, [EB_REASON_CRASHES] = 422,
+	[EB_REASON_CLAIM] = 409,	[EB_REASON_HOPS] = 508,
+	[EB_REASON_LOST_PEER] = 502,	[EB_REASON_UPSTREAM_CLOSED] = 502,
+	[EB_REASON_STALLED] = 504,	[EB_REASON_INTERNAL] = 500,
+};
+
+struct call {
+	uint64_t front_id;
+	uint64_t number; /* of the current attempt; 0: none */
+	struct eb_frame *head;
+	struct eb_service_state *service;
+	uint32_t node;
+	uint32_t tried[EB_TRIED_MAX];
+	uint8_t tried_count;
+	uint8_t attempts;
+	uint8_t state;
+	uint8_t streamed;
+	uint8_t body_done;
+	uint8_t strict_deadline; /* set by the caller */
+	uint8_t idempotent;
+	uint8_t parked;
+	uint8_t at_gate;   /* the router counts an attempt in flight */
+	uint8_t maybe_ran; /* an attempt ended without a word on it */
+	/* How the last attempt failed; the answer when there is no other. */
+	uint8_t outcome;
+	uint8_t reason;
+	uint16_t status;
+	uint32_t retry_after_ms;
+	uint8_t hops;
+	int64_t budget_us;
+	int64_t deadline_us;
+	int64_t started_us;
+	int64_t attempt_us;
+	int64_t started_wall_us;
+	struct eb_trace_id parent;
+	uint8_t call_span[8];
+	uint8_t attempt_span[8];
+};
+
+struct eb_origin {
+	struct eb_origin_outlets out;
+	struct eb_origin_config config;
+	struct eb_chart *chart;
+	apr_pool_t *pool;
+	apr_hash_t *by_front;  /* number given by the front -> call */
+	apr_hash_t *by_number; /* number of an attempt -> call */
+	uint64_t next_number;
+	uint32_t parked;
+};
+
+typedef void action_fn(struct eb_origin *og, struct call *ca,
+		       struct eb_frame *f, int64_t now_us);
+
+static void step(struct eb_origin *og, struct call *ca, enum event ev,
+		 struct eb_frame *f, int64_t now_us);
+
+/*
+ * Creates an origin. Returns NULL, with findings, when its state chart is
+ * not valid, or without memory.
+ */
+struct eb_origin *eb_origin_new(const struct eb_origin_config *cf,
+				const struct eb_origin_outlets *out,
+				struct eb_findings *fs)
+{
+	static const struct eb_chart_names names = { state_names, event_names,
+						     action_names };
+	struct eb_origin *og = calloc(1, sizeof(*og));
+
+	if (!og)
+		return NULL;
+	og->config = *cf;
+	og->out = *out;
+	og->chart = eb_chart_load("origin", &names, fs);
+	if (!og->chart || apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
+		eb_chart_free(og->chart);
+		free(og);
+		return NULL;
+	}
+	og->by_front = apr_hash_make(og->pool);
+	og->by_number = apr_hash_make(og->pool);
+	return og;
+}
+
+static void free_call(struct eb_origin *og, struct call *ca)
+{
+	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), NULL);
+	if (ca->number)
+		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
+			     NULL);
+	if (ca->parked)
+		og->parked--;
+	eb_frame_unref(ca->head);
+	free(ca);
+	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
+}
+
+/* Frees the origin and the calls that are left. */
+void eb_origin_free(struct eb_origin *og)
+{
+	apr_hash_index_t *hi;
+	void *value;
+
+	if (!og)
+		return;
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		free_call(og, value);
+	}
+	apr_pool_destroy(og->pool);
+	eb_chart_free(og->chart);
+	free(og);
+}
+
+/* Returns the number of calls that are not finished. */
+uint32_t eb_origin_active(const struct eb_origin *og)
+{
+	return apr_hash_count(og->by_front);
+}
+
+static void add_span(struct eb_origin *og, const struct call *ca,
+		     enum eb_span_kind kind, const uint8_t *id,
+		     const uint8_t *parent, int64_t from_us, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	struct eb_span sp = { 0 };
+
+	memcpy(sp.trace, ca->parent.trace, sizeof(sp.trace));
+	memcpy(sp.id, id, sizeof(sp.id));
+	memcpy(sp.parent, parent, sizeof(sp.parent));
+	sp.kind = (uint8_t)kind;
+	sp.outcome = ca->outcome;
+	sp.reason = ca->reason;
+	sp.status = ca->status;
+	sp.start_wall_us = ca->started_wall_us + from_us - ca->started_us;
+	sp.duration_us = now_us - from_us;
+	if (n)
+		strncpy(sp.upstream, n->name, sizeof(sp.upstream) - 1);
+	eb_tracer_add(og->config.tracer, &sp);
+}
+
+/* Tells the router and the trace how the attempt ended. */
+static void end_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	struct eb_route_result rs = { ca->outcome, ca->reason, ca->status,
+				      now_us - ca->attempt_us };
+
+	if (ca->number) {
+		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
+			     NULL);
+		ca->number = 0;
+	}
+	if (!ca->at_gate)
+		return;
+	ca->at_gate = 0;
+	ca->maybe_ran |= ca->outcome != EB_OUTCOME_NOT_RUN;
+	eb_route_done(ca->service->route, ca->node, &rs, now_us);
+	add_span(og, ca, EB_SPAN_ATTEMPT, ca->attempt_span, ca->call_span,
+		 ca->attempt_us, now_us);
+}
+
+static void note_reply(struct call *ca, const struct eb_reply *r)
+{
+	ca->outcome = r->outcome;
+	ca->reason = r->reason;
+	ca->status = r->status;
+	ca->retry_after_ms = r->retry_after_ms;
+}
+
+static void to_front(struct eb_origin *og, const struct call *ca,
+		     struct eb_frame *f)
+{
+	f->call = ca->front_id;
+	og->out.to_front(og->out.ctx, f);
+}
+
+/* ---- Routing ---- */
+
+/* Returns a HEAD that this origin alone holds, for the next attempt. */
+static struct eb_frame *own_head(struct call *ca)
+{
+	struct eb_frame *old = ca->head, *f;
+	struct eb_head *from = old->head, *to;
+
+	if (__atomic_load_n(&old->refs, __ATOMIC_ACQUIRE) == 1)
+		return old;
+	f = eb_frame_new_data(EB_FRAME_HEAD, 0, old->data, old->data_bytes);
+	if (!f)
+		return NULL;
+	to = f->head;
+	*to = *from;
+	memset(&to->headers, 0, sizeof(to->headers));
+	to->service = strdup(from->service);
+	to->upstream = NULL;
+	to->method = strdup(from->method);
+	to->target = strdup(from->target);
+	to->key = from->key ? strdup(from->key) : NULL;
+	eb_headers_load(&to->headers, from->headers.block,
+			from->headers.used_bytes);
+	eb_frame_unref(old);
+	ca->head = f;
+	return f;
+}
+
+/* Fills in what differs from one attempt to the next. */
+static struct eb_frame *prepare(struct eb_origin *og, struct call *ca,
+				uint32_t node, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
+	struct eb_frame *f = own_head(ca);
+
+	if (!f)
+		return NULL;
+	free(f->head->upstream);
+	f->head->upstream = strdup(n->name);
+	f->head->attempt = ca->attempts;
+	f->head->remaining_us =
+		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
+	f->head->hops = ca->hops;
+	f->head->trace = ca->parent;
+	eb_trace_new_span(ca->attempt_span);
+	memcpy(f->head->trace.span, ca->attempt_span, 8);
+	f->call = ++og->next_number;
+	f->sender = og->config.incarnation;
+	f->target = 0;
+	return f;
+}
+
+static int send_to(struct eb_origin *og, struct call *ca, uint32_t node,
+		   int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
+	struct eb_frame *f = prepare(og, ca, node, now_us);
+
+	if (!f || og->out.to_gate(og->out.ctx, node, eb_frame_ref(f)))
+		return -1;
+	ca->number = f->call;
+	ca->node = node;
+	ca->attempts++;
+	ca->attempt_us = now_us;
+	ca->at_gate = 1;
+	apr_hash_set(og->by_number, &ca->number, sizeof(ca->number), ca);
+	eb_route_sent(ca->service->route, node, now_us);
+	eb_metrics_add(og->config.metrics,
+		       n->self ? EB_METRIC_LOCAL_CALLS : EB_METRIC_REMOTE_CALLS,
+		       1);
+	return 0;
+}
+
+/* A request may wait while the daemons of its service are being dialled. */
+static int may_park(const struct call *ca, int64_t now_us)
+{
+	return !ca->attempts && now_us < ca->deadline_us &&
+	       now_us - ca->started_us < EB_PARK_MS * 1000LL;
+}
+
+static void park(struct eb_origin *og, struct call *ca, int parked)
+{
+	if (ca->parked == parked)
+		return;
+	ca->parked = (uint8_t)parked;
+	og->parked += parked ? 1 : (uint32_t)-1;
+}
+
+/* Hands the request to the best upstream that takes it. */
+static void route(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	struct eb_route_query q = { 0 };
+	uint32_t node;
+
+	park(og, ca, 0);
+	q.caller = ca->head->head->caller;
+	q.idempotent = ca->idempotent;
+	q.remaining_us = ca->deadline_us - now_us;
+	q.tried = ca->tried;
+	while (ca->tried_count < EB_TRIED_MAX) {
+		q.tried_count = ca->tried_count;
+		if (eb_route_pick(ca->service->route, &q, now_us, &node))
+			break;
+		ca->tried[ca->tried_count++] = node;
+		if (!send_to(og, ca, node, now_us)) {
+			step(og, ca, EVENT_SENT, NULL, now_us);
+			return;
+		}
+	}
+	if (may_park(ca, now_us)) {
+		ca->tried_count = 0;
+		park(og, ca, 1);
+		step(og, ca, EVENT_PARKED, NULL, now_us);
+		return;
+	}
+	if (!ca->attempts) {
+		ca->outcome = EB_OUTCOME_NOT_RUN;
+		ca->reason = EB_REASON_NO_UPSTREAM;
+		ca->retry_after_ms = 1000;
+	}
+	step(og, ca, EVENT_EXHAUSTED, NULL, now_us);
+}
+
+/* ---- Actions of the chart ---- */
+
+static void do_none(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		    int64_t now_us)
+{
+	(void)og;
+	(void)ca;
+	(void)now_us;
+	eb_frame_unref(f);
+}
+
+static void do_drop(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		    int64_t now_us)
+{
+	(void)ca;
+	(void)now_us;
+	if (f)
+		eb_metrics_add(og->config.metrics, EB_METRIC_LATE_FRAMES, 1);
+	eb_frame_unref(f);
+}
+
+/* Answers with the failure of the last attempt. */
+static void do_answer_failure(struct eb_origin *og, struct call *ca,
+			      struct eb_frame *f, int64_t now_us)
+{
+	enum eb_frame_type type = EB_FRAME_ABORT;
+	struct eb_frame *out;
+
+	(void)now_us;
+	if (f && f->reply)
+		note_reply(ca, f->reply);
+	eb_frame_unref(f);
+	/* One attempt that may have run outweighs a later refusal. */
+	if (ca->maybe_ran)
+		ca->outcome = EB_OUTCOME_UNKNOWN;
+	if (ca->outcome == EB_OUTCOME_NOT_RUN)
+		type = EB_FRAME_REFUSE;
+	out = eb_frame_new(type, ca->front_id);
+	if (!out)
+		return;
+	out->reply->outcome = ca->outcome;
+	out->reply->reason = ca->reason;
+	out->reply->status = reason_status[ca->reason];
+	out->reply->retry_after_ms = ca->retry_after_ms;
+	if (out->reply->status == 503 && !ca->retry_after_ms)
+		out->reply->retry_after_ms = 1000;
+	ca->status = out->reply->status;
+	to_front(og, ca, out);
+}
+
+static void do_to_front(struct eb_origin *og, struct call *ca,
+			struct eb_frame *f, int64_t now_us)
+{
+	(void)now_us;
+	to_front(og, ca, f);
+}
+
+static void do_to_gate(struct eb_origin *og, struct call *ca,
+		       struct eb_frame *f, int64_t now_us)
+{
+	if (f->type == EB_FRAME_END) {
+		ca->body_done = 1;
+		if (!ca->strict_deadline)
+			ca->deadline_us = now_us + ca->budget_us;
+	}
+	f->call = ca->number;
+	f->sender = og->config.incarnation;
+	/* A frame that can't be sent is lost with the peer; see LOST. */
+	og->out.to_gate(og->out.ctx, ca->node, f);
+}
+
+static void do_retry(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		     int64_t now_us)
+{
+	struct eb_retry_attempt at = { 0 };
+
+	if (f && f->reply)
+		note_reply(ca, f->reply);
+	eb_frame_unref(f);
+	end_attempt(og, ca, now_us);
+	at.outcome = ca->outcome;
+	at.reason = ca->reason;
+	at.idempotent = ca->idempotent;
+	at.attempts = ca->attempts;
+	at.remaining_us = ca->deadline_us - now_us;
+	ca->state = ROUTING;
+	if (eb_retry_allow(&ca->service->retry, &at)) {
+		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
+		route(og, ca, now_us);
+		return;
+	}
+	eb_metrics_add(og->config.metrics, EB_METRIC_RETRY_DENIED, 1);
+	step(og, ca, EVENT_EXHAUSTED, NULL, now_us);
+}
+
+static void do_answer(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	(void)now_us;
+	note_reply(ca, f->reply);
+	to_front(og, ca, f);
+}
+
+static void do_finish(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	uint16_t status = ca->status;
+
+	note_reply(ca, f->reply);
+	if (f->type == EB_FRAME_REND)
+		ca->status = status;
+	eb_metrics_observe(og->config.metrics, EB_HISTOGRAM_CALL_US,
+			   now_us - ca->started_us);
+	to_front(og, ca, f);
+}
+
+static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	struct eb_frame *out;
+
+	(void)now_us;
+	eb_frame_unref(f);
+	if (!ca->number)
+		return;
+	out = eb_frame_new(EB_FRAME_CANCEL, ca->number);
+	if (!out)
+		return;
+	out->sender = og->config.incarnation;
+	og->out.to_gate(og->out.ctx, ca->node, out);
+}
+
+/* The gate had its time to answer: nobody knows whether the request ran. */
+static void do_give_up(struct eb_origin *og, struct call *ca,
+		       struct eb_frame *f, int64_t now_us)
+{
+	do_cancel(og, ca, f, now_us);
+	ca->outcome = EB_OUTCOME_UNKNOWN;
+	ca->reason = EB_REASON_DEADLINE;
+	do_answer_failure(og, ca, NULL, now_us);
+}
+
+static void do_cut(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		   int64_t now_us)
+{
+	if (f && f->reply)
+		ca->reason = f->reply->reason;
+	eb_frame_unref(f);
+	ca->outcome = EB_OUTCOME_UNKNOWN;
+	do_answer_failure(og, ca, NULL, now_us);
+}
+
+/* In the order of action_names. */
+static action_fn *const actions[] = {
+	do_none,  do_drop,   do_answer_failure, do_to_front, do_to_gate,
+	do_retry, do_answer, do_finish,		do_cancel,   do_give_up,
+	do_cut,
+};
+
+/* Takes an event through the chart; the call may be freed by it. */
+static void step(struct eb_origin *og, struct call *ca, enum event ev,
+		 struct eb_frame *f, int64_t now_us)
+{
+	uint32_t next, action;
+
+	if (eb_chart_step(og->chart, ca->state, ev, &next, &action)) {
+		do_drop(og, ca, f, now_us);
+		return;
+	}
+	if (actions[action] == do_retry) {
+		do_retry(og, ca, f, now_us); /* takes further steps itself */
+		return;
+	}
+	actions[action](og, ca, f, now_us);
+	ca->state = (uint8_t)next;
+	if (next != DONE)
+		return;
+	end_attempt(og, ca, now_us);
+	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
+		 ca->started_us, now_us);
+	free_call(og, ca);
+}
+
+/* ---- Frames of the front ---- */
+
+static int is_idempotent(const char *methods, const char *method)
+{
+	size_t want = strlen(method), n;
+	const char *p;
+
+	for (p = methods; *p; p += n) {
+		p += strspn(p, " ");
+		n = strcspn(p, " ");
+		if (n == want && !strncmp(p, method, n))
+			return 1;
+	}
+	return 0;
+}
+
+/* Answers a request for which no call is kept. */
+static void refuse_head(struct eb_origin *og, struct eb_frame *f,
+			enum eb_reason reason)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
+
+	eb_frame_unref(f);
+	if (!out)
+		return;
+	out->reply->outcome = EB_OUTCOME_NOT_RUN;
+	out->reply->reason = (uint8_t)reason;
+	out->reply->status = reason_status[reason];
+	if (out->reply->status == 503)
+		out->reply->retry_after_ms = 1000;
+	og->out.to_front(og->out.ctx, out);
+}
+
+static void fill_call(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
+	const struct eb_rule *rule;
+	struct eb_head *h = ca->head->head;
+
+	rule = eb_nodes_rule(og->config.nodes, ca->service);
+	ca->front_id = ca->head->call;
+	ca->node = EB_NONE;
+	ca->idempotent =
+		(uint8_t)is_idempotent(rule->idempotent_methods, h->method);
+	h->idempotent = ca->idempotent;
+	ca->streamed = h->body_kind == EB_BODY_LENGTH ||
+		       h->body_kind == EB_BODY_CHUNKED;
+	ca->hops = (uint8_t)(h->hops - 1);
+	ca->strict_deadline = h->remaining_us > 0;
+	ca->body_done = !ca->streamed || ca->strict_deadline;
+	ca->budget_us = h->remaining_us;
+	if (!ca->strict_deadline)
+		ca->budget_us =
+			cf->services[ca->service->index]->deadline_ms * 1000LL;
+	ca->started_us = now_us;
+	ca->deadline_us = now_us + ca->budget_us;
+	ca->started_wall_us = eb_clock_wall_us();
+	ca->parent = h->trace;
+	eb_trace_new_span(ca->call_span);
+	ca->state = ROUTING;
+	ca->outcome = EB_OUTCOME_NOT_RUN;
+	ca->reason = EB_REASON_NO_UPSTREAM;
+}
+
+/* Checks a request and finds its service; returns why it is refused. */
+static enum eb_reason check_head(struct eb_origin *og, struct eb_frame *f,
+				 int64_t now_us, struct eb_service_state **sv)
+{
+	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
+	struct eb_head *h = f->head;
+	uint32_t index;
+
+	if (!h->hops)
+		return EB_REASON_HOPS;
+	if (h->remaining_us < 0)
+		return EB_REASON_DEADLINE;
+	if (eb_origin_active(og) >= EB_CALLS_MAX) {
+		eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_REFUSED, 1);
+		return EB_REASON_QUEUE_FULL;
+	}
+	if (!cf->release)
+		return EB_REASON_NO_UPSTREAM;
+	index = eb_config_match(cf, eb_headers_find(&h->headers, "Host"),
+				h->target);
+	if (index == EB_NONE)
+		return EB_REASON_NO_ROUTE;
+	*sv = eb_nodes_service(og->config.nodes, index, now_us);
+	return *sv ? EB_REASON_NONE : EB_REASON_INTERNAL;
+}
+
+static void begin(struct eb_origin *og, struct eb_frame *f, int64_t now_us)
+{
+	struct eb_service_state *sv = NULL;
+	enum eb_reason reason = check_head(og, f, now_us, &sv);
+	struct call *ca = NULL;
+
+	if (reason == EB_REASON_NONE) {
+		ca = calloc(1, sizeof(*ca));
+		if (!ca)
+			reason = EB_REASON_INTERNAL;
+	}
+	if (!ca) {
+		refuse_head(og, f, reason);
+		return;
+	}
+	ca->head = f;
+	ca->service = sv;
+	f->head->service = strdup(sv->name);
+	fill_call(og, ca, now_us);
+	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
+	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
+	eb_retry_request(&sv->retry);
+	route(og, ca, now_us);
+}
+
+/* Takes a frame of the front. */
+void eb_origin_from_front(struct eb_origin *og, struct eb_frame *f,
+			  int64_t now_us)
+{
+	struct call *ca;
+
+	if (f->type == EB_FRAME_HEAD) {
+		begin(og, f, now_us);
+		return;
+	}
+	ca = apr_hash_get(og->by_front, &f->call, sizeof(f->call));
+	if (!ca) {
+		do_drop(og, NULL, f, now_us);
+		return;
+	}
+	step(og, ca, f->type == EB_FRAME_CANCEL ? EVENT_GONE : EVENT_BODY, f,
+	     now_us);
+}
+
+/* ---- Frames of gates ---- */
+
+static enum event gate_event(const struct eb_frame *f)
+{
+	switch (f->type) {
+	case EB_FRAME_CREDIT:
+		return EVENT_CREDIT;
+	case EB_FRAME_RHEAD:
+		if (f->reply->body_kind == EB_BODY_NONE ||
+		    f->reply->body_kind == EB_BODY_INLINE)
+			return EVENT_ANSWER_LAST;
+		return EVENT_ANSWER_HEAD;
+	case EB_FRAME_RDATA:
+		return EVENT_ANSWER_DATA;
+	case EB_FRAME_REND:
+		return EVENT_ANSWER_LAST;
+	case EB_FRAME_REFUSE:
+		return EVENT_REFUSE;
+	default:
+		return EVENT_FAILED;
+	}
+}
+
+/* A load report says how busy the upstream is and whether it leaves. */
+static void note_load(struct eb_origin *og, uint32_t node,
+		      struct eb_service_state *sv, const struct eb_load *ld,
+		      int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
+
+	if (!n)
+		return;
+	if (n->draining != ld->draining) {
+		n->draining = (uint8_t)ld->draining;
+		eb_nodes_changed(og->config.nodes, node, now_us);
+	}
+	if (sv)
+		eb_route_load(sv->route, node, ld, now_us);
+}
+
+/* Takes a frame of the gate of a node; see the header. */
+void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
+			 struct eb_frame *f, int64_t now_us)
+{
+	struct call *ca;
+
+	if (f->type == EB_FRAME_HELLO) {
+		note_load(og, node, NULL, &f->reply->load, now_us);
+		eb_frame_unref(f);
+		return;
+	}
+	ca = apr_hash_get(og->by_number, &f->call, sizeof(f->call));
+	if (!ca || ca->node != node) {
+		do_drop(og, NULL, f, now_us);
+		return;
+	}
+	if (f->reply)
+		note_load(og, node, ca->service, &f->reply->load, now_us);
+	step(og, ca, gate_event(f), f, now_us);
+}
+
+/* Ends the calls that a lost gate had; see the header. */
+void eb_origin_lost(struct eb_origin *og, uint32_t node, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (!ca->at_gate || ca->node != node)
+			continue;
+		ca->outcome = EB_OUTCOME_UNKNOWN;
+		ca->reason = EB_REASON_LOST_PEER;
+		ca->status = 0;
+		step(og, ca, EVENT_LOST, NULL, now_us);
+	}
+	eb_nodes_changed(og->config.nodes, node, now_us);
+}
+
+/* Tries the waiting requests again. */
+void eb_origin_up(struct eb_origin *og, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+	void *value;
+
+	if (!og->parked)
+		return;
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (ca->parked)
+			route(og, ca, now_us);
+	}
+}
+
+/* Ends calls whose time is over, and those that waited for too long. */
+void eb_origin_tick(struct eb_origin *og, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (ca->parked && !may_park(ca, now_us))
+			route(og, ca, now_us);
+		else if (ca->body_done &&
+			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
+			step(og, ca, EVENT_EXPIRE, NULL, now_us);
+	}
+}
--- /dev/null
+++ b/src/eb_platform.c
@@ -0,0 +1,292 @@
+#include "eb_platform.h"
+
+#include <apr_pools.h>
+#include <apr_thread_proc.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_clock.h"
+#include "eb_release.h"
+#include "eb_tunables.h"
+
+/* A value is at most a megabyte; an answer holds several notes. */
+#define ANSWER_MAX_BYTES (16 * 1024 * 1024)
+/* The watch ends after its wait; more than this is a dead connection. */
+#define WATCH_SLACK_MS 5000
+#define VMS_TIMEOUT_MS 2000
+
+struct fetch {
+	struct eb_platform *platform;
+	CURL *easy;
+	char *body;
+	size_t used_bytes;
+	int busy;
+	int64_t due_us;
+};
+
+struct eb_platform {
+	struct eb_platform_config config;
+	CURLM *multi;
+	struct fetch notes;
+	struct fetch vms;
+	struct eb_config *last; /* after the newest note that was applied */
+	uint64_t seen_index;	/* of the log, rejected notes included */
+	int stopping;
+	int failing;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+};
+
+static size_t collect(char *buf, size_t size, size_t items, void *data)
+{
+	struct fetch *ft = data;
+	size_t n = size * items;
+	char *p;
+
+	if (ft->used_bytes + n > ANSWER_MAX_BYTES)
+		return 0;
+	p = realloc(ft->body, ft->used_bytes + n + 1);
+	if (!p)
+		return 0;
+	ft->body = p;
+	memcpy(p + ft->used_bytes, buf, n);
+	ft->used_bytes += n;
+	p[ft->used_bytes] = 0;
+	return n;
+}
+
+static void start_fetch(struct fetch *ft, const char *path, long timeout_ms)
+{
+	struct eb_platform *pl = ft->platform;
+	char url[256];
+
+	snprintf(url, sizeof(url), "http://%s%s", pl->config.settings->platform,
+		 path);
+	curl_easy_setopt(ft->easy, CURLOPT_URL, url);
+	curl_easy_setopt(ft->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	ft->used_bytes = 0;
+	ft->busy = 1;
+	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_CALLS, 1);
+	curl_multi_add_handle(pl->multi, ft->easy);
+}
+
+static void start_due(struct eb_platform *pl, int64_t now_us)
+{
+	char path[96];
+
+	if (!pl->notes.busy && now_us >= pl->notes.due_us) {
+		snprintf(path, sizeof(path), "/v1/notes?after=%llu&wait_ms=%d",
+			 (unsigned long long)pl->seen_index,
+			 EB_PLATFORM_WAIT_MS);
+		start_fetch(&pl->notes, path,
+			    EB_PLATFORM_WAIT_MS + WATCH_SLACK_MS);
+	}
+	if (!pl->vms.busy && now_us >= pl->vms.due_us)
+		start_fetch(&pl->vms, "/v1/vms", VMS_TIMEOUT_MS);
+}
+
+/* Applies one entry of the log; a note that is not accepted is skipped. */
+static void apply_note(struct eb_platform *pl, uint64_t index,
+		       const json_t *note)
+{
+	struct eb_findings fs = { 0 };
+	struct eb_config *next = NULL;
+
+	if (eb_release_apply(pl->last, note, index, "platform", &fs, &next)) {
+		eb_metrics_add(pl->config.metrics, EB_METRIC_RELEASES_REJECTED,
+			       1);
+		eb_log_write(pl->config.log, EB_LOG_WARN, "platform",
+			     "release note rejected",
+			     "index=%llu field=\"%s\" reason=\"%s\"",
+			     (unsigned long long)index,
+			     fs.count ? fs.items[0].field : "",
+			     fs.count ? fs.items[0].reason : "");
+	} else {
+		eb_config_unref(pl->last);
+		pl->last = next;
+	}
+	eb_findings_clear(&fs);
+}
+
+/*
+ * Replays the entries after the last one seen, in their order. Entries that
+ * were seen before, or out of order, are ignored.
+ */
+static int take_notes(struct eb_platform *pl, const json_t *root)
+{
+	const json_t *notes = json_object_get(root, "notes"), *entry;
+	uint64_t release = pl->last->index, index;
+	size_t i;
+
+	if (!json_is_array(notes))
+		return -1;
+	json_array_foreach(notes, i, entry)
+	{
+		index = (uint64_t)json_integer_value(
+			json_object_get(entry, "index"));
+		if (index <= pl->seen_index)
+			continue;
+		apply_note(pl, index, json_object_get(entry, "note"));
+		pl->seen_index = index;
+	}
+	if (pl->last->index != release)
+		eb_core_send_config(pl->config.core, eb_config_ref(pl->last));
+	return 0;
+}
+
+static int take_vms(struct eb_platform *pl, const json_t *root)
+{
+	const json_t *vms = json_object_get(root, "vms"), *entry;
+	struct eb_vm_list *list;
+	const char *text;
+	struct eb_vm *vm;
+	size_t i;
+
+	if (!json_is_array(vms))
+		return -1;
+	list = calloc(1, sizeof(*list));
+	if (!list)
+		return -1;
+	list->vms = calloc(json_array_size(vms) + 1, sizeof(*list->vms));
+	if (!list->vms) {
+		free(list);
+		return -1;
+	}
+	json_array_foreach(vms, i, entry)
+	{
+		vm = &list->vms[list->count++];
+		text = json_string_value(json_object_get(entry, "address"));
+		if (text)
+			strncpy(vm->address, text, sizeof(vm->address) - 1);
+		text = json_string_value(json_object_get(entry, "state"));
+		vm->leaving = text && !strcmp(text, "leaving");
+	}
+	eb_core_send_vms(pl->config.core, list);
+	return 0;
+}
+
+static void note_failure(struct eb_platform *pl, const char *what)
+{
+	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_FAILED, 1);
+	if (!pl->failing)
+		eb_log_write(pl->config.log, EB_LOG_WARN, "platform",
+			     "the platform does not answer", "call=%s", what);
+	pl->failing = 1;
+}
+
+static void finish_fetch(struct fetch *ft, CURLcode rc)
+{
+	struct eb_platform *pl = ft->platform;
+	int is_notes = ft == &pl->notes, bad = 1;
+	int64_t now_us = eb_clock_now_us();
+	json_t *root = NULL;
+	long status = 0;
+
+	curl_easy_getinfo(ft->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_multi_remove_handle(pl->multi, ft->easy);
+	ft->busy = 0;
+	if (!rc && status == 200)
+		root = json_loadb(ft->body ? ft->body : "", ft->used_bytes, 0,
+				  NULL);
+	if (root)
+		bad = is_notes ? take_notes(pl, root) : take_vms(pl, root);
+	json_decref(root);
+	if (bad)
+		note_failure(pl, is_notes ? "notes" : "vms");
+	else
+		pl->failing = 0;
+	ft->due_us = now_us;
+	if (!is_notes)
+		ft->due_us += EB_PLATFORM_VMS_POLL_MS * 1000;
+	else if (bad)
+		ft->due_us += EB_PLATFORM_RETRY_MS * 1000;
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
+{
+	struct eb_platform *pl = data;
+	struct fetch *ft = NULL;
+	int running, left;
+	CURLMsg *msg;
+
+	(void)thread;
+	while (!__atomic_load_n(&pl->stopping, __ATOMIC_ACQUIRE)) {
+		start_due(pl, eb_clock_now_us());
+		curl_multi_perform(pl->multi, &running);
+		while ((msg = curl_multi_info_read(pl->multi, &left))) {
+			if (msg->msg != CURLMSG_DONE)
+				continue;
+			curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+					  &ft);
+			finish_fetch(ft, msg->data.result);
+		}
+		curl_multi_poll(pl->multi, NULL, 0, 100, NULL);
+	}
+	return NULL;
+}
+
+static void init_fetch(struct eb_platform *pl, struct fetch *ft)
+{
+	ft->platform = pl;
+	ft->easy = curl_easy_init();
+	curl_easy_setopt(ft->easy, CURLOPT_PRIVATE, ft);
+	curl_easy_setopt(ft->easy, CURLOPT_WRITEFUNCTION, collect);
+	curl_easy_setopt(ft->easy, CURLOPT_WRITEDATA, ft);
+	curl_easy_setopt(ft->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(ft->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(ft->easy, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
+}
+
+/* Starts the thread. Returns NULL and sets `err` on failure. */
+struct eb_platform *eb_platform_start(const struct eb_platform_config *cf,
+				      struct eb_error *err)
+{
+	struct eb_platform *pl = calloc(1, sizeof(*pl));
+
+	if (!pl || apr_pool_create(&pl->pool, NULL) != APR_SUCCESS) {
+		free(pl);
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		return NULL;
+	}
+	pl->config = *cf;
+	pl->last = eb_config_new_empty();
+	pl->multi = curl_multi_init();
+	init_fetch(pl, &pl->notes);
+	init_fetch(pl, &pl->vms);
+	if (apr_thread_create(&pl->thread, NULL, run, pl, pl->pool) !=
+	    APR_SUCCESS) {
+		eb_error_set(err, EB_EIO, "cannot create the platform thread");
+		eb_platform_stop(pl);
+		return NULL;
+	}
+	return pl;
+}
+
+static void free_fetch(struct fetch *ft)
+{
+	if (ft->busy)
+		curl_multi_remove_handle(ft->platform->multi, ft->easy);
+	curl_easy_cleanup(ft->easy);
+	free(ft->body);
+}
+
+/* Stops the thread; a watch that waits is given up at once. */
+void eb_platform_stop(struct eb_platform *pl)
+{
+	apr_status_t status;
+
+	if (!pl)
+		return;
+	__atomic_store_n(&pl->stopping, 1, __ATOMIC_RELEASE);
+	curl_multi_wakeup(pl->multi);
+	if (pl->thread)
+		apr_thread_join(&status, pl->thread);
+	free_fetch(&pl->notes);
+	free_fetch(&pl->vms);
+	curl_multi_cleanup(pl->multi);
+	eb_config_unref(pl->last);
+	apr_pool_destroy(pl->pool);
+	free(pl);
+}
--- /dev/null
+++ b/src/eb_tls.h
@@ -0,0 +1,24 @@
+#ifndef EB_TLS_H
+#define EB_TLS_H
+
+#include <stdint.h>
+
+#include "eb_log.h"
+#include "eb_status.h"
+
+/*
+ * The certificate and key towards callers. They are read again when the
+ * files change; connections that stand keep theirs.
+ */
+struct eb_tls;
+
+struct eb_tls *eb_tls_new(const char *certificate_file, const char *key_file,
+			  struct eb_log *lg, struct eb_error *err);
+void eb_tls_free(struct eb_tls *tls);
+void eb_tls_tick(struct eb_tls *tls, int64_t now_us);
+/* A gnutls_certificate_retrieve_function2 for libmicrohttpd. */
+void *eb_tls_callback(void);
+/* The callback has no argument of its own: names the instance it uses. */
+void eb_tls_use(struct eb_tls *tls);
+
+#endif
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -40,6 +40,8 @@
 #define EB_UPSTREAM_CONNECT_TIMEOUT_MS 2000
 
 #define EB_PEER_HEARTBEAT_MS 1000
+/* Pause between heartbeats to a peer that has not answered yet. */
+#define EB_PEER_DIAL_HELLO_MS 50
 /* A peer that sent nothing for this long counts as silent. */
 #define EB_PEER_SILENT_MS 4000
 /* Idle time after which the socket to a peer is closed. */
@@ -47,6 +49,17 @@
 #define EB_PEERS_MAX 1024
 #define EB_PEER_HIGH_WATER_MESSAGES 8192
 
+/* Daemons are dialled before the first request up to this many upstreams. */
+#define EB_WARM_UPSTREAMS_MAX 64
+/* Daemons of one service that a daemon dials; the nearest ones first. */
+#define EB_SERVICE_PEERS_MAX 32
+/* A request waits this long for the first daemon of its service. */
+#define EB_PARK_MS 2000
+/* Upstreams that one call may be offered to. */
+#define EB_TRIED_MAX 8
+/* Origins that a gate tracks. */
+#define EB_ORIGINS_MAX 8192
+
 #define EB_PLATFORM_WAIT_MS 10000
 #define EB_PLATFORM_RETRY_MS 500
 /* The list of VMs is polled; it has no watch. */
