release: configuration and release notes

Cause: the daemon core needs the configuration and the checks of release notes behind eb_config.h and eb_release.h. New calls: eb_config_rule(), eb_config_find_rule(), eb_config_item_*(), eb_release_parse(), eb_release_apply_text().

--- /dev/null
+++ b/src/eb_config.c
@@ -0,0 +1,262 @@
+#include "eb_config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* The first members of each kind of item. */
+struct item {
+	int32_t refs;
+	char *name;
+};
+
+struct kind_info {
+	size_t bytes;
+	size_t texts[8]; /* offsets of owned strings; ends with 0 */
+};
+
+static const struct kind_info kinds[EB_ITEM_KINDS] = {
+	[EB_ITEM_RULE] = { sizeof(struct eb_rule),
+			   { offsetof(struct eb_rule, name),
+			     offsetof(struct eb_rule, idempotent_methods) } },
+	[EB_ITEM_SERVICE] = { sizeof(struct eb_service),
+			      { offsetof(struct eb_service, name),
+				offsetof(struct eb_service, host),
+				offsetof(struct eb_service, path_prefix),
+				offsetof(struct eb_service, rule_name) } },
+	[EB_ITEM_UPSTREAM] = { sizeof(struct eb_upstream),
+			       { offsetof(struct eb_upstream, name),
+				 offsetof(struct eb_upstream, service_name),
+				 offsetof(struct eb_upstream, address),
+				 offsetof(struct eb_upstream, daemon),
+				 offsetof(struct eb_upstream, region),
+				 offsetof(struct eb_upstream,
+					  failure_domain) } },
+};
+
+/* Writable only because the members of the struct are not const. */
+static char default_name[] = "default";
+static char default_methods[] = EB_RULE_IDEMPOTENT_METHODS;
+
+static const struct eb_rule default_rule = {
+	.refs = 1,
+	.name = default_name,
+	.retry_permille = EB_RULE_RETRY_PERMILLE,
+	.queue = EB_RULE_QUEUE,
+	.watch_bytes_per_s = EB_RULE_WATCH_BYTES_PER_S,
+	.caller_rate_per_s = EB_RULE_CALLER_RATE_PER_S,
+	.claims = EB_RULE_CLAIMS,
+	.idempotent_methods = default_methods,
+};
+
+/* Creates an empty item with one reference; returns NULL without memory. */
+void *eb_config_item_new(enum eb_item_kind kind)
+{
+	struct item *it = calloc(1, kinds[kind].bytes);
+
+	if (it)
+		it->refs = 1;
+	return it;
+}
+
+/* Copies an item, its strings included; returns NULL without memory. */
+void *eb_config_item_copy(enum eb_item_kind kind, const void *item)
+{
+	const struct kind_info *in = &kinds[kind];
+	char *copy = malloc(in->bytes);
+	char **text;
+	int i, failed = 0;
+
+	if (!copy)
+		return NULL;
+	memcpy(copy, item, in->bytes);
+	((struct item *)copy)->refs = 1;
+	for (i = 0; in->texts[i]; i++) {
+		text = (char **)(copy + in->texts[i]);
+		if (!*text)
+			continue;
+		*text = strdup(*text);
+		failed |= !*text;
+	}
+	if (!failed)
+		return copy;
+	eb_config_item_unref(kind, copy);
+	return NULL;
+}
+
+/* Takes a reference; from any thread. */
+void *eb_config_item_ref(void *item)
+{
+	__atomic_add_fetch(&((struct item *)item)->refs, 1, __ATOMIC_RELAXED);
+	return item;
+}
+
+/* Drops a reference and frees the item with the last one. */
+void eb_config_item_unref(enum eb_item_kind kind, void *item)
+{
+	const struct kind_info *in = &kinds[kind];
+	struct item *it = item;
+	int i;
+
+	if (!it || __atomic_sub_fetch(&it->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	for (i = 0; in->texts[i]; i++)
+		free(*(char **)((char *)item + in->texts[i]));
+	free(item);
+}
+
+/* Creates the configuration before any note: release 0, no items. */
+struct eb_config *eb_config_new_empty(void)
+{
+	struct eb_config *cf = calloc(1, sizeof(*cf));
+
+	if (cf)
+		cf->refs = 1;
+	return cf;
+}
+
+/* Takes a reference; from any thread. */
+struct eb_config *eb_config_ref(struct eb_config *cf)
+{
+	__atomic_add_fetch(&cf->refs, 1, __ATOMIC_RELAXED);
+	return cf;
+}
+
+/* Drops a reference; the last one frees the items no other version uses. */
+void eb_config_unref(struct eb_config *cf)
+{
+	uint32_t i;
+
+	if (!cf || __atomic_sub_fetch(&cf->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	for (i = 0; i < cf->rule_count; i++)
+		eb_config_item_unref(EB_ITEM_RULE, cf->rules[i]);
+	for (i = 0; i < cf->service_total; i++)
+		eb_config_item_unref(EB_ITEM_SERVICE, cf->services[i]);
+	for (i = 0; i < cf->upstream_total; i++)
+		eb_config_item_unref(EB_ITEM_UPSTREAM, cf->upstreams[i]);
+	free(cf->rules);
+	free(cf->services);
+	free(cf->upstreams);
+	free(cf->upstream_service);
+	free(cf->service_first);
+	free(cf->service_count);
+	free(cf);
+}
+
+/* Returns the index of an upstream by its name, or EB_NONE. */
+uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < cf->upstream_total; i++)
+		if (!strcmp(cf->upstreams[i]->name, name))
+			return i;
+	return EB_NONE;
+}
+
+/* Searches a list that is sorted by name. */
+static uint32_t find_sorted(const void *items, uint32_t count, const char *name)
+{
+	const struct item *const *list = items;
+	uint32_t low = 0, high = count, mid;
+	int order;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(name, list[mid]->name);
+		if (!order)
+			return mid;
+		if (order < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return EB_NONE;
+}
+
+/* Returns the index of a service by its name, or EB_NONE. */
+uint32_t eb_config_find_service(const struct eb_config *cf, const char *name)
+{
+	return find_sorted(cf->services, cf->service_total, name);
+}
+
+/* Returns the index of a rule by its name, or EB_NONE. */
+uint32_t eb_config_find_rule(const struct eb_config *cf, const char *name)
+{
+	return find_sorted(cf->rules, cf->rule_count, name);
+}
+
+/* Returns the rule of a service, or the defaults if it names none. */
+const struct eb_rule *eb_config_rule(const struct eb_config *cf,
+				     uint32_t service)
+{
+	if (service >= cf->service_total ||
+	    cf->services[service]->rule == EB_NONE)
+		return &default_rule;
+	return cf->rules[cf->services[service]->rule];
+}
+
+/* Returns the length of a host without its port. */
+static size_t host_length(const char *host)
+{
+	const char *end;
+
+	if (*host == '[') {
+		end = strchr(host, ']');
+		return end ? (size_t)(end - host) + 1 : strlen(host);
+	}
+	return strcspn(host, ":");
+}
+
+/*
+ * Returns how many bytes of the path a prefix covers, or -1 when it does not
+ * match. A prefix covers whole segments: /agenda is no prefix of /agendas.
+ */
+static int64_t match_prefix(const char *prefix, const char *path)
+{
+	size_t n = strlen(prefix);
+
+	while (n && prefix[n - 1] == '/')
+		n--;
+	if (strncmp(prefix, path, n) != 0)
+		return -1;
+	if (path[n] && path[n] != '/' && path[n] != '?' && path[n] != '#')
+		return -1;
+	return (int64_t)n;
+}
+
+/*
+ * Returns the service of a request, or EB_NONE. `host` is the value of the
+ * Host header, whose port and case are ignored, or NULL; `path` may end with
+ * a query. A service with the request's host goes before those without one,
+ * then the longest path prefix wins.
+ */
+uint32_t eb_config_match(const struct eb_config *cf, const char *host,
+			 const char *path)
+{
+	size_t n = host ? host_length(host) : 0;
+	uint32_t i, best = EB_NONE;
+	int64_t score, best_score = -1;
+	const struct eb_service *sv;
+
+	for (i = 0; i < cf->service_total; i++) {
+		sv = cf->services[i];
+		score = 0;
+		if (sv->path_prefix)
+			score = match_prefix(sv->path_prefix, path);
+		if (score < 0)
+			continue;
+		if (sv->host) {
+			if (!n || strlen(sv->host) != n ||
+			    strncasecmp(sv->host, host, n) != 0)
+				continue;
+			score += (int64_t)1 << 32;
+		}
+		if (score > best_score) {
+			best_score = score;
+			best = i;
+		}
+	}
+	return best;
+}
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -1,11 +1,28 @@
 #ifndef EB_CONFIG_H
 #define EB_CONFIG_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 /* Index of an item that is not there. */
 #define EB_NONE UINT32_MAX
 
+/* What a service without a rule uses, and a rule without the field. */
+#define EB_RULE_RETRY_PERMILLE 100
+#define EB_RULE_QUEUE 64
+#define EB_RULE_WATCH_BYTES_PER_S 2048
+#define EB_RULE_CALLER_RATE_PER_S 0
+#define EB_RULE_CLAIMS 1
+#define EB_RULE_IDEMPOTENT_METHODS "GET HEAD OPTIONS PUT DELETE TRACE"
+
+/* The kinds of items; each struct begins with `refs` and `name`. */
+enum eb_item_kind {
+	EB_ITEM_RULE = 0,
+	EB_ITEM_SERVICE,
+	EB_ITEM_UPSTREAM,
+	EB_ITEM_KINDS
+};
+
 /* How requests of a service are handled. */
 struct eb_rule {
 	int32_t refs;
@@ -64,8 +81,16 @@
 struct eb_config *eb_config_new_empty(void);
 struct eb_config *eb_config_ref(struct eb_config *cf);
 void eb_config_unref(struct eb_config *cf);
+void *eb_config_item_new(enum eb_item_kind kind);
+void *eb_config_item_copy(enum eb_item_kind kind, const void *item);
+void *eb_config_item_ref(void *item);
+void eb_config_item_unref(enum eb_item_kind kind, void *item);
 uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name);
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
+uint32_t eb_config_find_rule(const struct eb_config *cf, const char *name);
+/* The rule in force for a service: its own or the defaults; never NULL. */
+const struct eb_rule *eb_config_rule(const struct eb_config *cf,
+				     uint32_t service);
 /* Longest matching prefix wins; a host match goes before none. */
 uint32_t eb_config_match(const struct eb_config *cf, const char *host,
 			 const char *path);
--- /dev/null
+++ b/src/eb_lines.h
@@ -0,0 +1,31 @@
+#ifndef EB_LINES_H
+#define EB_LINES_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "eb_findings.h"
+
+/*
+ * Places in a JSON text. jansson keeps no line of a value, so the text is
+ * scanned again when there is something to report. The text has been parsed
+ * before, so the scan relies on its grammar.
+ */
+
+/* A step to a value: a member of an object or an element of an array. */
+struct eb_path {
+	const struct eb_path *up; /* NULL: the whole text */
+	const char *key;	  /* NULL: an element */
+	size_t index;
+};
+
+#define EB_PATH_TEXT_BYTES 256
+
+void eb_path_print(const struct eb_path *path, char out[EB_PATH_TEXT_BYTES]);
+int32_t eb_lines_find(const char *text, size_t bytes,
+		      const struct eb_path *path);
+void eb_lines_duplicates(const char *source, const char *text, size_t bytes,
+			 struct eb_findings *fs);
+void eb_lines_printable(const char *text, char *out, size_t bytes);
+
+#endif
--- /dev/null
+++ b/src/eb_release.c
@@ -0,0 +1,1151 @@
+#include "eb_release.h"
+
+#include <assert.h>
+#include <ctype.h>
+#include <search.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+#include <zmq.h>
+
+#include "eb_address.h"
+#include "eb_lines.h"
+#include "eb_tunables.h"
+
+#define Z85_KEY_CHARS 40
+#define CURVE_KEY_BYTES 32
+
+enum section { ADDED = 0, CHANGED, WITHDRAWN, SECTIONS };
+
+static const char *const section_names[SECTIONS] = { "added", "changed",
+						     "withdrawn" };
+
+enum field_type {
+	FIELD_TEXT = 0, /* char * */
+	FIELD_UINT,	/* uint32_t */
+	FIELD_BOOL,	/* uint8_t */
+	FIELD_KEY,	/* char[41] */
+	FIELD_OBJECT,	/* members are fields of the same struct */
+};
+
+/* A field of an item: where it is kept and which values are right. */
+struct field {
+	const char *name;
+	uint8_t type;
+	uint8_t required;
+	size_t offset;
+	uint32_t min; /* of FIELD_UINT */
+	uint32_t max;
+	uint32_t value;	  /* default of FIELD_UINT and FIELD_BOOL */
+	const char *text; /* default of FIELD_TEXT, or NULL */
+	/* Returns why a text is wrong, or NULL. */
+	const char *(*check)(const char *text);
+	const struct field *members; /* of FIELD_OBJECT */
+};
+
+/* An item that the note names in one of its lists. */
+struct change {
+	const char *name;
+	const json_t *json;
+	enum section section;
+	size_t index;
+	const void *base; /* the item in the base, or NULL */
+	void *item;	  /* the new item, or NULL */
+	int repeated;	  /* the name came before in this note */
+};
+
+/* An item of the next configuration; `change` is NULL for an old one. */
+struct list_item {
+	void *item;
+	const struct change *change;
+};
+
+struct list {
+	struct change *changes;
+	size_t change_count;
+	struct list_item *entries;
+	uint32_t count;
+};
+
+struct note {
+	const struct eb_config *base; /* NULL: unknown */
+	const json_t *json;
+	const char *source;
+	const char *text; /* NULL: no lines */
+	size_t bytes;
+	struct eb_findings *fs;
+	struct list lists[EB_ITEM_KINDS];
+	uint64_t release;
+	int failed; /* no memory */
+};
+
+/* The first members of each kind of item. */
+struct item {
+	int32_t refs;
+	char *name;
+};
+
+static const char *check_name(const char *text)
+{
+	const char *p;
+
+	if (!*text || strlen(text) > EB_NAME_MAX_BYTES)
+		return "a name has 1 to 47 characters";
+	for (p = text; *p; p++)
+		if (!isalnum((unsigned char)*p) && !strchr("._-", *p))
+			return "a name consists of A-Z a-z 0-9 . _ -";
+	return NULL;
+}
+
+static const char *check_host(const char *text)
+{
+	const char *p;
+
+	if (!*text || strlen(text) > 253)
+		return "a host has 1 to 253 characters";
+	for (p = text; *p; p++)
+		if (!isalnum((unsigned char)*p) && !strchr(".-", *p))
+			return "expected a host name or an IPv4 address, "
+			       "without a port";
+	return NULL;
+}
+
+static const char *check_prefix(const char *text)
+{
+	size_t n = strlen(text);
+	const char *p;
+
+	if (*text != '/')
+		return "a path prefix begins with /";
+	if (n > EB_TARGET_MAX_BYTES)
+		return "the path prefix is too long";
+	if (n > 1 && text[n - 1] == '/')
+		return "a path prefix does not end with /";
+	for (p = text; *p; p++)
+		if (*p <= ' ' || *p > '~' || *p == '?' || *p == '#')
+			return "a path prefix holds no query, space or control "
+			       "character";
+	return NULL;
+}
+
+static const char *check_address(const char *text)
+{
+	struct eb_address ad;
+
+	return eb_address_parse(text, &ad) ? "expected IP:port" : NULL;
+}
+
+static const char *check_key(const char *text)
+{
+	uint8_t raw[CURVE_KEY_BYTES];
+
+	if (!*text)
+		return NULL;
+	if (strlen(text) != Z85_KEY_CHARS || !zmq_z85_decode(raw, text))
+		return "expected a CURVE public key, Z85 of 40 characters";
+	return NULL;
+}
+
+static const char *check_methods(const char *text)
+{
+	const char *p = text;
+	size_t n;
+
+	if (strlen(text) > 256)
+		return "the list of methods is too long";
+	while (*p) {
+		n = strspn(p, "ABCDEFGHIJKLMNOPQRSTUVWXYZ-");
+		if (!n || (p[n] && p[n] != ' ') || (p[n] == ' ' && !p[n + 1]))
+			return "expected methods in capitals, one space "
+			       "between two";
+		p += n + (p[n] == ' ');
+	}
+	return NULL;
+}
+
+#define AT(type, member) offsetof(struct type, member)
+
+static const struct field rule_fields[] = {
+	{ "name", FIELD_TEXT, 1, AT(eb_rule, name), .check = check_name },
+	{ "retry_permille", FIELD_UINT, 0, AT(eb_rule, retry_permille),
+	  .max = 1000, .value = EB_RULE_RETRY_PERMILLE },
+	{ "queue", FIELD_UINT, 0, AT(eb_rule, queue), .max = UINT16_MAX,
+	  .value = EB_RULE_QUEUE },
+	/* A daemon's whole control traffic is at most 24 KB/s. */
+	{ "watch_bytes_per_s", FIELD_UINT, 0, AT(eb_rule, watch_bytes_per_s),
+	  .max = 24000, .value = EB_RULE_WATCH_BYTES_PER_S },
+	{ "caller_rate_per_s", FIELD_UINT, 0, AT(eb_rule, caller_rate_per_s),
+	  .max = 1000000, .value = EB_RULE_CALLER_RATE_PER_S },
+	{ "claims", FIELD_BOOL, 0, AT(eb_rule, claims),
+	  .value = EB_RULE_CLAIMS },
+	{ "idempotent_methods", FIELD_TEXT, 0, AT(eb_rule, idempotent_methods),
+	  .text = EB_RULE_IDEMPOTENT_METHODS, .check = check_methods },
+	{ 0 }
+};
+
+static const struct field match_fields[] = {
+	{ "host", FIELD_TEXT, 0, AT(eb_service, host), .check = check_host },
+	{ "path_prefix", FIELD_TEXT, 0, AT(eb_service, path_prefix),
+	  .check = check_prefix },
+	{ 0 }
+};
+
+static const struct field service_fields[] = {
+	{ "name", FIELD_TEXT, 1, AT(eb_service, name), .check = check_name },
+	{ "match", FIELD_OBJECT, 1, 0, .members = match_fields },
+	{ "deadline_ms", FIELD_UINT, 0, AT(eb_service, deadline_ms), .min = 1,
+	  .max = 3600000, .value = EB_DEADLINE_DEFAULT_MS },
+	{ "rules", FIELD_TEXT, 0, AT(eb_service, rule_name),
+	  .check = check_name },
+	{ 0 }
+};
+
+static const struct field upstream_fields[] = {
+	{ "name", FIELD_TEXT, 1, AT(eb_upstream, name), .check = check_name },
+	{ "service", FIELD_TEXT, 1, AT(eb_upstream, service_name),
+	  .check = check_name },
+	{ "address", FIELD_TEXT, 1, AT(eb_upstream, address),
+	  .check = check_address },
+	{ "daemon", FIELD_TEXT, 1, AT(eb_upstream, daemon),
+	  .check = check_address },
+	{ "key", FIELD_KEY, 0, AT(eb_upstream, key), .check = check_key },
+	{ "region", FIELD_TEXT, 1, AT(eb_upstream, region),
+	  .check = check_name },
+	{ "failure_domain", FIELD_TEXT, 1, AT(eb_upstream, failure_domain),
+	  .check = check_name },
+	{ "slots", FIELD_UINT, 1, AT(eb_upstream, slots), .min = 1,
+	  .max = UINT16_MAX },
+	{ "connections", FIELD_UINT, 1, AT(eb_upstream, connections), .min = 1,
+	  .max = UINT16_MAX },
+	{ 0 }
+};
+
+struct kind_info {
+	const char *name;
+	const char *plural;
+	const struct field *fields;
+	uint32_t max;
+};
+
+static const struct kind_info kinds[EB_ITEM_KINDS] = {
+	[EB_ITEM_RULE] = { "rule", "rules", rule_fields, EB_RELEASE_RULES_MAX },
+	[EB_ITEM_SERVICE] = { "service", "services", service_fields,
+			      EB_RELEASE_SERVICES_MAX },
+	[EB_ITEM_UPSTREAM] = { "upstream", "upstreams", upstream_fields,
+			       EB_RELEASE_UPSTREAMS_MAX },
+};
+
+/* Reports a fault of the value at `path`. */
+static void report(const struct note *nt, const struct eb_path *path,
+		   const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
+static void report(const struct note *nt, const struct eb_path *path,
+		   const char *fmt, ...)
+{
+	char field[EB_PATH_TEXT_BYTES], reason[320];
+	int32_t line = 0;
+	va_list ap;
+
+	if (nt->fs->count == EB_FINDINGS_MAX) {
+		nt->fs->dropped++;
+		return;
+	}
+	va_start(ap, fmt);
+	vsnprintf(reason, sizeof(reason), fmt, ap);
+	va_end(ap);
+	eb_path_print(path, field);
+	if (nt->text)
+		line = eb_lines_find(nt->text, nt->bytes, path);
+	eb_findings_add(nt->fs, nt->source, line, field, "%s", reason);
+}
+
+/* Reports a fault of a whole change, or of its member `key`. */
+static void report_change(const struct note *nt, enum eb_item_kind kind,
+			  const struct change *ch, const char *key,
+			  const char *fmt, const char *name)
+{
+	struct eb_path section = { NULL, section_names[ch->section], 0 };
+	struct eb_path list = { &section, kinds[kind].plural, 0 };
+	struct eb_path item = { &list, NULL, ch->index };
+	struct eb_path member = { &item, key, 0 };
+	char printable[128];
+
+	eb_lines_printable(name, printable, sizeof(printable));
+	/* NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
+	report(nt, key ? &member : &item, fmt, printable);
+}
+
+static void set_text(struct note *nt, char **slot, const char *text)
+{
+	free(*slot);
+	*slot = text ? strdup(text) : NULL;
+	if (text && !*slot)
+		nt->failed = 1;
+}
+
+static void set_default(struct note *nt, const struct field *fd, char *item)
+{
+	const struct field *m;
+
+	switch (fd->type) {
+	case FIELD_TEXT:
+		set_text(nt, (char **)(item + fd->offset), fd->text);
+		break;
+	case FIELD_UINT:
+		*(uint32_t *)(item + fd->offset) = fd->value;
+		break;
+	case FIELD_BOOL:
+		*(uint8_t *)(item + fd->offset) = (uint8_t)fd->value;
+		break;
+	case FIELD_KEY:
+		item[fd->offset] = 0;
+		break;
+	default:
+		for (m = fd->members; m->name; m++)
+			set_default(nt, m, item);
+	}
+}
+
+static void read_text(struct note *nt, const struct field *fd,
+		      const json_t *value, const struct eb_path *path,
+		      char *item)
+{
+	const char *text = json_string_value(value), *reason;
+
+	if (!text) {
+		report(nt, path, "expected a text");
+		return;
+	}
+	reason = fd->check(text);
+	if (reason)
+		report(nt, path, "%s", reason);
+	else if (fd->type == FIELD_KEY)
+		memcpy(item + fd->offset, text, strlen(text) + 1);
+	else
+		set_text(nt, (char **)(item + fd->offset), text);
+}
+
+static void read_number(struct note *nt, const struct field *fd,
+			const json_t *value, const struct eb_path *path,
+			char *item)
+{
+	json_int_t number = json_integer_value(value);
+
+	if (!json_is_integer(value))
+		report(nt, path, "expected an integer");
+	else if (number < fd->min || number > fd->max)
+		report(nt, path, "expected %u to %u, not %lld", fd->min,
+		       fd->max, (long long)number);
+	else
+		*(uint32_t *)(item + fd->offset) = (uint32_t)number;
+}
+
+static void read_fields(struct note *nt, const struct field *fields,
+			const json_t *json, const struct eb_path *path,
+			int partial, char *item);
+
+static void read_field(struct note *nt, const struct field *fd,
+		       const json_t *value, const struct eb_path *path,
+		       char *item)
+{
+	switch (fd->type) {
+	case FIELD_UINT:
+		read_number(nt, fd, value, path, item);
+		break;
+	case FIELD_BOOL:
+		if (json_is_boolean(value))
+			item[fd->offset] = json_is_true(value);
+		else
+			report(nt, path, "expected true or false");
+		break;
+	case FIELD_OBJECT:
+		if (!json_is_object(value)) {
+			report(nt, path, "expected an object");
+			break;
+		}
+		set_default(nt, fd, item);
+		read_fields(nt, fd->members, value, path, 0, item);
+		if (!json_object_size(value))
+			report(nt, path, "expected at least one field");
+		break;
+	default:
+		read_text(nt, fd, value, path, item);
+	}
+}
+
+static const struct field *find_field(const struct field *fields,
+				      const char *name)
+{
+	for (; fields->name; fields++)
+		if (!strcmp(fields->name, name))
+			return fields;
+	return NULL;
+}
+
+/*
+ * Reads all fields of an object into an item. With `partial`, a field that
+ * is not given keeps its value, and null gives an optional one its default.
+ */
+static void read_fields(struct note *nt, const struct field *fields,
+			const json_t *json, const struct eb_path *path,
+			int partial, char *item)
+{
+	struct eb_path at = { path, NULL, 0 };
+	const struct field *fd;
+	const json_t *value;
+
+	for (fd = fields; fd->name; fd++) {
+		at.key = fd->name;
+		value = json_object_get(json, fd->name);
+		if (value && !(partial && json_is_null(value)))
+			read_field(nt, fd, value, &at, item);
+		else if (fd->required && !(partial && !value))
+			report(nt, &at, "this field is required");
+		else if (!partial || value)
+			set_default(nt, fd, item);
+	}
+	json_object_foreach((json_t *)json, at.key,
+			    value) if (!find_field(fields, at.key))
+		report(nt, &at, "unknown field");
+}
+
+/* Returns the name that an element of a list gives, or NULL and a finding. */
+static const char *read_name(struct note *nt, enum section section,
+			     const json_t *json, const struct eb_path *path)
+{
+	struct eb_path at = { path, "name", 0 };
+	const char *name, *reason;
+
+	if (section == WITHDRAWN) {
+		name = json_string_value(json);
+		if (!name)
+			report(nt, path, "expected a name");
+		return name;
+	}
+	if (!json_is_object(json)) {
+		report(nt, path, "expected an object");
+		return NULL;
+	}
+	name = json_string_value(json_object_get(json, "name"));
+	if (!name) {
+		report(nt, &at, "a name is required");
+		return NULL;
+	}
+	reason = section == CHANGED ? check_name(name) : NULL;
+	if (reason)
+		report(nt, &at, "%s", reason);
+	return reason ? NULL : name;
+}
+
+static void read_list(struct note *nt, enum eb_item_kind kind,
+		      enum section section, const json_t *json,
+		      const struct eb_path *path)
+{
+	struct list *ls = &nt->lists[kind];
+	struct eb_path at = { path, NULL, 0 };
+	struct change *ch;
+	const json_t *value;
+	const char *name;
+
+	if (json && !json_is_array(json)) {
+		report(nt, path, "expected a list");
+		return;
+	}
+	for (at.index = 0; at.index < json_array_size(json); at.index++) {
+		value = json_array_get(json, at.index);
+		name = read_name(nt, section, value, &at);
+		if (!name)
+			continue;
+		ch = &ls->changes[ls->change_count++];
+		ch->name = name;
+		ch->json = value;
+		ch->section = section;
+		ch->index = at.index;
+	}
+}
+
+static size_t count_changes(const json_t *json, enum eb_item_kind kind)
+{
+	const json_t *section;
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < SECTIONS; i++) {
+		section = json_object_get(json, section_names[i]);
+		n += json_array_size(
+			json_object_get(section, kinds[kind].plural));
+	}
+	return n;
+}
+
+static void read_section(struct note *nt, enum section section)
+{
+	const json_t *json = json_object_get(nt->json, section_names[section]);
+	struct eb_path top = { NULL, section_names[section], 0 };
+	struct eb_path at = { &top, NULL, 0 };
+	const json_t *value;
+	int i;
+
+	if (!json)
+		return;
+	if (!json_is_object(json)) {
+		report(nt, &top, "expected an object");
+		return;
+	}
+	json_object_foreach((json_t *)json, at.key, value)
+	{
+		for (i = 0; i < EB_ITEM_KINDS; i++)
+			if (!strcmp(kinds[i].plural, at.key))
+				break;
+		if (i == EB_ITEM_KINDS)
+			report(nt, &at, "unknown field");
+		else
+			read_list(nt, (enum eb_item_kind)i, section, value,
+				  &at);
+	}
+}
+
+/* Reads `release`, `builds_on`, `note` and the names of the sections. */
+static void read_top(struct note *nt)
+{
+	static const char *const known[] = { "release", "builds_on",
+					     "note",	"added",
+					     "changed", "withdrawn",
+					     NULL };
+	const json_t *release = json_object_get(nt->json, "release");
+	const json_t *builds = json_object_get(nt->json, "builds_on");
+	const json_t *text = json_object_get(nt->json, "note"), *value;
+	struct eb_path at = { NULL, "release", 0 };
+	int i;
+
+	if (json_integer_value(release) < 1)
+		report(nt, &at, "expected a positive integer");
+	else if (json_is_integer(builds) &&
+		 json_integer_value(release) <= json_integer_value(builds))
+		report(nt, &at, "expected more than builds_on");
+	nt->release = (uint64_t)json_integer_value(release);
+	at.key = "builds_on";
+	if (!json_is_integer(builds) || json_integer_value(builds) < 0)
+		report(nt, &at, "expected an integer that is not negative");
+	else if (nt->base &&
+		 (uint64_t)json_integer_value(builds) != nt->base->release)
+		report(nt, &at, "release %llu is in force, not %lld",
+		       (unsigned long long)nt->base->release,
+		       (long long)json_integer_value(builds));
+	at.key = "note";
+	if (text && !json_is_string(text))
+		report(nt, &at, "expected a text");
+	json_object_foreach((json_t *)nt->json, at.key, value)
+	{
+		for (i = 0; known[i] && strcmp(known[i], at.key) != 0; i++)
+			;
+		if (!known[i])
+			report(nt, &at, "unknown field");
+	}
+}
+
+/* Returns the change of a name in the table, after adding `add` if new. */
+static struct change *lookup(struct note *nt, struct hsearch_data *table,
+			     const char *name, struct change *add)
+{
+	ENTRY query = { (char *)name, add }, *found = NULL;
+
+	if (!hsearch_r(query, add ? ENTER : FIND, &found, table)) {
+		nt->failed |= add != NULL;
+		return NULL;
+	}
+	return found->data;
+}
+
+/* Gives each change the item of the base that it names. */
+static void match_base(struct note *nt, enum eb_item_kind kind,
+		       const void *items, uint32_t count)
+{
+	struct item *const *list = items;
+	struct list *ls = &nt->lists[kind];
+	struct hsearch_data table = { 0 };
+	struct change *ch;
+	size_t i;
+
+	if (!hcreate_r(ls->change_count * 2 + 1, &table)) {
+		nt->failed = 1;
+		return;
+	}
+	for (i = 0; i < ls->change_count; i++) {
+		ch = &ls->changes[i];
+		ch->repeated = lookup(nt, &table, ch->name, ch) != ch;
+		if (ch->repeated)
+			report_change(nt, kind, ch, NULL,
+				      "\"%s\" appears twice in this note",
+				      ch->name);
+	}
+	for (i = 0; i < count; i++) {
+		ch = lookup(nt, &table, list[i]->name, NULL);
+		if (ch)
+			ch->base = list[i];
+		if (!ch || ch->section == ADDED)
+			ls->entries[ls->count++].item =
+				eb_config_item_ref(list[i]);
+	}
+	hdestroy_r(&table);
+}
+
+/* Creates the item of a change that adds or changes. */
+static void make_item(struct note *nt, enum eb_item_kind kind,
+		      struct change *ch)
+{
+	struct eb_path section = { NULL, section_names[ch->section], 0 };
+	struct eb_path list = { &section, kinds[kind].plural, 0 };
+	struct eb_path path = { &list, NULL, ch->index };
+	struct list *ls = &nt->lists[kind];
+	int partial = ch->section == CHANGED;
+
+	if (ch->section == ADDED && ch->base)
+		report_change(nt, kind, ch, "name", "\"%s\" exists already",
+			      ch->name);
+	if (ch->section != ADDED && !ch->base && !ch->repeated && nt->base)
+		report_change(nt, kind, ch, partial ? "name" : NULL,
+			      "there is no \"%s\"", ch->name);
+	if (ch->section == WITHDRAWN)
+		return;
+	if (partial && ch->base)
+		ch->item = eb_config_item_copy(kind, ch->base);
+	else
+		ch->item = eb_config_item_new(kind);
+	if (!ch->item) {
+		nt->failed = 1;
+		return;
+	}
+	read_fields(nt, kinds[kind].fields, ch->json, &path, partial, ch->item);
+	if (partial && !ch->base) {
+		/* Without its base it is incomplete: only its fields count. */
+		eb_config_item_unref(kind, ch->item);
+		ch->item = NULL;
+		return;
+	}
+	ls->entries[ls->count].item = ch->item;
+	ls->entries[ls->count++].change = ch;
+}
+
+static const void *base_items(const struct note *nt, enum eb_item_kind kind,
+			      uint32_t *count)
+{
+	*count = 0;
+	if (!nt->base)
+		return NULL;
+	if (kind == EB_ITEM_RULE) {
+		*count = nt->base->rule_count;
+		return nt->base->rules;
+	}
+	if (kind == EB_ITEM_SERVICE) {
+		*count = nt->base->service_total;
+		return nt->base->services;
+	}
+	*count = nt->base->upstream_total;
+	return nt->base->upstreams;
+}
+
+static const char *sort_key(enum eb_item_kind kind, const void *item)
+{
+	if (kind != EB_ITEM_UPSTREAM)
+		return "";
+	return ((const struct eb_upstream *)item)->service_name
+		       ? ((const struct eb_upstream *)item)->service_name
+		       : "";
+}
+
+static int compare_names(const struct list_item *x, const struct list_item *y)
+{
+	const char *p = ((const struct item *)x->item)->name;
+	const char *q = ((const struct item *)y->item)->name;
+
+	return strcmp(p ? p : "", q ? q : "");
+}
+
+static int compare_plain(const void *x, const void *y)
+{
+	return compare_names(x, y);
+}
+
+static int compare_upstreams(const void *x, const void *y)
+{
+	const struct list_item *a = x, *b = y;
+	int order = strcmp(sort_key(EB_ITEM_UPSTREAM, a->item),
+			   sort_key(EB_ITEM_UPSTREAM, b->item));
+
+	return order ? order : compare_names(a, b);
+}
+
+/* Reads the changes of one kind and lists the items of the next version. */
+static void build_list(struct note *nt, enum eb_item_kind kind)
+{
+	struct list *ls = &nt->lists[kind];
+	struct eb_path at = { NULL, "added", 0 };
+	uint32_t count;
+	const void *items = base_items(nt, kind, &count);
+	size_t i;
+
+	ls->entries =
+		calloc(ls->change_count + count + 1, sizeof(*ls->entries));
+	if (!ls->entries) {
+		nt->failed = 1;
+		return;
+	}
+	match_base(nt, kind, items, count);
+	for (i = 0; i < ls->change_count && !nt->failed; i++)
+		make_item(nt, kind, &ls->changes[i]);
+	if (ls->count > kinds[kind].max)
+		report(nt, &at, "more than %u %s", kinds[kind].max,
+		       kinds[kind].plural);
+	qsort(ls->entries, ls->count, sizeof(*ls->entries),
+	      kind == EB_ITEM_UPSTREAM ? compare_upstreams : compare_plain);
+}
+
+static const struct list_item *find_entry(const struct list *ls,
+					  const char *name)
+{
+	struct item item = { 0, (char *)name };
+	struct list_item key = { &item, NULL };
+
+	return bsearch(&key, ls->entries, ls->count, sizeof(key),
+		       compare_plain);
+}
+
+/*
+ * Checks that what `en` names by `key` exists. An item that the note does
+ * not touch can only lose what it uses by a withdrawal.
+ */
+static void check_reference(struct note *nt, enum eb_item_kind kind,
+			    const struct list_item *en, const char *key,
+			    enum eb_item_kind to, const char *name)
+{
+	const struct item *it = en->item;
+	const struct list *ls = &nt->lists[to];
+	char text[256];
+	size_t i;
+
+	if (!name || find_entry(ls, name))
+		return;
+	if (en->change) {
+		snprintf(text, sizeof(text), "there is no %s \"%%s\"",
+			 kinds[to].name);
+		report_change(nt, kind, en->change, key, text, name);
+		return;
+	}
+	snprintf(text, sizeof(text), "still in use by %s \"%%s\"",
+		 kinds[kind].name);
+	for (i = 0; i < ls->change_count; i++)
+		if (!strcmp(ls->changes[i].name, name)) {
+			report_change(nt, to, &ls->changes[i], NULL, text,
+				      it->name);
+			return;
+		}
+}
+
+/* Checks what names what. Without a base, names may be in it. */
+static void check_references(struct note *nt)
+{
+	const struct list *services = &nt->lists[EB_ITEM_SERVICE];
+	const struct list *upstreams = &nt->lists[EB_ITEM_UPSTREAM];
+	const struct eb_service *sv;
+	const struct eb_upstream *up;
+	uint32_t i;
+
+	for (i = 0; i < services->count; i++) {
+		sv = services->entries[i].item;
+		check_reference(nt, EB_ITEM_SERVICE, &services->entries[i],
+				"rules", EB_ITEM_RULE, sv->rule_name);
+	}
+	for (i = 0; i < upstreams->count; i++) {
+		up = upstreams->entries[i].item;
+		check_reference(nt, EB_ITEM_UPSTREAM, &upstreams->entries[i],
+				"service", EB_ITEM_SERVICE, up->service_name);
+	}
+}
+
+static int match_equal(const struct eb_service *x, const struct eb_service *y)
+{
+	if (!x->host != !y->host || !x->path_prefix != !y->path_prefix)
+		return 0;
+	return (!x->host || !strcasecmp(x->host, y->host)) &&
+	       (!x->path_prefix || !strcmp(x->path_prefix, y->path_prefix));
+}
+
+/* Checks that no two services match the same requests. */
+static void check_matches(struct note *nt)
+{
+	const struct list *ls = &nt->lists[EB_ITEM_SERVICE];
+	const struct eb_service *sv, *other;
+	uint32_t i, j;
+
+	for (i = 0; i < ls->count; i++) {
+		sv = ls->entries[i].item;
+		if (!ls->entries[i].change || (!sv->host && !sv->path_prefix))
+			continue;
+		for (j = 0; j < ls->count; j++) {
+			other = ls->entries[j].item;
+			if (j == i || (j > i && ls->entries[j].change) ||
+			    !match_equal(sv, other))
+				continue;
+			report_change(nt, EB_ITEM_SERVICE,
+				      ls->entries[i].change, "match",
+				      "the same as of service \"%s\"",
+				      other->name ? other->name : "");
+			break;
+		}
+	}
+}
+
+/* Checks that no two upstreams share an address of the given field. */
+static void check_addresses(struct note *nt, const char *key, size_t offset)
+{
+	const struct list *ls = &nt->lists[EB_ITEM_UPSTREAM];
+	struct hsearch_data table = { 0 };
+	ENTRY query, *found;
+	const struct item *other;
+	uint32_t i, pass;
+	char *text;
+
+	if (!hcreate_r((size_t)ls->count * 2 + 1, &table)) {
+		nt->failed = 1;
+		return;
+	}
+	/* Untouched upstreams first, so that the finding is in this note. */
+	for (pass = 0; pass < 2; pass++)
+		for (i = 0; i < ls->count; i++) {
+			text = *(char **)((char *)ls->entries[i].item + offset);
+			if (!text || (ls->entries[i].change != NULL) != pass)
+				continue;
+			query.key = text;
+			query.data = ls->entries[i].item;
+			if (!hsearch_r(query, ENTER, &found, &table)) {
+				nt->failed = 1;
+				continue;
+			}
+			other = found->data;
+			if (other == ls->entries[i].item || !pass)
+				continue;
+			report_change(nt, EB_ITEM_UPSTREAM,
+				      ls->entries[i].change, key,
+				      "the same as of upstream \"%s\"",
+				      other->name ? other->name : "");
+		}
+	hdestroy_r(&table);
+}
+
+/* Moves the items of a list into an array of the configuration. */
+static void *take_items(struct note *nt, enum eb_item_kind kind,
+			uint32_t *count)
+{
+	struct list *ls = &nt->lists[kind];
+	void **items = calloc((size_t)ls->count + 1, sizeof(*items));
+	uint32_t i;
+
+	if (!items) {
+		nt->failed = 1;
+		return NULL;
+	}
+	for (i = 0; i < ls->count; i++)
+		items[i] = ls->entries[i].item;
+	*count = ls->count;
+	ls->count = 0;
+	return items;
+}
+
+/*
+ * Gives each service the index of its rule. A service whose index moves is
+ * copied, since older versions keep using the one they have.
+ */
+static void link_rules(struct note *nt, struct eb_config *cf)
+{
+	struct eb_service *sv, *copy;
+	uint32_t i, rule;
+
+	for (i = 0; i < cf->service_total; i++) {
+		sv = cf->services[i];
+		rule = sv->rule_name ? eb_config_find_rule(cf, sv->rule_name)
+				     : EB_NONE;
+		if (rule == sv->rule)
+			continue;
+		if (__atomic_load_n(&sv->refs, __ATOMIC_ACQUIRE) > 1) {
+			copy = eb_config_item_copy(EB_ITEM_SERVICE, sv);
+			if (!copy) {
+				nt->failed = 1;
+				return;
+			}
+			eb_config_item_unref(EB_ITEM_SERVICE, sv);
+			cf->services[i] = sv = copy;
+		}
+		sv->rule = rule;
+	}
+}
+
+/* Groups the upstreams, which are sorted by service, under services. */
+static void link_upstreams(struct note *nt, struct eb_config *cf)
+{
+	uint32_t i, service = 0;
+
+	cf->upstream_service =
+		calloc((size_t)cf->upstream_total + 1, sizeof(uint32_t));
+	cf->service_first =
+		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
+	cf->service_count =
+		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
+	if (!cf->upstream_service || !cf->service_first || !cf->service_count) {
+		nt->failed = 1;
+		return;
+	}
+	for (i = 0; i < cf->upstream_total; i++) {
+		while (strcmp(cf->services[service]->name,
+			      cf->upstreams[i]->service_name) != 0)
+			cf->service_first[++service] = i;
+		cf->upstream_service[i] = service;
+		cf->service_count[service]++;
+	}
+	while (service + 1 < cf->service_total)
+		cf->service_first[++service] = i;
+}
+
+static uint64_t digest_note(struct note *nt)
+{
+	char *text = json_dumps(nt->json, JSON_COMPACT | JSON_SORT_KEYS);
+	uint64_t digest = 0;
+
+	if (text)
+		digest = XXH64(text, strlen(text), nt->base->digest);
+	else
+		nt->failed = 1;
+	free(text);
+	return digest;
+}
+
+static struct eb_config *build_config(struct note *nt, uint64_t index)
+{
+	struct eb_config *cf = eb_config_new_empty();
+
+	assert(nt->base);
+	if (!cf) {
+		nt->failed = 1;
+		return NULL;
+	}
+	cf->release = nt->release;
+	cf->index = index;
+	cf->digest = digest_note(nt);
+	cf->rules = take_items(nt, EB_ITEM_RULE, &cf->rule_count);
+	cf->services = take_items(nt, EB_ITEM_SERVICE, &cf->service_total);
+	cf->upstreams = take_items(nt, EB_ITEM_UPSTREAM, &cf->upstream_total);
+	if (!nt->failed)
+		link_rules(nt, cf);
+	if (!nt->failed)
+		link_upstreams(nt, cf);
+	if (!nt->failed)
+		return cf;
+	eb_config_unref(cf);
+	return NULL;
+}
+
+static int compare_findings(const void *x, const void *y)
+{
+	const struct eb_finding *a = x, *b = y;
+	int order;
+
+	if (a->line != b->line)
+		return a->line < b->line ? -1 : 1;
+	order = strcmp(a->field, b->field);
+	return order ? order : strcmp(a->reason, b->reason);
+}
+
+/* Puts the findings after the first `before` into the order of the note. */
+static void sort_findings(struct eb_findings *fs, uint32_t before)
+{
+	if (fs->count > before)
+		qsort(fs->items + before, fs->count - before,
+		      sizeof(*fs->items), compare_findings);
+}
+
+/* Reads and checks the whole note; all faults become findings. */
+static void read_note(struct note *nt)
+{
+	int i;
+
+	read_top(nt);
+	for (i = 0; i < EB_ITEM_KINDS; i++) {
+		nt->lists[i].changes = calloc(
+			count_changes(nt->json, (enum eb_item_kind)i) + 1,
+			sizeof(struct change));
+		if (!nt->lists[i].changes)
+			nt->failed = 1;
+	}
+	if (nt->failed)
+		return;
+	for (i = 0; i < SECTIONS; i++)
+		read_section(nt, (enum section)i);
+	for (i = 0; i < EB_ITEM_KINDS && !nt->failed; i++)
+		build_list(nt, (enum eb_item_kind)i);
+	if (nt->failed)
+		return;
+	if (nt->base)
+		check_references(nt);
+	check_matches(nt);
+	check_addresses(nt, "address", AT(eb_upstream, address));
+	check_addresses(nt, "daemon", AT(eb_upstream, daemon));
+}
+
+static void clear_note(struct note *nt)
+{
+	struct list *ls;
+	uint32_t i, j;
+
+	for (i = 0; i < EB_ITEM_KINDS; i++) {
+		ls = &nt->lists[i];
+		for (j = 0; j < ls->count; j++)
+			eb_config_item_unref((enum eb_item_kind)i,
+					     ls->entries[j].item);
+		free(ls->entries);
+		free(ls->changes);
+	}
+}
+
+/* Reads the note and, with `out`, builds the next configuration. */
+static enum eb_status run_note(struct note *nt, uint64_t index,
+			       struct eb_config **out)
+{
+	uint32_t before = nt->fs->count, dropped = nt->fs->dropped;
+	struct eb_config *cf = NULL;
+	struct eb_path at = { 0 };
+	enum eb_status st = EB_OK;
+
+	if (json_is_object(nt->json))
+		read_note(nt);
+	else
+		report(nt, at.up, "expected an object");
+	if (nt->fs->count != before || nt->fs->dropped != dropped)
+		st = EB_EINVAL;
+	else if (out && !nt->failed)
+		cf = build_config(nt, index);
+	if (nt->failed)
+		st = EB_ENOMEM;
+	sort_findings(nt->fs, before);
+	clear_note(nt);
+	if (out && !st)
+		*out = cf;
+	return st;
+}
+
+/*
+ * Parses the text of a note. Returns NULL, with findings, for a text that is
+ * not JSON, is over EB_RELEASE_NOTE_MAX_BYTES or repeats a field.
+ */
+json_t *eb_release_parse(const char *source, const char *text, size_t bytes,
+			 struct eb_findings *fs)
+{
+	json_error_t error;
+	json_t *js;
+
+	if (bytes > EB_RELEASE_NOTE_MAX_BYTES) {
+		eb_findings_add(fs, source, 0, "note",
+				"%zu bytes; the platform holds at most %d",
+				bytes, EB_RELEASE_NOTE_MAX_BYTES);
+		return NULL;
+	}
+	js = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &error);
+	if (!js)
+		eb_findings_add(fs, source, error.line, "note", "%s",
+				error.text);
+	return js;
+}
+
+/*
+ * Parses a note for its checks: repeated fields become findings, all of
+ * them, and the rest is checked nevertheless.
+ */
+static json_t *parse_all(const char *source, const char *text, size_t bytes,
+			 struct eb_findings *fs)
+{
+	json_error_t error;
+	json_t *js;
+
+	if (bytes > EB_RELEASE_NOTE_MAX_BYTES)
+		return eb_release_parse(source, text, bytes, fs);
+	js = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &error);
+	if (js || json_error_code(&error) != json_error_duplicate_key) {
+		json_decref(js);
+		return eb_release_parse(source, text, bytes, fs);
+	}
+	js = json_loadb(text, bytes, 0, &error);
+	if (!js)
+		return eb_release_parse(source, text, bytes, fs);
+	eb_lines_duplicates(source, text, bytes, fs);
+	return js;
+}
+
+static enum eb_status run_text(const struct eb_config *base, const char *text,
+			       size_t bytes, uint64_t index, const char *source,
+			       struct eb_findings *fs, struct eb_config **out)
+{
+	struct note nt = { .base = base,
+			   .source = source,
+			   .text = text,
+			   .bytes = bytes,
+			   .fs = fs };
+	uint32_t before = fs->count, dropped = fs->dropped;
+	struct eb_config *empty = NULL;
+	enum eb_status st;
+	json_t *js;
+
+	js = parse_all(source, text, bytes, fs);
+	if (!js)
+		return EB_EPARSE;
+	if (!base && json_is_integer(json_object_get(js, "builds_on")) &&
+	    !json_integer_value(json_object_get(js, "builds_on")))
+		nt.base = empty = eb_config_new_empty();
+	nt.json = js;
+	st = run_note(&nt, index, fs->count == before ? out : NULL);
+	if (!st && (fs->count != before || fs->dropped != dropped))
+		st = EB_EINVAL;
+	sort_findings(fs, before);
+	eb_config_unref(empty);
+	json_decref(js);
+	return st;
+}
+
+/*
+ * Checks a note by itself. What it needs of the release it builds on is
+ * taken to be there, except for a note that builds on nothing. Returns EB_OK,
+ * EB_EPARSE, EB_EINVAL with findings, or EB_ENOMEM.
+ */
+enum eb_status eb_release_check(const char *source, const char *text,
+				size_t bytes, struct eb_findings *fs)
+{
+	return run_text(NULL, text, bytes, 0, source, fs, NULL);
+}
+
+/*
+ * Applies a note to the configuration it builds on; `index` is its place in
+ * the platform's log. Returns EB_OK and a new configuration with one
+ * reference, EB_EINVAL with findings, or EB_ENOMEM. The base is not changed.
+ */
+enum eb_status eb_release_apply(const struct eb_config *base,
+				const json_t *note, uint64_t index,
+				const char *source, struct eb_findings *fs,
+				struct eb_config **out)
+{
+	struct note nt = {
+		.base = base, .json = note, .source = source, .fs = fs
+	};
+
+	return run_note(&nt, index, out);
+}
+
+/*
+ * As eb_release_apply(), from the text of the note. Findings have a line;
+ * EB_EPARSE is returned for a text that is not JSON.
+ */
+enum eb_status eb_release_apply_text(const struct eb_config *base,
+				     const char *text, size_t bytes,
+				     uint64_t index, const char *source,
+				     struct eb_findings *fs,
+				     struct eb_config **out)
+{
+	return run_text(base, text, bytes, index, source, fs, out);
+}
