--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -6,15 +6,11 @@
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
-#include <zmq.h>
 
-#include "eb_address.h"
+#include "eb_check.h"
 #include "eb_lines.h"
 #include "eb_tunables.h"
 
-#define Z85_KEY_CHARS 40
-#define CURVE_KEY_BYTES 32
-
 enum section { ADDED = 0, CHANGED, WITHDRAWN, SECTIONS };
 
 static const char *const section_names[SECTIONS] = { "added", "changed",
@@ -85,18 +81,6 @@
 	char *name;
 };
 
-static const char *check_name(const char *text)
-{
-	const char *p;
-
-	if (!*text || strlen(text) > EB_NAME_MAX_BYTES)
-		return "a name has 1 to 47 characters";
-	for (p = text; *p; p++)
-		if (!isalnum((unsigned char)*p) && !strchr("._-", *p))
-			return "a name consists of A-Z a-z 0-9 . _ -";
-	return NULL;
-}
-
 static const char *check_host(const char *text)
 {
 	const char *p;
@@ -128,22 +112,9 @@
 	return NULL;
 }
 
-static const char *check_address(const char *text)
-{
-	struct eb_address ad;
-
-	return eb_address_parse(text, &ad) ? "expected IP:port" : NULL;
-}
-
 static const char *check_key(const char *text)
 {
-	uint8_t raw[CURVE_KEY_BYTES];
-
-	if (!*text)
-		return NULL;
-	if (strlen(text) != Z85_KEY_CHARS || !zmq_z85_decode(raw, text))
-		return "expected a CURVE public key, Z85 of 40 characters";
-	return NULL;
+	return *text ? eb_check_key(text) : NULL;
 }
 
 static const char *check_methods(const char *text)
@@ -166,7 +137,7 @@
 #define AT(type, member) offsetof(struct type, member)
 
 static const struct field rule_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_rule, name), .check = check_name },
+	{ "name", FIELD_TEXT, 1, AT(eb_rule, name), .check = eb_check_name },
 	{ "retry_permille", FIELD_UINT, 0, AT(eb_rule, retry_permille),
 	  .max = 1000, .value = EB_RULE_RETRY_PERMILLE },
 	{ "queue", FIELD_UINT, 0, AT(eb_rule, queue), .max = UINT16_MAX,
@@ -191,28 +162,29 @@
 };
 
 static const struct field service_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_service, name), .check = check_name },
+	{ "name", FIELD_TEXT, 1, AT(eb_service, name), .check = eb_check_name },
 	{ "match", FIELD_OBJECT, 1, 0, .members = match_fields },
 	{ "deadline_ms", FIELD_UINT, 0, AT(eb_service, deadline_ms), .min = 1,
 	  .max = 3600000, .value = EB_DEADLINE_DEFAULT_MS },
 	{ "rules", FIELD_TEXT, 0, AT(eb_service, rule_name),
-	  .check = check_name },
+	  .check = eb_check_name },
 	{ 0 }
 };
 
 static const struct field upstream_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_upstream, name), .check = check_name },
+	{ "name", FIELD_TEXT, 1, AT(eb_upstream, name),
+	  .check = eb_check_name },
 	{ "service", FIELD_TEXT, 1, AT(eb_upstream, service_name),
-	  .check = check_name },
+	  .check = eb_check_name },
 	{ "address", FIELD_TEXT, 1, AT(eb_upstream, address),
-	  .check = check_address },
+	  .check = eb_check_address },
 	{ "daemon", FIELD_TEXT, 1, AT(eb_upstream, daemon),
-	  .check = check_address },
+	  .check = eb_check_address },
 	{ "key", FIELD_KEY, 0, AT(eb_upstream, key), .check = check_key },
 	{ "region", FIELD_TEXT, 1, AT(eb_upstream, region),
-	  .check = check_name },
+	  .check = eb_check_name },
 	{ "failure_domain", FIELD_TEXT, 1, AT(eb_upstream, failure_domain),
-	  .check = check_name },
+	  .check = eb_check_name },
 	{ "slots", FIELD_UINT, 1, AT(eb_upstream, slots), .min = 1,
 	  .max = UINT16_MAX },
 	{ "connections", FIELD_UINT, 1, AT(eb_upstream, connections), .min = 1,
@@ -431,7 +403,7 @@
 		report(nt, &at, "a name is required");
 		return NULL;
 	}
-	reason = section == CHANGED ? check_name(name) : NULL;
+	reason = section == CHANGED ? eb_check_name(name) : NULL;
 	if (reason)
 		report(nt, &at, "%s", reason);
 	return reason ? NULL : name;
--- a/src/eb_release.h
+++ b/src/eb_release.h
@@ -13,8 +13,6 @@
 #define EB_RELEASE_UPSTREAMS_MAX 65536
 #define EB_RELEASE_SERVICES_MAX 4096
 #define EB_RELEASE_RULES_MAX 4096
-/* A span and a log line hold a name of this length. */
-#define EB_NAME_MAX_BYTES 47
 
 /*
  * A release note lists what is added, changed and withdrawn. Applying it to
--- a/tests/test_eb_release.cc
+++ b/tests/test_eb_release.cc
@@ -256,7 +256,7 @@
 	{ "key",
 	  upstream("\"key\":\"short\""),
 	  { "n:4: added.upstreams[0].key: "
-	    "expected a CURVE public key, Z85 of 40 characters" } },
+	    "expected a CURVE key, Z85 of 40 characters" } },
 	{ "shared address and daemon",
 	  upstream("\"key\":\"\"},{\"name\":\"c\",\"service\":\"agenda\",\n"
 		   "\"address\":\"127.0.0.1:9\",\n\"daemon\":\"127.0.0.1:2\","
