admin: metrics, status, traces, health and draining over HTTP

Cause: operators need a port of each daemon that web pages cannot reach. Change: eb_admin.c over libmicrohttpd in its own thread; refuses unlisted paths and methods, Host headers that are names, requests with an Origin and bodies over 4 KB. eb_admin_port() returns the port that port 0 picked.

--- /dev/null
+++ b/src/eb_admin.c
@@ -0,0 +1,322 @@
+#include "eb_admin.h"
+
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "eb_address.h"
+
+#define CONNECTIONS_MAX 64
+#define CONNECTION_BYTES 16384
+#define IDLE_TIMEOUT_S 10
+#define TRACE_ID_CHARS 32
+/* No request needs a body; a short one is read and dropped. */
+#define BODY_MAX_BYTES 4096
+
+struct eb_admin {
+	struct MHD_Daemon *http;
+	struct eb_metrics *metrics;
+	struct eb_tracer *tracer;
+	struct eb_log *log;
+	const struct eb_admin_ops *ops;
+	void *ctx;
+};
+
+struct page {
+	const char *path; /* one that ends with / has an argument after it */
+	const char *method;
+	enum MHD_Result (*answer)(struct eb_admin *am, struct MHD_Connection *c,
+				  const char *argument);
+};
+
+/* Sends a body and frees it. */
+static enum MHD_Result send_body(struct MHD_Connection *c, unsigned status,
+				 const char *type, const char *allow,
+				 char *body, size_t bytes)
+{
+	struct MHD_Response *rs;
+	enum MHD_Result done;
+
+	rs = MHD_create_response_from_buffer(bytes, body,
+					     MHD_RESPMEM_MUST_FREE);
+	if (!rs) {
+		free(body);
+		return MHD_NO;
+	}
+	MHD_add_response_header(rs, "Content-Type", type);
+	MHD_add_response_header(rs, "Cache-Control", "no-store");
+	MHD_add_response_header(rs, "X-Content-Type-Options", "nosniff");
+	if (allow)
+		MHD_add_response_header(rs, "Allow", allow);
+	done = MHD_queue_response(c, status, rs);
+	MHD_destroy_response(rs);
+	return done;
+}
+
+/* Sends a JSON value and drops the reference to it. */
+static enum MHD_Result send_json(struct MHD_Connection *c, unsigned status,
+				 const char *allow, json_t *js)
+{
+	char *body = js ? json_dumps(js, JSON_INDENT(1)) : NULL;
+
+	json_decref(js);
+	if (!body)
+		return MHD_NO;
+	return send_body(c, status, "application/json", allow, body,
+			 strlen(body));
+}
+
+static enum MHD_Result send_error(struct MHD_Connection *c, unsigned status,
+				  const char *allow, const char *code,
+				  const char *reason)
+{
+	return send_json(c, status, allow,
+			 json_pack("{ss ss}", "error", code, "reason", reason));
+}
+
+static enum MHD_Result answer_metrics(struct eb_admin *am,
+				      struct MHD_Connection *c,
+				      const char *argument)
+{
+	char *body = NULL;
+	size_t bytes = 0;
+	FILE *out = open_memstream(&body, &bytes);
+
+	(void)argument;
+	if (!out)
+		return MHD_NO;
+	eb_metrics_print(am->metrics, out);
+	if (fclose(out)) {
+		free(body);
+		return MHD_NO;
+	}
+	return send_body(c, MHD_HTTP_OK, "text/plain; version=0.0.4", NULL,
+			 body, bytes);
+}
+
+static enum MHD_Result answer_status(struct eb_admin *am,
+				     struct MHD_Connection *c,
+				     const char *argument)
+{
+	json_t *js = am->ops->status(am->ctx);
+
+	(void)argument;
+	if (!js)
+		return send_error(c, MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
+				  "unavailable", "the status is not known yet");
+	return send_json(c, MHD_HTTP_OK, NULL, js);
+}
+
+static enum MHD_Result answer_trace(struct eb_admin *am,
+				    struct MHD_Connection *c,
+				    const char *argument)
+{
+	if (strlen(argument) != TRACE_ID_CHARS ||
+	    strspn(argument, "0123456789abcdefABCDEF") != TRACE_ID_CHARS)
+		return send_error(c, MHD_HTTP_BAD_REQUEST, NULL, "bad-request",
+				  "a trace has 32 hexadecimal digits");
+	return send_json(c, MHD_HTTP_OK, NULL,
+			 eb_tracer_find(am->tracer, argument));
+}
+
+static enum MHD_Result answer_health(struct eb_admin *am,
+				     struct MHD_Connection *c,
+				     const char *argument)
+{
+	int draining = eb_metrics_get(am->metrics, EB_METRIC_DRAINING) != 0;
+
+	(void)argument;
+	return send_json(
+		c, draining ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_OK, NULL,
+		json_pack("{ss}", "health", draining ? "draining" : "ok"));
+}
+
+static enum MHD_Result answer_drain(struct eb_admin *am,
+				    struct MHD_Connection *c,
+				    const char *argument)
+{
+	(void)argument;
+	eb_log_write(am->log, EB_LOG_INFO, "admin", "drain requested", NULL);
+	am->ops->drain(am->ctx);
+	return send_json(c, MHD_HTTP_ACCEPTED, NULL,
+			 json_pack("{sb}", "draining", 1));
+}
+
+static const struct page pages[] = {
+	{ "/metrics", "GET", answer_metrics },
+	{ "/status", "GET", answer_status },
+	{ "/traces/", "GET", answer_trace },
+	{ "/health", "GET", answer_health },
+	{ "/drain", "POST", answer_drain },
+};
+
+static const struct page *find_page(const char *url)
+{
+	size_t i, n;
+
+	for (i = 0; i < sizeof(pages) / sizeof(*pages); i++) {
+		n = strlen(pages[i].path);
+		if (pages[i].path[n - 1] == '/'
+			    ? !strncmp(url, pages[i].path, n)
+			    : !strcmp(url, pages[i].path))
+			return &pages[i];
+	}
+	return NULL;
+}
+
+/*
+ * Returns 1 for an IP or localhost, with or without a port. A page in a
+ * browser whose own name was pointed at this address sends that name.
+ */
+static int host_allowed(const char *host)
+{
+	struct eb_address ad;
+	char name[64];
+	size_t n;
+
+	if (!host)
+		return 0;
+	if (!eb_address_parse(host, &ad))
+		return 1;
+	n = strcspn(host, ":");
+	if (*host == '[')
+		n = strcspn(host, "]") + 1;
+	if (n >= sizeof(name) || (host[n] && host[n] != ':'))
+		return 0;
+	memcpy(name, host, n);
+	name[n] = 0;
+	if (!strcasecmp(name, "localhost"))
+		return 1;
+	if (*name != '[')
+		return !eb_address_parse_ip(name, 1, &ad);
+	name[n - 1] = 0;
+	return host[n - 1] == ']' && !eb_address_parse_ip(name + 1, 1, &ad);
+}
+
+static const char *header(struct MHD_Connection *c, const char *name)
+{
+	return MHD_lookup_connection_value(c, MHD_HEADER_KIND, name);
+}
+
+static enum MHD_Result answer(struct eb_admin *am, struct MHD_Connection *c,
+			      const char *url, const char *method)
+{
+	const struct page *pg = find_page(url);
+
+	if (!host_allowed(header(c, "Host")))
+		return send_error(c, MHD_HTTP_FORBIDDEN, NULL, "host",
+				  "the Host header must be an IP or localhost");
+	/* Only a browser sends it, on behalf of some page. */
+	if (header(c, "Origin"))
+		return send_error(c, MHD_HTTP_FORBIDDEN, NULL, "origin",
+				  "requests of web pages are refused");
+	if (!pg)
+		return send_error(c, MHD_HTTP_NOT_FOUND, NULL, "not-found",
+				  "known: /metrics /status /traces/ID /health "
+				  "/drain");
+	if (strcmp(method, pg->method) != 0)
+		return send_error(c, MHD_HTTP_METHOD_NOT_ALLOWED, pg->method,
+				  "method", "this path has another method");
+	return pg->answer(am, c, url + strlen(pg->path));
+}
+
+static int body_too_long(struct MHD_Connection *c)
+{
+	const char *length = header(c, "Content-Length");
+
+	return header(c, "Transfer-Encoding") ||
+	       (length && strtoull(length, NULL, 10) > BODY_MAX_BYTES);
+}
+
+/*
+ * Called by libmicrohttpd: once for the headers, once for each part of a
+ * body, which is dropped, and once at the end.
+ */
+static enum MHD_Result handle(void *cls, struct MHD_Connection *c,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *bytes, void **state)
+{
+	static int seen;
+
+	(void)version;
+	(void)data;
+	if (!*state) {
+		*state = &seen;
+		if (body_too_long(c))
+			return send_error(c, MHD_HTTP_CONTENT_TOO_LARGE, NULL,
+					  "body", "no path takes a body");
+		return MHD_YES;
+	}
+	if (*bytes) {
+		*bytes = 0;
+		return MHD_YES;
+	}
+	return answer(cls, c, url, method);
+}
+
+/*
+ * Starts the admin port in a thread of its own. Port 0 takes a free one; see
+ * eb_admin_port(). Returns NULL and an error when the address cannot be
+ * bound. The other arguments must outlive the port.
+ */
+struct eb_admin *eb_admin_start(const struct eb_settings *se,
+				struct eb_metrics *mt, struct eb_tracer *tr,
+				struct eb_log *lg,
+				const struct eb_admin_ops *ops, void *ctx,
+				struct eb_error *err)
+{
+	unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL;
+	struct eb_address ad;
+	struct eb_admin *am;
+
+	if (eb_address_parse_ip(se->admin_address, se->admin_port, &ad)) {
+		eb_error_set(err, EB_EINVAL, "admin address %s is not an IP",
+			     se->admin_address);
+		return NULL;
+	}
+	am = calloc(1, sizeof(*am));
+	if (!am) {
+		eb_error_set(err, EB_ENOMEM, "no memory for the admin port");
+		return NULL;
+	}
+	am->metrics = mt;
+	am->tracer = tr;
+	am->log = lg;
+	am->ops = ops;
+	am->ctx = ctx;
+	if (ad.sa.ss_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	am->http = MHD_start_daemon(
+		flags, se->admin_port, NULL, NULL, handle, am,
+		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&ad.sa,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
+		MHD_OPTION_END);
+	if (am->http)
+		return am;
+	free(am);
+	eb_error_set(err, EB_EIO, "cannot listen on admin port %s:%u",
+		     se->admin_address, se->admin_port);
+	return NULL;
+}
+
+/* Returns the port that the admin port listens on. */
+uint16_t eb_admin_port(const struct eb_admin *am)
+{
+	const union MHD_DaemonInfo *in =
+		MHD_get_daemon_info(am->http, MHD_DAEMON_INFO_BIND_PORT);
+
+	return in ? in->port : 0;
+}
+
+/* Ends the thread, after the request it is in, and frees the port. */
+void eb_admin_stop(struct eb_admin *am)
+{
+	if (!am)
+		return;
+	MHD_stop_daemon(am->http);
+	free(am);
+}
--- a/src/eb_admin.h
+++ b/src/eb_admin.h
@@ -26,6 +26,7 @@
 				struct eb_log *lg,
 				const struct eb_admin_ops *ops, void *ctx,
 				struct eb_error *err);
+uint16_t eb_admin_port(const struct eb_admin *am);
 void eb_admin_stop(struct eb_admin *am);
 
 #endif
