standins: upstream

Cause: the daemon and its tests need an HTTP/1.1 server with slots, a service time, faults and a record of its runs.

--- /dev/null
+++ b/standins/upstream.c
@@ -0,0 +1,969 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+
+/* The state of a hash is a member of struct call. */
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+#include "standin.h"
+
+/*
+ * Stand-in for an upstream: an HTTP/1.1 server with slots, a service time and
+ * faults. It records every run. The paths below /control belong to the tests;
+ * with --control they are served on a port of their own too, which stays
+ * reachable when the fault of the main port is to refuse or to be silent.
+ */
+
+#define WAITING_MAX 1024
+#define RECORDS_DEFAULT 65536
+#define KEYS_MAX 65536
+#define SERVERS_MAX 64
+#define SAMPLES_MAX 1024
+#define SAMPLE_US 10000
+#define PEEK_US 20000
+#define BLOCK_BYTES 65536
+#define TEXT_BYTES 128
+#define FAIL_US 100
+
+/* Stages of a request, in order. */
+enum stage {
+	STAGE_BODY = 0, /* the body is being read */
+	STAGE_SILENT,	/* held for good */
+	STAGE_QUEUED,	/* waits for a slot */
+	STAGE_RUNNING,	/* holds a slot until `until_us` */
+	STAGE_PAUSED,	/* between two pieces of a trickled answer */
+	STAGE_READY,	/* to be answered */
+	STAGE_ANSWERED,
+};
+
+struct record {
+	uint64_t seq;
+	int64_t start_us;
+	int64_t end_us;
+	uint64_t bytes;
+	char method[16];
+	char target[TEXT_BYTES];
+	char key[TEXT_BYTES];
+	char nonce[TEXT_BYTES];
+	uint8_t executed;
+	uint8_t ended;
+	uint8_t cut;
+};
+
+struct key {
+	char text[TEXT_BYTES];
+	uint32_t executions;
+};
+
+struct call {
+	struct upstream *up;
+	struct MHD_Connection *cn;
+	struct standin_body body; /* of a control request */
+	XXH64_state_t hash;
+	uint64_t seq;
+	uint64_t bytes;
+	uint64_t answer_bytes;
+	uint64_t seed;
+	int64_t until_us;
+	int64_t trickle_us;
+	uint64_t cut_after;
+	uint32_t executions;
+	uint32_t waiting; /* place in `waiting`, plus 1 */
+	char target[TEXT_BYTES];
+	uint8_t stage;
+	uint8_t holds_slot;
+	uint8_t gone; /* the client hung up while the request waited */
+	uint8_t control;
+	uint8_t reused;
+	uint8_t executed;
+};
+
+struct faults {
+	double slow;
+	unsigned fail;
+	uint64_t cut_bytes; /* UINT64_MAX: no cut */
+	int64_t load_lag_us;
+	char load_lie[8];
+	uint8_t silent;
+	uint8_t close_reused;
+	uint8_t refuse;
+	uint8_t draining;
+};
+
+struct load {
+	uint32_t in_flight;
+	uint32_t queued;
+	uint8_t draining;
+};
+
+struct upstream {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	const char *name;
+	struct sockaddr_in address;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t threads;
+	int64_t service_us;
+	uint32_t in_flight;
+	uint32_t queued;
+	struct call *waiting[WAITING_MAX];
+	uint32_t waiting_count;
+	struct faults fault;
+	struct record *records;
+	uint32_t record_space;
+	uint64_t next_seq;
+	uint64_t started;
+	uint64_t executed;
+	uint64_t ended;
+	uint64_t cut;
+	uint64_t connections_seen;
+	uint64_t connections_open;
+	struct key *keys;
+	struct load samples[SAMPLES_MAX];
+	uint64_t sample_count;
+	struct MHD_Daemon *servers[SERVERS_MAX];
+	uint32_t server_count;
+	struct MHD_Daemon *control;
+	int record_fd;
+	uint8_t listening;
+	uint8_t stopping;
+	uint8_t pattern[STANDIN_PATTERN_BYTES];
+};
+
+/* Copies a text that may be missing, cut to the space there is. */
+static void copy(char *out, size_t space, const char *text)
+{
+	size_t n = text ? strlen(text) : 0;
+
+	if (n >= space)
+		n = space - 1;
+	memcpy(out, text ? text : "", n);
+	out[n] = '\0';
+}
+
+static const char *header(struct MHD_Connection *cn, const char *name)
+{
+	return MHD_lookup_connection_value(cn, MHD_HEADER_KIND, name);
+}
+
+static struct record *record_of(struct upstream *up, uint64_t seq)
+{
+	struct record *rc = &up->records[seq % up->record_space];
+
+	return rc->seq == seq ? rc : NULL;
+}
+
+/* Finds or makes the entry of a key; NULL when the table is full. */
+static struct key *key_of(struct upstream *up, const char *text)
+{
+	uint64_t i = XXH64(text, strlen(text), 0);
+	uint32_t tries;
+	struct key *k;
+
+	for (tries = 0; tries < KEYS_MAX; tries++, i++) {
+		k = &up->keys[i % KEYS_MAX];
+		if (!k->text[0])
+			copy(k->text, sizeof(k->text), text);
+		if (!strcmp(k->text, text))
+			return k;
+	}
+	return NULL;
+}
+
+/* Appends a line on a run to the file of --record, which survives a crash. */
+static void record_line(struct upstream *up, const char *event,
+			const struct record *rc)
+{
+	json_t *js;
+	char *text;
+
+	if (up->record_fd < 0)
+		return;
+	js = json_pack("{s:s,s:s,s:I,s:s,s:s,s:s,s:s,s:I}", "upstream",
+		       up->name, "event", event, "seq", (json_int_t)rc->seq,
+		       "method", rc->method, "target", rc->target, "key",
+		       rc->key, "nonce", rc->nonce, "at_us",
+		       (json_int_t)standin_now_us());
+	text = js ? json_dumps(js, JSON_COMPACT) : NULL;
+	if (text && dprintf(up->record_fd, "%s\n", text) < 0)
+		perror("upstream: record");
+	free(text);
+	json_decref(js);
+}
+
+/* Notes the start of a run: its head has been read. */
+static void record_start(struct upstream *up, struct call *c,
+			 const char *method)
+{
+	struct record *rc;
+
+	pthread_mutex_lock(&up->lock);
+	c->seq = ++up->next_seq;
+	rc = &up->records[c->seq % up->record_space];
+	memset(rc, 0, sizeof(*rc));
+	rc->seq = c->seq;
+	rc->start_us = standin_now_us();
+	copy(rc->method, sizeof(rc->method), method);
+	copy(rc->target, sizeof(rc->target), c->target);
+	copy(rc->key, sizeof(rc->key), header(c->cn, "Idempotency-Key"));
+	copy(rc->nonce, sizeof(rc->nonce), header(c->cn, "X-Nonce"));
+	up->started++;
+	record_line(up, "start", rc);
+	pthread_mutex_unlock(&up->lock);
+}
+
+/* Counts an execution: the whole request has been read. Locked. */
+static void record_execution(struct upstream *up, struct call *c)
+{
+	const char *text = header(c->cn, "Idempotency-Key");
+	struct record *rc = record_of(up, c->seq);
+	struct key *k = text && *text ? key_of(up, text) : NULL;
+
+	c->executed = 1;
+	c->executions = k ? ++k->executions : 1;
+	up->executed++;
+	if (rc) {
+		rc->executed = 1;
+		rc->bytes = c->bytes;
+		record_line(up, "executed", rc);
+	}
+}
+
+/* Notes the end of a run; `cut` if its answer was not completed. Locked. */
+static void record_end(struct upstream *up, struct call *c, int cut)
+{
+	struct record *rc = record_of(up, c->seq);
+
+	up->ended++;
+	up->cut += cut ? 1 : 0;
+	if (rc) {
+		rc->end_us = standin_now_us();
+		rc->ended = 1;
+		rc->cut = cut ? 1 : 0;
+		rc->bytes = c->bytes;
+		record_line(up, cut ? "cut" : "end", rc);
+	}
+}
+
+/* Suspends a request at a stage. Locked. Returns 0 if there is no room. */
+static int wait_at(struct upstream *up, struct call *c, enum stage stage,
+		   int64_t until_us)
+{
+	if (up->stopping || up->waiting_count == WAITING_MAX)
+		return 0;
+	c->stage = (uint8_t)stage;
+	c->until_us = until_us;
+	up->waiting[up->waiting_count++] = c;
+	c->waiting = up->waiting_count;
+	MHD_suspend_connection(c->cn);
+	pthread_cond_signal(&up->cond);
+	return 1;
+}
+
+/* Takes a request off the waiting list and resumes it. Locked. */
+static void resume(struct upstream *up, struct call *c)
+{
+	struct call *last = up->waiting[--up->waiting_count];
+
+	up->waiting[c->waiting - 1] = last;
+	last->waiting = c->waiting;
+	c->waiting = 0;
+	if (c->stage == STAGE_QUEUED)
+		up->queued--;
+	c->stage = c->stage == STAGE_PAUSED ? STAGE_ANSWERED : STAGE_READY;
+	MHD_resume_connection(c->cn);
+}
+
+static void release_slot(struct upstream *up, struct call *c)
+{
+	if (!c->holds_slot)
+		return;
+	c->holds_slot = 0;
+	up->in_flight--;
+}
+
+/* Tells whether the client of a suspended request has hung up. */
+static int hung_up(struct call *c)
+{
+	const union MHD_ConnectionInfo *info;
+	char byte;
+	ssize_t n;
+
+	info = MHD_get_connection_info(c->cn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return 0;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+/* The time a request spends in its slot now. */
+static int64_t service_us(const struct upstream *up, const struct call *c)
+{
+	int64_t us = (int64_t)((double)up->service_us * up->fault.slow);
+
+	return us + standin_query(c->cn, "delay_us", 0);
+}
+
+/* Gives free slots to the requests that have waited longest. Locked. */
+static void fill_slots(struct upstream *up, int64_t now)
+{
+	struct call *c, *oldest;
+	uint32_t i;
+
+	while (up->queued && up->in_flight < up->slots) {
+		oldest = NULL;
+		for (i = 0; i < up->waiting_count; i++) {
+			c = up->waiting[i];
+			if (c->stage == STAGE_QUEUED &&
+			    (!oldest || c->seq < oldest->seq))
+				oldest = c;
+		}
+		if (!oldest)
+			return;
+		oldest->stage = STAGE_RUNNING;
+		oldest->holds_slot = 1;
+		oldest->until_us = now + service_us(up, oldest);
+		up->queued--;
+		up->in_flight++;
+	}
+}
+
+/* Resumes the requests that are due; returns when the next one is. Locked. */
+static int64_t resume_due(struct upstream *up, int64_t now, int peek)
+{
+	int64_t next = INT64_MAX;
+	struct call *c;
+	uint32_t i;
+
+	for (i = 0; i < up->waiting_count;) {
+		c = up->waiting[i];
+		if (peek && hung_up(c))
+			c->gone = 1;
+		if (up->stopping || c->gone || now >= c->until_us) {
+			release_slot(up, c);
+			resume(up, c);
+			continue;
+		}
+		i++;
+	}
+	fill_slots(up, now);
+	for (i = 0; i < up->waiting_count; i++)
+		if (up->waiting[i]->until_us < next)
+			next = up->waiting[i]->until_us;
+	return next;
+}
+
+/* Advances time: slots, pauses, hang-ups and load samples. */
+static void *timer_thread(void *arg)
+{
+	struct upstream *up = arg;
+	int64_t now, next, peek_us = 0, sample_us = 0;
+	struct load *sm;
+	int peek;
+
+	/* The default slack of 50 us would show in the service time. */
+	prctl(PR_SET_TIMERSLACK, 1000UL);
+	pthread_mutex_lock(&up->lock);
+	while (!up->stopping || up->waiting_count) {
+		now = standin_now_us();
+		peek = now >= peek_us;
+		if (peek)
+			peek_us = now + PEEK_US;
+		if (now >= sample_us) {
+			sm = &up->samples[up->sample_count++ % SAMPLES_MAX];
+			sm->in_flight = up->in_flight;
+			sm->queued = up->queued;
+			sm->draining = up->fault.draining;
+			sample_us = now + SAMPLE_US;
+		}
+		next = resume_due(up, now, peek);
+		if (next > sample_us)
+			next = sample_us;
+		if (!up->stopping)
+			standin_cond_wait(&up->cond, &up->lock, next);
+	}
+	pthread_mutex_unlock(&up->lock);
+	return NULL;
+}
+
+/* Supplies bytes of a deterministic answer. */
+static ssize_t read_answer(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct call *c = cls;
+	uint64_t n = c->answer_bytes - pos;
+	int ok;
+
+	if (!n)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (pos >= c->cut_after || c->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n > max)
+		n = max;
+	if (n > c->cut_after - pos)
+		n = c->cut_after - pos;
+	if (c->trickle_us) {
+		n = 1;
+		if (standin_now_us() < c->until_us) {
+			pthread_mutex_lock(&c->up->lock);
+			ok = wait_at(c->up, c, STAGE_PAUSED, c->until_us);
+			pthread_mutex_unlock(&c->up->lock);
+			return ok ? 0 : MHD_CONTENT_READER_END_WITH_ERROR;
+		}
+		c->until_us = standin_now_us() + c->trickle_us;
+	}
+	standin_fill(c->up->pattern, c->seed, pos, (uint8_t *)buf, n);
+	return (ssize_t)n;
+}
+
+static enum MHD_Result send_response(struct call *c, unsigned status,
+				     struct MHD_Response *rs, const char *type)
+{
+	const char *nonce = header(c->cn, "X-Nonce");
+	enum MHD_Result ok;
+
+	if (!rs)
+		return MHD_NO;
+	c->stage = STAGE_ANSWERED;
+	MHD_add_response_header(rs, "Content-Type", type);
+	MHD_add_response_header(rs, "X-Upstream", c->up->name);
+	if (nonce)
+		MHD_add_response_header(rs, "X-Nonce", nonce);
+	if (status == 503)
+		MHD_add_response_header(rs, "Retry-After", "1");
+	ok = MHD_queue_response(c->cn, status, rs);
+	MHD_destroy_response(rs);
+	return ok;
+}
+
+/* Answers with a JSON on the request that was read. */
+static enum MHD_Result answer_json(struct call *c, unsigned status)
+{
+	const char *nonce = header(c->cn, "X-Nonce");
+	const char *key = header(c->cn, "Idempotency-Key");
+	struct MHD_Response *rs;
+	char sum[17];
+	json_t *js;
+	char *text;
+
+	snprintf(sum, sizeof(sum), "%016llx",
+		 (unsigned long long)XXH64_digest(&c->hash));
+	js = json_pack("{s:s,s:I,s:s,s:s,s:s,s:i}", "name", c->up->name,
+		       "length", (json_int_t)c->bytes, "checksum", sum, "nonce",
+		       nonce ? nonce : "", "key", key ? key : "", "executions",
+		       (int)c->executions);
+	text = js ? json_dumps(js, JSON_COMPACT) : NULL;
+	json_decref(js);
+	if (!text)
+		return MHD_NO;
+	if (c->cut_after < strlen(text)) {
+		/* A cut needs a reader that fails on its way. */
+		c->answer_bytes = strlen(text);
+		free(text);
+		rs = MHD_create_response_from_callback(
+			c->answer_bytes, BLOCK_BYTES, read_answer, c, NULL);
+	} else {
+		rs = MHD_create_response_from_buffer(strlen(text), text,
+						     MHD_RESPMEM_MUST_FREE);
+	}
+	return send_response(c, status, rs, "application/json");
+}
+
+/* Answers a request whose service is over. */
+static enum MHD_Result answer(struct call *c, unsigned status)
+{
+	int64_t bytes = standin_query(c->cn, "bytes", -1);
+	struct MHD_Response *rs;
+	uint64_t size;
+
+	if (!status)
+		status = (unsigned)standin_query(c->cn, "status", 200);
+	if (bytes < 0)
+		return answer_json(c, status);
+	c->answer_bytes = (uint64_t)bytes;
+	c->seed = (uint64_t)standin_query(c->cn, "seed", 0);
+	c->trickle_us = standin_query(c->cn, "trickle", 0) * 1000;
+	c->until_us = 0;
+	size = standin_query(c->cn, "chunked", 0) ? MHD_SIZE_UNKNOWN
+						  : c->answer_bytes;
+	rs = MHD_create_response_from_callback(size, BLOCK_BYTES, read_answer,
+					       c, NULL);
+	return send_response(c, status, rs, "application/octet-stream");
+}
+
+/* The request has been read: runs it, unless a fault is in force. Locked. */
+static enum MHD_Result execute(struct upstream *up, struct call *c,
+			       unsigned *status)
+{
+	int64_t us;
+
+	if (up->fault.draining) {
+		*status = 503;
+		return MHD_YES;
+	}
+	record_execution(up, c);
+	if (header(c->cn, "X-Crash"))
+		_exit(3);
+	if (up->fault.close_reused && c->reused)
+		return MHD_NO;
+	if (up->fault.fail) {
+		*status = up->fault.fail;
+		return wait_at(up, c, STAGE_RUNNING, standin_now_us() + FAIL_US)
+			       ? MHD_YES
+			       : MHD_NO;
+	}
+	us = service_us(up, c);
+	if (us <= 0) {
+		c->stage = STAGE_READY;
+		return MHD_YES;
+	}
+	up->queued++;
+	if (!wait_at(up, c, STAGE_QUEUED, INT64_MAX)) {
+		up->queued--;
+		return MHD_NO;
+	}
+	fill_slots(up, standin_now_us());
+	return MHD_YES;
+}
+
+/* The last call of a request that belongs to the system under test. */
+static enum MHD_Result run_request(struct upstream *up, struct call *c)
+{
+	enum MHD_Result ok = MHD_YES;
+	unsigned status = 0;
+	int waits;
+
+	pthread_mutex_lock(&up->lock);
+	if (c->gone || up->stopping) {
+		ok = MHD_NO;
+	} else if (c->stage == STAGE_BODY) {
+		ok = execute(up, c, &status);
+	} else if (c->stage == STAGE_READY) {
+		status = up->fault.fail;
+	}
+	/* Once the lock is free, the timer may resume the request. */
+	waits = c->waiting != 0;
+	pthread_mutex_unlock(&up->lock);
+	if (ok == MHD_NO || waits)
+		return ok;
+	return answer(c, status);
+}
+
+/* The load as reported: late or false when such a fault is in force. */
+static json_t *load_json(struct upstream *up)
+{
+	struct load ld = { up->in_flight, up->queued, up->fault.draining };
+	uint64_t back = (uint64_t)(up->fault.load_lag_us / SAMPLE_US);
+
+	if (back >= SAMPLES_MAX)
+		back = SAMPLES_MAX - 1;
+	if (back && up->sample_count) {
+		if (back >= up->sample_count)
+			back = up->sample_count - 1;
+		ld = up->samples[(up->sample_count - 1 - back) % SAMPLES_MAX];
+	}
+	if (!strcmp(up->fault.load_lie, "idle"))
+		ld.in_flight = ld.queued = 0;
+	if (!strcmp(up->fault.load_lie, "busy")) {
+		ld.in_flight = up->slots;
+		ld.queued = 1000;
+	}
+	return json_pack("{s:i,s:i,s:i,s:b,s:I}", "in_flight",
+			 (int)ld.in_flight, "queued", (int)ld.queued, "slots",
+			 (int)up->slots, "draining", ld.draining, "service_us",
+			 (json_int_t)up->service_us);
+}
+
+/* The runs after `after`, with the totals and the executions of each key. */
+static json_t *runs_json(struct upstream *up, uint64_t after, int summary)
+{
+	json_t *runs = json_array(), *keys = json_object();
+	const struct record *rc;
+	uint64_t seq = after + 1;
+	uint32_t i;
+
+	if (up->next_seq >= up->record_space &&
+	    seq <= up->next_seq - up->record_space)
+		seq = up->next_seq - up->record_space + 1;
+	for (; !summary && seq <= up->next_seq; seq++) {
+		rc = record_of(up, seq);
+		if (rc)
+			json_array_append_new(
+				runs,
+				json_pack("{s:I,s:s,s:s,s:s,s:s,s:I,s:I,s:I,"
+					  "s:b,s:b,s:b}",
+					  "seq", (json_int_t)rc->seq, "method",
+					  rc->method, "target", rc->target,
+					  "key", rc->key, "nonce", rc->nonce,
+					  "start_us", (json_int_t)rc->start_us,
+					  "end_us", (json_int_t)rc->end_us,
+					  "bytes", (json_int_t)rc->bytes,
+					  "executed", rc->executed, "ended",
+					  rc->ended, "cut", rc->cut));
+	}
+	for (i = 0; i < KEYS_MAX; i++)
+		if (up->keys[i].executions)
+			json_object_set_new(
+				keys, up->keys[i].text,
+				json_integer(up->keys[i].executions));
+	return json_pack(
+		"{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
+		up->name, "started", (json_int_t)up->started, "executed",
+		(json_int_t)up->executed, "ended", (json_int_t)up->ended, "cut",
+		(json_int_t)up->cut, "in_flight", (json_int_t)up->in_flight,
+		"queued", (json_int_t)up->queued, "connections_seen",
+		(json_int_t)up->connections_seen, "connections_open",
+		(json_int_t)up->connections_open, "keys", keys, "runs", runs);
+}
+
+static int listen_on(struct upstream *up);
+
+/* Stops accepting connections, or begins again. Those open stay open. */
+static void set_refuse(struct upstream *up, int refuse)
+{
+	MHD_socket fd;
+
+	if (refuse && up->listening) {
+		fd = MHD_quiesce_daemon(up->servers[up->server_count - 1]);
+		if (fd != MHD_INVALID_SOCKET)
+			close(fd);
+		up->listening = 0;
+	} else if (!refuse && !up->listening) {
+		if (!listen_on(up))
+			fprintf(stderr, "upstream: cannot listen again\n");
+	}
+}
+
+static void fault_clear(struct faults *ft)
+{
+	memset(ft, 0, sizeof(*ft));
+	ft->slow = 1;
+	ft->cut_bytes = UINT64_MAX;
+}
+
+/*
+ * Replaces the faults in force with those of a JSON object: slow (factor),
+ * fail (status), silent, cut_bytes, close_reused, refuse, draining,
+ * load_lag_ms, load_lie (idle or busy); {} for none.
+ */
+static enum MHD_Result control_fault(struct upstream *up, struct call *c)
+{
+	json_t *v, *js = json_loadb(c->body.text ? c->body.text : "{}",
+				    c->body.text ? c->body.used : 2, 0, NULL);
+	struct faults ft;
+
+	if (!js)
+		return standin_reply_error(c->cn, 400, "bad JSON");
+	fault_clear(&ft);
+	v = json_object_get(js, "slow");
+	if (v)
+		ft.slow = json_number_value(v);
+	ft.fail = (unsigned)json_integer_value(json_object_get(js, "fail"));
+	ft.silent = json_is_true(json_object_get(js, "silent"));
+	v = json_object_get(js, "cut_bytes");
+	if (v)
+		ft.cut_bytes = (uint64_t)json_integer_value(v);
+	ft.close_reused = json_is_true(json_object_get(js, "close_reused"));
+	ft.refuse = json_is_true(json_object_get(js, "refuse"));
+	ft.draining = json_is_true(json_object_get(js, "draining"));
+	ft.load_lag_us =
+		json_integer_value(json_object_get(js, "load_lag_ms")) * 1000;
+	copy(ft.load_lie, sizeof(ft.load_lie),
+	     json_string_value(json_object_get(js, "load_lie")));
+	json_decref(js);
+	pthread_mutex_lock(&up->lock);
+	up->fault = ft;
+	set_refuse(up, ft.refuse);
+	pthread_mutex_unlock(&up->lock);
+	return standin_reply_json(c->cn, 200, json_object());
+}
+
+static enum MHD_Result control(struct upstream *up, struct call *c,
+			       const char *url)
+{
+	json_t *js = NULL;
+
+	if (!strcmp(url, "/control/fault"))
+		return control_fault(up, c);
+	pthread_mutex_lock(&up->lock);
+	if (!strcmp(url, "/control/load"))
+		js = load_json(up);
+	else if (!strcmp(url, "/control/runs"))
+		js = runs_json(up, (uint64_t)standin_query(c->cn, "after", 0),
+			       standin_query(c->cn, "summary", 0) != 0);
+	pthread_mutex_unlock(&up->lock);
+	if (!js)
+		return standin_reply_error(c->cn, 404, "no such path");
+	return standin_reply_json(c->cn, 200, js);
+}
+
+/* Reads the head of a request. */
+static enum MHD_Result begin(struct upstream *up, struct call *c,
+			     const char *url, const char *method)
+{
+	const union MHD_ConnectionInfo *info;
+	uint32_t *served;
+	int ok = 1;
+
+	if (!strncmp(url, "/control/", 9)) {
+		c->control = 1;
+		return MHD_YES;
+	}
+	XXH64_reset(&c->hash, 0);
+	info = MHD_get_connection_info(c->cn,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	served = info ? info->socket_context : NULL;
+	if (served)
+		c->reused = (*served)++ > 0;
+	record_start(up, c, method);
+	pthread_mutex_lock(&up->lock);
+	c->cut_after = up->fault.cut_bytes;
+	if (up->fault.silent)
+		ok = wait_at(up, c, STAGE_SILENT, INT64_MAX);
+	pthread_mutex_unlock(&up->lock);
+	return ok ? MHD_YES : MHD_NO;
+}
+
+static enum MHD_Result handle(void *cls, struct MHD_Connection *cn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *data_bytes, void **con_cls)
+{
+	struct upstream *up = cls;
+	struct call *c = *con_cls;
+
+	(void)version;
+	if (!c->cn) {
+		c->cn = cn;
+		return begin(up, c, url, method);
+	}
+	if (*data_bytes) {
+		if (c->control) {
+			standin_body_add(&c->body, data, *data_bytes);
+		} else {
+			XXH64_update(&c->hash, data, *data_bytes);
+			c->bytes += *data_bytes;
+		}
+		*data_bytes = 0;
+		return c->gone ? MHD_NO : MHD_YES;
+	}
+	if (c->control)
+		return control(up, c, url);
+	return run_request(up, c);
+}
+
+/* Keeps the target as it was sent: MHD decodes the path that it hands on. */
+static void *uri_read(void *cls, const char *uri, struct MHD_Connection *cn)
+{
+	struct call *c = calloc(1, sizeof(*c));
+
+	(void)cn;
+	if (!c)
+		abort();
+	c->up = cls;
+	copy(c->target, sizeof(c->target), uri);
+	return c;
+}
+
+static void completed(void *cls, struct MHD_Connection *cn, void **con_cls,
+		      enum MHD_RequestTerminationCode toe)
+{
+	struct upstream *up = cls;
+	struct call *c = *con_cls;
+
+	(void)cn;
+	if (!c)
+		return;
+	pthread_mutex_lock(&up->lock);
+	release_slot(up, c);
+	if (c->seq)
+		record_end(up, c, toe != MHD_REQUEST_TERMINATED_COMPLETED_OK);
+	pthread_cond_signal(&up->cond);
+	pthread_mutex_unlock(&up->lock);
+	free(c->body.text);
+	free(c);
+	*con_cls = NULL;
+}
+
+/* Counts connections and the requests that each one has served. */
+static void connection(void *cls, struct MHD_Connection *cn, void **context,
+		       enum MHD_ConnectionNotificationCode code)
+{
+	struct upstream *up = cls;
+
+	(void)cn;
+	pthread_mutex_lock(&up->lock);
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		up->connections_seen++;
+		up->connections_open++;
+		*context = calloc(1, sizeof(uint32_t));
+	} else {
+		up->connections_open--;
+		free(*context);
+		*context = NULL;
+	}
+	pthread_mutex_unlock(&up->lock);
+}
+
+static struct MHD_Daemon *serve(struct upstream *up, struct sockaddr_in *sa,
+				uint32_t threads, uint32_t connections)
+{
+	if (threads < 2)
+		threads = 0;
+	return MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0,
+		NULL, NULL, handle, up, MHD_OPTION_SOCK_ADDR, sa,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		MHD_OPTION_CONNECTION_LIMIT, connections,
+		MHD_OPTION_THREAD_POOL_SIZE, threads,
+		MHD_OPTION_URI_LOG_CALLBACK, uri_read, up,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, up,
+		MHD_OPTION_NOTIFY_CONNECTION, connection, up, MHD_OPTION_END);
+}
+
+/* Listens on the main port. Returns 0 on failure. */
+static int listen_on(struct upstream *up)
+{
+	struct MHD_Daemon *dm;
+
+	if (up->server_count == SERVERS_MAX)
+		return 0;
+	dm = serve(up, &up->address, up->threads, up->connections);
+	if (!dm)
+		return 0;
+	up->servers[up->server_count++] = dm;
+	up->listening = 1;
+	return 1;
+}
+
+/* Serves until a signal arrives. Returns the exit status. */
+static int run(struct upstream *up, struct sockaddr_in *control_sa)
+{
+	sigset_t set;
+	pthread_t th;
+	uint32_t i;
+
+	standin_block_signals(&set);
+	if (pthread_create(&th, NULL, timer_thread, up))
+		return STANDIN_EXIT_FAILURE;
+	if (!listen_on(up)) {
+		fprintf(stderr, "upstream: %s: cannot listen\n", up->name);
+		return STANDIN_EXIT_FAILURE;
+	}
+	if (control_sa->sin_port) {
+		up->control = serve(up, control_sa, 1, 16);
+		if (!up->control) {
+			fprintf(stderr, "upstream: --control: cannot listen\n");
+			return STANDIN_EXIT_FAILURE;
+		}
+	}
+	standin_wait_signal(&set);
+	pthread_mutex_lock(&up->lock);
+	up->stopping = 1;
+	pthread_cond_signal(&up->cond);
+	pthread_mutex_unlock(&up->lock);
+	pthread_join(th, NULL);
+	if (up->control)
+		MHD_stop_daemon(up->control);
+	for (i = 0; i < up->server_count; i++)
+		MHD_stop_daemon(up->servers[i]);
+	return STANDIN_EXIT_OK;
+}
+
+struct flags {
+	struct arg_lit *help;
+	struct arg_str *listen;
+	struct arg_str *control;
+	struct arg_str *name;
+	struct arg_int *slots;
+	struct arg_int *service;
+	struct arg_int *connections;
+	struct arg_int *threads;
+	struct arg_int *records;
+	struct arg_file *record;
+	struct arg_end *end;
+};
+
+/* Fills in the upstream from its flags. Returns 0 on a usage error. */
+static int setup(struct upstream *up, const struct flags *fl,
+		 struct sockaddr_in *control_sa)
+{
+	memset(control_sa, 0, sizeof(*control_sa));
+	if (!standin_address(fl->listen->sval[0], &up->address) ||
+	    (fl->control->count &&
+	     !standin_address(fl->control->sval[0], control_sa))) {
+		fprintf(stderr, "upstream: not a loopback IP:PORT\n");
+		return 0;
+	}
+	up->name = fl->name->count ? fl->name->sval[0] : "upstream";
+	up->slots = fl->slots->count ? (uint32_t)fl->slots->ival[0] : 6;
+	up->service_us = fl->service->count ? fl->service->ival[0] : 0;
+	up->connections = fl->connections->count
+				  ? (uint32_t)fl->connections->ival[0]
+				  : 200;
+	up->threads = fl->threads->count ? (uint32_t)fl->threads->ival[0] : 2;
+	up->record_space = fl->records->count ? (uint32_t)fl->records->ival[0]
+					      : RECORDS_DEFAULT;
+	up->record_fd = -1;
+	if (!up->slots || !up->record_space || !up->connections ||
+	    up->threads > 8) {
+		fprintf(stderr, "upstream: a flag is out of range\n");
+		return 0;
+	}
+	if (fl->record->count) {
+		up->record_fd =
+			open(fl->record->filename[0],
+			     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		if (up->record_fd < 0) {
+			perror(fl->record->filename[0]);
+			return 0;
+		}
+	}
+	up->records = calloc(up->record_space, sizeof(*up->records));
+	up->keys = calloc(KEYS_MAX, sizeof(*up->keys));
+	pthread_mutex_init(&up->lock, NULL);
+	standin_cond_init(&up->cond);
+	fault_clear(&up->fault);
+	standin_pattern_init(up->pattern);
+	return up->records && up->keys;
+}
+
+int main(int argc, char **argv)
+{
+	struct flags fl = {
+		arg_lit0("h", "help", "print this text"),
+		arg_str1(NULL, "listen", "IP:PORT", "loopback address"),
+		arg_str0(NULL, "control", "IP:PORT", "second control port"),
+		arg_str0(NULL, "name", "NAME", "name in answers and records"),
+		arg_int0(NULL, "slots", "N", "requests served at once"),
+		arg_int0(NULL, "service-us", "N", "time of a request"),
+		arg_int0(NULL, "connections", "N", "limit, default 200"),
+		arg_int0(NULL, "threads", "N", "default 2, at most 8"),
+		arg_int0(NULL, "records", "N", "runs kept, default 65536"),
+		arg_file0(NULL, "record", "FILE", "append runs to a file"),
+		arg_end(20),
+	};
+	void *table[] = { fl.help,    fl.listen,  fl.control,	  fl.name,
+			  fl.slots,   fl.service, fl.connections, fl.threads,
+			  fl.records, fl.record,  fl.end };
+	struct upstream *up = calloc(1, sizeof(*up));
+	struct sockaddr_in control_sa;
+	int status;
+
+	status = standin_args(table, fl.help, fl.end, argc, argv,
+			      "Stand-in for an HTTP/1.1 upstream.");
+	if (status < 0 && up) {
+		status = STANDIN_EXIT_USAGE;
+		if (setup(up, &fl, &control_sa))
+			status = run(up, &control_sa);
+		if (up->record_fd >= 0)
+			close(up->record_fd);
+		free(up->records);
+		free(up->keys);
+	}
+	free(up);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status < 0 ? STANDIN_EXIT_FAILURE : status;
+}
