tests: harness for integration tests over real processes

Cause: integration tests start a platform, upstreams and daemons, and need them to end with the test. Change: tests/harness starts processes by posix_spawn and reaps them by id, allocates ports, generates a release note with CURVE keys, and has an HTTP client and raw sockets. it_standins covers the stand-ins themselves. Conclusion: waits have no time limit; they end when a process has died.

--- a/standins/standin.h
+++ b/standins/standin.h
@@ -205,7 +205,7 @@
 	while (space < b->used + n + 1)
 		space *= 2;
 	if (space != b->space) {
-		text = realloc(b->text, space);
+		text = (char *)realloc(b->text, space);
 		if (!text) {
 			b->too_long = 1;
 			return;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -1,8 +1,274 @@
 #ifndef HARNESS_H
 #define HARNESS_H
 
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
+
+/*
+ * Integration tests over real processes. Nothing here has a time limit that
+ * decides a verdict: a wait goes on until its condition holds or a process
+ * that it depends on has ended.
+ */
 
+/* The directory of the programs under test. */
 std::string build_dir();
 
+/* A directory for files of this test program, removed at its end. */
+std::string temp_dir();
+
+/* A loopback port outside the range of outgoing connections. */
+uint16_t free_port();
+std::string loopback(uint16_t port);
+
+int64_t now_us();
+void sleep_ms(int64_t ms);
+
+/*
+ * Polls until `done` returns true; says every ten seconds on standard error
+ * what it waits for.
+ */
+void wait_until(const std::string &what, const std::function<bool()> &done);
+
+/* Bytes of the deterministic body that the stand-in upstream serves. */
+std::string pattern(uint64_t bytes, uint64_t seed = 0);
+/* XXH64 of that body, in hexadecimal, without holding it in memory. */
+std::string pattern_checksum(uint64_t bytes, uint64_t seed = 0);
+std::string checksum(const std::string &bytes);
+
+/* A child process; it is always reaped, and killed by id if it still runs. */
+class Process
+{
+public:
+	Process(std::vector<std::string> argv,
+		std::vector<std::string> env = {});
+	~Process();
+	Process(const Process &) = delete;
+	Process &operator=(const Process &) = delete;
+
+	pid_t pid() const
+	{
+		return pid_;
+	}
+	bool running();
+	void signal(int sig);
+	/* Waits for its end; the exit status, or 256 plus the signal. */
+	int wait();
+	/* SIGTERM, then wait(). */
+	int stop();
+	/* SIGKILL, then wait(). */
+	int kill();
+	/* What it has written to standard output and error so far. */
+	std::string log() const;
+	/* A field of /proc/PID/status in kB, such as VmRSS or VmHWM. */
+	int64_t memory_kb(const std::string &field) const;
+
+private:
+	pid_t pid_ = -1;
+	int status_ = -1;
+	bool ended_ = false;
+	std::string log_path_;
+};
+
+struct HttpRequest {
+	std::string method = "GET";
+	std::string url;
+	std::vector<std::string> headers; /* "Name: value" */
+	std::string body;
+	uint64_t upload_bytes = 0; /* body of the pattern, streamed */
+	bool chunked = false;	   /* upload without Content-Length */
+	bool path_as_is = true;
+	/* Keeps the answer's body; otherwise only its checksum. */
+	bool keep_body = true;
+	/* Called for each piece of the answer; false hangs up. */
+	std::function<bool(size_t)> on_data;
+	/* Called before each piece of the upload; false hangs up. */
+	std::function<bool(uint64_t)> on_upload;
+};
+
+struct HttpAnswer {
+	int code = 0; /* CURLcode: 0 when the answer is complete */
+	long status = 0;
+	std::vector<std::pair<std::string, std::string>> headers;
+	std::string body;
+	uint64_t body_bytes = 0;
+	std::string checksum;
+	long connects = 0; /* connections opened for this request */
+
+	/* The last value of a header, or "". Names ignore case. */
+	std::string header(const std::string &name) const;
+	bool has(const std::string &name) const;
+	/* A member of a JSON object in the body, as text, or "". */
+	std::string json(const std::string &member) const;
+};
+
+/* An HTTP client that keeps its connections; use it from one thread. */
+class HttpClient
+{
+public:
+	HttpClient();
+	~HttpClient();
+	HttpClient(const HttpClient &) = delete;
+	HttpClient &operator=(const HttpClient &) = delete;
+	HttpAnswer send(const HttpRequest &rq);
+	HttpAnswer get(const std::string &url);
+	HttpAnswer post(const std::string &url, const std::string &body,
+			std::vector<std::string> headers = {});
+
+private:
+	void *curl_;
+};
+
+/* One request over a connection of its own. */
+HttpAnswer http(const HttpRequest &rq);
+HttpAnswer http_get(const std::string &url);
+HttpAnswer http_post(const std::string &url, const std::string &body,
+		     std::vector<std::string> headers = {});
+
+/* A TCP connection for bytes that no HTTP client would send. */
+class RawSocket
+{
+public:
+	RawSocket(uint16_t port, int receive_buffer_bytes = 0);
+	~RawSocket();
+	RawSocket(const RawSocket &) = delete;
+	RawSocket &operator=(const RawSocket &) = delete;
+	bool connected() const
+	{
+		return fd_ >= 0;
+	}
+	/* Writes all of it; false once the peer has closed. */
+	bool send(const std::string &bytes);
+	/* Reads at least one byte, at most `max`; "" at the end. */
+	std::string receive(size_t max = 65536);
+	/* Reads until the peer closes. */
+	std::string receive_all();
+	/*
+	 * Reads one answer with a Content-Length or in chunks, its head
+	 * included; less when the peer closes before its end.
+	 */
+	std::string receive_answer(bool head_only = false);
+	/* Whether the peer closes before it sends anything more. */
+	bool at_end();
+	void finish_sending();
+	void close();
+	/* Closes with a reset instead of an orderly end. */
+	void reset();
+
+private:
+	int fd_ = -1;
+	std::string left_;
+};
+
+/* The status of an answer in text form, or 0. */
+int raw_status(const std::string &answer);
+
+struct KeyPair {
+	std::string public_key;
+	std::string secret_key;
+};
+KeyPair new_key_pair();
+
+struct ServiceOptions {
+	ServiceOptions(std::string service, int count = 1)
+		: name(std::move(service)), upstreams(count)
+	{
+	}
+	std::string name;
+	int upstreams;
+	std::string path_prefix; /* "": "/NAME" */
+	uint32_t deadline_ms = 30000;
+	std::string rule;
+};
+
+struct FleetOptions {
+	std::vector<ServiceOptions> services = { { "agenda" } };
+	uint32_t slots = 6;
+	uint32_t connections = 200;
+	uint32_t service_us = 0;
+	bool plain_peers = false;
+	/* JSON of the list of rules in the release note. */
+	std::string rules = "[]";
+	std::vector<std::string> regions = { "santiago", "valparaiso",
+					     "biobio" };
+	std::vector<std::string> upstream_flags;
+	std::vector<std::string> daemon_flags;
+};
+
+/* One upstream with the daemon beside it. */
+struct Member {
+	std::string name;
+	std::string service;
+	std::string region;
+	std::string failure_domain;
+	uint16_t upstream_port = 0;
+	uint16_t upstream_control_port = 0;
+	uint16_t listen_port = 0;
+	uint16_t daemon_port = 0;
+	uint16_t admin_port = 0;
+	KeyPair keys;
+	std::unique_ptr<Process> upstream;
+	std::unique_ptr<Process> daemon;
+
+	/* URL of a path at the daemon, for callers. */
+	std::string url(const std::string &path) const;
+	/* URL of a path at the upstream itself. */
+	std::string direct(const std::string &path) const;
+	/* Replaces the faults of the upstream; "{}" for none. */
+	void fault(const std::string &json) const;
+	/* The upstream's record; see GET /control/runs. */
+	std::string runs(bool summary = false) const;
+	int64_t runs_count(const std::string &field) const;
+	/* Executions of a key at this upstream. */
+	int64_t executions(const std::string &key) const;
+	/* A metric of the daemon, without the prefix `ebonypier_`. */
+	double metric(const std::string &name) const;
+};
+
+/* A platform, upstreams and daemons, started from a generated note. */
+class Fleet
+{
+public:
+	explicit Fleet(const FleetOptions &options = {});
+	~Fleet();
+	Fleet(const Fleet &) = delete;
+	Fleet &operator=(const Fleet &) = delete;
+
+	/* Starts everything and waits until the release is in force. */
+	void start();
+	void start_platform();
+	void start_upstream(size_t i);
+	void start_daemon(size_t i);
+	void wait_ready(size_t i);
+	size_t size() const
+	{
+		return members.size();
+	}
+	Member &operator[](size_t i)
+	{
+		return members[i];
+	}
+	/* The first release note, as JSON. */
+	std::string note() const;
+	/* Publishes a note and returns its index, 0 if it was refused. */
+	int publish(const std::string &note);
+	void platform_fault(const std::string &json);
+	void vm(size_t i, const std::string &state);
+	int64_t platform_stat(const std::string &field);
+	/* Executions of a key at all upstreams together. */
+	int64_t executions(const std::string &key);
+	int64_t runs_count(const std::string &field);
+
+	FleetOptions options;
+	std::vector<Member> members;
+	uint16_t platform_port = 0;
+	std::unique_ptr<Process> platform;
+};
+
 #endif
