tool: check, plan, status, trace, metrics, drain and keygen

Cause: operators need to check notes before publishing them and to look at the daemons. Change: eb_tool*.c, eb_plan.c, the tables of fields moved to eb_fields.c, the example notes of both operators, tests that run the tool as a process.

--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -1,44 +1,22 @@
 #include "eb_release.h"
 
 #include <assert.h>
-#include <ctype.h>
 #include <search.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "eb_check.h"
+#include "eb_fields.h"
 #include "eb_lines.h"
-#include "eb_tunables.h"
+
+#define AT(type, member) offsetof(struct type, member)
 
 enum section { ADDED = 0, CHANGED, WITHDRAWN, SECTIONS };
 
 static const char *const section_names[SECTIONS] = { "added", "changed",
 						     "withdrawn" };
 
-enum field_type {
-	FIELD_TEXT = 0, /* char * */
-	FIELD_UINT,	/* uint32_t */
-	FIELD_BOOL,	/* uint8_t */
-	FIELD_KEY,	/* char[41] */
-	FIELD_OBJECT,	/* members are fields of the same struct */
-};
-
-/* A field of an item: where it is kept and which values are right. */
-struct field {
-	const char *name;
-	uint8_t type;
-	uint8_t required;
-	size_t offset;
-	uint32_t min; /* of FIELD_UINT */
-	uint32_t max;
-	uint32_t value;	  /* default of FIELD_UINT and FIELD_BOOL */
-	const char *text; /* default of FIELD_TEXT, or NULL */
-	/* Returns why a text is wrong, or NULL. */
-	const char *(*check)(const char *text);
-	const struct field *members; /* of FIELD_OBJECT */
-};
-
 /* An item that the note names in one of its lists. */
 struct change {
 	const char *name;
@@ -81,132 +59,6 @@
 	char *name;
 };
 
-static const char *check_host(const char *text)
-{
-	const char *p;
-
-	if (!*text || strlen(text) > 253)
-		return "a host has 1 to 253 characters";
-	for (p = text; *p; p++)
-		if (!isalnum((unsigned char)*p) && !strchr(".-", *p))
-			return "expected a host name or an IPv4 address, "
-			       "without a port";
-	return NULL;
-}
-
-static const char *check_prefix(const char *text)
-{
-	size_t n = strlen(text);
-	const char *p;
-
-	if (*text != '/')
-		return "a path prefix begins with /";
-	if (n > EB_TARGET_MAX_BYTES)
-		return "the path prefix is too long";
-	if (n > 1 && text[n - 1] == '/')
-		return "a path prefix does not end with /";
-	for (p = text; *p; p++)
-		if (*p <= ' ' || *p > '~' || *p == '?' || *p == '#')
-			return "a path prefix holds no query, space or control "
-			       "character";
-	return NULL;
-}
-
-static const char *check_key(const char *text)
-{
-	return *text ? eb_check_key(text) : NULL;
-}
-
-static const char *check_methods(const char *text)
-{
-	const char *p = text;
-	size_t n;
-
-	if (strlen(text) > 256)
-		return "the list of methods is too long";
-	while (*p) {
-		n = strspn(p, "ABCDEFGHIJKLMNOPQRSTUVWXYZ-");
-		if (!n || (p[n] && p[n] != ' ') || (p[n] == ' ' && !p[n + 1]))
-			return "expected methods in capitals, one space "
-			       "between two";
-		p += n + (p[n] == ' ');
-	}
-	return NULL;
-}
-
-#define AT(type, member) offsetof(struct type, member)
-
-static const struct field rule_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_rule, name), .check = eb_check_name },
-	{ "retry_permille", FIELD_UINT, 0, AT(eb_rule, retry_permille),
-	  .max = 1000, .value = EB_RULE_RETRY_PERMILLE },
-	{ "queue", FIELD_UINT, 0, AT(eb_rule, queue), .max = UINT16_MAX,
-	  .value = EB_RULE_QUEUE },
-	/* A daemon's whole control traffic is at most 24 KB/s. */
-	{ "watch_bytes_per_s", FIELD_UINT, 0, AT(eb_rule, watch_bytes_per_s),
-	  .max = 24000, .value = EB_RULE_WATCH_BYTES_PER_S },
-	{ "caller_rate_per_s", FIELD_UINT, 0, AT(eb_rule, caller_rate_per_s),
-	  .max = 1000000, .value = EB_RULE_CALLER_RATE_PER_S },
-	{ "claims", FIELD_BOOL, 0, AT(eb_rule, claims),
-	  .value = EB_RULE_CLAIMS },
-	{ "idempotent_methods", FIELD_TEXT, 0, AT(eb_rule, idempotent_methods),
-	  .text = EB_RULE_IDEMPOTENT_METHODS, .check = check_methods },
-	{ 0 }
-};
-
-static const struct field match_fields[] = {
-	{ "host", FIELD_TEXT, 0, AT(eb_service, host), .check = check_host },
-	{ "path_prefix", FIELD_TEXT, 0, AT(eb_service, path_prefix),
-	  .check = check_prefix },
-	{ 0 }
-};
-
-static const struct field service_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_service, name), .check = eb_check_name },
-	{ "match", FIELD_OBJECT, 1, 0, .members = match_fields },
-	{ "deadline_ms", FIELD_UINT, 0, AT(eb_service, deadline_ms), .min = 1,
-	  .max = 3600000, .value = EB_DEADLINE_DEFAULT_MS },
-	{ "rules", FIELD_TEXT, 0, AT(eb_service, rule_name),
-	  .check = eb_check_name },
-	{ 0 }
-};
-
-static const struct field upstream_fields[] = {
-	{ "name", FIELD_TEXT, 1, AT(eb_upstream, name),
-	  .check = eb_check_name },
-	{ "service", FIELD_TEXT, 1, AT(eb_upstream, service_name),
-	  .check = eb_check_name },
-	{ "address", FIELD_TEXT, 1, AT(eb_upstream, address),
-	  .check = eb_check_address },
-	{ "daemon", FIELD_TEXT, 1, AT(eb_upstream, daemon),
-	  .check = eb_check_address },
-	{ "key", FIELD_KEY, 0, AT(eb_upstream, key), .check = check_key },
-	{ "region", FIELD_TEXT, 1, AT(eb_upstream, region),
-	  .check = eb_check_name },
-	{ "failure_domain", FIELD_TEXT, 1, AT(eb_upstream, failure_domain),
-	  .check = eb_check_name },
-	{ "slots", FIELD_UINT, 1, AT(eb_upstream, slots), .min = 1,
-	  .max = UINT16_MAX },
-	{ "connections", FIELD_UINT, 1, AT(eb_upstream, connections), .min = 1,
-	  .max = UINT16_MAX },
-	{ 0 }
-};
-
-struct kind_info {
-	const char *name;
-	const char *plural;
-	const struct field *fields;
-	uint32_t max;
-};
-
-static const struct kind_info kinds[EB_ITEM_KINDS] = {
-	[EB_ITEM_RULE] = { "rule", "rules", rule_fields, EB_RELEASE_RULES_MAX },
-	[EB_ITEM_SERVICE] = { "service", "services", service_fields,
-			      EB_RELEASE_SERVICES_MAX },
-	[EB_ITEM_UPSTREAM] = { "upstream", "upstreams", upstream_fields,
-			       EB_RELEASE_UPSTREAMS_MAX },
-};
-
 /* Reports a fault of the value at `path`. */
 static void report(const struct note *nt, const struct eb_path *path,
 		   const char *fmt, ...) __attribute__((format(printf, 3, 4)));
@@ -237,13 +89,12 @@
 			  const char *fmt, const char *name)
 {
 	struct eb_path section = { NULL, section_names[ch->section], 0 };
-	struct eb_path list = { &section, kinds[kind].plural, 0 };
+	struct eb_path list = { &section, eb_kinds[kind].plural, 0 };
 	struct eb_path item = { &list, NULL, ch->index };
 	struct eb_path member = { &item, key, 0 };
 	char printable[128];
 
 	eb_lines_printable(name, printable, sizeof(printable));
-	/* NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
 	report(nt, key ? &member : &item, fmt, printable);
 }
 
@@ -255,21 +106,21 @@
 		nt->failed = 1;
 }
 
-static void set_default(struct note *nt, const struct field *fd, char *item)
+static void set_default(struct note *nt, const struct eb_field *fd, char *item)
 {
-	const struct field *m;
+	const struct eb_field *m;
 
 	switch (fd->type) {
-	case FIELD_TEXT:
+	case EB_FIELD_TEXT:
 		set_text(nt, (char **)(item + fd->offset), fd->text);
 		break;
-	case FIELD_UINT:
+	case EB_FIELD_UINT:
 		*(uint32_t *)(item + fd->offset) = fd->value;
 		break;
-	case FIELD_BOOL:
+	case EB_FIELD_BOOL:
 		*(uint8_t *)(item + fd->offset) = (uint8_t)fd->value;
 		break;
-	case FIELD_KEY:
+	case EB_FIELD_KEY:
 		item[fd->offset] = 0;
 		break;
 	default:
@@ -278,7 +129,7 @@
 	}
 }
 
-static void read_text(struct note *nt, const struct field *fd,
+static void read_text(struct note *nt, const struct eb_field *fd,
 		      const json_t *value, const struct eb_path *path,
 		      char *item)
 {
@@ -291,13 +142,13 @@
 	reason = fd->check(text);
 	if (reason)
 		report(nt, path, "%s", reason);
-	else if (fd->type == FIELD_KEY)
+	else if (fd->type == EB_FIELD_KEY)
 		memcpy(item + fd->offset, text, strlen(text) + 1);
 	else
 		set_text(nt, (char **)(item + fd->offset), text);
 }
 
-static void read_number(struct note *nt, const struct field *fd,
+static void read_number(struct note *nt, const struct eb_field *fd,
 			const json_t *value, const struct eb_path *path,
 			char *item)
 {
@@ -312,25 +163,25 @@
 		*(uint32_t *)(item + fd->offset) = (uint32_t)number;
 }
 
-static void read_fields(struct note *nt, const struct field *fields,
+static void read_fields(struct note *nt, const struct eb_field *fields,
 			const json_t *json, const struct eb_path *path,
 			int partial, char *item);
 
-static void read_field(struct note *nt, const struct field *fd,
+static void read_field(struct note *nt, const struct eb_field *fd,
 		       const json_t *value, const struct eb_path *path,
 		       char *item)
 {
 	switch (fd->type) {
-	case FIELD_UINT:
+	case EB_FIELD_UINT:
 		read_number(nt, fd, value, path, item);
 		break;
-	case FIELD_BOOL:
+	case EB_FIELD_BOOL:
 		if (json_is_boolean(value))
 			item[fd->offset] = json_is_true(value);
 		else
 			report(nt, path, "expected true or false");
 		break;
-	case FIELD_OBJECT:
+	case EB_FIELD_OBJECT:
 		if (!json_is_object(value)) {
 			report(nt, path, "expected an object");
 			break;
@@ -345,8 +196,8 @@
 	}
 }
 
-static const struct field *find_field(const struct field *fields,
-				      const char *name)
+static const struct eb_field *find_field(const struct eb_field *fields,
+					 const char *name)
 {
 	for (; fields->name; fields++)
 		if (!strcmp(fields->name, name))
@@ -358,12 +209,12 @@
  * Reads all fields of an object into an item. With `partial`, a field that
  * is not given keeps its value, and null gives an optional one its default.
  */
-static void read_fields(struct note *nt, const struct field *fields,
+static void read_fields(struct note *nt, const struct eb_field *fields,
 			const json_t *json, const struct eb_path *path,
 			int partial, char *item)
 {
 	struct eb_path at = { path, NULL, 0 };
-	const struct field *fd;
+	const struct eb_field *fd;
 	const json_t *value;
 
 	for (fd = fields; fd->name; fd++) {
@@ -445,7 +296,7 @@
 	for (i = 0; i < SECTIONS; i++) {
 		section = json_object_get(json, section_names[i]);
 		n += json_array_size(
-			json_object_get(section, kinds[kind].plural));
+			json_object_get(section, eb_kinds[kind].plural));
 	}
 	return n;
 }
@@ -467,7 +318,7 @@
 	json_object_foreach((json_t *)json, at.key, value)
 	{
 		for (i = 0; i < EB_ITEM_KINDS; i++)
-			if (!strcmp(kinds[i].plural, at.key))
+			if (!strcmp(eb_kinds[i].plural, at.key))
 				break;
 		if (i == EB_ITEM_KINDS)
 			report(nt, &at, "unknown field");
@@ -567,7 +418,7 @@
 		      struct change *ch)
 {
 	struct eb_path section = { NULL, section_names[ch->section], 0 };
-	struct eb_path list = { &section, kinds[kind].plural, 0 };
+	struct eb_path list = { &section, eb_kinds[kind].plural, 0 };
 	struct eb_path path = { &list, NULL, ch->index };
 	struct list *ls = &nt->lists[kind];
 	int partial = ch->section == CHANGED;
@@ -588,7 +439,8 @@
 		nt->failed = 1;
 		return;
 	}
-	read_fields(nt, kinds[kind].fields, ch->json, &path, partial, ch->item);
+	read_fields(nt, eb_kinds[kind].fields, ch->json, &path, partial,
+		    ch->item);
 	if (partial && !ch->base) {
 		/* Without its base it is incomplete: only its fields count. */
 		eb_config_item_unref(kind, ch->item);
@@ -666,9 +518,9 @@
 	match_base(nt, kind, items, count);
 	for (i = 0; i < ls->change_count && !nt->failed; i++)
 		make_item(nt, kind, &ls->changes[i]);
-	if (ls->count > kinds[kind].max)
-		report(nt, &at, "more than %u %s", kinds[kind].max,
-		       kinds[kind].plural);
+	if (ls->count > eb_kinds[kind].max)
+		report(nt, &at, "more than %u %s", eb_kinds[kind].max,
+		       eb_kinds[kind].plural);
 	qsort(ls->entries, ls->count, sizeof(*ls->entries),
 	      kind == EB_ITEM_UPSTREAM ? compare_upstreams : compare_plain);
 }
@@ -700,12 +552,12 @@
 		return;
 	if (en->change) {
 		snprintf(text, sizeof(text), "there is no %s \"%%s\"",
-			 kinds[to].name);
+			 eb_kinds[to].name);
 		report_change(nt, kind, en->change, key, text, name);
 		return;
 	}
 	snprintf(text, sizeof(text), "still in use by %s \"%%s\"",
-		 kinds[kind].name);
+		 eb_kinds[kind].name);
 	for (i = 0; i < ls->change_count; i++)
 		if (!strcmp(ls->changes[i].name, name)) {
 			report_change(nt, to, &ls->changes[i], NULL, text,
--- /dev/null
+++ b/src/eb_tool_admin.c
@@ -0,0 +1,161 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_lines.h"
+#include "eb_tool.h"
+#include "eb_tool_http.h"
+#include "ebonypier.h"
+
+#define CELL_BYTES 48
+
+/* A column of the table: its title and the field of /status it shows. */
+struct column {
+	const char *title;
+	const char *field;
+	int width;
+};
+
+static const struct column columns[] = {
+	{ "UPSTREAM", "upstream", -16 }, { "RELEASE", "release", 7 },
+	{ "DRAINING", "draining", 8 },	 { "IN_FLIGHT", "in_flight", 9 },
+	{ "QUEUED", "queued", 6 },	 { "SLOTS", "slots", 5 },
+	{ "CALLS", "calls", 6 },	 { "PEERS", "peers", 5 },
+};
+
+#define COLUMN_COUNT (sizeof(columns) / sizeof(*columns))
+
+/* Prints a value of /status; a daemon may leave any of them out. */
+static void print_cell(const json_t *js, char out[CELL_BYTES])
+{
+	if (json_is_string(js))
+		eb_lines_printable(json_string_value(js), out, CELL_BYTES);
+	else if (json_is_integer(js))
+		snprintf(out, CELL_BYTES, "%lld",
+			 (long long)json_integer_value(js));
+	else if (json_is_boolean(js))
+		snprintf(out, CELL_BYTES, "%s",
+			 json_is_true(js) ? "yes" : "no");
+	else
+		snprintf(out, CELL_BYTES, "-");
+}
+
+static struct eb_tool_call *new_calls(const struct eb_tool_args *ar)
+{
+	struct eb_tool_call *calls = calloc(ar->count, sizeof(*calls));
+	uint32_t i;
+
+	for (i = 0; calls && i < ar->count; i++)
+		calls[i].address = ar->items[i];
+	return calls;
+}
+
+/* Returns the body as an object, or NULL and an error. */
+static json_t *parse_status(struct eb_tool_call *cl)
+{
+	json_t *js = NULL;
+
+	if (cl->status != 200)
+		return NULL;
+	js = json_loadb(cl->body ? cl->body : "", cl->bytes, 0, NULL);
+	if (json_is_object(js))
+		return js;
+	json_decref(js);
+	snprintf(cl->error, sizeof(cl->error), "did not answer with JSON");
+	return NULL;
+}
+
+static void print_row(const char *address, const json_t *js, const char *error)
+{
+	char cell[CELL_BYTES];
+	size_t i;
+
+	printf("%-21s", address);
+	if (!js) {
+		printf(" %s\n", error);
+		return;
+	}
+	for (i = 0; i < COLUMN_COUNT; i++) {
+		print_cell(json_object_get(js, columns[i].field), cell);
+		printf(" %*s", columns[i].width, cell);
+	}
+	printf("\n");
+}
+
+static int print_status(struct eb_tool_call *calls, uint32_t count, int json)
+{
+	json_t *all = json_object(), *js;
+	uint32_t i, wrong = 0;
+	size_t k;
+
+	if (!json) {
+		printf("%-21s", "ADDRESS");
+		for (k = 0; k < COLUMN_COUNT; k++)
+			printf(" %*s", columns[k].width, columns[k].title);
+		printf("\n");
+	}
+	for (i = 0; i < count; i++) {
+		js = parse_status(&calls[i]);
+		wrong += !js;
+		if (!json)
+			print_row(calls[i].address, js, calls[i].error);
+		else if (!js)
+			js = json_pack("{ss}", "error", calls[i].error);
+		if (json)
+			json_object_set(all, calls[i].address, js);
+		json_decref(js);
+	}
+	if (json) {
+		json_dumpf(all, stdout, JSON_INDENT(1));
+		printf("\n");
+	}
+	json_decref(all);
+	return wrong ? EBONYPIER_EXIT_FAILURE : EBONYPIER_EXIT_OK;
+}
+
+/* ebonypier status [--json] ADDRESS...: a table over several daemons. */
+int eb_tool_status(const struct eb_tool_args *ar)
+{
+	struct eb_tool_call *calls = new_calls(ar);
+	int status;
+
+	if (!calls)
+		return EBONYPIER_EXIT_FAILURE;
+	eb_tool_http_run(calls, ar->count, "GET", "/status");
+	status = print_status(calls, ar->count, ar->json);
+	eb_tool_http_clear(calls, ar->count);
+	return status;
+}
+
+/* Sends one request; prints the body if `show` and any trouble. */
+static int run_one(const struct eb_tool_args *ar, const char *method,
+		   const char *path, int show)
+{
+	struct eb_tool_call *cl = new_calls(ar);
+	int answered;
+
+	if (!cl)
+		return EBONYPIER_EXIT_FAILURE;
+	answered = eb_tool_http_run(cl, 1, method, path);
+	if (!answered)
+		fprintf(stderr, "ebonypier: %s: %s\n", cl->address, cl->error);
+	else if (show)
+		fwrite(cl->body, 1, cl->bytes, stdout);
+	else
+		printf("%s: draining\n", cl->address);
+	eb_tool_http_clear(cl, 1);
+	return answered ? EBONYPIER_EXIT_OK : EBONYPIER_EXIT_FAILURE;
+}
+
+/* ebonypier metrics ADDRESS: the metrics of one daemon. */
+int eb_tool_metrics(const struct eb_tool_args *ar)
+{
+	return run_one(ar, "GET", "/metrics", 1);
+}
+
+/* ebonypier drain ADDRESS: the daemon finishes its work and leaves. */
+int eb_tool_drain(const struct eb_tool_args *ar)
+{
+	return run_one(ar, "POST", "/drain", 0);
+}
--- /dev/null
+++ b/src/eb_tool_http.h
@@ -0,0 +1,20 @@
+#ifndef EB_TOOL_HTTP_H
+#define EB_TOOL_HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* One request to an admin port and its answer. */
+struct eb_tool_call {
+	const char *address; /* IP:port */
+	char *body;	     /* ends with a NUL byte, or NULL */
+	size_t bytes;
+	int32_t status; /* HTTP status, or 0 without an answer */
+	char error[256];
+};
+
+int eb_tool_http_run(struct eb_tool_call *calls, uint32_t count,
+		     const char *method, const char *path);
+void eb_tool_http_clear(struct eb_tool_call *calls, uint32_t count);
+
+#endif
