--- /dev/null
+++ b/tests/test_eb_config.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+extern "C" {
+#include "eb_config.h"
+#include "eb_release.h"
+}
+
+namespace
+{
+
+eb_config *apply_note(const eb_config *base, const std::string &text)
+{
+	eb_findings fs = {};
+	eb_config *out = nullptr;
+
+	EXPECT_EQ(EB_OK, eb_release_apply_text(base, text.data(), text.size(),
+					       1, "note", &fs, &out));
+	eb_findings_print(&fs, stderr);
+	eb_findings_clear(&fs);
+	return out;
+}
+
+eb_config *first(const std::string &text)
+{
+	eb_config *empty = eb_config_new_empty(),
+		  *out = apply_note(empty, text);
+
+	eb_config_unref(empty);
+	return out;
+}
+
+std::string read_file(const char *name)
+{
+	std::stringstream out;
+
+	out << std::ifstream(name).rdbuf();
+	return out.str();
+}
+
+const char services[] = R"({ "release": 1, "builds_on": 0, "added": {
+	"services": [
+	{ "name": "all", "match": { "path_prefix": "/" } },
+	{ "name": "agenda", "match": { "path_prefix": "/agenda" } },
+	{ "name": "private", "match": { "path_prefix": "/agenda/private" } },
+	{ "name": "host", "match": { "host": "a.example" } },
+	{ "name": "host-agenda",
+	  "match": { "host": "A.example", "path_prefix": "/agenda" } },
+	{ "name": "ip", "match": { "host": "127.0.0.1" } } ] } })";
+
+/* Guards against a request that goes to a service it does not belong to. */
+TEST(Config, Match)
+{
+	const struct {
+		const char *host;
+		const char *path;
+		const char *service;
+	} cases[] = {
+		{ nullptr, "/agenda", "agenda" },
+		{ nullptr, "/agenda/", "agenda" },
+		{ nullptr, "/agenda/1?x=/agenda/private", "agenda" },
+		{ nullptr, "/agenda?x", "agenda" },
+		{ nullptr, "/agenda#x", "agenda" },
+		{ nullptr, "/agendas", "all" },
+		{ nullptr, "/agend", "all" },
+		{ nullptr, "/Agenda", "all" },
+		{ nullptr, "/agenda/private", "private" },
+		{ nullptr, "/agenda/private/x", "private" },
+		{ nullptr, "/agenda/privately", "agenda" },
+		{ nullptr, "/", "all" },
+		{ "", "/", "all" },
+		{ "b.example", "/", "all" },
+		{ "a.example", "/", "host" },
+		{ "A.EXAMPLE:8080", "/x", "host" },
+		{ "a.example", "/agenda/private", "host-agenda" },
+		{ "a.example.org", "/", "all" },
+		{ "xa.example", "/", "all" },
+		{ "127.0.0.1:80", "/agenda", "ip" },
+		{ "[::1]:80", "/agenda", "agenda" },
+		{ "[::1", "/agenda", "agenda" },
+	};
+	eb_config *cf = first(services);
+
+	for (const auto &c : cases) {
+		uint32_t i = eb_config_match(cf, c.host, c.path);
+
+		ASSERT_NE(EB_NONE, i) << c.path;
+		EXPECT_STREQ(c.service, cf->services[i]->name)
+			<< (c.host ? c.host : "") << c.path;
+	}
+	eb_config_unref(cf);
+}
+
+/* Guards against a default service where none is configured. */
+TEST(Config, NoMatch)
+{
+	eb_config *cf = first(R"({ "release": 1, "builds_on": 0, "added": {
+		"services": [ { "name": "s",
+				"match": { "path_prefix": "/s" } } ] } })");
+	eb_config *empty = eb_config_new_empty();
+
+	EXPECT_EQ(EB_NONE, eb_config_match(cf, nullptr, "/"));
+	EXPECT_EQ(EB_NONE, eb_config_match(cf, nullptr, "*"));
+	EXPECT_EQ(EB_NONE, eb_config_match(cf, nullptr, ""));
+	EXPECT_EQ(EB_NONE, eb_config_match(empty, nullptr, "/s"));
+	EXPECT_STREQ("default", eb_config_rule(empty, EB_NONE)->name);
+	eb_config_unref(cf);
+	eb_config_unref(empty);
+}
+
+/* Guards against today's sizes not fitting, and lookups that miss. */
+TEST(Config, Examples)
+{
+	const struct {
+		const char *file;
+		uint32_t slots;
+	} cases[] = { { "examples/hielos-1.json", 6 },
+		      { "examples/karri-1.json", 10 } };
+
+	for (const auto &c : cases) {
+		eb_config *cf = first(read_file(c.file));
+
+		ASSERT_NE(nullptr, cf) << c.file;
+		ASSERT_EQ(3u, cf->service_total);
+		ASSERT_EQ(18u, cf->upstream_total);
+		for (uint32_t i = 0; i < 18; i++) {
+			const eb_upstream *up = cf->upstreams[i];
+			uint32_t sv = cf->upstream_service[i];
+
+			EXPECT_EQ(i, eb_config_find_upstream(cf, up->name));
+			EXPECT_EQ(sv,
+				  eb_config_find_service(cf, up->service_name));
+			EXPECT_LE(cf->service_first[sv], i);
+			EXPECT_GT(cf->service_first[sv] + cf->service_count[sv],
+				  i);
+			EXPECT_EQ(c.slots, up->slots);
+			EXPECT_EQ(200u, up->connections);
+			EXPECT_STREQ("", up->key);
+		}
+		EXPECT_EQ(EB_NONE, eb_config_find_upstream(cf, "none"));
+		EXPECT_EQ(EB_NONE, eb_config_find_service(cf, ""));
+		EXPECT_EQ(EB_NONE, eb_config_find_rule(cf, "zzz"));
+		eb_config_unref(cf);
+	}
+}
+
+/* Guards against an item that dies with the version that it came from. */
+TEST(Config, ItemsOutliveTheirVersion)
+{
+	eb_config *one = first(read_file("examples/hielos-1.json"));
+	eb_config *two = apply_note(one, read_file("examples/hielos-2.json"));
+
+	ASSERT_NE(nullptr, two);
+	eb_config_unref(eb_config_ref(one));
+	eb_config_unref(one);
+	EXPECT_EQ(17u, two->upstream_total);
+	EXPECT_EQ(EB_NONE, eb_config_find_upstream(two, "agenda-6"));
+	for (uint32_t i = 0; i < two->upstream_total; i++)
+		EXPECT_NE(0u, strlen(two->upstreams[i]->address));
+	EXPECT_EQ(12u,
+		  eb_config_rule(two, eb_config_find_service(two, "agenda"))
+			  ->queue);
+	eb_config_unref(two);
+}
+
+} // namespace
