--- /dev/null
+++ b/tests/test_eb_findings.cc
@@ -0,0 +1,64 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+
+extern "C" {
+#include "eb_findings.h"
+}
+
+namespace
+{
+
+std::string print(const eb_findings &fs)
+{
+	char *text = nullptr;
+	size_t bytes = 0;
+	FILE *out = open_memstream(&text, &bytes);
+
+	eb_findings_print(&fs, out);
+	fclose(out);
+	std::string s(text, bytes);
+	free(text);
+	return s;
+}
+
+/* Guards against findings that an editor cannot jump to. */
+TEST(Findings, Format)
+{
+	const struct {
+		const char *source, *field, *reason;
+		int line;
+		const char *printed;
+	} cases[] = {
+		{ "a.json", "f", "bad", 3, "a.json:3: f: bad\n" },
+		{ "--flag", "f", "bad", 0, "--flag: f: bad\n" },
+		{ "a%s", "f%n", "%d", 1, "a%s:1: f%n: %d\n" },
+	};
+
+	for (const auto &c : cases) {
+		eb_findings fs = {};
+
+		eb_findings_add(&fs, c.source, c.line, c.field, "%s", c.reason);
+		EXPECT_EQ(c.printed, print(fs));
+		eb_findings_clear(&fs);
+		EXPECT_EQ("", print(fs));
+	}
+}
+
+/* Guards against unbounded memory, and against hiding that more was found. */
+TEST(Findings, Bound)
+{
+	eb_findings fs = {};
+
+	for (int i = 0; i < EB_FINDINGS_MAX + 7; i++)
+		eb_findings_add(&fs, "s", i, "f", "reason %d", i);
+	EXPECT_EQ((uint32_t)EB_FINDINGS_MAX, fs.count);
+	EXPECT_EQ(7u, fs.dropped);
+	EXPECT_NE(std::string::npos,
+		  print(fs).find("7 more findings are not shown\n"));
+	eb_findings_clear(&fs);
+	EXPECT_EQ(0u, fs.count + fs.dropped);
+}
+
+} // namespace
