--- a/src/eb_tool.c
+++ b/src/eb_tool.c
@@ -46,7 +46,8 @@
 	  eb_tool_plan, 0, 1, ITEMS_MAX, 0, 0 },
 	{ "status", "[--json] [ADDRESS...]", "show the state of daemons",
 	  "Prints a line for each daemon, or a JSON object by address with "
-	  "--json.\n" ADDRESS_HELP
+	  "--json. CALLS are\nthose of its callers, PEERS the daemons it has "
+	  "a socket to.\n" ADDRESS_HELP
 	  "Exits with 1 if a daemon does not answer.\n\nExample:\n  ebonypier "
 	  "status 127.0.0.1:26001 127.0.0.1:26002\n",
 	  eb_tool_status, 0, 1, ITEMS_MAX, 1, 1 },
@@ -62,9 +63,10 @@
 	  "Prints the metrics in Prometheus text form.\n" ADDRESS_HELP
 	  "\nExample:\n  ebonypier metrics 127.0.0.1:26001\n",
 	  eb_tool_metrics, 0, 1, 1, 1, 0 },
-	{ "drain", "[ADDRESS]", "take a daemon and its upstream out of service",
-	  "Asks the daemon to take no new work, to finish what is in flight "
-	  "and to exit.\n" ADDRESS_HELP
+	{ "drain", "[ADDRESS]", "take an upstream out of service",
+	  "Asks the daemon to let its upstream take no new work; what is in "
+	  "flight is\nfinished. The daemon keeps running: end it with SIGTERM, "
+	  "which drains as well.\n" ADDRESS_HELP
 	  "\nExample:\n  ebonypier drain 127.0.0.1:26001\n",
 	  eb_tool_drain, 0, 1, 1, 1, 0 },
 	{ "keygen", "", "make a CURVE key pair for a daemon",
--- a/src/eb_tool_admin.c
+++ b/src/eb_tool_admin.c
@@ -18,15 +18,15 @@
 };
 
 static const struct column columns[] = {
-	{ "UPSTREAM", "upstream", -16 }, { "RELEASE", "release", 7 },
-	{ "DRAINING", "draining", 8 },	 { "IN_FLIGHT", "in_flight", 9 },
+	{ "UPSTREAM", "upstream", -16 }, { "STATE", "state", -8 },
+	{ "RELEASE", "release", 7 },	 { "IN_FLIGHT", "in_flight", 9 },
 	{ "QUEUED", "queued", 6 },	 { "SLOTS", "slots", 5 },
-	{ "CALLS", "calls", 6 },	 { "PEERS", "peers", 5 },
+	{ "CALLS", "calls_origin", 6 },	 { "PEERS", "peers", 5 },
 };
 
 #define COLUMN_COUNT (sizeof(columns) / sizeof(*columns))
 
-/* Prints a value of /status; a daemon may leave any of them out. */
+/* Prints a value of /status, or the length of a list. */
 static void print_cell(const json_t *js, char out[CELL_BYTES])
 {
 	if (json_is_string(js))
@@ -37,6 +37,8 @@
 	else if (json_is_boolean(js))
 		snprintf(out, CELL_BYTES, "%s",
 			 json_is_true(js) ? "yes" : "no");
+	else if (json_is_array(js))
+		snprintf(out, CELL_BYTES, "%zu", json_array_size(js));
 	else
 		snprintf(out, CELL_BYTES, "-");
 }
--- a/tests/test_eb_tool.cc
+++ b/tests/test_eb_tool.cc
@@ -129,8 +129,9 @@
 
 json_t *status(void *)
 {
-	return json_pack("{ss si sb si}", "upstream", "agenda-1", "release", 7,
-			 "draining", 0, "queued", 3);
+	return json_pack("{ss ss si si s[ss]}", "upstream", "agenda-1", "state",
+			 "serving", "release", 7, "queued", 3, "peers", "a",
+			 "b");
 }
 
 void drain(void *ctx)
@@ -211,7 +212,10 @@
 
 	EXPECT_EQ(0, out.status);
 	EXPECT_NE(std::string::npos, out.output.find("ADDRESS"));
-	EXPECT_NE(std::string::npos, out.output.find("agenda-1"));
+	EXPECT_NE(std::string::npos,
+		  out.output.find("agenda-1         serving        7         "
+				  "-      3     -      -     2\n"))
+		<< out.output;
 	EXPECT_NE(std::string::npos, out.output.find("\n" + address[1]));
 	setenv("EBONYPIER_ADMIN", (address[0] + "," + address[1]).c_str(), 1);
 	out = run("status --json");
