--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -722,6 +722,46 @@
 	return -1;
 }
 
+Relay::Relay(uint16_t target) : port(free_port()), control_port(free_port())
+{
+	process = std::make_unique<Process>(std::vector<std::string>{
+		build_dir() + "/standins/relay", "--listen", loopback(port),
+		"--target", loopback(target), "--control",
+		loopback(control_port) });
+	wait_until("the relay", [this] {
+		if (!process->running())
+			throw std::runtime_error("relay: " + process->log());
+		return RawSocket(control_port).connected();
+	});
+}
+
+void Relay::fault(const std::string &json)
+{
+	HttpAnswer a = http_post(
+		"http://" + loopback(control_port) + "/control/fault", json);
+
+	if (a.status != 200)
+		throw std::runtime_error("fault refused: " + json);
+}
+
+void Relay::cut()
+{
+	http_post("http://" + loopback(control_port) + "/control/cut", "");
+}
+
+void Relay::silence_open()
+{
+	http_post("http://" + loopback(control_port) + "/control/silence_open",
+		  "");
+}
+
+int64_t Relay::stat(const std::string &field)
+{
+	return to_number(
+		http_get("http://" + loopback(control_port) + "/control/stats")
+			.json(field));
+}
+
 Fleet::Fleet(const FleetOptions &op) : options(op)
 {
 	size_t place = 0;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -231,6 +231,24 @@
 	double metric(const std::string &name) const;
 };
 
+/* A TCP relay in front of a port, with faults. */
+class Relay
+{
+public:
+	explicit Relay(uint16_t target);
+	/* Replaces the faults of the link; "{}" for none. */
+	void fault(const std::string &json);
+	/* Resets all open links. */
+	void cut();
+	/* The links open now go silent for good; new ones work. */
+	void silence_open();
+	int64_t stat(const std::string &field);
+
+	uint16_t port;
+	uint16_t control_port;
+	std::unique_ptr<Process> process;
+};
+
 /* A platform, upstreams and daemons, started from a generated note. */
 class Fleet
 {
--- a/tests/it_standins.cc
+++ b/tests/it_standins.cc
@@ -188,4 +188,56 @@
 	EXPECT_EQ(0, fleet.platform->stop());
 }
 
+/* Guards against a relay that changes bytes or ignores its faults. */
+TEST_F(Standin, RelayPassesDelaysCutsAndTrickles)
+{
+	fleet.start_upstream(0);
+	Relay relay(up().upstream_port);
+	std::string url = "http://" + loopback(relay.port) + "/x?bytes=";
+	int64_t start;
+
+	EXPECT_EQ(pattern_checksum(5000000),
+		  http_get(url + "5000000").checksum);
+	relay.fault("{\"delay_ms\":50}");
+	start = now_us();
+	EXPECT_EQ(pattern(100), http_get(url + "100").body);
+	EXPECT_GE(now_us() - start, 100000);
+	relay.fault("{\"byte_us\":200}");
+	start = now_us();
+	EXPECT_EQ(pattern(500), http_get(url + "500").body);
+	EXPECT_GE(now_us() - start, 100000);
+	relay.fault("{\"refuse\":true}");
+	EXPECT_EQ(7, http_get(url + "1").code);
+	relay.fault("{}");
+	std::thread cutter([&] {
+		wait_until("the request",
+			   [this] { return up().runs_count("started") == 4; });
+		relay.cut();
+	});
+	EXPECT_NE(0, http_get(url + "100000000&trickle=1").code);
+	cutter.join();
+	EXPECT_EQ(0, relay.process->stop());
+}
+
+/* Guards against silence that closes a connection or leaks bytes. */
+TEST_F(Standin, RelaySilencesOneWayAndOpenLinksOnly)
+{
+	fleet.start_upstream(0);
+	Relay relay(up().upstream_port);
+	RawSocket s(relay.port);
+	const char *get = "GET /x?bytes=1 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	relay.fault("{\"silent\":\"backward\"}");
+	s.send(get);
+	wait_until("the run", [this] { return up().runs_count("ended") == 1; });
+	EXPECT_EQ(0, relay.stat("backward_bytes"));
+	relay.fault("{}");
+	EXPECT_EQ(200, raw_status(s.receive_answer()));
+	relay.silence_open();
+	s.send(get);
+	EXPECT_EQ(200,
+		  http_get("http://" + loopback(relay.port) + "/x").status);
+	EXPECT_EQ(2, up().runs_count("started"));
+}
+
 } // namespace
