scripts: demo runs against the daemon

Cause: the admin port refuses a Host that is not an IP or localhost, so the demo never saw a daemon as ready. Change: requests of the demo carry Host: 127.0.0.1; the shell's messages on the programs that the demo ends are suppressed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,9 +18,11 @@
 work=$(mktemp -d)
 
 cleanup() {
+	exec 2>/dev/null # the shell reports each program that is killed
 	for p in "${pids[@]}"; do
 		kill -KILL "$p" 2>/dev/null
 	done
+	wait
 	rm -rf "$work"
 }
 trap cleanup EXIT
@@ -37,9 +39,10 @@
 request() {
 	local body=${4:-}
 	{ exec 3<>"/dev/tcp/127.0.0.1/$1"; } 2>/dev/null || return 1
-	printf '%s %s HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n' \
+	printf '%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\n' \
 		"$2" "$3" >&3
-	printf 'Content-Length: %d\r\n\r\n%s' "${#body}" "$body" >&3
+	printf 'Connection: close\r\nContent-Length: %d\r\n\r\n%s' \
+		"${#body}" "$body" >&3
 	cat <&3
 	exec 3>&-
 }
