--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -4,7 +4,37 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SMOOTHING_SHIFT 3
+/*
+ * Gain of the mean service time: small while answers are many, larger when
+ * they are rare, so that an upstream that recovers is known within seconds.
+ * A sample counts for at most four times the mean.
+ */
+#define GAIN_PERMILLE 30
+#define GAIN_MAX_PERMILLE 500
+#define GAIN_AGE_US 250000
+#define SAMPLE_MAX_TIMES 4
+/*
+ * Slot time without a completion, in mean service times, after which the
+ * upstream counts as stalled.
+ */
+#define STALL_TIMES 8
+/* While stalled, one request is let through in this many service times. */
+#define TRIAL_TIMES 8
+/*
+ * Longest expected wait for the first attempt; another upstream in the region
+ * is 2 ms away. It doubles with each attempt.
+ */
+#define WAIT_US 2000
+/* From this attempt on a request is not handed back. */
+#define ATTEMPT_LAST 3
+#define WARM_US 1000000
+
+const struct eb_admit_tuning eb_admit_tuning_default = {
+	.stall_times = STALL_TIMES,
+	.trial_times = TRIAL_TIMES,
+	.wait_us = WAIT_US,
+	.warm_us = WARM_US,
+};
 
 struct waiter {
 	struct eb_admit_request rq;
@@ -13,12 +43,19 @@
 
 struct eb_admit {
 	struct eb_admit_config config;
+	struct eb_admit_tuning tune;
 	struct waiter *queue; /* oldest first */
 	uint32_t queued;
 	uint32_t space;
 	uint32_t in_flight;
 	int64_t service_us;
-	int draining;
+	int64_t owed_us;    /* slot time since the last completion */
+	int64_t owed_at_us; /* time up to which owed_us counts */
+	int64_t done_us;    /* last completion */
+	int64_t started_us; /* last time a request got a slot */
+	int64_t warm_from_us;
+	uint8_t warming;
+	uint8_t draining;
 };
 
 /* Creates an admission gate. Returns NULL without memory. */
@@ -28,6 +65,7 @@
 
 	if (!ad)
 		return NULL;
+	ad->tune = eb_admit_tuning_default;
 	eb_admit_configure(ad, cf);
 	return ad;
 }
@@ -47,25 +85,79 @@
 	ad->config = *cf;
 }
 
+/* Replaces the constants of the policy. */
+void eb_admit_tune(struct eb_admit *ad, const struct eb_admit_tuning *tn)
+{
+	ad->tune = *tn;
+}
+
 /* While draining, new requests are refused; those that wait still run. */
 void eb_admit_drain(struct eb_admit *ad, int draining)
 {
-	ad->draining = draining;
+	ad->draining = draining != 0;
+}
+
+/* Opens the slots one by one over the next second. */
+void eb_admit_warm(struct eb_admit *ad, int64_t now_us)
+{
+	ad->warming = ad->tune.warm_us > 0;
+	ad->warm_from_us = now_us;
+}
+
+static uint32_t open_slots(struct eb_admit *ad, int64_t now_us)
+{
+	int64_t age_us = now_us - ad->warm_from_us;
+
+	if (ad->warming && age_us >= ad->tune.warm_us)
+		ad->warming = 0;
+	if (!ad->warming)
+		return ad->config.slots;
+	return 1 +
+	       (uint32_t)((ad->config.slots - 1) * age_us / ad->tune.warm_us);
+}
+
+static int64_t owed_us(const struct eb_admit *ad, int64_t now_us)
+{
+	return ad->owed_us + ad->in_flight * (now_us - ad->owed_at_us);
+}
+
+static void count_owed(struct eb_admit *ad, int64_t now_us)
+{
+	ad->owed_us = owed_us(ad, now_us);
+	ad->owed_at_us = now_us;
+}
+
+/*
+ * Whether the upstream has stopped completing requests. The sum over all slots
+ * tells this within about stall_times / slots service times.
+ */
+static int stalled(const struct eb_admit *ad, int64_t now_us)
+{
+	return ad->in_flight && ad->service_us && ad->tune.stall_times &&
+	       owed_us(ad, now_us) > ad->tune.stall_times * ad->service_us;
 }
 
 static void refuse(struct eb_admit_action *act, enum eb_reason reason,
-		   uint32_t retry_after_ms)
+		   int64_t wait_us)
 {
 	act->verdict = EB_ADMIT_REFUSE;
 	act->reason = (uint8_t)reason;
-	act->retry_after_ms = retry_after_ms;
+	act->retry_after_ms = (uint32_t)(wait_us / 1000 + 1);
+}
+
+static void run(struct eb_admit *ad, int64_t now_us,
+		struct eb_admit_action *act)
+{
+	count_owed(ad, now_us);
+	ad->in_flight++;
+	ad->started_us = now_us;
+	act->verdict = EB_ADMIT_RUN;
 }
 
 /* Expected wait of a request at the end of the queue. */
-static int64_t expected_wait_us(const struct eb_admit *ad)
+static int64_t expected_wait_us(const struct eb_admit *ad, uint32_t slots)
 {
-	return ad->service_us * (ad->queued + 1) /
-	       (ad->config.slots ? ad->config.slots : 1);
+	return ad->service_us * (ad->queued + 1) / (slots ? slots : 1);
 }
 
 static int append(struct eb_admit *ad, const struct eb_admit_request *rq,
@@ -86,11 +178,23 @@
 	return 0;
 }
 
+static int may_wait(const struct eb_admit *ad,
+		    const struct eb_admit_request *rq, int64_t wait_us,
+		    int64_t now_us)
+{
+	if (ad->queued >= ad->config.queue ||
+	    now_us + wait_us > rq->deadline_us)
+		return 0;
+	return rq->attempt >= ATTEMPT_LAST || !ad->queued ||
+	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
+}
+
 /* Decides on a request that has just arrived. */
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act)
 {
-	int64_t wait_us = expected_wait_us(ad);
+	uint32_t slots = open_slots(ad, now_us);
+	int64_t wait_us = expected_wait_us(ad, slots);
 
 	memset(act, 0, sizeof(*act));
 	act->id = rq->id;
@@ -98,32 +202,57 @@
 		refuse(act, EB_REASON_DRAINING, 0);
 	} else if (rq->deadline_us <= now_us) {
 		refuse(act, EB_REASON_DEADLINE, 0);
-	} else if (ad->in_flight < ad->config.slots && !ad->queued) {
-		ad->in_flight++;
-		act->verdict = EB_ADMIT_RUN;
-	} else if (ad->queued >= ad->config.queue ||
-		   now_us + wait_us > rq->deadline_us ||
+	} else if (stalled(ad, now_us) && rq->attempt < ATTEMPT_LAST &&
+		   (ad->in_flight >= slots ||
+		    now_us - ad->started_us <
+			    ad->tune.trial_times * ad->service_us)) {
+		refuse(act, EB_REASON_HANDED_BACK, wait_us);
+	} else if (ad->in_flight < slots && !ad->queued) {
+		run(ad, now_us, act);
+	} else if (!may_wait(ad, rq, wait_us, now_us) ||
 		   append(ad, rq, now_us)) {
-		refuse(act, EB_REASON_QUEUE_FULL,
-		       (uint32_t)(wait_us / 1000 + 1));
+		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
 	}
 }
 
-/* Frees the slot of a request and learns from its service time. */
+static int64_t gain_permille(int64_t gap_us)
+{
+	int64_t gain = gap_us * 1000 / GAIN_AGE_US;
+
+	if (gain < GAIN_PERMILLE)
+		return GAIN_PERMILLE;
+	return gain > GAIN_MAX_PERMILLE ? GAIN_MAX_PERMILLE : gain;
+}
+
+/*
+ * Frees the slot of a request and learns from its service time. Zero, for an
+ * error answer, tells only that the upstream makes progress: errors in 0.1 ms
+ * must not make the normal service time look like a stall. A negative time, of
+ * a request that was cut short, teaches nothing.
+ */
 void eb_admit_done(struct eb_admit *ad, uint64_t id, int64_t service_us,
 		   int64_t now_us)
 {
+	int64_t max_us = ad->service_us * SAMPLE_MAX_TIMES;
+	int64_t gain = gain_permille(now_us - ad->done_us);
+
 	(void)id;
-	(void)now_us;
 	assert(ad->in_flight);
+	count_owed(ad, now_us);
 	ad->in_flight--;
 	if (service_us < 0)
 		return;
+	ad->owed_us = 0;
+	if (!service_us)
+		return;
+	ad->done_us = now_us;
 	if (!ad->service_us)
 		ad->service_us = service_us;
-	ad->service_us += (service_us - ad->service_us) >> SMOOTHING_SHIFT;
+	if (max_us && service_us > max_us)
+		service_us = max_us;
+	ad->service_us += (service_us - ad->service_us) * gain / 1000;
 }
 
 static void remove_waiter(struct eb_admit *ad, uint32_t i)
@@ -151,23 +280,52 @@
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act)
 {
-	struct waiter *w = ad->queue;
+	uint32_t i, slots = open_slots(ad, now_us);
+	int hand_back = stalled(ad, now_us) && ad->in_flight >= slots;
+	const struct waiter *w;
 
-	if (!ad->queued)
-		return 0;
 	memset(act, 0, sizeof(*act));
-	act->id = w->rq.id;
-	act->waited_us = now_us - w->since_us;
-	if (w->rq.deadline_us <= now_us) {
-		refuse(act, EB_REASON_DEADLINE, 0);
-	} else if (ad->in_flight < ad->config.slots) {
-		ad->in_flight++;
-		act->verdict = EB_ADMIT_RUN;
-	} else {
-		return 0;
+	for (i = 0; i < ad->queued; i++) {
+		w = &ad->queue[i];
+		if (w->rq.deadline_us <= now_us)
+			refuse(act, EB_REASON_DEADLINE, 0);
+		else if (ad->in_flight < slots)
+			run(ad, now_us, act);
+		else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
+			refuse(act, EB_REASON_HANDED_BACK,
+			       expected_wait_us(ad, slots));
+		else
+			continue;
+		act->id = w->rq.id;
+		act->waited_us = now_us - w->since_us;
+		remove_waiter(ad, i);
+		return 1;
+	}
+	return 0;
+}
+
+/* Tells when the next waiting request expires, runs or is handed back. */
+int64_t eb_admit_wake_us(const struct eb_admit *ad, int64_t now_us)
+{
+	int64_t wake_us = INT64_MAX, left_us, stall_us;
+	int early = 0;
+	uint32_t i;
+
+	if (ad->queued && ad->warming)
+		wake_us = now_us + ad->tune.warm_us / (ad->config.slots + 1);
+	for (i = 0; i < ad->queued; i++) {
+		if (ad->queue[i].rq.deadline_us < wake_us)
+			wake_us = ad->queue[i].rq.deadline_us;
+		early |= ad->queue[i].rq.attempt < ATTEMPT_LAST;
 	}
-	remove_waiter(ad, 0);
-	return 1;
+	if (!early || !ad->in_flight || !ad->service_us ||
+	    !ad->tune.stall_times)
+		return wake_us;
+	left_us = ad->tune.stall_times * ad->service_us - ad->owed_us;
+	if (left_us < 0)
+		left_us = 0;
+	stall_us = ad->owed_at_us + left_us / ad->in_flight + 1;
+	return stall_us < wake_us ? stall_us : wake_us;
 }
 
 /* Reports the load that rides on answers. */
@@ -176,6 +334,6 @@
 	ld->in_flight = (uint16_t)ad->in_flight;
 	ld->queued = (uint16_t)ad->queued;
 	ld->slots = (uint16_t)ad->config.slots;
-	ld->draining = (uint16_t)ad->draining;
+	ld->draining = ad->draining;
 	ld->service_us = (uint32_t)ad->service_us;
 }
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -17,11 +17,22 @@
 	uint32_t queue; /* requests that may wait */
 };
 
+/* The constants of the policy; the bench varies them. */
+struct eb_admit_tuning {
+	int64_t stall_times; /* 0: nothing is handed back */
+	int64_t trial_times;
+	int64_t wait_us;
+	int64_t warm_us; /* 0: all slots at once */
+};
+
+extern const struct eb_admit_tuning eb_admit_tuning_default;
+
 struct eb_admit_request {
 	uint64_t id;
 	uint64_t caller;
 	int64_t deadline_us; /* monotonic time of this daemon */
 	uint8_t idempotent;
+	uint8_t attempt; /* 0 for the first; later ones may wait longer */
 };
 
 enum eb_admit_verdict {
@@ -41,10 +52,14 @@
 struct eb_admit *eb_admit_new(const struct eb_admit_config *cf);
 void eb_admit_free(struct eb_admit *ad);
 void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf);
+void eb_admit_tune(struct eb_admit *ad, const struct eb_admit_tuning *tn);
 void eb_admit_drain(struct eb_admit *ad, int draining);
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act);
-/* A request that ran has left its slot. */
+/*
+ * A request that ran has left its slot. `service_us` is 0 for an error answer
+ * and negative for a request that was cut short.
+ */
 void eb_admit_done(struct eb_admit *ad, uint64_t id, int64_t service_us,
 		   int64_t now_us);
 /* A waiting request was cancelled; returns 1 if it was waiting. */
@@ -55,6 +70,13 @@
  */
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act);
+/*
+ * Time at which eb_admit_next() must be called even if nothing happens, or
+ * INT64_MAX.
+ */
+int64_t eb_admit_wake_us(const struct eb_admit *ad, int64_t now_us);
+/* The upstream has just started: its slots are opened by degrees. */
+void eb_admit_warm(struct eb_admit *ad, int64_t now_us);
 void eb_admit_load(const struct eb_admit *ad, struct eb_load *ld);
 
 #endif
--- /dev/null
+++ b/src/eb_eject.c
@@ -0,0 +1,119 @@
+#include "eb_eject.h"
+
+/* Gain 1/4 for one upstream: three errors in a row raise it to 0.58. */
+#define RATE_SHIFT 2
+/* The service's rate moves slowly, so that one upstream cannot raise it. */
+#define SERVICE_RATE_SHIFT 6
+#define EJECT_PERMILLE 500
+/* At most this share of a service's upstreams is out at a time. */
+#define OUT_MAX_PERMILLE 500
+#define PERIOD_US 500000
+/* Longest period is 2 s, so a recovered upstream is back within seconds. */
+#define PERIOD_DOUBLINGS 2
+#define RAMP_US 1000000
+#define RAMP_FIRST_PERMILLE 50
+
+/* Sets the default tuning; no upstream is known yet. */
+void eb_eject_init(struct eb_eject *ej)
+{
+	*ej = (struct eb_eject){
+		.eject_permille = EJECT_PERMILLE,
+		.out_max_permille = OUT_MAX_PERMILLE,
+		.period_us = PERIOD_US,
+		.ramp_us = RAMP_US,
+	};
+}
+
+static int64_t period_us(const struct eb_eject *ej,
+			 const struct eb_eject_state *st)
+{
+	return ej->period_us << (st->periods - 1);
+}
+
+/* Whether one more upstream may go out. */
+static int may_eject(const struct eb_eject *ej)
+{
+	return (ej->out + 1) * 1000 <= ej->total * ej->out_max_permille;
+}
+
+static void eject(struct eb_eject *ej, struct eb_eject_state *st,
+		  int64_t now_us)
+{
+	if (st->periods <= PERIOD_DOUBLINGS)
+		st->periods++;
+	st->phase = EB_EJECT_OUT;
+	st->since_us = now_us;
+	ej->out++;
+}
+
+/*
+ * Takes in how one attempt ended. A failure while the upstream is on its way
+ * back ejects it again at once. Returns 1 if it is ejected by this result.
+ */
+int eb_eject_result(struct eb_eject *ej, struct eb_eject_state *st, int failed,
+		    int64_t now_us)
+{
+	int64_t to = failed ? 1000 : 0, step;
+
+	step = to - st->error_permille;
+	st->error_permille =
+		(uint16_t)(st->error_permille + step / (1 << RATE_SHIFT));
+	step = to * 1000 - ej->error_permille * 1000;
+	ej->error_permille =
+		(uint32_t)(ej->error_permille +
+			   step / 1000 / (1 << SERVICE_RATE_SHIFT));
+	if (!failed || st->phase == EB_EJECT_OUT || !may_eject(ej))
+		return 0;
+	if (st->error_permille < ej->eject_permille &&
+	    !(st->phase == EB_EJECT_RAMP && st->periods))
+		return 0;
+	/* When the whole service fails, no upstream stands out. */
+	if (st->error_permille < 2 * ej->error_permille)
+		return 0;
+	eject(ej, st, now_us);
+	return 1;
+}
+
+/* Starts the gradual return, also of an upstream that is new. */
+void eb_eject_ramp(struct eb_eject *ej, struct eb_eject_state *st,
+		   int64_t now_us)
+{
+	if (st->phase == EB_EJECT_OUT)
+		ej->out--;
+	st->phase = EB_EJECT_RAMP;
+	st->error_permille = 0;
+	st->since_us = now_us;
+}
+
+/* The state is about to be freed. */
+void eb_eject_forget(struct eb_eject *ej, const struct eb_eject_state *st)
+{
+	if (st->phase == EB_EJECT_OUT)
+		ej->out--;
+}
+
+/*
+ * Returns the share of its normal traffic, in permille, that the upstream may
+ * get now.
+ */
+uint32_t eb_eject_share(struct eb_eject *ej, struct eb_eject_state *st,
+			int64_t now_us)
+{
+	int64_t age_us = now_us - st->since_us;
+
+	if (st->phase == EB_EJECT_IN)
+		return 1000;
+	if (st->phase == EB_EJECT_OUT) {
+		if (age_us < period_us(ej, st))
+			return 0;
+		eb_eject_ramp(ej, st, now_us);
+		age_us = 0;
+	}
+	if (age_us >= ej->ramp_us) {
+		st->phase = EB_EJECT_IN;
+		st->periods = 0;
+		return 1000;
+	}
+	return (uint32_t)(RAMP_FIRST_PERMILLE +
+			  (1000 - RAMP_FIRST_PERMILLE) * age_us / ej->ramp_us);
+}
--- /dev/null
+++ b/src/eb_eject.h
@@ -0,0 +1,44 @@
+#ifndef EB_EJECT_H
+#define EB_EJECT_H
+
+#include <stdint.h>
+
+/*
+ * Ejects upstreams whose error rate stands out from that of their service and
+ * readmits them by degrees. Pure; one struct eb_eject for each service and one
+ * struct eb_eject_state for each upstream.
+ */
+enum eb_eject_phase {
+	EB_EJECT_IN = 0,
+	EB_EJECT_OUT,  /* gets nothing until the period is over */
+	EB_EJECT_RAMP, /* its share grows to the full one */
+};
+
+struct eb_eject {
+	uint32_t eject_permille;   /* error rate; over 1000: never */
+	uint32_t out_max_permille; /* of the upstreams */
+	int64_t period_us;
+	int64_t ramp_us;	 /* 0: full share at once */
+	uint32_t total;		 /* upstreams of the service */
+	uint32_t out;		 /* ejected now */
+	uint32_t error_permille; /* smoothed over the whole service */
+};
+
+struct eb_eject_state {
+	int64_t since_us; /* start of the phase */
+	uint16_t error_permille;
+	uint8_t phase;	 /* enum eb_eject_phase */
+	uint8_t periods; /* ejections in a row, for the backoff */
+};
+
+void eb_eject_init(struct eb_eject *ej);
+/* Returns 1 if the upstream was ejected by this result. */
+int eb_eject_result(struct eb_eject *ej, struct eb_eject_state *st, int failed,
+		    int64_t now_us);
+uint32_t eb_eject_share(struct eb_eject *ej, struct eb_eject_state *st,
+			int64_t now_us);
+void eb_eject_ramp(struct eb_eject *ej, struct eb_eject_state *st,
+		   int64_t now_us);
+void eb_eject_forget(struct eb_eject *ej, const struct eb_eject_state *st);
+
+#endif
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -3,19 +3,35 @@
 #include "eb_frame.h"
 #include "eb_tunables.h"
 
-/* Tokens that may be saved up: a burst of ten retries. */
-#define TOKENS_MAX 10000
 #define TOKENS_PER_RETRY 1000
+/*
+ * Burst of three retries. Through 21 levels each daemon adds at most 63
+ * attempts to an outage; with ten it would add 210.
+ */
+#define TOKENS_MAX 3000
+#define REROUTE_PERMILLE 1000
+#define REROUTE_TOKENS_MAX 20000
+#define REROUTE_TOKENS_LOW 5000
 
-/* Starts with a full budget; `retry_permille` retries for 1000 requests. */
+/* Starts with a full budget; `retry_permille` retries for 1000 successes. */
 void eb_retry_init(struct eb_retry *rb, uint32_t retry_permille)
 {
 	rb->retry_permille = retry_permille;
+	rb->reroute_permille = REROUTE_PERMILLE;
 	rb->tokens = TOKENS_MAX;
+	rb->reroute_tokens = REROUTE_TOKENS_MAX;
 }
 
-/* Counts a first attempt, which pays for a share of a retry. */
+/* Counts a first attempt, which pays for a share of a re-route. */
 void eb_retry_request(struct eb_retry *rb)
+{
+	rb->reroute_tokens += rb->reroute_permille;
+	if (rb->reroute_tokens > REROUTE_TOKENS_MAX)
+		rb->reroute_tokens = REROUTE_TOKENS_MAX;
+}
+
+/* Counts a request that succeeded, which pays for a share of a retry. */
+void eb_retry_success(struct eb_retry *rb)
 {
 	rb->tokens += rb->retry_permille;
 	if (rb->tokens > TOKENS_MAX)
@@ -23,8 +39,37 @@
 }
 
 /*
- * Decides whether a failed attempt may be tried again, and pays for it. Only
- * what is proven not run, or idempotent, is ever tried again.
+ * Returns the attempt number that the next attempt carries to its gate, given
+ * those made so far. When re-routes run out it is the last one, so the gate
+ * lets the request wait instead of refusing it for another upstream.
+ */
+uint8_t eb_retry_mark(const struct eb_retry *rb, uint8_t attempts)
+{
+	if (rb->reroute_tokens < REROUTE_TOKENS_LOW)
+		return EB_ATTEMPTS_MAX - 1;
+	return attempts;
+}
+
+static int pay(int64_t *tokens)
+{
+	if (*tokens < TOKENS_PER_RETRY)
+		return 0;
+	*tokens -= TOKENS_PER_RETRY;
+	return 1;
+}
+
+/* A gate refused for load or because it leaves; nothing has failed. */
+static int is_refusal(const struct eb_retry_attempt *at)
+{
+	return at->outcome == EB_OUTCOME_NOT_RUN &&
+	       (at->reason == EB_REASON_QUEUE_FULL ||
+		at->reason == EB_REASON_HANDED_BACK ||
+		at->reason == EB_REASON_DRAINING);
+}
+
+/*
+ * Decides whether a failed or refused attempt may be tried again, and pays for
+ * it. Only what is proven not run, or idempotent, is ever tried again.
  */
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at)
 {
@@ -34,8 +79,7 @@
 		return 0;
 	if (at->outcome != EB_OUTCOME_NOT_RUN && !at->idempotent)
 		return 0;
-	if (rb->tokens < TOKENS_PER_RETRY)
-		return 0;
-	rb->tokens -= TOKENS_PER_RETRY;
-	return 1;
+	if (is_refusal(at))
+		return pay(&rb->reroute_tokens);
+	return pay(&rb->tokens);
 }
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -4,12 +4,16 @@
 #include <stdint.h>
 
 /*
- * Retry budget of a daemon for one service. Retries are paid from a share of
- * the recent requests, so that a failing service sees at most that much more.
+ * Retry budget of a daemon for one service. Retries of failures are paid from
+ * a share of the recent successes, so a service that is down gets hardly any.
+ * Re-routes of refusals, which ran nothing, are paid from a share of the
+ * recent requests.
  */
 struct eb_retry {
 	uint32_t retry_permille;
-	int64_t tokens; /* thousandths of a retry */
+	uint32_t reroute_permille;
+	int64_t tokens;		/* thousandths of a retry */
+	int64_t reroute_tokens; /* thousandths of a re-route */
 };
 
 struct eb_retry_attempt {
@@ -23,6 +27,8 @@
 
 void eb_retry_init(struct eb_retry *rb, uint32_t retry_permille);
 void eb_retry_request(struct eb_retry *rb);
+void eb_retry_success(struct eb_retry *rb);
+uint8_t eb_retry_mark(const struct eb_retry *rb, uint8_t attempts);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
 
 #endif
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -4,17 +4,81 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_eject.h"
 #include "eb_rand.h"
 
+#define TIERS (EB_DISTANCE_FAR + 1)
+/* Random candidates of each tier that is looked at. */
+#define CHOICES 2
+/* Half of a load report's weight is gone after this many service times. */
+#define REPORT_AGE_TIMES 4
+/* A sender's own latency counts only when it is this far from the mean. */
+#define OUTLIER_TIMES 6
+/* An error costs the caller a retry, in mean service times. */
+#define ERROR_TIMES 8
+/* Added for each upstream whose first answer after expiry is awaited. */
+#define PROBE_TIMES 8
+/* A request out for this many mean times marks its upstream as overdue. */
+#define OVERDUE_TIMES 4
+#define LATENCY_SHIFT 2
+#define MEAN_SHIFT 6
+/*
+ * What is known of an upstream expires, so that one that was slow is tried
+ * again within seconds; one call at a time until there is an answer.
+ */
+#define EXPIRY_US 1000000
+/* Hold after a request was handed back; doubles up to HOLD_MAX_US. */
+#define HOLD_US 4000
+#define HOLD_MAX_US 1024000
+/* Pressure above which the home region counts as full. */
+#define FULL_PERMILLE 300
+#define PRESSURE_SHIFT 5
+#define SERVICE_FIRST_US 1000
+#define EJECT_PERMILLE 500
+#define RAMP_US 1000000
+
+const struct eb_route_tuning eb_route_tuning_default = {
+	.choices = CHOICES,
+	.report_age_times = REPORT_AGE_TIMES,
+	.outlier_times = OUTLIER_TIMES,
+	.overdue_times = OVERDUE_TIMES,
+	.hold_us = HOLD_US,
+	.full_permille = FULL_PERMILLE,
+	.eject_permille = EJECT_PERMILLE,
+	.ramp_us = RAMP_US,
+};
+
+/* Round trips to each tier. */
+static const int64_t distance_us[TIERS] = { 0, 200, 2000, 20000 };
+
 struct upstream {
 	struct eb_route_upstream info;
 	uint32_t in_flight; /* sent from here and not answered */
+	uint32_t sent;	    /* of these, sent after the last report */
+	uint32_t service_us;
+	uint32_t latency_us; /* smoothed, without the network */
+	uint32_t reported;   /* in flight and queued at the gate */
+	uint32_t hold_us;
+	int64_t started_us; /* sum of the send times of those in flight */
+	int64_t report_at_us;
+	int64_t latency_at_us;
+	int64_t hold_until_us;
+	struct eb_eject_state eject;
 };
 
 struct eb_route {
 	struct eb_rand rand;
-	struct upstream *ups; /* sorted by id */
+	struct eb_route_tuning tune;
+	struct upstream *ups; /* by tier, then id */
+	uint32_t *slots;      /* hash of id to index + 1 */
+	uint32_t slot_mask;
 	uint32_t count;
+	uint32_t first[TIERS + 1];  /* first upstream of each tier */
+	int64_t service_us;	    /* smoothed over all upstreams */
+	uint32_t load_permille;	    /* reported load by slot, smoothed */
+	uint32_t pressure_permille; /* refusals at home, smoothed */
+	struct eb_eject eject;
+	struct eb_route_stats stats;
 };
 
 /* Creates a router without upstreams. Returns NULL without memory. */
@@ -22,63 +86,198 @@
 {
 	struct eb_route *rt = calloc(1, sizeof(*rt));
 
-	if (rt)
-		eb_rand_seed(&rt->rand, seed);
+	if (!rt)
+		return NULL;
+	eb_rand_seed(&rt->rand, seed);
+	eb_eject_init(&rt->eject);
+	rt->tune = eb_route_tuning_default;
 	return rt;
 }
 
+/* Replaces the constants of the policy. */
+void eb_route_tune(struct eb_route *rt, const struct eb_route_tuning *tn)
+{
+	rt->tune = *tn;
+	rt->eject.eject_permille = tn->eject_permille;
+	rt->eject.ramp_us = tn->ramp_us;
+}
+
 /* Frees a router; NULL is allowed. */
 void eb_route_free(struct eb_route *rt)
 {
 	if (!rt)
 		return;
+	free(rt->slots);
 	free(rt->ups);
 	free(rt);
 }
 
-static int compare_ids(const void *a, const void *b)
+static int compare_tiers(const void *a, const void *b)
 {
 	const struct upstream *x = a, *y = b;
 
+	if (x->info.distance != y->info.distance)
+		return x->info.distance < y->info.distance ? -1 : 1;
 	return (x->info.id > y->info.id) - (x->info.id < y->info.id);
 }
 
+static uint32_t hash(uint32_t id)
+{
+	return id * 2654435761U;
+}
+
 static struct upstream *find(const struct eb_route *rt, uint32_t id)
 {
-	struct upstream key = { .info = { .id = id } };
+	uint32_t i;
 
 	if (!rt->count)
 		return NULL;
-	return bsearch(&key, rt->ups, rt->count, sizeof(key), compare_ids);
+	for (i = hash(id) & rt->slot_mask; rt->slots[i];
+	     i = (i + 1) & rt->slot_mask)
+		if (rt->ups[rt->slots[i] - 1].info.id == id)
+			return &rt->ups[rt->slots[i] - 1];
+	return NULL;
+}
+
+/* Builds the tiers and the index over the new array. */
+static void index_upstreams(struct eb_route *rt)
+{
+	uint32_t i, s;
+	int t = 0;
+
+	for (i = 0; i < rt->count; i++) {
+		while (t <= rt->ups[i].info.distance)
+			rt->first[t++] = i;
+		s = hash(rt->ups[i].info.id) & rt->slot_mask;
+		while (rt->slots[s])
+			s = (s + 1) & rt->slot_mask;
+		rt->slots[s] = i + 1;
+	}
+	while (t <= TIERS)
+		rt->first[t++] = rt->count;
 }
 
 /*
  * Replaces the set of upstreams; what is known of those that stay is kept.
- * Returns EB_ENOMEM, and changes nothing, without memory.
+ * Those that are new to a set that was not empty are ramped up. Returns
+ * EB_ENOMEM, and changes nothing, without memory.
  */
 enum eb_status eb_route_set_upstreams(struct eb_route *rt,
 				      const struct eb_route_upstream *ups,
 				      uint32_t count, int64_t now_us)
 {
 	struct upstream *next = calloc(count ? count : 1, sizeof(*next)), *old;
-	uint32_t i;
+	uint32_t size = 4, i, *slots;
 
-	(void)now_us;
-	if (!next)
+	while (size < 2 * count)
+		size *= 2;
+	slots = calloc(size, sizeof(*slots));
+	if (!next || !slots) {
+		free(next);
+		free(slots);
 		return EB_ENOMEM;
+	}
+	rt->eject.total = count;
+	rt->eject.out = 0;
 	for (i = 0; i < count; i++) {
 		old = find(rt, ups[i].id);
 		if (old)
 			next[i] = *old;
+		else if (rt->count)
+			eb_eject_ramp(&rt->eject, &next[i].eject, now_us);
 		next[i].info = ups[i];
+		if (next[i].info.distance >= TIERS)
+			next[i].info.distance = EB_DISTANCE_FAR;
+		if (!next[i].info.slots)
+			next[i].info.slots = 1;
+		if (next[i].eject.phase == EB_EJECT_OUT)
+			rt->eject.out++;
 	}
-	qsort(next, count, sizeof(*next), compare_ids);
+	qsort(next, count, sizeof(*next), compare_tiers);
 	free(rt->ups);
+	free(rt->slots);
 	rt->ups = next;
+	rt->slots = slots;
+	rt->slot_mask = size - 1;
 	rt->count = count;
+	index_upstreams(rt);
 	return EB_OK;
 }
 
+static int64_t mean_us(const struct eb_route *rt)
+{
+	return rt->service_us ? rt->service_us : SERVICE_FIRST_US;
+}
+
+/* Expected wait for a slot when `load` requests are ahead. */
+static int64_t wait_us(int64_t service_us, int64_t load_permille,
+		       uint32_t slots)
+{
+	int64_t x = (load_permille + 1000) / slots;
+
+	if (x <= 1000)
+		return service_us * x * x / 1000 * x / 1000 * x / 1000 /
+		       (2000 * (int64_t)slots);
+	return service_us / (2 * slots) + service_us * (x - 1000) / 1000;
+}
+
+/* Requests at the upstream, in thousandths, from what is known now. */
+static int64_t load_permille(const struct eb_route *rt,
+			     const struct upstream *up, int64_t now_us)
+{
+	int64_t scale_us = rt->tune.report_age_times * mean_us(rt);
+	int64_t age_us = now_us - up->report_at_us;
+	int64_t fresh = (int64_t)(up->reported + up->sent) * 1000;
+	int64_t usual = (int64_t)rt->load_permille * up->info.slots;
+	int64_t own = (int64_t)up->in_flight * 1000, load;
+
+	if (!up->report_at_us || !scale_us || age_us > EXPIRY_US)
+		load = usual;
+	else
+		load = (fresh * scale_us + usual * age_us) /
+		       (scale_us + age_us);
+	return load > own ? load : own;
+}
+
+/* Delay that the sender's own observations add to an upstream's score. */
+static int64_t penalty_us(const struct eb_route *rt, const struct upstream *up,
+			  int64_t now_us)
+{
+	int64_t mean = mean_us(rt), x;
+	int64_t sum = ERROR_TIMES * mean * up->eject.error_permille / 1000;
+
+	if (up->hold_until_us > now_us)
+		sum += 4 * mean + up->hold_until_us - now_us;
+	if (rt->tune.outlier_times &&
+	    up->latency_us > rt->tune.outlier_times * mean &&
+	    now_us - up->latency_at_us < EXPIRY_US)
+		sum += up->latency_us - mean;
+	if (up->in_flight && up->report_at_us &&
+	    now_us - up->report_at_us > EXPIRY_US)
+		sum += PROBE_TIMES * mean;
+	if (rt->tune.overdue_times && up->in_flight) {
+		x = now_us - up->started_us / up->in_flight -
+		    distance_us[up->info.distance];
+		if (x > rt->tune.overdue_times * mean)
+			sum += x;
+	}
+	return sum;
+}
+
+static int64_t score_us(const struct eb_route *rt, const struct upstream *up,
+			int64_t now_us)
+{
+	int64_t service = mean_us(rt);
+
+	/* A faster upstream shows in its load; a low figure may be false. */
+	if (up->service_us > service && now_us - up->report_at_us < EXPIRY_US)
+		service = up->service_us;
+
+	return distance_us[up->info.distance] + service +
+	       wait_us(service, load_permille(rt, up, now_us), up->info.slots) +
+	       penalty_us(rt, up, now_us);
+}
+
 static int usable(const struct upstream *up, const struct eb_route_query *q)
 {
 	uint32_t i;
@@ -91,34 +290,108 @@
 	return 1;
 }
 
+struct best {
+	struct upstream *up;
+	int64_t score_us;
+};
+
+/*
+ * Scores up to `choices` random upstreams of ups[from..to). An upstream that
+ * is ejected or ramping up is passed over unless its share allows it.
+ */
+static void sample(struct eb_route *rt, uint32_t from, uint32_t to,
+		   uint32_t choices, const struct eb_route_query *q,
+		   int64_t now_us, struct best *best)
+{
+	uint32_t n = to - from, i, at, share;
+	struct upstream *up;
+	int64_t score;
+
+	if (!n)
+		return;
+	at = eb_rand_below(&rt->rand, n);
+	for (i = 0; i < choices && i < n; i++) {
+		/* A small tier is walked, a large one drawn from. */
+		if (n <= 2 * choices)
+			at = (at + 1) % n;
+		else if (i)
+			at = eb_rand_below(&rt->rand, n);
+		up = &rt->ups[from + at];
+		if (up->eject.phase != EB_EJECT_IN) {
+			share = eb_eject_share(&rt->eject, &up->eject, now_us);
+			if (share < 1000 &&
+			    eb_rand_below(&rt->rand, 1000) >= share)
+				continue;
+		}
+		if (!usable(up, q))
+			continue;
+		score = score_us(rt, up, now_us);
+		if (!best->up || score < best->score_us) {
+			best->up = up;
+			best->score_us = score;
+		}
+	}
+}
+
+/* Any upstream that may be used, nearest tier first, ejected or not. */
+static struct upstream *last_resort(struct eb_route *rt,
+				    const struct eb_route_query *q)
+{
+	uint32_t t, n, i, start;
+	struct upstream *up;
+
+	for (t = 0; t < TIERS; t++) {
+		n = rt->first[t + 1] - rt->first[t];
+		start = n ? eb_rand_below(&rt->rand, n) : 0;
+		for (i = 0; i < n; i++) {
+			up = &rt->ups[rt->first[t] + (start + i) % n];
+			if (usable(up, q))
+				return up;
+		}
+	}
+	return NULL;
+}
+
 /*
- * Picks the better of two random upstreams by requests in flight; ties go to
- * the nearer one. Returns EB_ENOTFOUND when none may be used.
+ * Picks the upstream with the least expected time among a few random ones of
+ * each near tier. Other regions are looked at only when there is nothing at
+ * home, or when home refuses and has been refusing. Returns EB_ENOTFOUND when
+ * none may be used.
  */
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
 			     uint32_t *id)
 {
-	const struct upstream *best = NULL, *up;
-	uint32_t i, start, seen = 0;
+	const uint32_t *first = rt->first;
+	struct eb_route_query again = { 0 }; /* none is excluded */
+	struct best best = { NULL, 0 };
+	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
+	int full;
 
-	(void)now_us;
 	if (!rt->count)
 		return EB_ENOTFOUND;
-	start = eb_rand_below(&rt->rand, rt->count);
-	for (i = 0; i < rt->count && seen < 2; i++) {
-		up = &rt->ups[(start + i) % rt->count];
-		if (!usable(up, q))
-			continue;
-		seen++;
-		if (!best || up->in_flight < best->in_flight ||
-		    (up->in_flight == best->in_flight &&
-		     up->info.distance < best->info.distance))
-			best = up;
-	}
-	if (!best)
+	sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_REGION],
+	       rt->tune.choices, q, now_us, &best);
+	sample(rt, first[EB_DISTANCE_REGION], first[EB_DISTANCE_FAR],
+	       rt->tune.choices, q, now_us, &best);
+	if (!best.up || best.score_us > enough)
+		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
+		       2 * rt->tune.choices, q, now_us, &best);
+	/* A refusal for load is no reason to leave a region that has room. */
+	if (q->tried_count && (!best.up || best.score_us > enough))
+		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
+		       rt->tune.choices, &again, now_us, &best);
+	full = q->tried_count && rt->pressure_permille > rt->tune.full_permille;
+	if (!best.up || full)
+		sample(rt, first[EB_DISTANCE_FAR], first[TIERS],
+		       rt->tune.choices, q, now_us, &best);
+	if (!best.up)
+		best.up = last_resort(rt, q);
+	if (!best.up)
 		return EB_ENOTFOUND;
-	*id = best->info.id;
+	rt->stats.picks++;
+	rt->stats.picks_far += best.up->info.distance == EB_DISTANCE_FAR;
+	*id = best.up->info.id;
 	return EB_OK;
 }
 
@@ -127,9 +400,53 @@
 {
 	struct upstream *up = find(rt, id);
 
-	(void)now_us;
-	if (up)
-		up->in_flight++;
+	if (!up)
+		return;
+	up->in_flight++;
+	up->sent++;
+	up->started_us += now_us;
+}
+
+static void learn_latency(struct eb_route *rt, struct upstream *up,
+			  int64_t elapsed_us, int64_t now_us)
+{
+	int64_t us = elapsed_us - distance_us[up->info.distance];
+
+	if (us < 0)
+		us = 0;
+	if (us > UINT32_MAX / 2)
+		us = UINT32_MAX / 2;
+	if (!up->latency_us)
+		up->latency_us = (uint32_t)mean_us(rt);
+	up->latency_us =
+		(uint32_t)(up->latency_us +
+			   (us - up->latency_us) / (1 << LATENCY_SHIFT));
+	up->latency_at_us = now_us;
+	/* One slow upstream must not raise the mean it is compared with. */
+	if (rt->service_us && us > 4 * rt->service_us)
+		us = 4 * rt->service_us;
+	if (!rt->service_us)
+		rt->service_us = us;
+	rt->service_us += (us - rt->service_us) / (1 << MEAN_SHIFT);
+}
+
+/* The gate handed the request back: the upstream does not make progress. */
+static void hold(const struct eb_route *rt, struct upstream *up, int64_t now_us)
+{
+	up->hold_us = up->hold_us ? 2 * up->hold_us : rt->tune.hold_us;
+	if (up->hold_us > HOLD_MAX_US)
+		up->hold_us = HOLD_MAX_US;
+	up->hold_until_us = now_us + up->hold_us;
+}
+
+static int is_failure(const struct eb_route_result *rs)
+{
+	if (rs->outcome == EB_OUTCOME_RAN)
+		return rs->status >= 500;
+	if (rs->outcome == EB_OUTCOME_UNKNOWN)
+		return 1;
+	return rs->reason == EB_REASON_CONNECT ||
+	       rs->reason == EB_REASON_LOST_PEER;
 }
 
 /* Notes how the attempt ended; once for each eb_route_sent(). */
@@ -137,21 +454,74 @@
 		   const struct eb_route_result *rs, int64_t now_us)
 {
 	struct upstream *up = find(rt, id);
+	int refused = rs->outcome == EB_OUTCOME_NOT_RUN, step;
 
-	(void)rs;
-	(void)now_us;
-	if (!up)
+	/* It may have been replaced by a new entry since it was sent. */
+	if (!up || !up->in_flight)
 		return;
-	assert(up->in_flight);
+	up->started_us -=
+		up->in_flight == 1 ? up->started_us : now_us - rs->elapsed_us;
 	up->in_flight--;
+	if (up->info.distance < EB_DISTANCE_FAR) {
+		step = (refused ? 1000 : 0) - (int)rt->pressure_permille;
+		rt->pressure_permille =
+			(uint32_t)((int)rt->pressure_permille +
+				   step / (1 << PRESSURE_SHIFT));
+	}
+	if (is_failure(rs)) {
+		if (eb_eject_result(&rt->eject, &up->eject, 1, now_us))
+			rt->stats.ejections++;
+	} else if (!refused) {
+		eb_eject_result(&rt->eject, &up->eject, 0, now_us);
+		up->hold_us /= 2;
+		learn_latency(rt, up, rs->elapsed_us, now_us);
+	} else if (rs->reason == EB_REASON_QUEUE_FULL) {
+		/* The refusal is believed, whatever the report said. */
+		if (up->reported <= up->info.slots)
+			up->reported = up->info.slots + 1U;
+	} else if (rs->reason == EB_REASON_HANDED_BACK) {
+		hold(rt, up, now_us);
+	}
 }
 
 /* Takes in a load that rode on an answer. */
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us)
 {
-	(void)rt;
-	(void)id;
-	(void)ld;
-	(void)now_us;
+	struct upstream *up = find(rt, id);
+	uint32_t slots = ld->slots ? ld->slots : 1, load;
+
+	if (!up)
+		return;
+	up->reported = (uint32_t)ld->in_flight + ld->queued;
+	up->report_at_us = now_us;
+	up->sent = 0;
+	up->service_us = ld->service_us;
+	load = up->reported * 1000 / slots;
+	if (load > 2000)
+		load = 2000;
+	rt->load_permille = (rt->load_permille * 63 + load) / 64;
+}
+
+/* Forgets what was known of an upstream that has started anew. */
+void eb_route_restarted(struct eb_route *rt, uint32_t id, int64_t now_us)
+{
+	struct upstream *up = find(rt, id);
+
+	if (!up)
+		return;
+	up->service_us = 0;
+	up->latency_us = 0;
+	up->report_at_us = 0;
+	up->hold_us = 0;
+	up->hold_until_us = 0;
+	up->eject.error_permille = 0;
+	eb_eject_ramp(&rt->eject, &up->eject, now_us);
+}
+
+/* Copies the counters. */
+void eb_route_read_stats(const struct eb_route *rt, struct eb_route_stats *out)
+{
+	*out = rt->stats;
+	out->out = rt->eject.out;
 }
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -28,6 +28,28 @@
 	uint8_t leaving;  /* gets no new requests */
 };
 
+/* The constants of the policy; the bench varies them. */
+struct eb_route_tuning {
+	uint32_t choices;
+	int64_t report_age_times; /* 0: load reports are not used */
+	int64_t outlier_times;	  /* 0: own latencies are not used */
+	int64_t overdue_times;	  /* 0: the age of calls is not used */
+	uint32_t hold_us;	  /* 0: no hold after a hand-back */
+	uint32_t full_permille;
+	uint32_t eject_permille; /* over 1000: no ejection */
+	int64_t ramp_us;	 /* 0: no slow start */
+};
+
+extern const struct eb_route_tuning eb_route_tuning_default;
+
+/* Counters of the decisions, for the metrics. */
+struct eb_route_stats {
+	uint64_t picks;
+	uint64_t picks_far; /* in another region */
+	uint64_t ejections;
+	uint32_t out; /* ejected now */
+};
+
 struct eb_route_query {
 	uint64_t caller;
 	int64_t remaining_us;
@@ -47,6 +69,7 @@
 /* One router for each service. */
 struct eb_route *eb_route_new(uint64_t seed);
 void eb_route_free(struct eb_route *rt);
+void eb_route_tune(struct eb_route *rt, const struct eb_route_tuning *tn);
 enum eb_status eb_route_set_upstreams(struct eb_route *rt,
 				      const struct eb_route_upstream *ups,
 				      uint32_t count, int64_t now_us);
@@ -58,5 +81,8 @@
 		   const struct eb_route_result *rs, int64_t now_us);
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us);
+/* The upstream's daemon has a new incarnation: traffic is ramped up. */
+void eb_route_restarted(struct eb_route *rt, uint32_t id, int64_t now_us);
+void eb_route_read_stats(const struct eb_route *rt, struct eb_route_stats *out);
 
 #endif
--- /dev/null
+++ b/tests/test_eb_admit.cc
@@ -0,0 +1,229 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "eb_admit.h"
+}
+
+namespace
+{
+
+constexpr int64_t SERVICE_US = 4000;
+constexpr int64_t FAR_US = 1000000000;
+
+/* A gate that has learnt a service time of SERVICE_US by `now`. */
+struct gate {
+	eb_admit *ad;
+	int64_t now = 0;
+
+	explicit gate(uint32_t slots, uint32_t queue = 64)
+	{
+		eb_admit_config cf = { slots, queue };
+
+		ad = eb_admit_new(&cf);
+		for (int i = 0; i < 10; i++) {
+			offer(0);
+			now += SERVICE_US;
+			eb_admit_done(ad, 0, SERVICE_US, now);
+		}
+	}
+	~gate()
+	{
+		eb_admit_free(ad);
+	}
+	eb_admit_action offer(uint64_t id, uint8_t attempt = 0,
+			      int64_t deadline_us = FAR_US)
+	{
+		eb_admit_request rq = {};
+		eb_admit_action act;
+
+		rq.id = id;
+		rq.attempt = attempt;
+		rq.deadline_us = deadline_us;
+		eb_admit_offer(ad, &rq, now, &act);
+		return act;
+	}
+	std::vector<eb_admit_action> next()
+	{
+		std::vector<eb_admit_action> all;
+		eb_admit_action act;
+
+		while (eb_admit_next(ad, now, &act))
+			all.push_back(act);
+		return all;
+	}
+	void fill(uint32_t n)
+	{
+		for (uint32_t i = 0; i < n; i++)
+			EXPECT_EQ(EB_ADMIT_RUN, offer(100 + i).verdict);
+	}
+};
+
+/* Guards against more requests at the upstream than it has slots. */
+TEST(Admit, SlotsAreNeverExceeded)
+{
+	gate g(4);
+	eb_load ld;
+
+	for (uint64_t i = 0; i < 20; i++)
+		g.offer(i, 3);
+	g.next();
+	eb_admit_load(g.ad, &ld);
+	EXPECT_EQ(4, ld.in_flight);
+	EXPECT_EQ(16, ld.queued);
+}
+
+struct wait_case {
+	uint8_t attempt;
+	uint32_t least, most; /* requests that may wait at 4 slots */
+};
+
+/* Guards against a wait that is longer than a detour, and endless detours. */
+TEST(Admit, LaterAttemptsWaitLonger)
+{
+	const wait_case cases[] = { { 0, 1, 4 }, { 1, 5, 16 }, { 3, 64, 64 } };
+
+	for (const wait_case &c : cases) {
+		gate g(4);
+		uint32_t n = 0;
+
+		g.fill(4);
+		while (g.offer(n, c.attempt).verdict == EB_ADMIT_WAIT)
+			n++;
+		EXPECT_GE(n, c.least) << (int)c.attempt;
+		EXPECT_LE(n, c.most) << (int)c.attempt;
+	}
+}
+
+/* Guards against a refusal that does not tell when to come back. */
+TEST(Admit, RefusalForLoadHasRetryAfter)
+{
+	gate g(1, 0);
+	eb_admit_action act;
+
+	g.fill(1);
+	act = g.offer(1);
+	EXPECT_EQ(EB_ADMIT_REFUSE, act.verdict);
+	EXPECT_EQ(EB_REASON_QUEUE_FULL, act.reason);
+	EXPECT_GT(act.retry_after_ms, 0u);
+}
+
+/* Guards against requests stuck behind an upstream that has stalled. */
+TEST(Admit, StalledUpstreamHandsBackTheQueue)
+{
+	gate g(4);
+	int64_t wake;
+
+	g.fill(4);
+	g.offer(1);
+	EXPECT_EQ(EB_ADMIT_WAIT, g.offer(2).verdict);
+	EXPECT_TRUE(g.next().empty());
+	wake = eb_admit_wake_us(g.ad, g.now);
+	EXPECT_LE(wake - g.now, 3 * SERVICE_US);
+	g.now = wake;
+	std::vector<eb_admit_action> all = g.next();
+	ASSERT_EQ(2u, all.size());
+	EXPECT_EQ(EB_ADMIT_REFUSE, all[0].verdict);
+	EXPECT_EQ(EB_REASON_HANDED_BACK, all[0].reason);
+	EXPECT_EQ(EB_REASON_HANDED_BACK, g.offer(3).reason);
+}
+
+/* Guards against a last attempt that is handed back and then lost. */
+TEST(Admit, LastAttemptIsNotHandedBack)
+{
+	gate g(4);
+
+	g.fill(4);
+	g.now += 100 * SERVICE_US;
+	EXPECT_EQ(EB_ADMIT_WAIT, g.offer(1, 3).verdict);
+	EXPECT_TRUE(g.next().empty());
+}
+
+/* Guards against a stall that is never seen to be over. */
+TEST(Admit, StalledUpstreamIsTriedAndReturns)
+{
+	gate g(4);
+
+	g.fill(2);
+	g.now += 10 * SERVICE_US;
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(1).verdict);
+	EXPECT_EQ(EB_ADMIT_REFUSE, g.offer(2).verdict);
+	eb_admit_done(g.ad, 1, SERVICE_US, g.now);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(3).verdict);
+}
+
+/* Guards against fast errors that make normal requests look stalled. */
+TEST(Admit, ErrorAnswersDoNotLowerTheServiceTime)
+{
+	gate g(4);
+	eb_load ld;
+
+	for (int i = 0; i < 1000; i++) {
+		g.offer(1);
+		g.now += 100;
+		eb_admit_done(g.ad, 1, 0, g.now);
+	}
+	eb_admit_load(g.ad, &ld);
+	EXPECT_EQ((uint32_t)SERVICE_US, ld.service_us);
+}
+
+/* Guards against running a request whose caller has given up. */
+TEST(Admit, ExpiredRequestsAreRefusedNotRun)
+{
+	gate g(1);
+
+	g.fill(1);
+	EXPECT_EQ(EB_REASON_DEADLINE, g.offer(1, 0, g.now).reason);
+	EXPECT_EQ(EB_ADMIT_WAIT, g.offer(2, 3, g.now + 2 * SERVICE_US).verdict);
+	EXPECT_LE(eb_admit_wake_us(g.ad, g.now), g.now + 2 * SERVICE_US);
+	g.now += 2 * SERVICE_US;
+	std::vector<eb_admit_action> all = g.next();
+	ASSERT_EQ(1u, all.size());
+	EXPECT_EQ(EB_REASON_DEADLINE, all[0].reason);
+}
+
+/* Guards against new work at a leaving upstream, and loss of accepted work. */
+TEST(Admit, DrainingRefusesNewAndRunsWaiting)
+{
+	gate g(1);
+
+	g.fill(1);
+	g.offer(1);
+	eb_admit_drain(g.ad, 1);
+	EXPECT_EQ(EB_REASON_DRAINING, g.offer(2).reason);
+	eb_admit_done(g.ad, 100, SERVICE_US, g.now);
+	std::vector<eb_admit_action> all = g.next();
+	ASSERT_EQ(1u, all.size());
+	EXPECT_EQ(EB_ADMIT_RUN, all[0].verdict);
+}
+
+/* Guards against a cancelled request that still takes a slot. */
+TEST(Admit, CancelledRequestDoesNotRun)
+{
+	gate g(1);
+
+	g.fill(1);
+	g.offer(1);
+	EXPECT_EQ(1, eb_admit_cancel(g.ad, 1));
+	EXPECT_EQ(0, eb_admit_cancel(g.ad, 1));
+	eb_admit_done(g.ad, 100, SERVICE_US, g.now);
+	EXPECT_TRUE(g.next().empty());
+}
+
+/* Guards against full load on an upstream that has just started. */
+TEST(Admit, WarmUpOpensSlotsByDegrees)
+{
+	gate g(8, 0);
+	uint32_t n = 0;
+
+	eb_admit_warm(g.ad, g.now);
+	while (g.offer(n).verdict == EB_ADMIT_RUN)
+		n++;
+	EXPECT_EQ(1u, n);
+	g.now += eb_admit_tuning_default.warm_us;
+	for (uint64_t i = 0; i < 7; i++)
+		EXPECT_EQ(EB_ADMIT_RUN, g.offer(10 + i, 3).verdict);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_eb_eject.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "eb_eject.h"
+}
+
+namespace
+{
+
+struct fleet {
+	eb_eject ej;
+	std::vector<eb_eject_state> ups;
+
+	explicit fleet(size_t n) : ups(n)
+	{
+		eb_eject_init(&ej);
+		ej.total = (uint32_t)n;
+	}
+	int result(size_t up, int failed, int64_t now_us)
+	{
+		return eb_eject_result(&ej, &ups[up], failed, now_us);
+	}
+	uint32_t share(size_t up, int64_t now_us)
+	{
+		return eb_eject_share(&ej, &ups[up], now_us);
+	}
+};
+
+/* Guards against sending on to an upstream that fails in 0.1 ms. */
+TEST(Eject, ThreeErrorsInARowEject)
+{
+	fleet f(6);
+
+	EXPECT_EQ(0, f.result(0, 1, 0));
+	EXPECT_EQ(0, f.result(0, 1, 0));
+	EXPECT_EQ(1, f.result(0, 1, 0));
+	EXPECT_EQ(0u, f.share(0, f.ej.period_us - 1));
+	EXPECT_EQ(1000u, f.share(1, 0));
+}
+
+/* Guards against ejecting an upstream for a few stray errors. */
+TEST(Eject, RareErrorsDoNotEject)
+{
+	fleet f(6);
+
+	for (int i = 0; i < 1000; i++)
+		EXPECT_EQ(0, f.result(0, i % 4 == 0, i));
+}
+
+/* Guards against an ejection that leaves too few to carry the load. */
+TEST(Eject, HalfOfTheUpstreamsStayIn)
+{
+	fleet f(7);
+
+	for (int i = 0; i < 30; i++)
+		for (size_t u = 0; u < 7; u++)
+			f.result(u, u < 5, i);
+	EXPECT_LE(f.ej.out, 3u);
+}
+
+/* Guards against ejecting anyone when the service as a whole fails. */
+TEST(Eject, CommonFailureEjectsNoneForLong)
+{
+	fleet f(6);
+
+	for (int i = 0; i < 1000; i++)
+		for (size_t u = 0; u < 6; u++)
+			f.result(u, 1, i);
+	f.ups[5] = eb_eject_state();
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(0, f.result(5, 1, i));
+}
+
+/* Guards against a stampede to, or a permanent loss of, a recovered one. */
+TEST(Eject, ShareGrowsFromSmallToFull)
+{
+	fleet f(6);
+	int64_t back = f.ej.period_us;
+	uint32_t last = 0;
+
+	for (int i = 0; i < 3; i++)
+		f.result(0, 1, 0);
+	EXPECT_LE(f.share(0, back), 100u);
+	for (int64_t t = back; t <= back + f.ej.ramp_us; t += 1000) {
+		EXPECT_GE(f.share(0, t), last);
+		last = f.share(0, t);
+	}
+	EXPECT_EQ(1000u, last);
+	EXPECT_EQ(0u, f.ej.out);
+}
+
+/* Guards against hammering one that still fails, and against hours out. */
+TEST(Eject, PeriodsDoubleUpToTwoSeconds)
+{
+	fleet f(6);
+	int64_t now = 0, period;
+
+	for (int i = 0; i < 3; i++)
+		f.result(0, 1, now);
+	for (int round = 0; round < 6; round++) {
+		for (period = 0; !f.share(0, now + period);)
+			period += 1000;
+		EXPECT_EQ(500000LL << (round < 2 ? round : 2), period);
+		now += period;
+		for (int i = 0; i < 20; i++)
+			f.result(1, 0, now);
+		EXPECT_EQ(1, f.result(0, 1, now));
+	}
+}
+
+/* Guards against a count of ejected ones that only grows. */
+TEST(Eject, ForgottenUpstreamIsNotCounted)
+{
+	fleet f(6);
+
+	for (int i = 0; i < 3; i++)
+		f.result(0, 1, 0);
+	EXPECT_EQ(1u, f.ej.out);
+	eb_eject_forget(&f.ej, &f.ups[0]);
+	EXPECT_EQ(0u, f.ej.out);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_eb_route.cc
@@ -0,0 +1,319 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <vector>
+
+extern "C" {
+#include "eb_route.h"
+}
+
+namespace
+{
+
+struct router {
+	eb_route *rt = eb_route_new(7);
+	std::vector<eb_route_upstream> ups;
+	int64_t now = 1000000;
+
+	~router()
+	{
+		eb_route_free(rt);
+	}
+	void add(uint32_t id, int distance, int leaving = 0)
+	{
+		eb_route_upstream up = {};
+
+		up.id = id;
+		up.slots = 6;
+		up.distance = (uint8_t)distance;
+		up.leaving = (uint8_t)leaving;
+		ups.push_back(up);
+	}
+	void set()
+	{
+		ASSERT_EQ(EB_OK,
+			  eb_route_set_upstreams(rt, ups.data(),
+						 (uint32_t)ups.size(), now));
+	}
+	uint32_t pick(const std::vector<uint32_t> &tried = {})
+	{
+		eb_route_query q = {};
+		uint32_t id = UINT32_MAX;
+
+		q.tried = tried.data();
+		q.tried_count = (uint32_t)tried.size();
+		q.remaining_us = 1000000;
+		eb_route_pick(rt, &q, now, &id);
+		return id;
+	}
+	std::map<uint32_t, int> picks(int n,
+				      const std::vector<uint32_t> &tried = {})
+	{
+		std::map<uint32_t, int> count;
+
+		while (n--)
+			count[pick(tried)]++;
+		return count;
+	}
+	void done(uint32_t id, int outcome, int reason, int status,
+		  int64_t elapsed_us)
+	{
+		eb_route_result rs = {};
+
+		rs.outcome = (uint8_t)outcome;
+		rs.reason = (uint8_t)reason;
+		rs.status = (uint16_t)status;
+		rs.elapsed_us = elapsed_us;
+		eb_route_sent(rt, id, now - elapsed_us);
+		eb_route_done(rt, id, &rs, now);
+	}
+	void good(uint32_t id, int64_t elapsed_us = 4000)
+	{
+		done(id, EB_OUTCOME_RAN, 0, 200, elapsed_us);
+	}
+	void refuse(uint32_t id, int reason)
+	{
+		done(id, EB_OUTCOME_NOT_RUN, reason, 0, 2000);
+	}
+	void load(uint32_t id, int in_flight, uint32_t service_us = 4000)
+	{
+		eb_load ld = {};
+
+		ld.in_flight = (uint16_t)in_flight;
+		ld.slots = 6;
+		ld.service_us = service_us;
+		eb_route_load(rt, id, &ld, now);
+	}
+};
+
+/* Six upstreams of one failure domain that answer alike. */
+struct even : router {
+	even()
+	{
+		for (uint32_t i = 0; i < 6; i++)
+			add(i, EB_DISTANCE_DOMAIN);
+		set();
+		for (int n = 0; n < 200; n++)
+			for (uint32_t i = 0; i < 6; i++) {
+				good(i);
+				load(i, 2);
+			}
+	}
+};
+
+/* Guards against a pick from nothing and against new work for a leaver. */
+TEST(Route, LeavingAndMissingAreNotPicked)
+{
+	router r;
+
+	EXPECT_EQ(UINT32_MAX, r.pick());
+	r.add(1, EB_DISTANCE_DOMAIN, 1);
+	r.set();
+	EXPECT_EQ(UINT32_MAX, r.pick());
+	r.add(2, EB_DISTANCE_FAR);
+	r.set();
+	EXPECT_EQ(100, r.picks(100)[2]);
+}
+
+/* Guards against an origin that sends everything to one upstream. */
+TEST(Route, EvenUpstreamsShareEvenly)
+{
+	even r;
+
+	for (auto &c : r.picks(6000))
+		EXPECT_NEAR(1000, c.second, 200);
+}
+
+/* Guards against a retry that goes to the upstream that has just failed. */
+TEST(Route, TriedUpstreamsAreAvoided)
+{
+	even r;
+
+	EXPECT_EQ(0u, r.picks(1000, { 2, 3 }).count(2));
+}
+
+/* Guards against a request that fails while an upstream could take it. */
+TEST(Route, TriedUpstreamIsUsedWhenItIsTheOnlyOne)
+{
+	router r;
+
+	r.add(1, EB_DISTANCE_DOMAIN);
+	r.set();
+	EXPECT_EQ(1u, r.pick({ 1 }));
+}
+
+struct slow_case {
+	const char *name;
+	void (*make)(even &r);
+	int most; /* picks of upstream 0 in 6000; its share is 1000 */
+};
+
+/* Guards against traffic to an upstream that the origin knows to be bad. */
+TEST(Route, BadUpstreamGetsLittle)
+{
+	const slow_case cases[] = {
+		{ "reported load", [](even &r) { r.load(0, 12); }, 300 },
+		{ "reported time",
+		  [](even &r) {
+			  for (int i = 0; i < 20; i++)
+				  r.load(0, 2, 80000);
+		  },
+		  100 },
+		{ "slow though it reports idle",
+		  [](even &r) {
+			  for (int i = 0; i < 4; i++) {
+				  r.good(0, 80000);
+				  r.load(0, 0, 500);
+			  }
+		  },
+		  100 },
+		{ "call overdue",
+		  [](even &r) {
+			  eb_route_sent(r.rt, 0, r.now);
+			  r.now += 50000;
+		  },
+		  100 },
+		{ "handed back",
+		  [](even &r) { r.refuse(0, EB_REASON_HANDED_BACK); }, 100 },
+		{ "fast errors",
+		  [](even &r) {
+			  for (int i = 0; i < 3; i++)
+				  r.done(0, EB_OUTCOME_RAN, 0, 500, 100);
+		  },
+		  0 },
+		{ "connection refused",
+		  [](even &r) {
+			  for (int i = 0; i < 3; i++)
+				  r.done(0, EB_OUTCOME_NOT_RUN,
+					 EB_REASON_CONNECT, 0, 100);
+		  },
+		  0 },
+	};
+
+	for (const slow_case &c : cases) {
+		even r;
+
+		c.make(r);
+		EXPECT_LE(r.picks(6000)[0], c.most) << c.name;
+	}
+}
+
+/* Guards against an upstream that was slow once and never gets work again. */
+TEST(Route, KnowledgeOfSlownessExpires)
+{
+	even r;
+
+	for (int i = 0; i < 10; i++) {
+		r.good(0, 80000);
+		r.load(0, 2, 80000);
+	}
+	EXPECT_LE(r.picks(1000)[0], 20);
+	r.now += 2000000;
+	EXPECT_GE(r.picks(1000)[0], 50);
+}
+
+/* Guards against a wave of requests to an upstream that was not heard of. */
+TEST(Route, ExpiredUpstreamIsProbedByOneCall)
+{
+	even r;
+
+	r.now += 2000000;
+	for (uint32_t i = 1; i < 6; i++)
+		r.load(i, 2);
+	eb_route_sent(r.rt, 0, r.now);
+	EXPECT_LE(r.picks(1000)[0], 20);
+}
+
+/* Guards against bytes between regions while the region has room. */
+TEST(Route, HomeRegionIsUsedWhileItHasRoom)
+{
+	even r;
+
+	for (uint32_t i = 10; i < 16; i++)
+		r.add(i, EB_DISTANCE_FAR);
+	r.set();
+	for (uint32_t i = 0; i < 6; i++)
+		r.load(i, 5);
+	for (auto &c : r.picks(1000, { 0 }))
+		EXPECT_LT(c.first, 10u);
+}
+
+/* Guards against refusals at home while other regions have room. */
+TEST(Route, FullHomeRegionSpillsOver)
+{
+	even r;
+
+	for (uint32_t i = 10; i < 16; i++)
+		r.add(i, EB_DISTANCE_FAR);
+	r.set();
+	r.now += 2000000; /* past their slow start */
+	for (int n = 0; n < 50; n++)
+		for (uint32_t i = 0; i < 6; i++) {
+			r.refuse(i, EB_REASON_QUEUE_FULL);
+			r.load(i, 60);
+		}
+	EXPECT_GE(r.pick({ 0 }), 10u);
+}
+
+/* Guards against a stampede to an upstream that is new or has restarted. */
+TEST(Route, NewAndRestartedUpstreamsRampUp)
+{
+	even r;
+
+	r.add(6, EB_DISTANCE_DOMAIN);
+	r.set();
+	eb_route_restarted(r.rt, 0, r.now);
+	std::map<uint32_t, int> early = r.picks(7000);
+	EXPECT_LE(early[6], 150);
+	EXPECT_LE(early[0], 150);
+	r.now += 1100000;
+	for (uint32_t i = 0; i < 7; i++)
+		r.load(i, 2);
+	std::map<uint32_t, int> late = r.picks(7000);
+	EXPECT_GE(late[6], 500);
+	EXPECT_GE(late[0], 500);
+}
+
+/* Guards against counts that go wrong when the set changes under calls. */
+TEST(Route, LateResultOfARemovedUpstreamIsIgnored)
+{
+	even r;
+	eb_route_result rs = {};
+
+	eb_route_sent(r.rt, 5, r.now);
+	r.ups.pop_back();
+	r.set();
+	eb_route_done(r.rt, 5, &rs, r.now);
+	r.add(5, EB_DISTANCE_DOMAIN);
+	r.set();
+	eb_route_done(r.rt, 5, &rs, r.now);
+	EXPECT_NE(UINT32_MAX, r.pick());
+}
+
+/* Guards against a choice that depends on anything but seed and events. */
+TEST(Route, EqualSeedsGiveEqualPicks)
+{
+	even a, b;
+
+	for (int i = 0; i < 1000; i++)
+		EXPECT_EQ(a.pick(), b.pick());
+}
+
+/* Guards against a lost index entry when many upstreams are known. */
+TEST(Route, ThousandUpstreamsAreAllFound)
+{
+	router r;
+	eb_route_stats st;
+
+	for (uint32_t i = 0; i < 1000; i++)
+		r.add(i * 7919, EB_DISTANCE_DOMAIN);
+	r.set();
+	for (const eb_route_upstream &up : r.ups)
+		for (int i = 0; i < 3; i++)
+			r.done(up.id, EB_OUTCOME_RAN, 0, 500, 100);
+	eb_route_read_stats(r.rt, &st);
+	EXPECT_GT(st.ejections, 0u);
+	EXPECT_LE(st.out, 500u);
+}
+
+} // namespace
