gate, origin: use the measured admission and retry policy

Cause: with one upstream of two dead, 41 to 90 of 100 reads were refused as not run: the router kept choosing the dead one until the retry budget was spent.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -20,7 +20,6 @@
 #define STATUS_TIMEOUT_S 2
 /* A gap between two turns that says that the process was stopped. */
 #define PAUSE_US 1000000
-/* Announcements that this daemon leaves, in case one is lost. */
 #define IDLE_WAIT_MS 100
 
 enum query_kind { QUERY_STATUS, QUERY_DRAIN };
@@ -365,6 +364,7 @@
 	} while (more && co->turn_us - co->tick_us < EB_CORE_TICK_MS * 1000);
 	if (!more)
 		eb_gate_resumed(co->gate, 0);
+	eb_gate_poll(co->gate, co->turn_us);
 	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->turn_us;
 		eb_mesh_tick(co->mesh, sink, co->turn_us);
@@ -381,7 +381,14 @@
 /* Timers need short waits only while there are calls. */
 static int wait_ms(const struct eb_core *co)
 {
-	return co->active ? EB_CORE_TICK_MS : IDLE_WAIT_MS;
+	int64_t wake_us = eb_gate_wake_us(co->gate, co->turn_us);
+	int ms = co->active ? EB_CORE_TICK_MS : IDLE_WAIT_MS;
+
+	if (wake_us - co->turn_us >= ms * 1000)
+		return ms;
+	return wake_us <= co->turn_us
+		       ? 0
+		       : (int)((wake_us - co->turn_us) / 1000 + 1);
 }
 
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -90,7 +90,8 @@
 	uint32_t slots;
 	uint32_t queue;
 	int draining;
-	int resumed; /* requests come from before a pause of this process */
+	int unreachable; /* the upstream refused the last connection */
+	int resumed;	 /* requests come from before a pause of this process */
 	uint64_t next_id;
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
@@ -348,23 +349,45 @@
 	to_origin(gt, ca, f);
 }
 
-/* Frees the slot; a stopped or streamed call says nothing of the speed. */
+/*
+ * Tells admission how fast the upstream is: negative for a call that says
+ * nothing of it, 0 for an error answer, which costs less than a real one.
+ */
+static int64_t service_sample_us(const struct call *ca, int64_t now_us)
+{
+	if (ca->state == STOPPING || ca->streamed ||
+	    ca->outcome != EB_OUTCOME_RAN)
+		return -1;
+	if (ca->status >= 500)
+		return 0;
+	return now_us - ca->started_us;
+}
+
+/* An upstream that has come back after refusing connections starts cold. */
+static void note_reachable(struct eb_gate *gt, const struct call *ca,
+			   int64_t now_us)
+{
+	if (ca->reason == EB_REASON_CONNECT) {
+		gt->unreachable = 1;
+	} else if (gt->unreachable && ca->outcome == EB_OUTCOME_RAN) {
+		gt->unreachable = 0;
+		eb_admit_warm(gt->admit, now_us);
+	}
+}
+
+/* Frees the slot of a call. */
 static void do_release(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
 		       int64_t now_us)
 {
-	int64_t service_us = now_us - ca->started_us;
-
 	if (f) {
 		ca->outcome = f->reply->outcome;
 		ca->reason = f->reply->reason;
 		ca->status = f->reply->status;
 	}
-	if (ca->state == STOPPING || ca->streamed ||
-	    ca->outcome != EB_OUTCOME_RAN)
-		service_us = -1;
 	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_UPSTREAM_US,
 			   now_us - ca->started_us);
-	eb_admit_done(gt->admit, ca->id, service_us, now_us);
+	eb_admit_done(gt->admit, ca->id, service_sample_us(ca, now_us), now_us);
+	note_reachable(gt, ca, now_us);
 	eb_frame_unref(f);
 }
 
@@ -442,6 +465,18 @@
 	}
 }
 
+/* Carries out what admission decides by time; see the header. */
+void eb_gate_poll(struct eb_gate *gt, int64_t now_us)
+{
+	run_admission(gt, now_us);
+}
+
+/* Returns when admission needs its next turn; see the header. */
+int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us)
+{
+	return eb_admit_wake_us(gt->admit, now_us);
+}
+
 /* ---- Frames ---- */
 
 static struct origin *find_origin(struct eb_gate *gt, uint64_t incarnation,
@@ -548,6 +583,7 @@
 			rq.caller = f->head->caller;
 			rq.deadline_us = ca->deadline_us;
 			rq.idempotent = f->head->idempotent;
+			rq.attempt = f->head->attempt;
 			eb_admit_offer(gt->admit, &rq, now_us, &ca->verdict);
 			if (ca->verdict.verdict == EB_ADMIT_WAIT)
 				eb_metrics_add(gt->config.metrics,
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -49,6 +49,10 @@
 			 const struct eb_back_route *back, int64_t now_us);
 void eb_gate_from_client(struct eb_gate *gt, struct eb_frame *f,
 			 int64_t now_us);
+/* Carries out admission decisions that are due by time. */
+void eb_gate_poll(struct eb_gate *gt, int64_t now_us);
+/* When eb_gate_poll() must be called at the latest, or INT64_MAX. */
+int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us);
 void eb_gate_tick(struct eb_gate *gt, int64_t now_us);
 void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld);
 uint32_t eb_gate_active(const struct eb_gate *gt);
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -268,7 +268,7 @@
 		return NULL;
 	free(f->head->upstream);
 	f->head->upstream = strdup(n->name);
-	f->head->attempt = ca->attempts;
+	f->head->attempt = eb_retry_mark(&ca->service->retry, ca->attempts);
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->hops = ca->hops;
@@ -466,6 +466,8 @@
 	note_reply(ca, f->reply);
 	if (f->type == EB_FRAME_REND)
 		ca->status = status;
+	if (ca->status < 500)
+		eb_retry_success(&ca->service->retry);
 	eb_metrics_observe(og->config.metrics, EB_HISTOGRAM_CALL_US,
 			   now_us - ca->started_us);
 	to_front(og, ca, f);
--- a/tests/test_eb_trace.cc
+++ b/tests/test_eb_trace.cc
@@ -76,7 +76,9 @@
 	eb_trace_format(&tid, out);
 	EXPECT_EQ(good, out);
 	eb_trace_new_trace(&tid);
-	eb_trace_new_span(tid.span);
+	eb_rand rn = { 1 };
+
+	eb_trace_new_span(&rn, tid.span);
 	eb_trace_format(&tid, out);
 	EXPECT_EQ(0, eb_trace_parse(out, &tid)) << out;
 }
