--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -149,15 +149,18 @@
 		eb_gate_from_origin(co->gate, f, back, co->turn_us);
 }
 
-static void on_lost(void *ctx, struct eb_peer *pr)
+static void on_lost(void *ctx, struct eb_peer *pr, int restarted)
 {
 	struct eb_core *co = ctx;
 	struct eb_node *n = eb_nodes_get(co->nodes, pr->user);
 
 	eb_log_write(co->config.log, EB_LOG_WARN, "core", "peer lost",
-		     "upstream=%s address=%s", n->name, pr->address);
+		     "upstream=%s address=%s restarted=%d", n->name,
+		     pr->address, restarted);
 	n->draining = 0;
 	eb_origin_lost(co->origin, pr->user, co->turn_us);
+	if (restarted)
+		eb_nodes_restarted(co->nodes, pr->user, co->turn_us);
 }
 
 static void on_up(void *ctx, struct eb_peer *pr)
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -353,7 +353,7 @@
 		return;
 	if (pr->incarnation && pr->incarnation != f->sender) {
 		eb_metrics_add(ms->metrics, EB_METRIC_PEERS_LOST, 1);
-		sink->lost(sink->ctx, pr);
+		sink->lost(sink->ctx, pr, 1);
 	}
 	pr->incarnation = f->sender;
 	pr->up = 1;
@@ -603,7 +603,7 @@
 				pr->up = 0;
 				eb_metrics_add(ms->metrics,
 					       EB_METRIC_PEERS_LOST, 1);
-				sink->lost(sink->ctx, pr);
+				sink->lost(sink->ctx, pr, 0);
 			}
 			reconnect(pr, now_us);
 		}
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -44,8 +44,8 @@
 	/* `pr` is set for an answer of a peer, else `back` is. */
 	void (*frame)(void *ctx, struct eb_frame *f, struct eb_peer *pr,
 		      const struct eb_back_route *back);
-	/* The peer is silent or has another incarnation: calls are lost. */
-	void (*lost)(void *ctx, struct eb_peer *pr);
+	/* The peer is silent or was restarted: calls there are lost. */
+	void (*lost)(void *ctx, struct eb_peer *pr, int restarted);
 	/* The peer answers; it may be used from now on. */
 	void (*up)(void *ctx, struct eb_peer *pr);
 	void *ctx;
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -322,20 +322,37 @@
 	return st;
 }
 
-/* Passes a change of one node on to the router of its service. */
-void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+/* Returns the state of the node's service if it is in use. */
+static struct eb_service_state *service_of(const struct eb_nodes *nd,
+					   const struct eb_node *n)
 {
-	struct eb_node *n = eb_nodes_get(nd, id);
 	struct eb_service_state *sv;
 
 	if (!n || !n->present)
-		return;
+		return NULL;
 	sv = apr_hash_get(nd->services, n->info->service_name,
 			  APR_HASH_KEY_STRING);
-	if (sv && sv->dialled_us)
+	return sv && sv->dialled_us ? sv : NULL;
+}
+
+/* Passes a change of one node on to the router of its service. */
+void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_service_state *sv = service_of(nd, eb_nodes_get(nd, id));
+
+	if (sv)
 		refresh(nd, sv, now_us);
 }
 
+/* Makes the router forget what it knew of a node, which starts cold. */
+void eb_nodes_restarted(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_service_state *sv = service_of(nd, eb_nodes_get(nd, id));
+
+	if (sv)
+		eb_route_restarted(sv->route, id, now_us);
+}
+
 /*
  * Takes in one line of the platform's list of VMs, which lags: a VM that it
  * calls leaving gets no new requests.
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -50,6 +50,8 @@
 					  int64_t now_us);
 /* To be called when a node has come up, gone, or is leaving. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+/* The daemon of a node has started anew. */
+void eb_nodes_restarted(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 void eb_nodes_note_vm(struct eb_nodes *nd, const char *address, int leaving,
 		      int64_t now_us);
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
