--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 LIB := $(B)/libebonypier.a
 STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
-TEST_HELP := $(B)/tests/harness.o
+TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o
 TESTS := $(patsubst tests/%.cc,$(B)/tests/%,$(wildcard tests/test_*.cc) \
 	$(wildcard tests/it_*.cc))
 C_FILES := $(wildcard src/*.c src/*.h standins/*.c standins/*.h bench/*.c \
@@ -99,7 +99,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -Ibench -o $@ $< $(LIB) $(LDLIBS)
 
-$(B)/tests/harness.o: tests/harness.cc $(wildcard tests/*.h)
+$(B)/tests/harness.o $(B)/tests/history.o: $(B)/tests/%.o: tests/%.cc
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
