wire: refuse nested and oversized arrays before unpacking

Cause: msgpack allocates what an array declares before it reads the elements, so a message of five bytes reserved gigabytes; jansson gave line -1 for an empty note.

--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -872,10 +872,14 @@
 				bytes, EB_RELEASE_NOTE_MAX_BYTES);
 		return NULL;
 	}
+	if (!bytes) {
+		eb_findings_add(fs, source, 0, "note", "it is empty");
+		return NULL;
+	}
 	js = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &error);
 	if (!js)
-		eb_findings_add(fs, source, error.line, "note", "%s",
-				error.text);
+		eb_findings_add(fs, source, error.line > 0 ? error.line : 0,
+				"note", "%s", error.text);
 	return js;
 }
 
@@ -889,7 +893,7 @@
 	json_error_t error;
 	json_t *js;
 
-	if (bytes > EB_RELEASE_NOTE_MAX_BYTES)
+	if (!bytes || bytes > EB_RELEASE_NOTE_MAX_BYTES)
 		return eb_release_parse(source, text, bytes, fs);
 	js = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &error);
 	if (js || json_error_code(&error) != json_error_duplicate_key) {
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -6,6 +6,8 @@
 #define COMMON_FIELDS 5
 #define HEAD_FIELDS 16
 #define REPLY_FIELDS 12
+/* The most fields that a frame of any type has. */
+#define FIELDS_MAX (COMMON_FIELDS + 2 + HEAD_FIELDS)
 
 struct reader {
 	const msgpack_object *items;
@@ -263,6 +265,91 @@
 	return EB_OK;
 }
 
+/* The form of a scalar: its bytes, and how many of them are a length. */
+struct scalar_form {
+	uint8_t bytes;
+	uint8_t length_bytes; /* the length follows the type */
+};
+
+/* Type bytes 0xc0 to 0xdb; one without bytes is not allowed in a frame. */
+static const struct scalar_form scalar_forms[] = {
+	[0x00] = { 1, 0 }, [0x02] = { 1, 0 }, [0x03] = { 1, 0 },
+	[0x04] = { 2, 1 }, [0x05] = { 3, 2 }, [0x06] = { 5, 4 },
+	[0x0a] = { 5, 0 }, [0x0b] = { 9, 0 }, [0x0c] = { 2, 0 },
+	[0x0d] = { 3, 0 }, [0x0e] = { 5, 0 }, [0x0f] = { 9, 0 },
+	[0x10] = { 2, 0 }, [0x11] = { 3, 0 }, [0x12] = { 5, 0 },
+	[0x13] = { 9, 0 }, [0x19] = { 2, 1 }, [0x1a] = { 3, 2 },
+	[0x1b] = { 5, 4 },
+};
+
+static uint32_t read_big_endian(const uint8_t *p, uint32_t n)
+{
+	uint32_t value = 0;
+
+	while (n--)
+		value = value << 8 | *p++;
+	return value;
+}
+
+/*
+ * Returns the size of the scalar at `p`, or 0 for a container, an extension
+ * or a value that is longer than the message.
+ */
+static size_t scalar_bytes(const uint8_t *p, size_t left)
+{
+	const struct scalar_form *fm;
+	size_t size;
+
+	if (!left)
+		return 0;
+	if (*p <= 0x7f || *p >= 0xe0)
+		return 1;
+	if (*p >= 0xa0 && *p <= 0xbf) {
+		size = 1U + (*p & 0x1f);
+		return size <= left ? size : 0;
+	}
+	if (*p < 0xc0 || *p > 0xdb)
+		return 0;
+	fm = &scalar_forms[*p - 0xc0];
+	if (!fm->bytes || fm->bytes > left)
+		return 0;
+	size = fm->bytes + (size_t)read_big_endian(p + 1, fm->length_bytes);
+	return size <= left ? size : 0;
+}
+
+/*
+ * Returns 1 for exactly one array of at most FIELDS_MAX scalars. msgpack
+ * allocates what an array declares before it reads the elements, so a message
+ * of a few bytes could otherwise take gigabytes.
+ */
+static int check_shape(const uint8_t *p, size_t n)
+{
+	const uint8_t *end = p + n;
+	uint32_t count;
+	size_t size;
+
+	if (!n)
+		return 0;
+	if ((*p & 0xf0) == 0x90) {
+		count = *p & 0x0f;
+		p++;
+	} else if (*p == 0xdc && n >= 3) {
+		count = read_big_endian(p + 1, 2);
+		p += 3;
+	} else {
+		return 0;
+	}
+	if (count > FIELDS_MAX)
+		return 0;
+	for (; count; count--) {
+		size = scalar_bytes(p, (size_t)(end - p));
+		if (!size)
+			return 0;
+		p += size;
+	}
+	return p == end;
+}
+
 /*
  * Decodes one message from a peer into a new frame. Returns EB_EPARSE for
  * anything that is not exactly one frame of this version, and EB_EFULL for a
@@ -277,6 +364,8 @@
 
 	if (n > EB_MESSAGE_MAX_BYTES)
 		return EB_EFULL;
+	if (!check_shape(bytes, n))
+		return EB_EPARSE;
 	msgpack_unpacked_init(&up);
 	if (msgpack_unpack_next(&up, bytes, n, &off) !=
 		    MSGPACK_UNPACK_SUCCESS ||
--- a/tests/test_eb_release.cc
+++ b/tests/test_eb_release.cc
@@ -188,6 +188,7 @@
 	{ "not JSON",
 	  "{\n,}",
 	  { "n:2: note: string or '}' expected near ','" } },
+	{ "empty", "", { "n:0: note: it is empty" } },
 	{ "not an object", "\n[]", { "n:2: note: expected an object" } },
 	{ "no fields",
 	  "{}",
