release: sorted indexes in place of hsearch

Change: eb_names.c, an index of the few names and addresses of the note, is searched while the base is walked once; new items are merged into the sorted base. eb_config_match() compares prefixes in one pass.

--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -215,12 +215,15 @@
  */
 static int64_t match_prefix(const char *prefix, const char *path)
 {
-	size_t n = strlen(prefix);
+	size_t n = 0;
 
+	while (prefix[n] && prefix[n] == path[n])
+		n++;
+	/* Only a slash at its end may be missing in the path. */
+	if (prefix[n] && (prefix[n] != '/' || prefix[n + 1]))
+		return -1;
 	while (n && prefix[n - 1] == '/')
 		n--;
-	if (strncmp(prefix, path, n) != 0)
-		return -1;
 	if (path[n] && path[n] != '/' && path[n] != '?' && path[n] != '#')
 		return -1;
 	return (int64_t)n;
--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -1,7 +1,6 @@
 #include "eb_release.h"
 
 #include <assert.h>
-#include <search.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -9,6 +8,7 @@
 #include "eb_check.h"
 #include "eb_fields.h"
 #include "eb_lines.h"
+#include "eb_names.h"
 
 #define AT(type, member) offsetof(struct type, member)
 
@@ -367,50 +367,56 @@
 	}
 }
 
-/* Returns the change of a name in the table, after adding `add` if new. */
-static struct change *lookup(struct note *nt, struct hsearch_data *table,
-			     const char *name, struct change *add)
+/* Reports a change whose name came before in the sorted index. */
+static void find_repeated(struct note *nt, enum eb_item_kind kind,
+			  const struct eb_names *names)
 {
-	ENTRY query = { (char *)name, add }, *found = NULL;
+	struct change *ch;
+	size_t i;
 
-	if (!hsearch_r(query, add ? ENTER : FIND, &found, table)) {
-		nt->failed |= add != NULL;
-		return NULL;
+	for (i = 1; i < names->count; i++) {
+		ch = names->items[i].data;
+		ch->repeated = !strcmp(names->items[i - 1].text, ch->name);
+		if (ch->repeated)
+			report_change(nt, kind, ch, NULL,
+				      "\"%s\" appears twice in this note",
+				      ch->name);
 	}
-	return found->data;
 }
 
-/* Gives each change the item of the base that it names. */
+/*
+ * Gives each change the item of the base that it names, and takes over the
+ * other items in their order. The index holds the names of the note, which
+ * are few, since a note comes every few seconds and the base is large.
+ */
 static void match_base(struct note *nt, enum eb_item_kind kind,
 		       const void *items, uint32_t count)
 {
 	struct item *const *list = items;
 	struct list *ls = &nt->lists[kind];
-	struct hsearch_data table = { 0 };
+	struct eb_names names;
+	struct eb_name *nm;
 	struct change *ch;
 	size_t i;
 
-	if (!hcreate_r(ls->change_count * 2 + 1, &table)) {
+	if (eb_names_init(&names, ls->change_count)) {
 		nt->failed = 1;
 		return;
 	}
-	for (i = 0; i < ls->change_count; i++) {
-		ch = &ls->changes[i];
-		ch->repeated = lookup(nt, &table, ch->name, ch) != ch;
-		if (ch->repeated)
-			report_change(nt, kind, ch, NULL,
-				      "\"%s\" appears twice in this note",
-				      ch->name);
-	}
+	for (i = 0; i < ls->change_count; i++)
+		eb_names_add(&names, ls->changes[i].name, &ls->changes[i]);
+	eb_names_sort(&names);
+	find_repeated(nt, kind, &names);
 	for (i = 0; i < count; i++) {
-		ch = lookup(nt, &table, list[i]->name, NULL);
+		nm = eb_names_find(&names, list[i]->name);
+		ch = nm ? nm->data : NULL;
 		if (ch)
 			ch->base = list[i];
 		if (!ch || ch->section == ADDED)
 			ls->entries[ls->count++].item =
 				eb_config_item_ref(list[i]);
 	}
-	hdestroy_r(&table);
+	eb_names_clear(&names);
 }
 
 /* Creates the item of a change that adds or changes. */
@@ -500,12 +506,39 @@
 	return order ? order : compare_names(a, b);
 }
 
+/*
+ * Sorts the entries, of which the first `old` are in order already. Returns
+ * -1 without memory.
+ */
+static int sort_entries(struct list *ls, uint32_t old,
+			int (*compare)(const void *x, const void *y))
+{
+	struct list_item *added, *en = ls->entries;
+	uint32_t count = ls->count - old, i = old, j = count, k = ls->count;
+
+	if (!count)
+		return 0;
+	added = calloc(count, sizeof(*added));
+	if (!added)
+		return -1;
+	memcpy(added, en + old, count * sizeof(*added));
+	qsort(added, count, sizeof(*added), compare);
+	while (j) {
+		if (i && compare(&en[i - 1], &added[j - 1]) > 0)
+			en[--k] = en[--i];
+		else
+			en[--k] = added[--j];
+	}
+	free(added);
+	return 0;
+}
+
 /* Reads the changes of one kind and lists the items of the next version. */
 static void build_list(struct note *nt, enum eb_item_kind kind)
 {
 	struct list *ls = &nt->lists[kind];
 	struct eb_path at = { NULL, "added", 0 };
-	uint32_t count;
+	uint32_t count, old;
 	const void *items = base_items(nt, kind, &count);
 	size_t i;
 
@@ -516,13 +549,16 @@
 		return;
 	}
 	match_base(nt, kind, items, count);
+	old = ls->count;
 	for (i = 0; i < ls->change_count && !nt->failed; i++)
 		make_item(nt, kind, &ls->changes[i]);
 	if (ls->count > eb_kinds[kind].max)
 		report(nt, &at, "more than %u %s", eb_kinds[kind].max,
 		       eb_kinds[kind].plural);
-	qsort(ls->entries, ls->count, sizeof(*ls->entries),
-	      kind == EB_ITEM_UPSTREAM ? compare_upstreams : compare_plain);
+	if (sort_entries(ls, old,
+			 kind == EB_ITEM_UPSTREAM ? compare_upstreams
+						  : compare_plain))
+		nt->failed = 1;
 }
 
 static const struct list_item *find_entry(const struct list *ls,
@@ -573,6 +609,7 @@
 	const struct list *upstreams = &nt->lists[EB_ITEM_UPSTREAM];
 	const struct eb_service *sv;
 	const struct eb_upstream *up;
+	const char *known = NULL;
 	uint32_t i;
 
 	for (i = 0; i < services->count; i++) {
@@ -582,8 +619,15 @@
 	}
 	for (i = 0; i < upstreams->count; i++) {
 		up = upstreams->entries[i].item;
+		/* Sorted by service: most have that of the one before. */
+		if (known && up->service_name &&
+		    !strcmp(known, up->service_name))
+			continue;
 		check_reference(nt, EB_ITEM_UPSTREAM, &upstreams->entries[i],
 				"service", EB_ITEM_SERVICE, up->service_name);
+		known = NULL;
+		if (up->service_name && find_entry(services, up->service_name))
+			known = up->service_name;
 	}
 }
 
@@ -620,41 +664,62 @@
 	}
 }
 
+/* Reports that an upstream of the note has an address of another one. */
+static void report_address(struct note *nt, const struct list_item *en,
+			   const char *key, const struct item *other)
+{
+	report_change(nt, EB_ITEM_UPSTREAM, en->change, key,
+		      "the same as of upstream \"%s\"",
+		      other->name ? other->name : "");
+}
+
+/* Compares the indexed addresses of the note with each other and the rest. */
+static void compare_addresses(struct note *nt, const char *key, size_t offset,
+			      const struct eb_names *names)
+{
+	const struct list *ls = &nt->lists[EB_ITEM_UPSTREAM];
+	const struct list_item *en;
+	const struct eb_name *nm;
+	size_t i;
+
+	for (i = 1; i < names->count; i++) {
+		nm = &names->items[i];
+		if (strcmp(nm[-1].text, nm->text) != 0)
+			continue;
+		en = eb_names_find(names, nm->text)->data;
+		report_address(nt, nm->data, key, en->item);
+	}
+	for (i = 0; i < ls->count && names->count; i++) {
+		en = &ls->entries[i];
+		if (en->change)
+			continue;
+		nm = eb_names_find(names,
+				   *(char **)((char *)en->item + offset));
+		if (nm)
+			report_address(nt, nm->data, key, en->item);
+	}
+}
+
 /* Checks that no two upstreams share an address of the given field. */
 static void check_addresses(struct note *nt, const char *key, size_t offset)
 {
-	const struct list *ls = &nt->lists[EB_ITEM_UPSTREAM];
-	struct hsearch_data table = { 0 };
-	ENTRY query, *found;
-	const struct item *other;
-	uint32_t i, pass;
-	char *text;
+	struct list *ls = &nt->lists[EB_ITEM_UPSTREAM];
+	struct eb_names names;
+	const char *text;
+	uint32_t i;
 
-	if (!hcreate_r((size_t)ls->count * 2 + 1, &table)) {
+	if (eb_names_init(&names, ls->change_count)) {
 		nt->failed = 1;
 		return;
 	}
-	/* Untouched upstreams first, so that the finding is in this note. */
-	for (pass = 0; pass < 2; pass++)
-		for (i = 0; i < ls->count; i++) {
-			text = *(char **)((char *)ls->entries[i].item + offset);
-			if (!text || (ls->entries[i].change != NULL) != pass)
-				continue;
-			query.key = text;
-			query.data = ls->entries[i].item;
-			if (!hsearch_r(query, ENTER, &found, &table)) {
-				nt->failed = 1;
-				continue;
-			}
-			other = found->data;
-			if (other == ls->entries[i].item || !pass)
-				continue;
-			report_change(nt, EB_ITEM_UPSTREAM,
-				      ls->entries[i].change, key,
-				      "the same as of upstream \"%s\"",
-				      other->name ? other->name : "");
-		}
-	hdestroy_r(&table);
+	for (i = 0; i < ls->count; i++) {
+		text = *(char **)((char *)ls->entries[i].item + offset);
+		if (text && ls->entries[i].change)
+			eb_names_add(&names, text, &ls->entries[i]);
+	}
+	eb_names_sort(&names);
+	compare_addresses(nt, key, offset, &names);
+	eb_names_clear(&names);
 }
 
 /* Moves the items of a list into an array of the configuration. */
