--- a/tests/test_eb_trace.cc
+++ b/tests/test_eb_trace.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 extern "C" {
+#include "eb_rand.h"
 #include "eb_trace.h"
 }
 
@@ -70,14 +71,14 @@
 TEST(Trace, FormatGivesWhatWasParsed)
 {
 	eb_trace_id tid = {};
+	eb_rand rn;
 	char out[56];
 
 	ASSERT_EQ(0, eb_trace_parse(good.c_str(), &tid));
 	eb_trace_format(&tid, out);
 	EXPECT_EQ(good, out);
 	eb_trace_new_trace(&tid);
-	eb_rand rn = { 1 };
-
+	eb_rand_seed(&rn, 7);
 	eb_trace_new_span(&rn, tid.span);
 	eb_trace_format(&tid, out);
 	EXPECT_EQ(0, eb_trace_parse(out, &tid)) << out;
