--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -438,6 +438,15 @@
 	return ok;
 }
 
+/* Adds a header of the request to a JSON object. */
+static enum MHD_Result add_header(void *cls, enum MHD_ValueKind kind,
+				  const char *name, const char *value)
+{
+	(void)kind;
+	json_object_set_new(cls, name, json_string(value ? value : ""));
+	return MHD_YES;
+}
+
 /* Answers with a JSON on the request that was read. */
 static enum MHD_Result answer_json(struct call *c, unsigned status)
 {
@@ -445,7 +454,7 @@
 	const char *key = header(c->cn, "Idempotency-Key");
 	struct MHD_Response *rs;
 	char sum[17];
-	json_t *js;
+	json_t *js, *headers;
 	char *text;
 
 	snprintf(sum, sizeof(sum), "%016llx",
@@ -454,6 +463,12 @@
 		       "length", (json_int_t)c->bytes, "checksum", sum, "nonce",
 		       nonce ? nonce : "", "key", key ? key : "", "executions",
 		       (int)c->executions);
+	if (js && standin_query(c->cn, "headers", 0)) {
+		headers = json_object();
+		MHD_get_connection_values(c->cn, MHD_HEADER_KIND, add_header,
+					  headers);
+		json_object_set_new(js, "headers", headers);
+	}
 	text = js ? json_dumps(js, JSON_COMPACT) : NULL;
 	json_decref(js);
 	if (!text)
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -86,7 +86,13 @@
 	return text;
 }
 
-/* Parses JSON and returns a member of the object as text. */
+int64_t to_number(const std::string &text)
+{
+	return text.empty() ? 0 : strtoll(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
 std::string json_member(const std::string &text, const std::string &member)
 {
 	json_t *js = json_loads(text.c_str(), JSON_DECODE_ANY, nullptr);
@@ -105,13 +111,6 @@
 	return out;
 }
 
-int64_t to_number(const std::string &text)
-{
-	return text.empty() ? 0 : strtoll(text.c_str(), nullptr, 10);
-}
-
-} // namespace
-
 std::string temp_dir()
 {
 	static TempDir dir;
@@ -710,9 +709,27 @@
 	return to_number(json_member(json_member(runs(true), "keys"), key));
 }
 
+std::string Member::last_run() const
+{
+	json_t *js = json_loads(runs().c_str(), 0, nullptr);
+	json_t *list = json_object_get(js, "runs");
+	char *text = json_dumps(json_array_get(list, json_array_size(list) - 1),
+				JSON_COMPACT);
+	std::string out = text ? text : "";
+
+	free(text);
+	json_decref(js);
+	return out;
+}
+
+HttpAnswer Member::admin(const std::string &path) const
+{
+	return http_get("http://" + loopback(admin_port) + path);
+}
+
 double Member::metric(const std::string &name) const
 {
-	HttpAnswer a = http_get("http://" + loopback(admin_port) + "/metrics");
+	HttpAnswer a = admin("/metrics");
 	std::istringstream in(a.body);
 	std::string line, head = "ebonypier_" + name + " ";
 
@@ -833,8 +850,9 @@
 			"{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i}", "name",
 			m.name.c_str(), "service", m.service.c_str(), "address",
 			loopback(m.upstream_port).c_str(), "daemon",
-			loopback(m.daemon_port).c_str(), "region",
-			m.region.c_str(), "failure_domain",
+			loopback(m.relay_port ? m.relay_port : m.daemon_port)
+				.c_str(),
+			"region", m.region.c_str(), "failure_domain",
 			m.failure_domain.c_str(), "slots", (int)options.slots,
 			"connections", (int)options.connections);
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -101,11 +101,21 @@
 	std::string checksum;
 	long connects = 0; /* connections opened for this request */
 
+	/* Whether it is a complete answer with this status. */
+	bool complete(long wanted) const
+	{
+		return !code && status == wanted;
+	}
 	/* The last value of a header, or "". Names ignore case. */
 	std::string header(const std::string &name) const;
 	bool has(const std::string &name) const;
 	/* A member of a JSON object in the body, as text, or "". */
 	std::string json(const std::string &member) const;
+	/* The header Ebonypier-Outcome. */
+	std::string outcome() const
+	{
+		return header("Ebonypier-Outcome");
+	}
 };
 
 /* An HTTP client that keeps its connections; use it from one thread. */
@@ -169,6 +179,9 @@
 /* The status of an answer in text form, or 0. */
 int raw_status(const std::string &answer);
 
+/* A member of a JSON object as text, or "". */
+std::string json_member(const std::string &text, const std::string &member);
+
 struct KeyPair {
 	std::string public_key;
 	std::string secret_key;
@@ -211,6 +224,8 @@
 	uint16_t upstream_control_port = 0;
 	uint16_t listen_port = 0;
 	uint16_t daemon_port = 0;
+	/* In the release note instead of daemon_port; 0: none. */
+	uint16_t relay_port = 0;
 	uint16_t admin_port = 0;
 	KeyPair keys;
 	std::unique_ptr<Process> upstream;
@@ -225,8 +240,12 @@
 	/* The upstream's record; see GET /control/runs. */
 	std::string runs(bool summary = false) const;
 	int64_t runs_count(const std::string &field) const;
+	/* The last run at the upstream, as JSON. */
+	std::string last_run() const;
 	/* Executions of a key at this upstream. */
 	int64_t executions(const std::string &key) const;
+	/* A page of the daemon's admin port. */
+	HttpAnswer admin(const std::string &path) const;
 	/* A metric of the daemon, without the prefix `ebonypier_`. */
 	double metric(const std::string &name) const;
 };
