route: a request that every upstream refused waits at one of them

Change: the query says that the last attempt was refused for load, and then upstreams may be picked again. Also: charts refuse a fifth word and overlong lines, traceparent flags and version are read as hexadecimal, platform answers with duplicate fields are refused, empty header names are refused.

--- a/src/eb_chart.c
+++ b/src/eb_chart.c
@@ -22,6 +22,7 @@
 	char event[NAME_BYTES];
 	char next[NAME_BYTES];
 	char action[NAME_BYTES];
+	char rest[2]; /* anything past the fourth word */
 };
 
 static uint32_t count_names(const char *const *names)
@@ -114,13 +115,17 @@
 		end = strchrnul(p, '\n');
 		line++;
 		n = (size_t)(end - p);
-		if (n >= sizeof(buf))
-			n = sizeof(buf) - 1;
+		if (n >= sizeof(buf)) {
+			if (!wildcards)
+				eb_findings_add(fs, source, line, "transition",
+						"the line is too long");
+			continue;
+		}
 		memcpy(buf, p, n);
 		buf[n] = 0;
 		buf[strcspn(buf, "#")] = 0;
-		got = sscanf(buf, "%39s %39s -> %39s %39s", ln.state, ln.event,
-			     ln.next, ln.action);
+		got = sscanf(buf, "%39s %39s -> %39s %39s %1s", ln.state,
+			     ln.event, ln.next, ln.action, ln.rest);
 		if (got <= 0)
 			continue;
 		if (got != 4) {
--- a/src/eb_headers.c
+++ b/src/eb_headers.c
@@ -25,14 +25,16 @@
 }
 
 /*
- * Appends a header. Returns EB_EFULL past EB_HEADERS_MAX_BYTES or
- * EB_HEADERS_MAX_COUNT, or EB_ENOMEM.
+ * Appends a header. Returns EB_EINVAL for an empty name, EB_EFULL past
+ * EB_HEADERS_MAX_BYTES or EB_HEADERS_MAX_COUNT, or EB_ENOMEM.
  */
 enum eb_status eb_headers_add(struct eb_headers *hs, const char *name,
 			      const char *value)
 {
 	size_t n = strlen(name) + 1, v = strlen(value) + 1;
 
+	if (n == 1)
+		return EB_EINVAL;
 	if (n + v > EB_HEADERS_MAX_BYTES ||
 	    hs->used_bytes + n + v > EB_HEADERS_MAX_BYTES ||
 	    hs->count == EB_HEADERS_MAX_COUNT)
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -373,19 +373,5 @@
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
 				    const struct eb_service_state *sv)
 {
-	static const struct eb_rule defaults = {
-		.refs = 1,
-		.name = "default",
-		.retry_permille = 100,
-		.queue = 64,
-		.watch_bytes_per_s = 2048,
-		.claims = 1,
-		.idempotent_methods = "GET HEAD OPTIONS PUT DELETE TRACE",
-	};
-	uint32_t rule;
-
-	if (sv->index == EB_NONE)
-		return &defaults;
-	rule = nd->config->services[sv->index]->rule;
-	return rule == EB_NONE ? &defaults : nd->config->rules[rule];
+	return eb_config_rule(nd->config, sv->index);
 }
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -328,6 +328,8 @@
 	q.idempotent = ca->idempotent;
 	q.remaining_us = ca->deadline_us - now_us;
 	q.tried = ca->tried;
+	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
+				     ca->reason == EB_REASON_HANDED_BACK);
 	while (ca->tried_count < EB_TRIED_MAX) {
 		q.tried_count = ca->tried_count;
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -189,8 +189,8 @@
 	curl_multi_remove_handle(pl->multi, ft->easy);
 	ft->busy = 0;
 	if (!rc && status == 200)
-		root = json_loadb(ft->body ? ft->body : "", ft->used_bytes, 0,
-				  NULL);
+		root = json_loadb(ft->body ? ft->body : "", ft->used_bytes,
+				  JSON_REJECT_DUPLICATES, NULL);
 	if (root)
 		bad = is_notes ? take_notes(pl, root) : take_vms(pl, root);
 	json_decref(root);
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -387,6 +387,9 @@
 		       rt->tune.choices, q, now_us, &best);
 	if (!best.up)
 		best.up = last_resort(rt, q);
+	/* Where all have refused for load, the request waits at one of them. */
+	if (!best.up && q->refused)
+		best.up = last_resort(rt, &again);
 	if (!best.up)
 		return EB_ENOTFOUND;
 	rt->stats.picks++;
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -54,6 +54,7 @@
 	uint64_t caller;
 	int64_t remaining_us;
 	uint8_t idempotent;
+	uint8_t refused;       /* the last attempt was refused for load */
 	const uint32_t *tried; /* ids that are not picked again */
 	uint32_t tried_count;
 };
--- a/src/eb_trace.c
+++ b/src/eb_trace.c
@@ -121,17 +121,24 @@
 	tid->sampled = 1;
 }
 
+/* Reads `n` bytes of lower-case hexadecimal digits. */
 static int read_hex(const char *text, uint32_t n, uint8_t *out)
 {
 	size_t got = 0;
 	uint32_t i;
 
 	for (i = 0; i < n * 2; i++)
-		if (!strchr("0123456789abcdef", text[i]) || !text[i])
+		if (!text[i] || !strchr("0123456789abcdef", text[i]))
 			return -1;
-	if (sodium_hex2bin(out, n, text, (size_t)n * 2, NULL, &got, NULL))
+	return sodium_hex2bin(out, n, text, (size_t)n * 2, NULL, &got, NULL);
+}
+
+/* Reads an identifier, which is not all zero. */
+static int read_id(const char *text, uint32_t n, uint8_t *out)
+{
+	if (read_hex(text, n, out) || sodium_is_zero(out, n))
 		return -1;
-	return sodium_is_zero(out, n) ? -1 : 0;
+	return 0;
 }
 
 /*
@@ -142,14 +149,17 @@
 {
 	const char *p = traceparent;
 	size_t n = strlen(p);
+	uint8_t version, flags;
 
 	if (n < 55 || p[2] != '-' || p[35] != '-' || p[52] != '-')
 		return -1;
-	if (!strncmp(p, "ff", 2) || (!strncmp(p, "00", 2) && n != 55))
+	if (read_hex(p, 1, &version) || read_hex(p + 53, 1, &flags))
+		return -1;
+	if (version == 0xff || (!version && n != 55))
 		return -1;
-	if (read_hex(p + 3, 16, tid->trace) || read_hex(p + 36, 8, tid->span))
+	if (read_id(p + 3, 16, tid->trace) || read_id(p + 36, 8, tid->span))
 		return -1;
-	tid->sampled = p[54] & 1;
+	tid->sampled = flags & 1;
 	return 0;
 }
 
