retry: a refused request below the last mark is offered once more

Cause: with re-routes out, a burst of 24 callers on one far upstream with 6 slots still had 90 to 175 of 3000 requests refused as not run.

--- a/bench/routing.c
+++ b/bench/routing.c
@@ -608,6 +608,7 @@
 	at.reason = jb->reason;
 	at.idempotent = 1;
 	at.attempts = jb->attempts;
+	at.mark = jb->mark;
 	at.remaining_us = jb->arrived_us + DEADLINE_US - sm->now_us;
 	return eb_retry_allow(&o->retry, &at);
 }
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -66,6 +66,7 @@
 	uint32_t tried[EB_TRIED_MAX];
 	uint8_t tried_count;
 	uint8_t attempts;
+	uint8_t mark; /* that the last attempt carried to its gate */
 	uint8_t state;
 	uint8_t streamed;
 	uint8_t body_done;
@@ -441,6 +442,7 @@
 	at.reason = ca->reason;
 	at.idempotent = ca->idempotent;
 	at.attempts = ca->attempts;
+	at.mark = ca->mark;
 	at.remaining_us = ca->deadline_us - now_us;
 	ca->state = ROUTING;
 	if (eb_retry_allow(&ca->service->retry, &at)) {
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -79,7 +79,12 @@
 		return 0;
 	if (at->outcome != EB_OUTCOME_NOT_RUN && !at->idempotent)
 		return 0;
-	if (is_refusal(at))
-		return pay(&rb->reroute_tokens);
-	return pay(&rb->tokens);
+	if (!is_refusal(at))
+		return pay(&rb->tokens);
+	/*
+	 * Past the budget, a refused request is offered once more with the
+	 * last mark, so that it may wait in a queue. Without this, a burst on
+	 * a service with one upstream was refused while the queue had room.
+	 */
+	return pay(&rb->reroute_tokens) || at->mark < EB_ATTEMPTS_MAX - 1;
 }
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -21,6 +21,7 @@
 	uint8_t reason;	 /* enum eb_reason */
 	uint8_t idempotent;
 	uint8_t attempts;  /* made so far */
+	uint8_t mark;	   /* that the last one carried; eb_retry_mark() */
 	uint8_t body_sent; /* a body that cannot be sent again has begun */
 	int64_t remaining_us;
 };
