claim: at-most-once claims on idempotency keys

Cause: a non-idempotent request that is resent through another daemon must not run twice, with no shared store, no disks and daemons that may be killed, replaced, paused or cut off. Change: eb_claim (claimant at the origin, chart claim.chart), eb_holder (grants, stored responses, copying after a restart or a change of holders), and their parts: eb_claim_set (rendezvous hashing over 256 slots), eb_claim_slot (which copies a slot needs before it grants), eb_claim_table, eb_claim_wire and eb_claim_out. Tests with tables of cases and generated histories on a simulated network.

--- /dev/null
+++ b/src/eb_claim.h
@@ -0,0 +1,115 @@
+#ifndef EB_CLAIM_H
+#define EB_CLAIM_H
+
+#include "eb_claim_out.h"
+#include "eb_frame.h"
+
+/*
+ * Claims on idempotency keys at the origin: a request with a key runs only
+ * after a majority of the key's holders have granted it. Pure: the caller
+ * passes payloads, events and the monotonic time, and carries out actions.
+ */
+struct eb_claim;
+
+#define EB_CLAIM_ACTIVE_MAX 4096
+/* Calls at this origin that wait for the result of another one. */
+#define EB_CLAIM_JOINED_MAX 16
+/* Time between two messages to a holder that has not answered. */
+#define EB_CLAIM_RETRY_MS 50
+/* The same while another claim has the key. */
+#define EB_CLAIM_CONTEND_MS 15
+/* A claim yields to one of higher rank after this long without a majority. */
+#define EB_CLAIM_YIELD_MS 100
+/* Longest pause before a claim that yielded asks again. */
+#define EB_CLAIM_BACKOFF_MAX_MS 500
+/* Without a majority and without another claim: refused as not run. */
+#define EB_CLAIM_QUORUM_WAIT_MS 3000
+/* Longest wait for the result of another claim. */
+#define EB_CLAIM_RESULT_WAIT_MS 30000
+/*
+ * Grants older than this do not start a run; far below the retention, so that
+ * a paused origin never runs a claim that its holders have forgotten.
+ */
+#define EB_CLAIM_RUN_WINDOW_MS 10000
+/* Messages of a finished claim that no holder acknowledges. */
+#define EB_CLAIM_SETTLE_TRIES 30
+
+enum eb_claim_action_kind {
+	EB_CLAIM_RUN = 1,	/* grant: run this call now */
+	EB_CLAIM_ANSWER_STORED, /* answer with the response of the first run */
+	EB_CLAIM_REFUSE,	/* answer with refusal and outcome */
+};
+
+/* Why a call with a key was refused; the status is a proposal. */
+enum eb_claim_refusal {
+	EB_CLAIM_REFUSAL_NONE = 0,
+	EB_CLAIM_REFUSAL_MISMATCH,  /* 422: key used with another request */
+	EB_CLAIM_REFUSAL_BUSY,	    /* 409: another run may be in progress */
+	EB_CLAIM_REFUSAL_NO_QUORUM, /* 503: holders out of reach */
+	EB_CLAIM_REFUSAL_FULL,	    /* 503: a bound was reached */
+	EB_CLAIM_REFUSAL_LOST,	    /* 409: result of the run unknown */
+	EB_CLAIM_REFUSAL_LARGE,	    /* 409: ran; response not stored */
+	EB_CLAIM_REFUSAL_NOT_RUN,   /* 503: the first call was not run */
+	EB_CLAIM_REFUSAL_MAX = EB_CLAIM_REFUSAL_NOT_RUN,
+};
+
+struct eb_claim_action {
+	uint8_t kind;
+	uint8_t refusal;
+	uint8_t outcome; /* enum eb_outcome */
+	uint16_t status; /* of a refusal */
+	uint32_t retry_after_ms;
+	uint64_t call;
+	/* For EB_CLAIM_ANSWER_STORED; eb_claim_action_clear() frees it. */
+	struct eb_claim_response response;
+};
+
+struct eb_claim_config {
+	uint64_t incarnation;
+	uint64_t seed;
+	uint32_t test_majority;		 /* tests only: grants that suffice */
+	uint8_t test_ignore_generations; /* tests only */
+};
+
+struct eb_claim_request {
+	uint64_t call;
+	const char *service;
+	uint8_t key[EB_CLAIM_KEY_BYTES];    /* eb_claim_key() */
+	uint8_t digest[EB_CLAIM_KEY_BYTES]; /* eb_claim_digest() */
+	int64_t deadline_us;
+};
+
+struct eb_claim_counters {
+	uint64_t started;
+	uint64_t joined;
+	uint64_t won;
+	uint64_t yielded;
+	uint64_t answered; /* with a stored response */
+	uint64_t refused[EB_CLAIM_REFUSAL_MAX + 1];
+	uint64_t grants_void; /* of a holder that has restarted since */
+	uint64_t messages_dropped;
+	uint64_t active;
+};
+
+struct eb_claim *eb_claim_new(const struct eb_claim_config *cf);
+void eb_claim_free(struct eb_claim *cl);
+void eb_claim_configure(struct eb_claim *cl, const struct eb_config *cf);
+void eb_claim_start(struct eb_claim *cl, const struct eb_claim_request *rq,
+		    int64_t now_us);
+void eb_claim_ended(struct eb_claim *cl, uint64_t call,
+		    enum eb_claim_state state,
+		    const struct eb_claim_response *rs, int64_t now_us);
+void eb_claim_not_run(struct eb_claim *cl, uint64_t call, int64_t now_us);
+void eb_claim_cancel(struct eb_claim *cl, uint64_t call, int64_t now_us);
+void eb_claim_recv(struct eb_claim *cl, const char *from,
+		   const struct eb_claim_message *m, int64_t now_us);
+void eb_claim_tick(struct eb_claim *cl, int64_t now_us);
+/* Takes the next action or message; they return 0 when there is none. */
+int eb_claim_next(struct eb_claim *cl, struct eb_claim_action *out);
+int eb_claim_next_send(struct eb_claim *cl, struct eb_claim_send *out);
+void eb_claim_action_clear(struct eb_claim_action *act);
+void eb_claim_read_counters(const struct eb_claim *cl,
+			    struct eb_claim_counters *out);
+const char *eb_claim_refusal_name(unsigned refusal);
+
+#endif
--- /dev/null
+++ b/src/eb_claim_slot.h
@@ -0,0 +1,110 @@
+#ifndef EB_CLAIM_SLOT_H
+#define EB_CLAIM_SLOT_H
+
+#include "eb_claim_wire.h"
+
+/* Holder sets and peers that a slot remembers. */
+#define EB_CLAIM_SEEN_MAX 8
+#define EB_CLAIM_KNOWN_MAX 8
+/* Members of all required sets and the set in force. */
+#define EB_CLAIM_PULLS_MAX \
+	((EB_CLAIM_REQUIREMENTS_MAX + 1) * EB_CLAIM_HOLDERS_MAX)
+
+/* The newest generation of another holder that this one has heard of. */
+struct eb_claim_known {
+	uint64_t member;
+	uint64_t generation;
+};
+
+/* A holder set that was in force in this process. */
+struct eb_claim_seen {
+	uint64_t id;
+	uint8_t able;	    /* knew all earlier claims when it ended */
+	uint8_t continuous; /* remembers all that it granted in it */
+};
+
+/*
+ * A set whose claims must be copied before the slot grants. `full`: also the
+ * claims from before that set are missing here. `self`: this daemon
+ * remembers its own grants in the set and counts as one of its members.
+ */
+struct eb_claim_requirement {
+	struct eb_claim_set set;
+	uint8_t full;
+	uint8_t self;
+};
+
+/* The copy from one other daemon. */
+struct eb_claim_pull {
+	uint64_t member;
+	char *name;
+	uint64_t incarnation; /* that the first part came from */
+	int64_t next_us;      /* when to ask (again) */
+	uint8_t cursor[EB_CLAIM_KEY_BYTES];
+	uint8_t tries; /* doublings of the pause before asking again */
+	uint8_t started;
+	uint8_t seen_part; /* masks of the parts so far */
+	uint8_t full_part;
+	uint8_t done;
+	uint8_t seen; /* masks of the complete copy */
+	uint8_t full;
+};
+
+/* What a daemon keeps for each slot of its service. */
+struct eb_claim_slot {
+	struct eb_claim_set set; /* of the configuration in force */
+	uint8_t member;
+	uint8_t able;  /* grants */
+	uint8_t fresh; /* lost its memory while `set` was in force */
+	uint8_t seen_count;
+	uint8_t known_count;
+	uint8_t requirement_count;
+	uint8_t pull_count;
+	/*
+	 * Of this daemon, raised when memory is lost: a count, and below it
+	 * 32 bits of the incarnation, so that two incarnations with the same
+	 * count are told apart and ordered. 0 if memory was never lost.
+	 */
+	uint64_t generation;
+	int64_t open_at_us; /* grants from then on even without copies */
+	struct eb_claim_seen seen[EB_CLAIM_SEEN_MAX];
+	struct eb_claim_known known[EB_CLAIM_KNOWN_MAX];
+	struct eb_claim_requirement requirements[EB_CLAIM_REQUIREMENTS_MAX];
+	struct eb_claim_pull *pulls;
+};
+
+/* Constants of a change of a slot. */
+struct eb_claim_change {
+	uint64_t self;	       /* member of this daemon */
+	uint32_t tag;	       /* of its incarnation, for generations */
+	uint8_t young;	       /* within the retention since the start */
+	int64_t open_start_us; /* for a slot without memory */
+	int64_t open_move_us;  /* for a slot with other holders */
+};
+
+enum eb_status eb_claim_slot_start(struct eb_claim_slot *sl,
+				   const struct eb_claim_set *set,
+				   const struct eb_claim_change *cg);
+enum eb_status eb_claim_slot_move(struct eb_claim_slot *sl,
+				  const struct eb_claim_set *set,
+				  const struct eb_claim_change *cg,
+				  uint64_t *dropped);
+void eb_claim_slot_clear(struct eb_claim_slot *sl);
+void eb_claim_slot_raise(struct eb_claim_slot *sl, uint64_t above,
+			 uint32_t tag);
+void eb_claim_slot_restart_pulls(struct eb_claim_slot *sl);
+struct eb_claim_pull *eb_claim_slot_pull(struct eb_claim_slot *sl,
+					 uint64_t member);
+int eb_claim_slot_satisfied(const struct eb_claim_slot *sl, uint64_t self);
+void eb_claim_slot_open(struct eb_claim_slot *sl, int copied);
+void eb_claim_slot_vouch(const struct eb_claim_slot *sl,
+			 const struct eb_claim_message *ask, uint8_t *seen,
+			 uint8_t *full);
+struct eb_claim_known *eb_claim_slot_known(struct eb_claim_slot *sl,
+					   uint64_t member);
+void eb_claim_slot_generations(const struct eb_claim_slot *sl, uint64_t self,
+			       struct eb_claim_message *m);
+uint64_t eb_claim_slot_learn(struct eb_claim_slot *sl, uint64_t self,
+			     const struct eb_claim_message *m);
+
+#endif
--- /dev/null
+++ b/src/eb_claim_table.h
@@ -0,0 +1,50 @@
+#ifndef EB_CLAIM_TABLE_H
+#define EB_CLAIM_TABLE_H
+
+#include "eb_claim_wire.h"
+
+/* Buckets in each slot; a bucket's entries are sorted by key. */
+#define EB_CLAIM_SLOT_BUCKETS 16
+/* A released entry only keeps late duplicates of its claim out. */
+#define EB_CLAIM_FREE_MS 30000
+
+/* What a holder knows of one key. */
+struct eb_claim_entry {
+	struct eb_claim_entry *next;
+	uint8_t key[EB_CLAIM_KEY_BYTES];
+	uint8_t digest[EB_CLAIM_KEY_BYTES];
+	uint8_t state;
+	struct eb_claim_id claim;
+	int64_t since_us;
+	struct eb_claim_response response; /* owned, in one block */
+};
+
+/* The claims of a holder: bounded in number, bytes and age. */
+struct eb_claim_table {
+	struct eb_claim_entry *buckets[EB_CLAIM_SLOTS * EB_CLAIM_SLOT_BUCKETS];
+	uint32_t count;
+	uint32_t count_max;
+	uint32_t response_bytes;
+	uint32_t response_bytes_max;
+	uint32_t expire_next; /* bucket that is looked at next */
+	int64_t retention_us;
+	uint64_t rejected; /* entries past the maximum */
+	uint64_t dropped;  /* responses that were not stored */
+	uint64_t expired;
+};
+
+void eb_claim_table_clear(struct eb_claim_table *tb);
+struct eb_claim_entry *eb_claim_table_find(struct eb_claim_table *tb,
+					   const uint8_t *key, int64_t now_us);
+struct eb_claim_entry *eb_claim_table_add(struct eb_claim_table *tb,
+					  const uint8_t *key, int64_t now_us);
+void eb_claim_table_store(struct eb_claim_table *tb, struct eb_claim_entry *e,
+			  enum eb_claim_state state,
+			  const struct eb_claim_response *rs);
+struct eb_claim_entry *eb_claim_table_after(struct eb_claim_table *tb,
+					    uint32_t slot, const uint8_t *key,
+					    int64_t now_us);
+void eb_claim_table_expire(struct eb_claim_table *tb, uint32_t buckets,
+			   int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/eb_claim_wire.h
@@ -0,0 +1,105 @@
+#ifndef EB_CLAIM_WIRE_H
+#define EB_CLAIM_WIRE_H
+
+#include <msgpack.h>
+
+#include "eb_claim_set.h"
+
+/* Largest payload of a CLAIM frame; leaves room within a peer's message. */
+#define EB_CLAIM_MESSAGE_MAX_BYTES 131072
+/* A copy is cut into messages of about this size. */
+#define EB_CLAIM_COPY_BYTES 49152
+/* Largest response (headers and body) that a holder stores. */
+#define EB_CLAIM_RESPONSE_MAX_BYTES 4096
+/* Older holder sets that a holder still copies from. */
+#define EB_CLAIM_REQUIREMENTS_MAX 4
+
+enum eb_claim_type {
+	EB_CLAIM_ASK = 1,  /* claimant to holder */
+	EB_CLAIM_ANSWER,   /* holder to claimant, see the verdict */
+	EB_CLAIM_RELEASE,  /* claimant to holder: will never run */
+	EB_CLAIM_COMPLETE, /* claimant to holder: the run has ended */
+	EB_CLAIM_ACK,	   /* holder to claimant */
+	EB_CLAIM_COPY,	   /* holder to holder: send me your claims */
+	EB_CLAIM_COPIED,   /* holder to holder */
+	EB_CLAIM_TYPE_MAX = EB_CLAIM_COPIED,
+};
+
+enum eb_claim_verdict {
+	EB_CLAIM_GRANTED = 1,
+	EB_CLAIM_BUSY,	    /* another claim has the key */
+	EB_CLAIM_STORED,    /* the run has ended, see the state */
+	EB_CLAIM_MISMATCH,  /* the key belongs to another request */
+	EB_CLAIM_FULL,	    /* the holder's table is full */
+	EB_CLAIM_NOT_ABLE,  /* the holder does not grant yet */
+	EB_CLAIM_OTHER_SET, /* the holder has another configuration */
+	EB_CLAIM_STALE,	    /* a newer generation is known */
+	EB_CLAIM_RELEASED,  /* this claim was released before */
+	EB_CLAIM_VERDICT_MAX = EB_CLAIM_RELEASED,
+};
+
+enum eb_claim_state {
+	EB_CLAIM_FREE = 0,  /* released; remembers the last claim */
+	EB_CLAIM_HELD,	    /* granted; a run may be in progress */
+	EB_CLAIM_CONTESTED, /* copies named different claims */
+	EB_CLAIM_LOST,	    /* a run may have happened; result unknown */
+	EB_CLAIM_LARGE,	    /* ran; the response is not stored */
+	EB_CLAIM_DONE,	    /* ran; the response is stored */
+	EB_CLAIM_STATE_MAX = EB_CLAIM_DONE,
+};
+
+/* A stored response; the bytes belong to whoever fills it in. */
+struct eb_claim_response {
+	uint16_t status;
+	uint32_t headers_bytes;
+	uint32_t body_bytes;
+	const uint8_t *headers; /* a block of eb_headers */
+	const uint8_t *body;
+};
+
+/* A claim as it travels in a copy. */
+struct eb_claim_record {
+	uint8_t key[EB_CLAIM_KEY_BYTES];
+	uint8_t digest[EB_CLAIM_KEY_BYTES];
+	uint8_t state;
+	struct eb_claim_id claim;
+	uint32_t age_ms;
+	struct eb_claim_response response;
+};
+
+/* All messages have one layout; a type uses the fields that it needs. */
+struct eb_claim_message {
+	uint8_t type;
+	uint8_t verdict;
+	uint8_t done; /* COPIED: the last part */
+	uint8_t seen; /* COPIED: bit per required set */
+	uint8_t full; /* COPIED: bit per required set */
+	uint8_t members;
+	uint8_t required;
+	uint16_t slot;
+	uint64_t set_id;
+	uint64_t incarnation; /* of the sender */
+	uint64_t generation;
+	struct eb_claim_id other; /* ANSWER: the claim that has the key */
+	/* ANSWER and COPIED: known generations, in the order of the set */
+	uint64_t generations[EB_CLAIM_HOLDERS_MAX];
+	uint64_t required_ids[EB_CLAIM_REQUIREMENTS_MAX];
+	uint8_t cursor[EB_CLAIM_KEY_BYTES]; /* last key of the previous part */
+	struct eb_claim_record record;	    /* key, digest, claim, response */
+	uint32_t records;		    /* COPIED */
+	msgpack_unpacked unpacked; /* owns what a decoded one refers to */
+	const msgpack_object *items;
+};
+
+enum eb_status eb_claim_encode(const struct eb_claim_message *m,
+			       const struct eb_claim_record *records,
+			       msgpack_sbuffer *out);
+enum eb_status eb_claim_decode(const void *bytes, size_t n,
+			       struct eb_claim_message *m);
+void eb_claim_record_at(const struct eb_claim_message *m, uint32_t i,
+			struct eb_claim_record *rc);
+void eb_claim_message_clear(struct eb_claim_message *m);
+/* Whether a payload is meant for the holder; else for the claimant. */
+int eb_claim_for_holder(const struct eb_claim_message *m);
+
+#endif
--- /dev/null
+++ b/src/eb_holder.h
@@ -0,0 +1,74 @@
+#ifndef EB_HOLDER_H
+#define EB_HOLDER_H
+
+#include "eb_claim_out.h"
+#include "eb_claim_table.h"
+
+/*
+ * The holder of claims on idempotency keys: grants each key to one claim,
+ * stores how its run ended, and copies claims from other holders after a
+ * restart or a change of holders, before it grants. Pure: see eb_claim.h.
+ */
+struct eb_holder;
+
+/*
+ * Entries, responses and time that a holder keeps: about 35 MB at most, 22 MB
+ * of which hold responses. A longer retention needs more entries.
+ */
+#define EB_HOLDER_ENTRIES_MAX 65536
+#define EB_HOLDER_RESPONSES_MAX_BYTES (22 << 20)
+#define EB_HOLDER_RETENTION_MS 600000
+/*
+ * Without copies, new holders also wait this long for daemons that have not
+ * received the configuration yet and still grant by the older one.
+ */
+#define EB_HOLDER_CONFIG_LAG_MS 60000
+
+struct eb_holder_config {
+	const char *name; /* of the upstream of this daemon */
+	uint64_t incarnation;
+	int64_t retention_us;	      /* 0: EB_HOLDER_RETENTION_MS */
+	int64_t config_lag_us;	      /* 0: EB_HOLDER_CONFIG_LAG_MS */
+	uint32_t entries_max;	      /* 0: EB_HOLDER_ENTRIES_MAX */
+	uint32_t responses_max_bytes; /* 0: EB_HOLDER_RESPONSES_MAX_BYTES */
+	uint8_t test_grant_at_once;   /* tests only: grants without copies */
+};
+
+struct eb_holder_counters {
+	uint64_t granted;
+	uint64_t busy;
+	uint64_t mismatched;
+	uint64_t table_full;
+	uint64_t not_able;
+	uint64_t other_set;
+	uint64_t stored;
+	uint64_t conflicts; /* two runs were reported for one key */
+	uint64_t copies_sent;
+	uint64_t copies_done;
+	uint64_t opened_by_time; /* slots that opened without copies */
+	uint64_t requirements_dropped;
+	uint64_t bad_messages;
+	uint64_t messages_dropped;
+	uint64_t entries;
+	uint64_t response_bytes;
+	uint64_t responses_dropped;
+	uint64_t expired;
+};
+
+struct eb_holder *eb_holder_new(const struct eb_holder_config *cf);
+void eb_holder_free(struct eb_holder *ho);
+enum eb_status eb_holder_configure(struct eb_holder *ho,
+				   const struct eb_config *was,
+				   const struct eb_config *cf, int64_t now_us);
+void eb_holder_recv(struct eb_holder *ho, const char *from,
+		    const struct eb_claim_message *m, int64_t now_us);
+void eb_holder_tick(struct eb_holder *ho, int64_t now_us);
+/* Takes the next message to send; returns 0 when there is none. */
+int eb_holder_next(struct eb_holder *ho, struct eb_claim_send *out);
+void eb_holder_read_counters(const struct eb_holder *ho,
+			     struct eb_holder_counters *out);
+/* Slots that this daemon holds, and those of them that grant. */
+void eb_holder_slots(const struct eb_holder *ho, uint32_t *held,
+		     uint32_t *able);
+
+#endif
--- /dev/null
+++ b/tests/test_eb_holder.cc
@@ -0,0 +1,496 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <set>
+
+#include "claim_world.h"
+
+namespace
+{
+
+struct letter {
+	std::string from, to, payload;
+	uint8_t type;
+};
+
+/* Three holders and two origins; the test decides what is delivered. */
+struct table_net {
+	test_config before{ {} }, after{ { 0, 1, 2 } };
+	std::map<std::string, eb_holder *> holders;
+	std::map<std::string, eb_claim *> origins;
+	std::deque<letter> letters;
+	std::map<std::string, std::vector<eb_claim_action>> actions;
+	int64_t now_us = 0;
+
+	explicit table_net(bool ignore_generations = false)
+	{
+		for (int i = 0; i < 3; i++)
+			start("u" + std::to_string(i), 10 + i, true);
+		for (int i = 0; i < 2; i++) {
+			eb_claim_config cc{};
+
+			cc.incarnation = i + 1;
+			cc.test_ignore_generations = ignore_generations;
+			std::string name = i ? "B" : "A";
+			origins[name] = eb_claim_new(&cc);
+			eb_claim_configure(origins[name], &after.cf);
+		}
+		settle();
+	}
+	~table_net()
+	{
+		for (auto &h : holders)
+			eb_holder_free(h.second);
+		for (auto &o : origins)
+			eb_claim_free(o.second);
+		for (auto &l : actions)
+			for (auto &a : l.second)
+				eb_claim_action_clear(&a);
+	}
+	void start(const std::string &name, uint64_t incarnation, bool genesis)
+	{
+		eb_holder_config hc{};
+
+		eb_holder_free(holders[name]);
+		hc.name = name.c_str();
+		hc.incarnation = incarnation;
+		holders[name] = eb_holder_new(&hc);
+		if (genesis)
+			eb_holder_configure(holders[name], nullptr, &before.cf,
+					    now_us);
+		eb_holder_configure(holders[name],
+				    genesis ? &before.cf : nullptr, &after.cf,
+				    now_us);
+	}
+	void collect(const std::string &from, eb_claim_send &sd)
+	{
+		eb_claim_message m;
+
+		ASSERT_EQ(EB_OK,
+			  eb_claim_decode(sd.payload, sd.payload_bytes, &m));
+		letters.push_back(
+			{ from, sd.to,
+			  std::string((char *)sd.payload, sd.payload_bytes),
+			  m.type });
+		eb_claim_message_clear(&m);
+		eb_claim_send_clear(&sd);
+	}
+	void gather()
+	{
+		eb_claim_send sd;
+		eb_claim_action a;
+
+		for (auto &h : holders)
+			while (eb_holder_next(h.second, &sd))
+				collect(h.first, sd);
+		for (auto &o : origins) {
+			while (eb_claim_next_send(o.second, &sd))
+				collect(o.first, sd);
+			while (eb_claim_next(o.second, &a))
+				actions[o.first].push_back(a);
+		}
+	}
+	void deliver(const letter &l)
+	{
+		eb_claim_message m;
+
+		ASSERT_EQ(EB_OK, eb_claim_decode(l.payload.data(),
+						 l.payload.size(), &m));
+		if (eb_claim_for_holder(&m))
+			eb_holder_recv(holders[l.to], l.from.c_str(), &m,
+				       now_us);
+		else
+			eb_claim_recv(origins[l.to], l.from.c_str(), &m,
+				      now_us);
+		eb_claim_message_clear(&m);
+		gather();
+	}
+	/* Delivers all letters that match, also those that result. */
+	void pump(const std::function<bool(const letter &)> &match)
+	{
+		gather();
+		for (size_t i = 0; i < letters.size();) {
+			letter l = letters[i];
+
+			if (!match(l)) {
+				i++;
+				continue;
+			}
+			letters.erase(letters.begin() + i);
+			deliver(l);
+		}
+	}
+	void pump_all()
+	{
+		pump([](const letter &) { return true; });
+	}
+	void pump_between(const std::string &a, const std::string &b)
+	{
+		pump([&](const letter &l) {
+			return (l.from == a && l.to == b) ||
+			       (l.from == b && l.to == a);
+		});
+	}
+	/* Lets the holders copy from each other until all are able. */
+	void settle()
+	{
+		for (int i = 0; i < 200; i++) {
+			now_us += 20000;
+			for (auto &h : holders)
+				eb_holder_tick(h.second, now_us);
+			pump([](const letter &l) {
+				return l.type >= EB_CLAIM_COPY;
+			});
+		}
+	}
+	void ask(const std::string &origin, uint64_t call, const char *body)
+	{
+		eb_claim_request rq{};
+
+		rq.call = call;
+		rq.service = "agenda";
+		rq.deadline_us = now_us + 20000000;
+		eb_claim_key("agenda", "k", rq.key);
+		eb_claim_digest("POST", "/", 1, body, strlen(body), rq.digest);
+		eb_claim_start(origins[origin], &rq, now_us);
+		gather();
+	}
+	void tick(int64_t us)
+	{
+		now_us += us;
+		for (auto &o : origins)
+			eb_claim_tick(o.second, now_us);
+		for (auto &h : holders)
+			eb_holder_tick(h.second, now_us);
+		gather();
+	}
+	int runs()
+	{
+		int n = 0;
+
+		for (auto &l : actions)
+			for (auto &a : l.second)
+				n += a.kind == EB_CLAIM_RUN;
+		return n;
+	}
+	void end(const std::string &origin, uint64_t call, eb_claim_state st,
+		 const std::string &body)
+	{
+		eb_claim_response rs{};
+
+		rs.status = 201;
+		rs.body = (const uint8_t *)body.data();
+		rs.body_bytes = body.size();
+		eb_claim_ended(origins[origin], call, st, &rs, now_us);
+		pump_all();
+	}
+};
+
+struct resend_case {
+	const char *name;
+	eb_claim_state ended;
+	size_t body_bytes;
+	const char *body; /* of the resent request */
+	uint8_t kind, refusal, outcome;
+};
+
+/* Guards against a resend that runs again or gets another response. */
+TEST(Claim, ResendThroughAnotherOrigin)
+{
+	const resend_case cases[] = {
+		{ "stored", EB_CLAIM_DONE, 10, "x", EB_CLAIM_ANSWER_STORED,
+		  EB_CLAIM_REFUSAL_NONE, EB_OUTCOME_RAN },
+		{ "empty", EB_CLAIM_DONE, 0, "x", EB_CLAIM_ANSWER_STORED,
+		  EB_CLAIM_REFUSAL_NONE, EB_OUTCOME_RAN },
+		{ "too large", EB_CLAIM_DONE, EB_CLAIM_RESPONSE_MAX_BYTES + 1,
+		  "x", EB_CLAIM_REFUSE, EB_CLAIM_REFUSAL_LARGE,
+		  EB_OUTCOME_RAN },
+		{ "lost", EB_CLAIM_LOST, 0, "x", EB_CLAIM_REFUSE,
+		  EB_CLAIM_REFUSAL_LOST, EB_OUTCOME_UNKNOWN },
+		{ "other body", EB_CLAIM_DONE, 10, "y", EB_CLAIM_REFUSE,
+		  EB_CLAIM_REFUSAL_MISMATCH, EB_OUTCOME_NOT_RUN },
+	};
+
+	for (const resend_case &c : cases) {
+		table_net net;
+		std::string body(c.body_bytes, 'r');
+
+		net.ask("A", 1, "x");
+		net.pump_all();
+		ASSERT_EQ(1, net.runs()) << c.name;
+		net.end("A", 1, c.ended, body);
+		net.ask("B", 2, c.body);
+		net.pump_all();
+		ASSERT_EQ(1u, net.actions["B"].size()) << c.name;
+		const eb_claim_action &a = net.actions["B"][0];
+		EXPECT_EQ(c.kind, a.kind) << c.name;
+		EXPECT_EQ(c.refusal, a.refusal) << c.name;
+		EXPECT_EQ(c.outcome, a.outcome) << c.name;
+		if (c.kind == EB_CLAIM_ANSWER_STORED) {
+			EXPECT_EQ(201, a.response.status);
+			EXPECT_EQ(body, std::string((char *)a.response.body,
+						    a.response.body_bytes));
+		}
+	}
+}
+
+/* Guards against two calls at one origin that both run. */
+TEST(Claim, SecondCallAtTheSameOriginJoins)
+{
+	table_net net;
+
+	net.ask("A", 1, "x");
+	net.ask("A", 2, "x");
+	net.ask("A", 3, "y");
+	net.pump_all();
+	ASSERT_EQ(1, net.runs());
+	net.end("A", 1, EB_CLAIM_DONE, "r");
+	ASSERT_EQ(3u, net.actions["A"].size());
+	EXPECT_EQ(EB_CLAIM_REFUSAL_MISMATCH, net.actions["A"][0].refusal);
+	EXPECT_EQ(EB_CLAIM_ANSWER_STORED, net.actions["A"][2].kind);
+	EXPECT_EQ(2u, net.actions["A"][2].call);
+}
+
+/* Guards against not-run for a key that another origin may be running. */
+TEST(Claim, OutcomeWhenTheWaitEnds)
+{
+	struct {
+		const char *name;
+		bool other_runs, reachable;
+		uint8_t refusal, outcome;
+	} cases[] = {
+		{ "in progress elsewhere", true, true, EB_CLAIM_REFUSAL_BUSY,
+		  EB_OUTCOME_UNKNOWN },
+		{ "no holder answers", false, false, EB_CLAIM_REFUSAL_NO_QUORUM,
+		  EB_OUTCOME_NOT_RUN },
+	};
+
+	for (auto &c : cases) {
+		table_net net;
+
+		if (c.other_runs) {
+			net.ask("A", 1, "x");
+			net.pump_all();
+		}
+		net.ask("B", 2, "x");
+		for (int i = 0; i < 2100; i++) {
+			if (c.reachable)
+				net.pump_all();
+			net.tick(10000);
+		}
+		ASSERT_EQ(1u, net.actions["B"].size()) << c.name;
+		EXPECT_EQ(c.refusal, net.actions["B"][0].refusal) << c.name;
+		EXPECT_EQ(c.outcome, net.actions["B"][0].outcome) << c.name;
+		/* Late grants must not start a run after the refusal. */
+		net.pump_all();
+		EXPECT_EQ(c.other_runs ? 1 : 0, net.runs()) << c.name;
+	}
+}
+
+/* Guards against a key that stays blocked after a run that never began. */
+TEST(Claim, NotRunFreesTheKey)
+{
+	table_net net;
+
+	net.ask("A", 1, "x");
+	net.pump_all();
+	eb_claim_not_run(net.origins["A"], 1, net.now_us);
+	net.pump_all();
+	net.ask("B", 2, "x");
+	net.pump_all();
+	EXPECT_EQ(2, net.runs());
+}
+
+/*
+ * A grant that a holder gave before its restart must not count together with
+ * one that was given after the restarted holder copied. Without the check of
+ * generations this history has two runs.
+ */
+TEST(Claim, GrantFromBeforeARestartIsVoid)
+{
+	for (bool ignore : { false, true }) {
+		table_net net(ignore);
+
+		net.ask("A", 1, "x");
+		net.pump_between("A", "u0");
+		net.start("u0", 20, false);
+		net.settle();
+		net.pump([](const letter &l) {
+			return l.from == "A" && l.to == "u1";
+		});
+		net.ask("B", 2, "x");
+		net.pump_between("B", "u0");
+		net.pump_between("B", "u2");
+		ASSERT_EQ(1, net.runs());
+		net.pump_between("A", "u1");
+		EXPECT_EQ(ignore ? 2 : 1, net.runs());
+	}
+}
+
+/* Guards against grants of a restarted holder before it has copied. */
+TEST(Holder, RestartedHolderCopiesFirst)
+{
+	table_net net;
+	uint32_t held, able;
+
+	net.ask("A", 1, "x");
+	net.pump_all();
+	net.end("A", 1, EB_CLAIM_DONE, "r");
+	net.start("u0", 20, false);
+	eb_holder_slots(net.holders["u0"], &held, &able);
+	EXPECT_EQ((uint32_t)EB_CLAIM_SLOTS, held);
+	EXPECT_EQ(0u, able);
+	net.settle();
+	eb_holder_slots(net.holders["u0"], &held, &able);
+	EXPECT_EQ(held, able);
+	net.ask("B", 2, "x");
+	net.pump_between("B", "u0");
+	ASSERT_EQ(1u, net.actions["B"].size());
+	EXPECT_EQ(EB_CLAIM_ANSWER_STORED, net.actions["B"][0].kind);
+}
+
+/* Guards against granting while two of three holders lost their memory. */
+TEST(Holder, TwoRestartsWaitForTheRetention)
+{
+	table_net net;
+	uint32_t held, able;
+
+	net.start("u0", 20, false);
+	net.start("u1", 21, false);
+	net.settle();
+	eb_holder_slots(net.holders["u0"], &held, &able);
+	EXPECT_EQ(0u, able);
+	for (int i = 0; i <= EB_HOLDER_RETENTION_MS / 1000; i++)
+		net.tick(1000000);
+	eb_holder_slots(net.holders["u0"], &held, &able);
+	EXPECT_EQ(held, able);
+}
+
+/* Guards against a table or response store that grows without bound. */
+TEST(Holder, BoundsAreKept)
+{
+	eb_claim_table *tb = new eb_claim_table();
+	uint8_t key[EB_CLAIM_KEY_BYTES] = { 0 };
+	eb_claim_response rs{};
+	eb_claim_entry *e;
+
+	tb->count_max = 10;
+	tb->response_bytes_max = 25;
+	tb->retention_us = 1000;
+	rs.body = (const uint8_t *)"0123456789";
+	rs.body_bytes = 10;
+	for (int i = 0; i < 12; i++) {
+		key[15] = i;
+		e = eb_claim_table_add(tb, key, 0);
+		ASSERT_EQ(i < 10, e != nullptr) << i;
+		if (!e)
+			continue;
+		eb_claim_table_store(tb, e, EB_CLAIM_DONE, &rs);
+		EXPECT_EQ(i < 2 ? EB_CLAIM_DONE : EB_CLAIM_LARGE, e->state);
+	}
+	EXPECT_EQ(2u, tb->rejected);
+	EXPECT_EQ(8u, tb->dropped);
+	EXPECT_EQ(nullptr, eb_claim_table_find(tb, key, 1000));
+	EXPECT_NE(nullptr, eb_claim_table_add(tb, key, 1000));
+	EXPECT_EQ(1u, tb->count);
+	eb_claim_table_clear(tb);
+	EXPECT_EQ(0u, tb->response_bytes);
+	delete tb;
+}
+
+/* Guards against holder sets that are small, repeat or ignore domains. */
+TEST(Holder, SetsSpreadOverFailureDomains)
+{
+	for (int size : { 1, 2, 3, 6, 19, 20, 30 }) {
+		std::vector<int> members;
+
+		for (int i = 0; i < size; i++)
+			members.push_back(i);
+		test_config tc(members, 5);
+		uint32_t want = size < 3 ? size : size < 20 ? 3 : 5;
+		std::set<std::string> used;
+
+		for (uint32_t slot = 0; slot < EB_CLAIM_SLOTS; slot++) {
+			eb_claim_set st;
+			std::set<int> domains;
+
+			ASSERT_EQ(EB_OK,
+				  eb_claim_set_make(&st, &tc.cf, 0, slot));
+			ASSERT_EQ(want, st.count);
+			EXPECT_EQ(want / 2 + 1, st.majority);
+			for (uint32_t i = 0; i < st.count; i++) {
+				domains.insert(atoi(st.name[i] + 1) % 5);
+				used.insert(st.name[i]);
+			}
+			EXPECT_EQ(want, domains.size());
+			eb_claim_set_clear(&st);
+		}
+		EXPECT_EQ((size_t)size, used.size());
+	}
+}
+
+std::string sample_message()
+{
+	eb_claim_message m{};
+	eb_claim_record rc{};
+	msgpack_sbuffer sb;
+
+	m.type = EB_CLAIM_COPIED;
+	m.slot = 7;
+	m.members = 3;
+	m.generations[1] = UINT64_MAX;
+	m.required = 2;
+	m.required_ids[0] = 5;
+	m.record.response.headers = (const uint8_t *)"a\0b\0";
+	m.record.response.headers_bytes = 4;
+	m.records = 2;
+	rc.state = EB_CLAIM_DONE;
+	rc.response.body = (const uint8_t *)"body";
+	rc.response.body_bytes = 4;
+	eb_claim_record rcs[2] = { rc, rc };
+	msgpack_sbuffer_init(&sb);
+	EXPECT_EQ(EB_OK, eb_claim_encode(&m, rcs, &sb));
+	std::string out(sb.data, sb.size);
+	msgpack_sbuffer_destroy(&sb);
+	return out;
+}
+
+/* Guards against reading past the end of damaged or hostile payloads. */
+TEST(ClaimWire, DamagedMessages)
+{
+	std::string good = sample_message();
+	eb_claim_message m;
+	eb_claim_record rc;
+	eb_rand rand;
+
+	ASSERT_EQ(EB_OK, eb_claim_decode(good.data(), good.size(), &m));
+	EXPECT_EQ(2u, m.records);
+	EXPECT_EQ(UINT64_MAX, m.generations[1]);
+	eb_claim_record_at(&m, 1, &rc);
+	EXPECT_EQ(0, memcmp(rc.response.body, "body", 4));
+	eb_claim_message_clear(&m);
+	for (size_t n = 0; n < good.size(); n++) {
+		std::vector<char> part(good.begin(), good.begin() + n);
+
+		EXPECT_NE(EB_OK, eb_claim_decode(part.data(), n, &m)) << n;
+	}
+	std::string large(EB_CLAIM_MESSAGE_MAX_BYTES + 1, 'x');
+	EXPECT_EQ(EB_EFULL, eb_claim_decode(large.data(), large.size(), &m));
+	large = good + "x";
+	EXPECT_EQ(EB_EPARSE, eb_claim_decode(large.data(), large.size(), &m));
+	eb_rand_seed(&rand, 3);
+	for (int i = 0; i < 20000; i++) {
+		std::string bad = good;
+
+		for (int k = 0; k < 3; k++)
+			bad[eb_rand_below(&rand, bad.size())] =
+				(char)eb_rand_next(&rand);
+		if (!eb_claim_decode(bad.data(), bad.size(), &m)) {
+			EXPECT_GE((unsigned)EB_CLAIM_TYPE_MAX, m.type);
+			eb_claim_message_clear(&m);
+		}
+	}
+}
+
+} // namespace
