--- a/src/eb_member.c
+++ b/src/eb_member.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HEADER_FIELDS 8
+#define HEADER_FIELDS 9
 #define RECORD_FIELDS 6
 /* Ages of groups travel in this unit, one byte each. */
 #define AGE_UNIT_US 250000
@@ -20,6 +20,7 @@
 	uint64_t digest;
 	const char *ages;
 	uint32_t age_count;
+	char address[EB_GOSSIP_ADDRESS_MAX_BYTES]; /* PING only */
 };
 
 static int beats(const struct eb_member_record *a,
@@ -429,8 +430,12 @@
 	eb_gossip_pack_bin(pk, ages, n);
 }
 
-static void pack_header(struct eb_member *mb, msgpack_packer *pk, uint32_t to,
-			uint64_t seq, uint64_t aux, int64_t now_us)
+/*
+ * A PING carries the address of its sender: a daemon that starts has no
+ * roster yet, and answers all the same.
+ */
+static void pack_header(struct eb_member *mb, msgpack_packer *pk, uint32_t kind,
+			uint64_t seq, uint64_t aux, int inside, int64_t now_us)
 {
 	msgpack_pack_uint64(pk, mb->self_rec.id);
 	msgpack_pack_uint64(pk, mb->self_rec.boot);
@@ -439,7 +444,24 @@
 	msgpack_pack_uint64(pk, seq);
 	msgpack_pack_uint64(pk, aux);
 	msgpack_pack_uint64(pk, mb->down_digest);
-	pack_ages(mb, pk, same_group(mb, to), now_us);
+	pack_ages(mb, pk, inside, now_us);
+	eb_gossip_pack_address(pk, kind == EB_GOSSIP_PING ? mb->address : NULL);
+}
+
+/* Answers a daemon that is not in the roster, or while there is none. */
+static void answer_stranger(struct eb_member *mb, const struct message *m,
+			    int64_t now_us)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	if (m->kind != EB_GOSSIP_PING || !m->address[0] || mb->left ||
+	    mb->superseded)
+		return;
+	eb_gossip_begin(&pk, &sb, EB_GOSSIP_ACK, HEADER_FIELDS);
+	pack_header(mb, &pk, EB_GOSSIP_ACK, m->seq, 0, 0, now_us);
+	mb->stats.sent++;
+	eb_gossip_send(mb->sink, m->address, &sb);
 }
 
 static void send_kind(struct eb_member *mb, uint32_t kind, uint32_t to,
@@ -458,7 +480,7 @@
 		recs[n++] = &mb->self_rec;
 	}
 	eb_gossip_begin(&pk, &sb, kind, HEADER_FIELDS + n * RECORD_FIELDS);
-	pack_header(mb, &pk, to, seq, aux, now_us);
+	pack_header(mb, &pk, kind, seq, aux, same_group(mb, to), now_us);
 	for (i = 0; i < n; i++)
 		pack_record(&pk, recs[i]);
 	mb->stats.sent++;
@@ -840,7 +862,7 @@
 	mb->sync_cursor = i < mb->count ? i : 0;
 	eb_gossip_begin(&pk, &sb, EB_GOSSIP_SYNC,
 			HEADER_FIELDS + n * RECORD_FIELDS);
-	pack_header(mb, &pk, to, first, last, now_us);
+	pack_header(mb, &pk, EB_GOSSIP_SYNC, first, last, 0, now_us);
 	for (i = 0; i < n; i++)
 		pack_record(&pk, &recs[i]->rec);
 	mb->stats.sent++;
@@ -902,6 +924,7 @@
 	m->aux = eb_gossip_uint(rd, UINT64_MAX);
 	m->digest = eb_gossip_uint(rd, UINT64_MAX);
 	m->ages = eb_gossip_bin(rd, EB_ROSTER_GROUPS_MAX, &m->age_count);
+	eb_gossip_address(rd, m->address);
 	return rd->bad || !m->from.id || !m->from.boot ||
 	       eb_gossip_left(rd) % RECORD_FIELDS ||
 	       eb_gossip_left(rd) / RECORD_FIELDS > EB_MEMBER_SYNC_MAX;
@@ -1007,7 +1030,7 @@
 		return;
 	eb_gossip_begin(&pk, &sb, EB_GOSSIP_SYNC,
 			HEADER_FIELDS + k * RECORD_FIELDS);
-	pack_header(mb, &pk, to, 0, 0, now_us);
+	pack_header(mb, &pk, EB_GOSSIP_SYNC, 0, 0, 0, now_us);
 	for (i = 0; i < k; i++)
 		pack_record(&pk, &recs[i]->rec);
 	mb->stats.sent++;
@@ -1067,6 +1090,7 @@
 	from = mb->roster ? eb_roster_find(mb->roster, m->from.id) : EB_NONE;
 	if (from == EB_NONE || from == mb->self || mb->left) {
 		mb->stats.unknown++;
+		answer_stranger(mb, m, now_us);
 		return EB_ENOTFOUND;
 	}
 	mb->heard_us[mb->roster->members[from].group] = now_us;
--- a/tests/test_eb_member.cc
+++ b/tests/test_eb_member.cc
@@ -307,6 +307,24 @@
 	EXPECT_GT(bad, 0);
 }
 
+/* Guards against taking daemons that still load their roster for dead. */
+TEST(Member, DaemonWithoutRosterIsUp)
+{
+	Net net({ 1, 2, 5 }, 13);
+
+	net.member_only = true;
+	net.roster_at_start = false;
+	net.start_all();
+	for (int i = 0; i < 9; i++)
+		eb_member_set_roster(net.nodes[i]->member, net.roster, net.now);
+	net.run(30 * SEC);
+	EXPECT_TRUE(net.alarms.empty());
+	net.kill(9);
+	net.run(15 * SEC);
+	for (int i = 5; i < 9; i++)
+		EXPECT_EQ(EB_MEMBER_DOWN, net.state(i, 9));
+}
+
 struct Collect : eb_sink {
 	std::vector<std::string> sent;
 
