core: claims on idempotency keys in the request path

Cause: a booking that was sent again after an unknown outcome could run a second time through another daemon. Change: a request with a key that is not idempotent asks the holders of its key first (state claiming in charts/origin.chart); holders answer over the way back of a claim when the socket to a restarted daemon has not noticed yet; the caller's Authorization is part of the digest; open-claims for the first start of a fleet; make check compares the embedded charts.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,12 @@
 format:
 	clang-format -i $(C_FILES) $(CC_FILES)
 
+# The embedded charts must be those of charts/: a stale copy once made every
+# request with an idempotency key wait for ever.
 format-check:
+	@mkdir -p $(B)
+	scripts/embed_charts.sh charts $(B)/charts.c
+	cmp $(B)/charts.c src/eb_charts_data.c
 	clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
 
 lint: $(patsubst %,$(B)/lint/%.ok,$(filter %.c,$(C_FILES)))
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -147,6 +147,15 @@
 	done
 }
 
+# A new fleet: no idempotency key was used before.
+open_claims() {
+	local i admins=()
+	for i in $(seq 0 $((members - 1))); do
+		admins+=("127.0.0.1:$((base + 80 + i))")
+	done
+	"$build/ebonypier" open-claims "${admins[@]}" || failed=1
+}
+
 # stop PID NAME: SIGTERM; a failure if the program does not end with 0.
 stop() {
 	local status
@@ -174,6 +183,7 @@
 write_note >"$work/note.json"
 start_all
 wait_ready
+open_claims
 
 targets=()
 others=()
--- a/src/eb_admin.c
+++ b/src/eb_admin.c
@@ -143,12 +143,26 @@
 			 json_pack("{sb}", "draining", 1));
 }
 
+static enum MHD_Result answer_open_claims(struct eb_admin *am,
+					  struct MHD_Connection *c,
+					  const char *argument)
+{
+	(void)argument;
+	eb_log_write(am->log, EB_LOG_WARN, "admin",
+		     "claims opened: the operator says no key was used so far",
+		     NULL);
+	am->ops->open_claims(am->ctx);
+	return send_json(c, MHD_HTTP_ACCEPTED, NULL,
+			 json_pack("{sb}", "claims_open", 1));
+}
+
 static const struct page pages[] = {
 	{ "/metrics", "GET", answer_metrics },
 	{ "/status", "GET", answer_status },
 	{ "/traces/", "GET", answer_trace },
 	{ "/health", "GET", answer_health },
 	{ "/drain", "POST", answer_drain },
+	{ "/claims/open", "POST", answer_open_claims },
 };
 
 static const struct page *find_page(const char *url)
@@ -214,7 +228,7 @@
 	if (!pg)
 		return send_error(c, MHD_HTTP_NOT_FOUND, NULL, "not-found",
 				  "known: /metrics /status /traces/ID /health "
-				  "/drain");
+				  "/drain /claims/open");
 	if (strcmp(method, pg->method) != 0)
 		return send_error(c, MHD_HTTP_METHOD_NOT_ALLOWED, pg->method,
 				  "method", "this path has another method");
--- a/src/eb_admin.h
+++ b/src/eb_admin.h
@@ -11,7 +11,8 @@
 
 /*
  * The admin port: GET /metrics (Prometheus text), /status (JSON),
- * /traces/ID (JSON), /health; POST /drain. It runs in a thread of its own.
+ * /traces/ID (JSON), /health; POST /drain,
+ * /claims/open. It runs in a thread of its own.
  */
 struct eb_admin;
 
@@ -19,6 +20,8 @@
 struct eb_admin_ops {
 	json_t *(*status)(void *ctx); /* a new object */
 	void (*drain)(void *ctx);
+	/* The operator's word that no idempotency key was used so far. */
+	void (*open_claims)(void *ctx);
 };
 
 struct eb_admin *eb_admin_start(const struct eb_settings *se,
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -10,6 +10,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "eb_claims.h"
 #include "eb_clock.h"
 #include "eb_gate.h"
 #include "eb_mesh.h"
@@ -22,7 +23,7 @@
 #define PAUSE_US 1000000
 #define IDLE_WAIT_MS 100
 
-enum query_kind { QUERY_STATUS, QUERY_DRAIN };
+enum query_kind { QUERY_STATUS, QUERY_DRAIN, QUERY_OPEN_CLAIMS };
 
 /* A question of another thread, which waits for the answer. */
 struct query {
@@ -48,6 +49,7 @@
 	struct eb_nodes *nodes;
 	struct eb_gate *gate;
 	struct eb_origin *origin;
+	struct eb_claims *claims;
 	struct local_frame *first, *last;
 	uint32_t self; /* number of the node of this daemon, or EB_NONE */
 	uint32_t active;
@@ -136,6 +138,89 @@
 	eb_frame_unref(f);
 }
 
+/* ---- Claims ---- */
+
+/* A way back that was used within this time still leads to its daemon. */
+#define BACK_ROUTE_MAX_US (EB_PEER_SILENT_MS * 1000LL)
+
+/*
+ * Tells whether the way back is the better one: after a restart of the other
+ * daemon, the socket to it takes seconds to notice.
+ */
+static int use_back_route(const struct eb_core *co, const struct eb_node *n)
+{
+	if (!n->back.used_bytes ||
+	    co->turn_us - n->back_us >= BACK_ROUTE_MAX_US)
+		return 0;
+	return !n->peer || !n->peer->up ||
+	       n->back_us > n->peer->last_received_us;
+}
+
+static void send_claim(struct eb_core *co, uint32_t id, struct eb_frame *f)
+{
+	struct eb_node *n = eb_nodes_get(co->nodes, id);
+	struct eb_peer *pr;
+
+	if (!n || !n->present) {
+		eb_frame_unref(f);
+		return;
+	}
+	/* A message that is lost is sent again by its module. */
+	if (n->self) {
+		eb_claims_recv(co->claims, f->data, f->data_bytes, co->turn_us);
+	} else if (use_back_route(co, n)) {
+		f->target = 0;
+		eb_mesh_reply(co->mesh, &n->back, f);
+	} else {
+		pr = eb_nodes_peer(co->nodes, id, co->turn_us);
+		if (pr)
+			eb_mesh_send(co->mesh, pr, f, co->turn_us);
+	}
+	eb_frame_unref(f);
+}
+
+static void on_claim(struct eb_core *co, struct eb_frame *f,
+		     const struct eb_back_route *back)
+{
+	char name[EB_NAME_SPACE_BYTES];
+	struct eb_node *n;
+
+	if (eb_claims_sender(f->data, f->data_bytes, name, sizeof(name)) ||
+	    eb_claims_recv(co->claims, f->data, f->data_bytes, co->turn_us)) {
+		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
+	} else if (back) {
+		n = eb_nodes_get(co->nodes, eb_nodes_find(co->nodes, name));
+		if (n) {
+			n->back = *back;
+			n->back_us = co->turn_us;
+		}
+	}
+	eb_frame_unref(f);
+}
+
+/* Carries out what the two roles of claims have decided. */
+static void run_claims(struct eb_core *co)
+{
+	struct eb_claim *cl = eb_claims_claimant(co->claims);
+	struct eb_claim_action act;
+	char to[EB_NAME_SPACE_BYTES];
+	struct eb_frame *f;
+	int more = 1;
+
+	while (more) {
+		more = 0;
+		while ((f = eb_claims_next(co->claims, to, sizeof(to)))) {
+			send_claim(co, eb_nodes_find(co->nodes, to), f);
+			more = 1;
+		}
+		while (eb_claim_next(cl, &act)) {
+			eb_origin_claim_action(co->origin, &act, co->turn_us);
+			eb_claim_action_clear(&act);
+			more = 1;
+		}
+	}
+}
+
 /* ---- Frames of the mesh ---- */
 
 static void on_frame(void *ctx, struct eb_frame *f, struct eb_peer *pr,
@@ -143,7 +228,9 @@
 {
 	struct eb_core *co = ctx;
 
-	if (pr)
+	if (f->type == EB_FRAME_CLAIM)
+		on_claim(co, f, back);
+	else if (pr)
 		eb_origin_from_gate(co->origin, pr->user, f, co->turn_us);
 	else
 		eb_gate_from_origin(co->gate, f, back, co->turn_us);
@@ -183,6 +270,9 @@
 	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "keys of the peers could not be stored", NULL);
+	if (eb_claims_configure(co->claims, cf, co->turn_us))
+		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
+			     "out of memory for the holders of claims", NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
 	n = eb_nodes_get(co->nodes, co->self);
 	if (n && n->present) {
@@ -243,29 +333,33 @@
 	const struct eb_config *cf = eb_nodes_config(co->nodes);
 	const struct eb_settings *se = co->config.settings;
 	json_t *nodes = json_array();
+	uint32_t claims_held = 0, claims_able = 0;
 	struct eb_load ld = { 0 };
 	struct eb_node *n;
 	uint32_t i;
 
 	eb_gate_load(co->gate, &ld);
+	eb_claims_slots(co->claims, &claims_held, &claims_able);
 	for (i = 0; i < eb_nodes_count(co->nodes); i++) {
 		n = eb_nodes_get(co->nodes, i);
 		if (n->present && (n->self || n->peer))
 			json_array_append_new(nodes, node_status(n));
 	}
-	return json_pack(
-		"{ss ss ss sI sI ss sb si si si si si si so}", "upstream",
-		se->upstream, "region", se->region, "failure_domain",
-		se->failure_domain, "release", (json_int_t)cf->release, "index",
-		(json_int_t)cf->index, "state",
-		co->draining  ? "draining"
-		: cf->release ? "serving"
-			      : "waiting",
-		"known", co->self != EB_NONE, "in_flight", (int)ld.in_flight,
-		"queued", (int)ld.queued, "slots", (int)ld.slots, "service_us",
-		(int)ld.service_us, "calls_origin",
-		(int)eb_origin_active(co->origin), "calls_gate",
-		(int)eb_gate_active(co->gate), "peers", nodes);
+	return json_pack("{ss ss ss sI sI ss sb si si si si si si si si so}",
+			 "upstream", se->upstream, "region", se->region,
+			 "failure_domain", se->failure_domain, "release",
+			 (json_int_t)cf->release, "index",
+			 (json_int_t)cf->index, "state",
+			 co->draining  ? "draining"
+			 : cf->release ? "serving"
+				       : "waiting",
+			 "known", co->self != EB_NONE, "in_flight",
+			 (int)ld.in_flight, "queued", (int)ld.queued, "slots",
+			 (int)ld.slots, "service_us", (int)ld.service_us,
+			 "calls_origin", (int)eb_origin_active(co->origin),
+			 "calls_gate", (int)eb_gate_active(co->gate),
+			 "claim_slots_held", (int)claims_held,
+			 "claim_slots_able", (int)claims_able, "peers", nodes);
 }
 
 static void unref_query(void *object)
@@ -286,6 +380,8 @@
 
 	if (qu->kind == QUERY_DRAIN)
 		drain(co);
+	else if (qu->kind == QUERY_OPEN_CLAIMS)
+		eb_claims_open(co->claims, co->turn_us);
 	else
 		answer = make_status(co);
 	pthread_mutex_lock(&qu->lock);
@@ -363,6 +459,8 @@
 		more = take_frames(co);
 		more |= eb_mesh_receive(co->mesh, sink, co->turn_us);
 		run_local(co);
+		run_claims(co);
+		run_local(co);
 		co->turn_us = eb_clock_now_us();
 	} while (more && co->turn_us - co->tick_us < EB_CORE_TICK_MS * 1000);
 	if (!more)
@@ -373,6 +471,8 @@
 		eb_mesh_tick(co->mesh, sink, co->turn_us);
 		eb_gate_tick(co->gate, co->turn_us);
 		eb_origin_tick(co->origin, co->turn_us);
+		eb_claims_tick(co->claims, co->turn_us);
+		run_claims(co);
 		run_local(co);
 	}
 	__atomic_store_n(&co->active,
@@ -435,7 +535,7 @@
 	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
 				       cf->metrics, cf->tracer };
 	struct eb_origin_config origin = { co->incarnation, NULL, cf->metrics,
-					   cf->tracer };
+					   cf->tracer, NULL };
 	struct eb_findings fs = { 0 };
 
 	co->mesh = eb_mesh_new(cf->settings, co->incarnation, cf->metrics,
@@ -443,8 +543,10 @@
 	if (!co->mesh)
 		return err->status;
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
+	co->claims = eb_claims_new(cf->settings->upstream, co->incarnation);
 	origin.nodes = co->nodes;
-	if (co->nodes) {
+	if (co->nodes && co->claims) {
+		origin.claims = eb_claims_claimant(co->claims);
 		co->gate = eb_gate_new(&gate, &gate_out, &fs);
 		co->origin = eb_origin_new(&origin, &origin_out, &fs);
 	}
@@ -498,6 +600,7 @@
 		apr_thread_join(&status, co->thread);
 	run_local(co);
 	eb_origin_free(co->origin);
+	eb_claims_free(co->claims);
 	eb_gate_free(co->gate);
 	eb_nodes_free(co->nodes);
 	eb_mesh_free(co->mesh);
@@ -591,6 +694,12 @@
 	json_decref(ask(co, QUERY_DRAIN));
 }
 
+/* Takes the operator's word that no key was used so far. */
+void eb_core_open_claims(struct eb_core *co)
+{
+	json_decref(ask(co, QUERY_OPEN_CLAIMS));
+}
+
 /* Counts the calls that are not finished; from any thread. */
 uint32_t eb_core_active(const struct eb_core *co)
 {
--- a/src/eb_core.h
+++ b/src/eb_core.h
@@ -48,6 +48,7 @@
 enum eb_status eb_core_send_vms(struct eb_core *co, struct eb_vm_list *list);
 json_t *eb_core_status(struct eb_core *co);
 void eb_core_drain(struct eb_core *co);
+void eb_core_open_claims(struct eb_core *co);
 /* Calls that are not finished, as origin and as gate. */
 uint32_t eb_core_active(const struct eb_core *co);
 
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -61,6 +61,13 @@
 	eb_core_drain(dm->core);
 }
 
+static void admin_open_claims(void *ctx)
+{
+	struct daemon *dm = ctx;
+
+	eb_core_open_claims(dm->core);
+}
+
 static enum eb_status start_base(struct daemon *dm, struct eb_error *err)
 {
 	int i;
@@ -100,7 +107,8 @@
 					 dm->log };
 	struct eb_platform_config platform = { &dm->settings, NULL, dm->metrics,
 					       dm->log };
-	static const struct eb_admin_ops ops = { admin_status, admin_drain };
+	static const struct eb_admin_ops ops = { admin_status, admin_drain,
+						 admin_open_claims };
 
 	dm->client = eb_client_start(&client, err);
 	if (!dm->client)
--- a/src/eb_holder.c
+++ b/src/eb_holder.c
@@ -630,6 +630,18 @@
 	return sent;
 }
 
+/*
+ * Takes the operator's word that no key was used within the retention: all
+ * slots grant from the next tick on.
+ */
+void eb_holder_open(struct eb_holder *ho, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < EB_CLAIM_SLOTS; i++)
+		ho->slots[i].open_at_us = now_us;
+}
+
 /* To be called every few milliseconds: copies, opens slots, expires. */
 void eb_holder_tick(struct eb_holder *ho, int64_t now_us)
 {
--- a/src/eb_holder.h
+++ b/src/eb_holder.h
@@ -63,6 +63,8 @@
 void eb_holder_recv(struct eb_holder *ho, const char *from,
 		    const struct eb_claim_message *m, int64_t now_us);
 void eb_holder_tick(struct eb_holder *ho, int64_t now_us);
+/* All slots grant from the next tick on, without copies. */
+void eb_holder_open(struct eb_holder *ho, int64_t now_us);
 /* Takes the next message to send; returns 0 when there is none. */
 int eb_holder_next(struct eb_holder *ho, struct eb_claim_send *out);
 void eb_holder_read_counters(const struct eb_holder *ho,
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -335,6 +335,19 @@
 	return sv && sv->dialled_us ? sv : NULL;
 }
 
+/* Returns the socket to a node's daemon, or NULL when it can't be dialled. */
+struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(nd, id);
+
+	if (!n || !n->present || n->self)
+		return NULL;
+	if (!n->peer)
+		n->peer = eb_mesh_dial(nd->mesh, n->info->daemon, n->info->key,
+				       id, now_us);
+	return n->peer;
+}
+
 /* Passes a change of one node on to the router of its service. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -26,6 +26,9 @@
 	uint8_t leaving;	  /* by the platform's list of VMs */
 	uint8_t draining;	  /* as its daemon says */
 	uint8_t distance;	  /* enum eb_distance */
+	/* The way to a daemon that sent claims here, without a socket to it. */
+	struct eb_back_route back;
+	int64_t back_us;
 };
 
 /* What an origin keeps for a service. */
@@ -48,6 +51,8 @@
 uint32_t eb_nodes_count(const struct eb_nodes *nd);
 struct eb_service_state *eb_nodes_service(struct eb_nodes *nd, uint32_t index,
 					  int64_t now_us);
+/* The socket to a node's daemon; dials it when there is none. */
+struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* To be called when a node has come up, gone, or is leaving. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* The daemon of a node has started anew. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -15,9 +15,11 @@
 #define EXPIRE_GRACE_US 50000
 
 /* States, events and actions in the order of the names below. */
-enum state { ROUTING, WAITING, SENDING, ANSWERING, DONE };
+enum state { CLAIMING, ROUTING, WAITING, SENDING, ANSWERING, DONE };
 
 enum event {
+	EVENT_GRANTED,
+	EVENT_STORED,
 	EVENT_SENT,
 	EVENT_PARKED,
 	EVENT_EXHAUSTED,
@@ -33,16 +35,19 @@
 	EVENT_ANSWER_LAST,
 };
 
-static const char *const state_names[] = { "routing",	"waiting", "sending",
-					   "answering", "done",	   NULL };
+static const char *const state_names[] = { "claiming", "routing",   "waiting",
+					   "sending",  "answering", "done",
+					   NULL };
 static const char *const event_names[] = {
-	"sent",	       "parked",      "exhausted",   "gone",   "expire",
-	"body",	       "credit",      "refuse",	     "failed", "lost",
+	"granted",     "stored",      "sent",	     "parked",
+	"exhausted",   "gone",	      "expire",	     "body",
+	"credit",      "refuse",      "failed",	     "lost",
 	"answer_head", "answer_data", "answer_last", NULL
 };
 static const char *const action_names[] = {
-	"none",	  "drop",   "answer_failure", "to_front", "to_gate", "retry",
-	"answer", "finish", "cancel",	      "give_up",  "cut",     NULL
+	"none",		 "drop",	"route",    "retry",   "answer_failure",
+	"answer_stored", "leave_claim", "to_front", "to_gate", "answer",
+	"finish",	 "cancel",	"give_up",  "cut",     NULL
 };
 
 /* The HTTP status of a call that failed, by reason. */
@@ -75,6 +80,7 @@
 	uint8_t parked;
 	uint8_t at_gate;   /* the router counts an attempt in flight */
 	uint8_t maybe_ran; /* an attempt ended without a word on it */
+	uint8_t claimed;   /* holds the grant of its key and must settle it */
 	/* How the last attempt failed; the answer when there is no other. */
 	uint8_t outcome;
 	uint8_t reason;
@@ -230,6 +236,78 @@
 	og->out.to_front(og->out.ctx, f);
 }
 
+/* ---- Claims ---- */
+
+/* Requests with a key that must not run twice need the key's grant. */
+static int needs_claim(const struct eb_origin *og, const struct call *ca)
+{
+	return og->config.claims && ca->head->head->key && !ca->idempotent &&
+	       eb_nodes_rule(og->config.nodes, ca->service)->claims;
+}
+
+/*
+ * The digest binds a key to its request. The caller's credentials are part of
+ * it: a key that two callers share by accident never gives one of them the
+ * other's answer. Of a streamed body only the length is known here.
+ */
+static void digest_request(const struct eb_frame *f, uint8_t *digest)
+{
+	const struct eb_head *h = f->head;
+	const char *who = eb_headers_find(&h->headers, "Authorization");
+	size_t n = strlen(h->target) + (who ? strlen(who) : 0) + 2;
+	char *text = malloc(n);
+
+	if (text)
+		snprintf(text, n, "%s\n%s", h->target, who ? who : "");
+	eb_claim_digest(h->method, text ? text : h->target, h->body_bytes,
+			f->data, f->data_bytes, digest);
+	free(text);
+}
+
+static void start_claim(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	struct eb_claim_request rq = { 0 };
+
+	ca->state = CLAIMING;
+	ca->reason = EB_REASON_CLAIM;
+	rq.call = ca->front_id;
+	rq.service = ca->service->name;
+	eb_claim_key(ca->service->name, ca->head->head->key, rq.key);
+	digest_request(ca->head, rq.digest);
+	rq.deadline_us = ca->deadline_us;
+	eb_claim_start(og->config.claims, &rq, now_us);
+}
+
+/* Reports how the run of a claimed call ended; `f` is its answer, if whole. */
+static void settle_claim(struct eb_origin *og, struct call *ca,
+			 const struct eb_frame *f, int64_t now_us)
+{
+	enum eb_claim_state state = EB_CLAIM_LOST;
+	struct eb_claim_response rs = { 0 };
+
+	if (!ca->claimed)
+		return;
+	ca->claimed = 0;
+	if (!f && ca->outcome == EB_OUTCOME_NOT_RUN && !ca->maybe_ran) {
+		eb_claim_not_run(og->config.claims, ca->front_id, now_us);
+		return;
+	}
+	if (f && f->type == EB_FRAME_REND) {
+		state = EB_CLAIM_LARGE;
+	} else if (f) {
+		rs.status = f->reply->status;
+		rs.headers = (const uint8_t *)f->reply->headers.block;
+		rs.headers_bytes = f->reply->headers.used_bytes;
+		rs.body = f->data;
+		rs.body_bytes = f->data_bytes;
+		state = rs.headers_bytes + rs.body_bytes >
+					EB_CLAIM_RESPONSE_MAX_BYTES
+				? EB_CLAIM_LARGE
+				: EB_CLAIM_DONE;
+	}
+	eb_claim_ended(og->config.claims, ca->front_id, state, &rs, now_us);
+}
+
 /* ---- Routing ---- */
 
 /* Returns a HEAD that this origin alone holds, for the next attempt. */
@@ -376,6 +454,31 @@
 	eb_frame_unref(f);
 }
 
+static void do_route(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		     int64_t now_us)
+{
+	eb_frame_unref(f);
+	ca->claimed = 1;
+	ca->reason = EB_REASON_NO_UPSTREAM;
+	route(og, ca, now_us);
+}
+
+/* Answers with the response of the run that the key has had. */
+static void do_answer_stored(struct eb_origin *og, struct call *ca,
+			     struct eb_frame *f, int64_t now_us)
+{
+	(void)now_us;
+	note_reply(ca, f->reply);
+	to_front(og, ca, f);
+}
+
+static void do_leave_claim(struct eb_origin *og, struct call *ca,
+			   struct eb_frame *f, int64_t now_us)
+{
+	eb_frame_unref(f);
+	eb_claim_cancel(og->config.claims, ca->front_id, now_us);
+}
+
 /* Answers with the failure of the last attempt. */
 static void do_answer_failure(struct eb_origin *og, struct call *ca,
 			      struct eb_frame *f, int64_t now_us)
@@ -398,6 +501,8 @@
 	out->reply->outcome = ca->outcome;
 	out->reply->reason = ca->reason;
 	out->reply->status = reason_status[ca->reason];
+	if (ca->reason == EB_REASON_CLAIM && ca->status)
+		out->reply->status = ca->status;
 	out->reply->retry_after_ms = ca->retry_after_ms;
 	/* 503 invites to send again, which only holds for "not run". */
 	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
@@ -444,7 +549,6 @@
 	at.attempts = ca->attempts;
 	at.mark = ca->mark;
 	at.remaining_us = ca->deadline_us - now_us;
-	ca->state = ROUTING;
 	if (eb_retry_allow(&ca->service->retry, &at)) {
 		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
 		route(og, ca, now_us);
@@ -472,6 +576,7 @@
 		ca->status = status;
 	if (ca->status < 500)
 		eb_retry_success(&ca->service->retry);
+	settle_claim(og, ca, f, now_us);
 	eb_metrics_observe(og->config.metrics, EB_HISTOGRAM_CALL_US,
 			   now_us - ca->started_us);
 	to_front(og, ca, f);
@@ -486,6 +591,7 @@
 	eb_frame_unref(f);
 	if (!ca->number)
 		return;
+	ca->outcome = EB_OUTCOME_UNKNOWN;
 	out = eb_frame_new(EB_FRAME_CANCEL, ca->number);
 	if (!out)
 		return;
@@ -515,11 +621,18 @@
 
 /* In the order of action_names. */
 static action_fn *const actions[] = {
-	do_none,  do_drop,   do_answer_failure, do_to_front, do_to_gate,
-	do_retry, do_answer, do_finish,		do_cancel,   do_give_up,
-	do_cut,
+	do_none,	   do_drop,	     do_route,	     do_retry,
+	do_answer_failure, do_answer_stored, do_leave_claim, do_to_front,
+	do_to_gate,	   do_answer,	     do_finish,	     do_cancel,
+	do_give_up,	   do_cut,
 };
 
+/* These actions take further steps themselves. */
+static int steps_itself(action_fn *action)
+{
+	return action == do_route || action == do_retry;
+}
+
 /* Takes an event through the chart; the call may be freed by it. */
 static void step(struct eb_origin *og, struct call *ca, enum event ev,
 		 struct eb_frame *f, int64_t now_us)
@@ -530,8 +643,9 @@
 		do_drop(og, ca, f, now_us);
 		return;
 	}
-	if (actions[action] == do_retry) {
-		do_retry(og, ca, f, now_us); /* takes further steps itself */
+	if (steps_itself(actions[action])) {
+		ca->state = (uint8_t)next;
+		actions[action](og, ca, f, now_us);
 		return;
 	}
 	actions[action](og, ca, f, now_us);
@@ -539,6 +653,7 @@
 	if (next != DONE)
 		return;
 	end_attempt(og, ca, now_us);
+	settle_claim(og, ca, NULL, now_us);
 	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
 		 ca->started_us, now_us);
 	free_call(og, ca);
@@ -656,7 +771,10 @@
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
 	eb_retry_request(&sv->retry);
-	route(og, ca, now_us);
+	if (needs_claim(og, ca))
+		start_claim(og, ca, now_us);
+	else
+		route(og, ca, now_us);
 }
 
 /* Takes a frame of the front. */
@@ -678,6 +796,60 @@
 	     now_us);
 }
 
+/* ---- Decisions on claims ---- */
+
+/* Makes an answer of the stored response; NULL without memory. */
+static struct eb_frame *stored_answer(const struct eb_claim_action *act)
+{
+	const struct eb_claim_response *rs = &act->response;
+	struct eb_frame *f;
+
+	f = eb_frame_new_data(EB_FRAME_RHEAD, 0, rs->body, rs->body_bytes);
+	if (!f)
+		return NULL;
+	f->reply->status = rs->status;
+	f->reply->outcome = EB_OUTCOME_RAN;
+	f->reply->body_kind = EB_BODY_INLINE;
+	f->reply->body_bytes = rs->body_bytes;
+	if (eb_headers_load(&f->reply->headers, rs->headers,
+			    rs->headers_bytes) ||
+	    eb_headers_add(&f->reply->headers, "Ebonypier-Replayed", "1")) {
+		eb_frame_unref(f);
+		return NULL;
+	}
+	return f;
+}
+
+/* Carries out what the claimant has decided; see the header. */
+void eb_origin_claim_action(struct eb_origin *og,
+			    const struct eb_claim_action *act, int64_t now_us)
+{
+	struct eb_frame *f = NULL;
+	struct call *ca;
+
+	ca = apr_hash_get(og->by_front, &act->call, sizeof(act->call));
+	if (!ca || ca->state != CLAIMING) {
+		if (act->kind == EB_CLAIM_RUN)
+			eb_claim_not_run(og->config.claims, act->call, now_us);
+		return;
+	}
+	if (act->kind == EB_CLAIM_RUN) {
+		step(og, ca, EVENT_GRANTED, NULL, now_us);
+		return;
+	}
+	if (act->kind == EB_CLAIM_ANSWER_STORED)
+		f = stored_answer(act);
+	if (f) {
+		step(og, ca, EVENT_STORED, f, now_us);
+		return;
+	}
+	ca->outcome =
+		act->kind == EB_CLAIM_REFUSE ? act->outcome : EB_OUTCOME_RAN;
+	ca->status = act->kind == EB_CLAIM_REFUSE ? act->status : 409;
+	ca->retry_after_ms = act->retry_after_ms;
+	step(og, ca, EVENT_REFUSE, NULL, now_us);
+}
+
 /* ---- Frames of gates ---- */
 
 static enum event gate_event(const struct eb_frame *f)
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eb_claim.h"
 #include "eb_findings.h"
 #include "eb_frame.h"
 #include "eb_metrics.h"
@@ -33,6 +34,7 @@
 	struct eb_nodes *nodes;
 	struct eb_metrics *metrics;
 	struct eb_tracer *tracer;
+	struct eb_claim *claims; /* NULL: keys are passed on only */
 };
 
 struct eb_origin *eb_origin_new(const struct eb_origin_config *cf,
@@ -46,6 +48,9 @@
 			 struct eb_frame *f, int64_t now_us);
 /* The gate of a node is lost, and with it what was sent there. */
 void eb_origin_lost(struct eb_origin *og, uint32_t node, int64_t now_us);
+/* Carries out what the claimant has decided for a call. */
+void eb_origin_claim_action(struct eb_origin *og,
+			    const struct eb_claim_action *act, int64_t now_us);
 /* A node has come up: requests that wait for one are tried again. */
 void eb_origin_up(struct eb_origin *og, int64_t now_us);
 void eb_origin_tick(struct eb_origin *og, int64_t now_us);
--- a/src/eb_tool.c
+++ b/src/eb_tool.c
@@ -69,6 +69,15 @@
 	  "which drains as well.\n" ADDRESS_HELP
 	  "\nExample:\n  ebonypier drain 127.0.0.1:26001\n",
 	  eb_tool_drain, 0, 1, 1, 1, 0 },
+	{ "open-claims", "[ADDRESS]...", "start a new fleet's claims",
+	  "Says that no idempotency key was used within the last 10 minutes, "
+	  "so that the\ndaemons grant keys without copies of earlier claims. "
+	  "Use it once, right after the\nfirst start of a fleet, before "
+	  "callers arrive: a key that was used before could\nrun a second "
+	  "time.\n" ADDRESS_HELP
+	  "\nExample:\n  ebonypier open-claims 127.0.0.1:26001 "
+	  "127.0.0.1:26002\n",
+	  eb_tool_open_claims, 0, 1, ITEMS_MAX, 1, 0 },
 	{ "keygen", "", "make a CURVE key pair for a daemon",
 	  "Prints the settings EBONYPIER_CURVE_PUBLIC_KEY and "
 	  "EBONYPIER_CURVE_SECRET_KEY,\nquoted for a shell. The public key "
--- a/src/eb_tool.h
+++ b/src/eb_tool.h
@@ -21,5 +21,6 @@
 int eb_tool_trace(const struct eb_tool_args *ar);
 int eb_tool_metrics(const struct eb_tool_args *ar);
 int eb_tool_drain(const struct eb_tool_args *ar);
+int eb_tool_open_claims(const struct eb_tool_args *ar);
 
 #endif
--- a/src/eb_tool_admin.c
+++ b/src/eb_tool_admin.c
@@ -161,3 +161,24 @@
 {
 	return run_one(ar, "POST", "/drain", 0);
 }
+
+/*
+ * ebonypier open-claims ADDRESS...: says that no idempotency key was used
+ * within the retention; for the first start of a fleet.
+ */
+int eb_tool_open_claims(const struct eb_tool_args *ar)
+{
+	struct eb_tool_call *calls = new_calls(ar);
+	uint32_t i, answered;
+
+	if (!calls)
+		return EBONYPIER_EXIT_FAILURE;
+	answered = eb_tool_http_run(calls, ar->count, "POST", "/claims/open");
+	for (i = 0; i < ar->count; i++)
+		if (calls[i].error[0])
+			fprintf(stderr, "ebonypier: %s: %s\n", calls[i].address,
+				calls[i].error);
+	eb_tool_http_clear(calls, ar->count);
+	return answered == ar->count ? EBONYPIER_EXIT_OK
+				     : EBONYPIER_EXIT_FAILURE;
+}
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -14,6 +14,8 @@
 #define EB_HEADERS_MAX_COUNT 100
 #define EB_TARGET_MAX_BYTES 8192
 #define EB_IDEMPOTENCY_KEY_MAX_BYTES 200
+/* Names in release notes, with the closing NUL. */
+#define EB_NAME_SPACE_BYTES 64
 
 /* Calls a daemon holds at once, as origin and as gate together. */
 #define EB_CALLS_MAX 4096
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -982,6 +982,10 @@
 		start_daemon(i);
 	for (size_t i = 0; i < size(); i++)
 		wait_ready(i);
+	/* A new fleet: no idempotency key was used before. */
+	for (const Member &m : members)
+		http_post("http://" + loopback(m.admin_port) + "/claims/open",
+			  "");
 }
 
 namespace
--- a/tests/test_eb_admin.cc
+++ b/tests/test_eb_admin.cc
@@ -25,7 +25,14 @@
 	drains++;
 }
 
-const eb_admin_ops ops = { status, drain };
+std::atomic<int> opens;
+
+void open_claims(void *)
+{
+	opens++;
+}
+
+const eb_admin_ops ops = { status, drain, open_claims };
 
 class Admin : public testing::Test
 {
@@ -107,6 +114,7 @@
 		{ "GET /", " 404 ", "\"not-found\"" },
 		{ "GET /metrics/", " 404 ", "\"not-found\"" },
 		{ "GET /drain", " 405 ", "Allow: POST" },
+		{ "GET /claims/open", " 405 ", "Allow: POST" },
 		{ "POST /status", " 405 ", "Allow: GET" },
 		{ "DELETE /metrics", " 405 ", "\"method\"" },
 	};
@@ -118,6 +126,7 @@
 		EXPECT_NE(std::string::npos, out.find(c.part)) << out;
 	}
 	EXPECT_EQ(0, drains);
+	EXPECT_EQ(0, opens);
 }
 
 /* Guards against web pages that reach the port through a browser. */
