crash: marks of requests that crash upstreams

Cause: a request that crashes the upstream that runs it and is resent by its caller takes one upstream after the other down. Change: eb_crash keeps marks by fingerprint of method, target, body and key, merges the marks of other daemons, expires them after 10 minutes, and refuses a request after crashes of two different upstreams. Conclusion: the bound of 3 holds for a caller that waits for its answers. Copies that start at the same instant through many origins are not bounded.

--- /dev/null
+++ b/src/eb_crash.c
@@ -0,0 +1,284 @@
+#include "eb_crash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_claim_set.h"
+
+#define PAYLOAD_MAX_BYTES 8192
+#define MARK_FIELDS (2 + EB_CRASH_UPSTREAMS_MAX)
+
+struct mark {
+	uint64_t fingerprint;
+	uint64_t upstreams[EB_CRASH_UPSTREAMS_MAX];
+	int64_t last_us; /* of the last crash */
+	uint32_t count;	 /* 0: not in use */
+	uint8_t trial;	 /* a run of it is in progress here */
+	uint8_t changed; /* not sent since its last change */
+};
+
+struct eb_crash {
+	struct mark marks[EB_CRASH_MARKS_MAX];
+	uint32_t used; /* marks below this place may be in use */
+	struct eb_crash_counters counters;
+};
+
+/* Creates an empty list of marks. Returns NULL without memory. */
+struct eb_crash *eb_crash_new(void)
+{
+	return calloc(1, sizeof(struct eb_crash));
+}
+
+/* Frees a list; NULL is allowed. */
+void eb_crash_free(struct eb_crash *cr)
+{
+	free(cr);
+}
+
+/* Returns the fingerprint of a request, from a cryptographic digest. */
+uint64_t eb_crash_fingerprint(const struct eb_crash_request *rq)
+{
+	uint8_t digest[EB_CLAIM_KEY_BYTES], whole[EB_CLAIM_KEY_BYTES];
+	uint64_t fingerprint;
+
+	eb_claim_digest(rq->method, rq->target, rq->body_bytes, rq->body,
+			rq->body_bytes, digest);
+	eb_claim_digest("", rq->key ? rq->key : "", rq->key != NULL, digest,
+			sizeof(digest), whole);
+	memcpy(&fingerprint, whole, sizeof(fingerprint));
+	return fingerprint;
+}
+
+static int expired(const struct mark *mk, int64_t now_us)
+{
+	return now_us - mk->last_us >= EB_CRASH_EXPIRE_MS * 1000LL;
+}
+
+static struct mark *find(struct eb_crash *cr, uint64_t fingerprint,
+			 int64_t now_us)
+{
+	struct mark *mk;
+	uint32_t i;
+
+	for (i = 0; i < cr->used; i++) {
+		mk = &cr->marks[i];
+		if (mk->count && expired(mk, now_us))
+			mk->count = 0;
+		if (mk->count && mk->fingerprint == fingerprint)
+			return mk;
+	}
+	return NULL;
+}
+
+/* Finds room for a mark; the oldest one with a single crash gives way. */
+static struct mark *make(struct eb_crash *cr, uint64_t fingerprint,
+			 int64_t now_us)
+{
+	struct mark *mk = find(cr, fingerprint, now_us), *oldest = NULL;
+	uint32_t i;
+
+	if (mk)
+		return mk;
+	for (i = 0; i < EB_CRASH_MARKS_MAX; i++) {
+		mk = &cr->marks[i];
+		if (!mk->count)
+			break;
+		if (mk->count < EB_CRASH_REFUSE_AT &&
+		    (!oldest || mk->last_us < oldest->last_us))
+			oldest = mk;
+	}
+	if (i == EB_CRASH_MARKS_MAX) {
+		if (!oldest) {
+			cr->counters.rejected++;
+			return NULL;
+		}
+		mk = oldest;
+		cr->counters.evicted++;
+	}
+	if (i < EB_CRASH_MARKS_MAX && i >= cr->used)
+		cr->used = i + 1;
+	memset(mk, 0, sizeof(*mk));
+	mk->fingerprint = fingerprint;
+	return mk;
+}
+
+/*
+ * Asks whether a request may run. Returns 0 when it must be refused as not
+ * run: it crashed EB_CRASH_REFUSE_AT upstreams, or it crashed one and another
+ * run of it is in progress here. A request that may run is followed by
+ * eb_crash_done() or eb_crash_report().
+ */
+int eb_crash_check(struct eb_crash *cr, uint64_t fingerprint, int64_t now_us)
+{
+	struct mark *mk = find(cr, fingerprint, now_us);
+
+	if (!mk)
+		return 1;
+	if (mk->count >= EB_CRASH_REFUSE_AT || mk->trial) {
+		cr->counters.refused++;
+		return 0;
+	}
+	mk->trial = 1;
+	return 1;
+}
+
+/* A request that was let through has ended without a crash. */
+void eb_crash_done(struct eb_crash *cr, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	for (i = 0; i < cr->used; i++)
+		if (cr->marks[i].fingerprint == fingerprint)
+			cr->marks[i].trial = 0;
+}
+
+static int add_upstream(struct mark *mk, uint64_t upstream)
+{
+	uint32_t i;
+
+	for (i = 0; i < mk->count; i++)
+		if (mk->upstreams[i] == upstream)
+			return 0;
+	if (mk->count == EB_CRASH_UPSTREAMS_MAX)
+		return 0;
+	mk->upstreams[mk->count++] = upstream;
+	mk->changed = 1;
+	return 1;
+}
+
+/*
+ * An upstream crashed while it ran the request. All requests that it ran at
+ * that time are reported; an innocent one is served elsewhere and is refused
+ * only if a second upstream crashes while running it.
+ */
+void eb_crash_report(struct eb_crash *cr, uint64_t fingerprint,
+		     const char *upstream, int64_t now_us)
+{
+	struct mark *mk = make(cr, fingerprint, now_us);
+
+	cr->counters.reported++;
+	if (!mk)
+		return;
+	mk->trial = 0;
+	mk->last_us = now_us;
+	add_upstream(mk, eb_claim_member(upstream));
+}
+
+static void pack_mark(msgpack_packer *pk, const struct mark *mk, int64_t now_us)
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, MARK_FIELDS);
+	msgpack_pack_uint64(pk, mk->fingerprint);
+	msgpack_pack_uint64(pk, (uint64_t)(now_us - mk->last_us) / 1000);
+	for (i = 0; i < EB_CRASH_UPSTREAMS_MAX; i++)
+		msgpack_pack_uint64(pk, i < mk->count ? mk->upstreams[i] : 0);
+}
+
+/*
+ * Appends up to EB_CRASH_PAYLOAD_MARKS marks from place `*from` on: those
+ * that changed since they were last sent, or all of them for a daemon that
+ * has started. `*from` is 0 again when the last one was written; an empty
+ * `out` means that there is nothing to send.
+ */
+void eb_crash_encode(struct eb_crash *cr, uint32_t *from, int all,
+		     int64_t now_us, msgpack_sbuffer *out)
+{
+	struct mark *list[EB_CRASH_PAYLOAD_MARKS], *mk;
+	msgpack_packer pk;
+	uint32_t n = 0, i;
+
+	for (i = *from; i < cr->used && n < EB_CRASH_PAYLOAD_MARKS; i++) {
+		mk = &cr->marks[i];
+		if (mk->count && !expired(mk, now_us) && (all || mk->changed))
+			list[n++] = mk;
+	}
+	*from = i < cr->used ? i : 0;
+	if (!n)
+		return;
+	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, n);
+	for (i = 0; i < n; i++) {
+		pack_mark(&pk, list[i], now_us);
+		if (!all)
+			list[i]->changed = 0;
+	}
+}
+
+static int valid(const msgpack_object *o)
+{
+	uint32_t i;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != MARK_FIELDS)
+		return 0;
+	for (i = 0; i < MARK_FIELDS; i++)
+		if (o->via.array.ptr[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return 0;
+	return o->via.array.ptr[1].via.u64 < EB_CRASH_EXPIRE_MS;
+}
+
+static void merge(struct eb_crash *cr, const msgpack_object *o, int64_t now_us)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	int64_t last_us = now_us - (int64_t)f[1].via.u64 * 1000;
+	struct mark *mk = make(cr, f[0].via.u64, now_us);
+	uint32_t i;
+
+	if (!mk)
+		return;
+	for (i = 0; i < EB_CRASH_UPSTREAMS_MAX; i++)
+		if (f[2 + i].via.u64 && add_upstream(mk, f[2 + i].via.u64)) {
+			cr->counters.learned++;
+			if (mk->count == 1 || last_us > mk->last_us)
+				mk->last_us = last_us;
+		}
+}
+
+/*
+ * Takes over the marks of another daemon. Only a mark that says something new
+ * is passed on, so that messages end. Returns EB_EPARSE for anything that is
+ * not a list of marks, and EB_EFULL for one that is too large.
+ */
+enum eb_status eb_crash_recv(struct eb_crash *cr, const void *payload, size_t n,
+			     int64_t now_us)
+{
+	enum eb_status st = EB_EPARSE;
+	const msgpack_object_array *list;
+	msgpack_unpacked up;
+	size_t off = 0;
+	uint32_t i;
+
+	if (n > PAYLOAD_MAX_BYTES) {
+		cr->counters.bad_payloads++;
+		return EB_EFULL;
+	}
+	msgpack_unpacked_init(&up);
+	if (msgpack_unpack_next(&up, payload, n, &off) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    off == n && up.data.type == MSGPACK_OBJECT_ARRAY) {
+		list = &up.data.via.array;
+		for (i = 0; i < list->size && valid(&list->ptr[i]); i++)
+			;
+		if (i == list->size) {
+			for (i = 0; i < list->size; i++)
+				merge(cr, &list->ptr[i], now_us);
+			st = EB_OK;
+		}
+	}
+	msgpack_unpacked_destroy(&up);
+	if (st)
+		cr->counters.bad_payloads++;
+	return st;
+}
+
+/* Reads the counters. */
+void eb_crash_read_counters(const struct eb_crash *cr,
+			    struct eb_crash_counters *out)
+{
+	uint32_t i;
+
+	*out = cr->counters;
+	out->marks = 0;
+	for (i = 0; i < cr->used; i++)
+		out->marks += cr->marks[i].count > 0;
+}
--- /dev/null
+++ b/tests/test_eb_crash.cc
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "eb_crash.h"
+}
+
+namespace
+{
+
+void spread(eb_crash *from, eb_crash *to, int all, int64_t now_us)
+{
+	uint32_t place = 0;
+
+	do {
+		msgpack_sbuffer sb;
+
+		msgpack_sbuffer_init(&sb);
+		eb_crash_encode(from, &place, all, now_us, &sb);
+		if (sb.size) {
+			EXPECT_EQ(EB_OK,
+				  eb_crash_recv(to, sb.data, sb.size, now_us));
+		}
+		msgpack_sbuffer_destroy(&sb);
+	} while (place);
+}
+
+/* Guards against fingerprints that mix up different requests. */
+TEST(Crash, FingerprintsTellRequestsApart)
+{
+	const eb_crash_request base = { "POST", "/a", "k", "body", 4 };
+	const eb_crash_request others[] = {
+		{ "PUT", "/a", "k", "body", 4 },
+		{ "POST", "/b", "k", "body", 4 },
+		{ "POST", "/a", "l", "body", 4 },
+		{ "POST", "/a", NULL, "body", 4 },
+		{ "POST", "/a", "k", "bodz", 4 },
+		{ "POST", "/a", "k", "body", 3 },
+	};
+
+	EXPECT_EQ(eb_crash_fingerprint(&base), eb_crash_fingerprint(&base));
+	for (const eb_crash_request &rq : others)
+		EXPECT_NE(eb_crash_fingerprint(&base),
+			  eb_crash_fingerprint(&rq));
+}
+
+/*
+ * Guards against a fourth crash: the caller resends through six daemons in
+ * turn, and each daemon restarts after every crash of its upstream.
+ */
+TEST(Crash, AtMostThreeUpstreamsCrash)
+{
+	for (bool restart : { false, true }) {
+		std::vector<eb_crash *> daemons(6);
+		int crashes = 0, served = 0;
+
+		for (auto &d : daemons)
+			d = eb_crash_new();
+		for (int i = 0; i < 60; i++) {
+			int64_t now_us = i * 1000000;
+			size_t who = i % 6;
+
+			served += eb_crash_check(daemons[who], 8, now_us);
+			eb_crash_done(daemons[who], 8);
+			if (!eb_crash_check(daemons[who], 7, now_us))
+				continue;
+			crashes++;
+			eb_crash_report(daemons[who], 7,
+					("u" + std::to_string(who)).c_str(),
+					now_us);
+			for (size_t k = 0; k < 6; k++)
+				if (k != who)
+					spread(daemons[who], daemons[k], 1,
+					       now_us);
+			if (!restart)
+				continue;
+			eb_crash_free(daemons[who]);
+			daemons[who] = eb_crash_new();
+			spread(daemons[(who + 1) % 6], daemons[who], 1, now_us);
+		}
+		EXPECT_GE(EB_CRASH_UPSTREAMS_MAX, crashes);
+		EXPECT_EQ(60, served);
+		/* The mark expires. */
+		EXPECT_EQ(1, eb_crash_check(daemons[0], 7, 700000000));
+		for (auto &d : daemons)
+			eb_crash_free(d);
+	}
+}
+
+struct step_case {
+	const char *name;
+	std::vector<const char *> crashed; /* upstreams, in order */
+	bool trial;			   /* a run is in progress */
+	int allowed;
+};
+
+/* Guards against refusing a request that only was there at a crash. */
+TEST(Crash, Decisions)
+{
+	const step_case cases[] = {
+		{ "unknown", {}, false, 1 },
+		{ "one crash", { "a" }, false, 1 },
+		{ "one crash, second run at once", { "a" }, true, 0 },
+		{ "same upstream twice", { "a", "a" }, false, 1 },
+		{ "two upstreams", { "a", "b" }, false, 0 },
+	};
+
+	for (const step_case &c : cases) {
+		eb_crash *cr = eb_crash_new();
+
+		for (const char *up : c.crashed)
+			eb_crash_report(cr, 7, up, 0);
+		if (c.trial) {
+			EXPECT_EQ(1, eb_crash_check(cr, 7, 1)) << c.name;
+		}
+		EXPECT_EQ(c.allowed, eb_crash_check(cr, 7, 1)) << c.name;
+		eb_crash_free(cr);
+	}
+}
+
+/* Guards against unbounded marks, and against losing a proven one. */
+TEST(Crash, BoundsAndBadPayloads)
+{
+	eb_crash *cr = eb_crash_new();
+	eb_crash_counters ct;
+
+	eb_crash_report(cr, 1, "a", 0);
+	eb_crash_report(cr, 1, "b", 0);
+	for (uint64_t i = 2; i < 3000; i++)
+		eb_crash_report(cr, i, "a", (int64_t)i);
+	eb_crash_read_counters(cr, &ct);
+	EXPECT_EQ((uint64_t)EB_CRASH_MARKS_MAX, ct.marks);
+	EXPECT_EQ(0, eb_crash_check(cr, 1, 3000));
+	for (std::string bad : { std::string(""), std::string("\xc0", 1),
+				 std::string("\x91\x90", 2),
+				 std::string("\x91\x95\x01\x01\x01\x01", 6),
+				 std::string(9000, '\x90') })
+		EXPECT_NE(EB_OK,
+			  eb_crash_recv(cr, bad.data(), bad.size(), 3000));
+	eb_crash_free(cr);
+}
+
+} // namespace
