--- /dev/null
+++ b/bench/callers.c
@@ -0,0 +1,252 @@
+/*
+ * Callers that misbehave, on a virtual clock: one that sends 100 times its
+ * share, and one that resends a request that crashes upstreams.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_crash.h"
+#include "eb_limit.h"
+#include "eb_rand.h"
+
+#define SEEDS 20
+#define CALLERS 40
+#define SLOTS 36
+#define QUEUE_MAX 60
+#define SERVICE_US 10000.0
+#define SHARE_PER_S 45.0 /* of one caller: half of the capacity in all */
+#define BUSY_FACTOR 100.0
+#define RUN_US 20000000LL
+#define SAMPLES_MAX 100000
+
+struct sim {
+	struct eb_limit *limit; /* NULL: no limit */
+	struct eb_rand rand;
+	int64_t slot_free_us[SLOTS];
+	/* Requests in progress, for eb_limit_done() at their end. */
+	struct {
+		uint64_t caller;
+		int64_t end_us;
+	} running[SLOTS + QUEUE_MAX];
+	uint32_t running_count;
+	double samples[SAMPLES_MAX];
+	uint32_t sample_count;
+	uint32_t sent, refused; /* of the callers that behave */
+};
+
+static double exponential(struct eb_rand *rn, double mean)
+{
+	return -mean * log(1.0 - eb_rand_unit(rn));
+}
+
+static void finish_until(struct sim *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->running_count;) {
+		if (s->running[i].end_us > now_us) {
+			i++;
+			continue;
+		}
+		if (s->limit)
+			eb_limit_done(s->limit, s->running[i].caller);
+		s->running[i] = s->running[--s->running_count];
+	}
+}
+
+/* Serves in order of arrival. Returns the latency in us, -1 if refused. */
+static double serve(struct sim *s, uint64_t caller, int64_t now_us)
+{
+	uint32_t i, slot = 0;
+	int64_t start_us;
+
+	finish_until(s, now_us);
+	if (s->limit && eb_limit_take(s->limit, caller, now_us))
+		return -1;
+	if (s->running_count == SLOTS + QUEUE_MAX) {
+		if (s->limit)
+			eb_limit_done(s->limit, caller);
+		return -1;
+	}
+	for (i = 1; i < SLOTS; i++)
+		if (s->slot_free_us[i] < s->slot_free_us[slot])
+			slot = i;
+	start_us =
+		s->slot_free_us[slot] > now_us ? s->slot_free_us[slot] : now_us;
+	s->slot_free_us[slot] =
+		start_us + (int64_t)exponential(&s->rand, SERVICE_US) + 1;
+	s->running[s->running_count].caller = caller;
+	s->running[s->running_count++].end_us = s->slot_free_us[slot];
+	return (double)(s->slot_free_us[slot] - now_us);
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Returns the p99 in ms of the callers that behave, and their success. */
+static double run(struct sim *s, uint64_t seed, int busy, int limited,
+		  double *success)
+{
+	/* Four times the share, and twice the slots, so that bursts pass. */
+	struct eb_limit_config cf = { 4 * (uint32_t)SHARE_PER_S, 20, 2 * SLOTS,
+				      0 };
+	double rate = CALLERS * SHARE_PER_S, t = 0, latency, busy_rate;
+	uint64_t caller;
+
+	memset(s, 0, sizeof(*s));
+	eb_rand_seed(&s->rand, seed);
+	s->limit = limited ? eb_limit_new(&cf) : NULL;
+	busy_rate = busy ? BUSY_FACTOR * SHARE_PER_S : 0;
+	while (t < RUN_US) {
+		t += exponential(&s->rand, 1e6 / (rate + busy_rate));
+		caller = 1 + eb_rand_below(&s->rand, CALLERS);
+		if (eb_rand_unit(&s->rand) * (rate + busy_rate) < busy_rate)
+			caller = 0;
+		latency = serve(s, caller, (int64_t)t);
+		if (!caller)
+			continue;
+		s->sent++;
+		if (latency < 0)
+			s->refused++;
+		else if (s->sample_count < SAMPLES_MAX)
+			s->samples[s->sample_count++] = latency;
+	}
+	eb_limit_free(s->limit);
+	qsort(s->samples, s->sample_count, sizeof(s->samples[0]), compare);
+	*success = 1.0 - (double)s->refused / s->sent;
+	return s->samples[s->sample_count / 100 * 99] / 1000;
+}
+
+static void print(const char *name, uint64_t seed, const char *figure,
+		  double value, const char *baseline, double other)
+{
+	printf("{\"bench\":\"callers\",\"case\":\"%s\",\"seed\":%llu,"
+	       "\"figure\":\"%s\",\"value\":%.4f,\"baseline\":\"%s\","
+	       "\"baseline_value\":%.4f}\n",
+	       name, (unsigned long long)seed, figure, value, baseline, other);
+}
+
+static void bench_busy_caller(void)
+{
+	struct sim *s = malloc(sizeof(*s));
+	double quiet, limited, open, ok_quiet, ok_limited, ok_open;
+	uint64_t seed;
+
+	if (!s)
+		exit(1);
+	for (seed = 1; seed <= SEEDS; seed++) {
+		quiet = run(s, seed, 0, 1, &ok_quiet);
+		limited = run(s, seed, 1, 1, &ok_limited);
+		open = run(s, seed, 1, 0, &ok_open);
+		print("busy-caller", seed, "others_p99_ms", limited,
+		      "undisturbed", quiet);
+		print("busy-caller", seed, "others_p99_ratio", limited / quiet,
+		      "no-limit", open / quiet);
+		print("busy-caller", seed, "others_success", ok_limited,
+		      "no-limit", ok_open);
+		print("undisturbed", seed, "others_success", ok_quiet, "target",
+		      0.999);
+	}
+	free(s);
+}
+
+#define DAEMONS 18
+#define RESENDS 2000
+#define SPREAD_US 20000 /* for a mark to reach the others */
+
+static void spread(struct eb_crash *from, struct eb_crash *to, int64_t now_us)
+{
+	msgpack_sbuffer sb;
+	uint32_t place = 0;
+
+	msgpack_sbuffer_init(&sb);
+	eb_crash_encode(from, &place, 1, now_us, &sb);
+	if (sb.size)
+		eb_crash_recv(to, sb.data, sb.size, now_us);
+	msgpack_sbuffer_destroy(&sb);
+}
+
+struct fleet {
+	struct eb_crash *marks[DAEMONS];
+	int64_t spread_us[DAEMONS]; /* when its mark arrives; 0: none */
+};
+
+/* Delivers marks that are due; the daemon of the crash restarts then. */
+static void deliver(struct fleet *fl, int64_t now_us)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < DAEMONS; i++) {
+		if (!fl->spread_us[i] || fl->spread_us[i] > now_us)
+			continue;
+		fl->spread_us[i] = 0;
+		for (k = 0; k < DAEMONS; k++)
+			if (k != i)
+				spread(fl->marks[i], fl->marks[k], now_us);
+		eb_crash_free(fl->marks[i]);
+		fl->marks[i] = eb_crash_new();
+		spread(fl->marks[(i + 1) % DAEMONS], fl->marks[i], now_us);
+	}
+}
+
+/*
+ * A caller resends 10 ms after each answer through a daemon at random. An
+ * answer to a crash comes after `delay_ms`. Returns the crashes.
+ */
+static uint32_t crashes(uint64_t seed, int marks, uint32_t delay_ms,
+			uint32_t *harmless)
+{
+	int64_t now_us = 10000;
+	struct fleet fl = { 0 };
+	uint32_t i, who, n = 0;
+	struct eb_rand rn;
+	char name[16];
+
+	eb_rand_seed(&rn, seed);
+	for (i = 0; i < DAEMONS; i++)
+		fl.marks[i] = eb_crash_new();
+	*harmless = 0;
+	for (i = 0; i < RESENDS; i++, now_us += 10000) {
+		who = eb_rand_below(&rn, DAEMONS);
+		deliver(&fl, now_us);
+		*harmless += (uint32_t)eb_crash_check(fl.marks[who], 8, now_us);
+		if (marks && !eb_crash_check(fl.marks[who], 7, now_us))
+			continue;
+		n++;
+		snprintf(name, sizeof(name), "u%u", who);
+		eb_crash_report(fl.marks[who], 7, name, now_us);
+		fl.spread_us[who] = now_us + SPREAD_US;
+		now_us += delay_ms * 1000LL;
+	}
+	for (i = 0; i < DAEMONS; i++)
+		eb_crash_free(fl.marks[i]);
+	return n;
+}
+
+int main(void)
+{
+	uint32_t harmless, ignored;
+	uint64_t seed;
+
+	bench_busy_caller();
+	for (seed = 1; seed <= SEEDS; seed++) {
+		uint32_t delay = EB_CRASH_ANSWER_DELAY_MS;
+		uint32_t with = crashes(seed, 1, delay, &harmless);
+		uint32_t at_once = crashes(seed, 1, 0, &ignored);
+		uint32_t without = crashes(seed, 0, delay, &ignored);
+
+		print("crashing-request", seed, "upstreams_crashed", with,
+		      "no-marks", without);
+		print("crashing-request", seed, "upstreams_crashed", with,
+		      "no-answer-delay", at_once);
+		print("crashing-request", seed, "harmless_served",
+		      (double)harmless / RESENDS, "target", 1);
+	}
+	return 0;
+}
