--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -627,6 +627,57 @@
 	print(fl, "false_downs", (double)fl->false_downs, 0);
 }
 
+enum { ROLE_ORDINARY, ROLE_READER, ROLE_RELAY, ROLES };
+
+static int role_of(const struct inst *in)
+{
+	uint32_t i;
+
+	if (in->reader)
+		return ROLE_READER;
+	for (i = 0; in->up && i < in->dist->link_count; i++)
+		if (in->dist->links[i].crossing)
+			return ROLE_RELAY;
+	return ROLE_ORDINARY;
+}
+
+/* Prints the mean of each role; a reader that relays counts as a reader. */
+static void print_roles(const struct fleet *fl, double seconds)
+{
+	static const char *const names[ROLES] = { "ordinary", "reader",
+						  "relay" };
+	double sum[ROLES][2][CLASSES] = { { { 0 } } }, count[ROLES] = { 0 };
+	char figure[64];
+	uint32_t i;
+	int r, c;
+
+	for (i = 0; i < fl->n; i++) {
+		const struct inst *in = &fl->insts[i];
+
+		r = role_of(in);
+		count[r]++;
+		for (c = 0; c < CLASSES; c++) {
+			sum[r][0][c] += (double)in->out.bytes[c] / seconds;
+			sum[r][1][c] += (double)in->in.bytes[c] / seconds;
+		}
+	}
+	for (r = 0; r < ROLES; r++) {
+		snprintf(figure, sizeof(figure), "%s_daemons", names[r]);
+		print(fl, figure, count[r], 0);
+		for (c = 0; c < 2 * CLASSES && count[r] > 0; c++) {
+			static const char *const places[CLASSES] = {
+				"domain", "domains", "regions"
+			};
+
+			snprintf(figure, sizeof(figure), "%s_%s_%s_bytes_per_s",
+				 names[r], c < CLASSES ? "out" : "in",
+				 places[c % CLASSES]);
+			print(fl, figure,
+			      sum[r][c / CLASSES][c % CLASSES] / count[r], 0);
+		}
+	}
+}
+
 static void print_spread(const struct fleet *fl)
 {
 	print(fl, "in_force_p50_ms", times_ms(&fl->spread, 0.5), 6000);
@@ -686,6 +737,7 @@
 	run(fl, (int64_t)seconds * SEC, notes, restarts);
 	print_cpu(fl, cpu_s() - cpu, seconds);
 	print_flows(fl, seconds);
+	print_roles(fl, seconds);
 	run(fl, 3 * SEC, 0, 0);
 	print_spread(fl);
 	print_memory(fl);
@@ -848,6 +900,66 @@
 	print(fl, "roster_bytes", (double)eb_roster_bytes(fl->roster), 0);
 }
 
+/* Least squares through points (x, y); prints both terms and the residual. */
+static void print_fit(const struct fleet *fl, const char *what, const double *x,
+		      const double *y, uint32_t n)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, slope, base, worst = 0;
+	char figure[64];
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+	}
+	slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+	base = (sy - slope * sx) / n;
+	for (i = 0; i < n; i++) {
+		double r = y[i] - base - slope * x[i];
+
+		r = r < 0 ? -r : r;
+		worst = r > worst ? r : worst;
+	}
+	snprintf(figure, sizeof(figure), "%s_base", what);
+	print(fl, figure, base, 0);
+	snprintf(figure, sizeof(figure), "%s_slope", what);
+	print(fl, figure, slope, 0);
+	snprintf(figure, sizeof(figure), "%s_largest_residual", what);
+	print(fl, figure, worst, 0);
+}
+
+static double out_bytes_per_s(struct fleet *fl, double notes, double restarts)
+{
+	double sum = 0;
+	uint32_t i;
+
+	reset(fl);
+	run(fl, 20 * SEC, notes, restarts);
+	for (i = 0; i < fl->n; i++)
+		sum += (double)flow_bytes(&fl->insts[i], 1);
+	return sum / fl->n / 20;
+}
+
+/* How the bytes that a daemon sends grow with notes and with restarts. */
+static void case_slopes(struct fleet *fl)
+{
+	static const double notes[] = { 0, 0.5, 1, 2, 4 };
+	static const double restarts[] = { 0, 0.1, 0.2, 0.4, 0.8 };
+	double y[5];
+	uint32_t i;
+
+	begin_all(fl, 20, NOTE_BYTES);
+	run(fl, 15 * SEC, 0, 0);
+	for (i = 0; i < 5; i++)
+		y[i] = out_bytes_per_s(fl, notes[i], 0);
+	print_fit(fl, "bytes_per_s_by_notes_per_s", notes, y, 5);
+	for (i = 0; i < 5; i++)
+		y[i] = out_bytes_per_s(fl, 0, restarts[i]);
+	print_fit(fl, "bytes_per_s_by_restarts_per_s", restarts, y, 5);
+}
+
 static const struct {
 	const char *name;
 	void (*run)(struct fleet *fl);
@@ -860,6 +972,7 @@
 	{ "start_together", case_start_together },
 	{ "start_together_4mb", case_start_together_4mb },
 	{ "roster", case_roster },
+	{ "slopes", case_slopes },
 };
 
 static int run_case(const char *name, uint32_t n, int cpu)
@@ -893,6 +1006,7 @@
 		{ "regions_apart", 400 },   { "platform_down", 400 },
 		{ "start_together", 18 },   { "start_together", 400 },
 		{ "start_together", 2000 }, { "start_together_4mb", 400 },
+		{ "slopes", 400 },
 	};
 	int cpu = argc > 1 && !strcmp(argv[1], "--cpu"), i, rc = 0;
 	uint32_t k;
