--- a/src/eb_roster.c
+++ b/src/eb_roster.c
@@ -180,6 +180,33 @@
 	return rc;
 }
 
+/*
+ * Sorts by rank, and members of one rank by number, in `spare` and back. With
+ * qsort() for the seven orders a roster of 22,000 took twice as long to build.
+ */
+static void sort_ranked(struct ranked *all, struct ranked *spare, uint32_t n)
+{
+	uint32_t shift, i, sum;
+
+	for (shift = 0; shift < 64; shift += 8) {
+		uint32_t at[256] = { 0 };
+		struct ranked *swap = all;
+
+		for (i = 0; i < n; i++)
+			at[all[i].rank >> shift & 0xff]++;
+		for (i = 0, sum = 0; i < 256; i++) {
+			uint32_t count = at[i];
+
+			at[i] = sum;
+			sum += count;
+		}
+		for (i = 0; i < n; i++)
+			spare[at[all[i].rank >> shift & 0xff]++] = all[i];
+		all = spare;
+		spare = swap;
+	}
+}
+
 static uint32_t set_of(const struct eb_roster_member *m, int by)
 {
 	if (by == 0)
@@ -197,7 +224,7 @@
 {
 	struct eb_roster_set *out = calloc(sets + 1, sizeof(*out));
 	uint32_t *order = calloc(ro->count + 1, sizeof(*order));
-	struct ranked *all = calloc(ro->count + 1, sizeof(*all));
+	struct ranked *all = calloc(2 * (size_t)ro->count + 1, sizeof(*all));
 	uint32_t i, first = 0;
 
 	if (!out || !order || !all) {
@@ -218,7 +245,7 @@
 		all[i].rank = eb_gossip_mix(ro->members[i].id, salt);
 		all[i].member = i;
 	}
-	qsort(all, ro->count, sizeof(*all), by_rank);
+	sort_ranked(all, all + ro->count, ro->count);
 	for (i = 0; i < ro->count; i++) {
 		struct eb_roster_set *s =
 			&out[set_of(&ro->members[all[i].member], by)];
