--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -33,6 +34,13 @@
 
 extern char **environ;
 
+/*
+ * A wait that has lasted this long counts as never ending, so that one hung
+ * test does not stop all others. The longest timer that a test waits for is a
+ * peer's silence of 4 s; a slow machine does not reach this limit.
+ */
+#define WAIT_HUNG_US 90000000
+
 std::string build_dir()
 {
 	const char *dir = getenv("EBONYPIER_BUILD");
@@ -157,11 +165,13 @@
 
 void wait_until(const std::string &what, const std::function<bool()> &done)
 {
-	int64_t said = now_us(), pause_ms = 1;
+	int64_t start = now_us(), said = start, pause_ms = 1;
 
 	while (!done()) {
 		sleep_ms(pause_ms);
 		pause_ms = std::min<int64_t>(pause_ms * 2, 20);
+		if (now_us() - start > WAIT_HUNG_US)
+			throw std::runtime_error("hung: " + what);
 		if (now_us() - said > 10000000) {
 			said = now_us();
 			fprintf(stderr, "still waiting: %s\n", what.c_str());
@@ -623,6 +633,13 @@
 	}
 }
 
+bool RawSocket::readable()
+{
+	pollfd pf = { fd_, POLLIN, 0 };
+
+	return !left_.empty() || poll(&pf, 1, 0) > 0;
+}
+
 bool RawSocket::at_end()
 {
 	return receive(1).empty();
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -12,9 +12,10 @@
 #include <vector>
 
 /*
- * Integration tests over real processes. Nothing here has a time limit that
- * decides a verdict: a wait goes on until its condition holds or a process
- * that it depends on has ended.
+ * Integration tests over real processes. No verdict depends on the machine's
+ * speed: a wait goes on until its condition holds or a process that it depends
+ * on has ended. Only a wait of minutes, far beyond every timer of the system,
+ * counts as hung.
  */
 
 /* The directory of the programs under test. */
@@ -32,7 +33,7 @@
 
 /*
  * Polls until `done` returns true; says every ten seconds on standard error
- * what it waits for.
+ * what it waits for. Throws when the wait has hung.
  */
 void wait_until(const std::string &what, const std::function<bool()> &done);
 
@@ -164,6 +165,8 @@
 	 * included; less when the peer closes before its end.
 	 */
 	std::string receive_answer(bool head_only = false);
+	/* Whether there is something to receive now, or the end. */
+	bool readable();
 	/* Whether the peer closes before it sends anything more. */
 	bool at_end();
 	void finish_sending();
--- /dev/null
+++ b/tests/it_hazards.cc
@@ -0,0 +1,365 @@
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include <atomic>
+#include <thread>
+
+#include "harness.h"
+
+namespace
+{
+
+/*
+ * The known hazards of the libraries, each against real processes. `near` is
+ * served beside the daemon that callers use, `far` by a second daemon behind
+ * a relay.
+ */
+struct Hazard : testing::Test {
+	Fleet fleet;
+	std::unique_ptr<Relay> relay;
+
+	Hazard() : fleet(options())
+	{
+	}
+	static FleetOptions options()
+	{
+		FleetOptions op;
+
+		op.services = { { "near" }, { "far" } };
+		op.slots = 4;
+		return op;
+	}
+	void SetUp() override
+	{
+		relay = std::make_unique<Relay>(fleet[1].daemon_port);
+		fleet[1].relay_port = relay->port;
+		fleet.start();
+	}
+	Member &near()
+	{
+		return fleet[0];
+	}
+	Member &far()
+	{
+		return fleet[1];
+	}
+	HttpAnswer book(const std::string &path, const std::string &key,
+			std::vector<std::string> headers = {})
+	{
+		headers.push_back("Idempotency-Key: " + key);
+		return http_post(near().url(path), "booking", headers);
+	}
+	/* Requests to `path` until one is served again. */
+	void wait_served(const std::string &path)
+	{
+		wait_until(path, [&] {
+			return http_get(near().url(path)).complete(200);
+		});
+	}
+	/* What an answer says must agree with what the upstreams ran. */
+	void check_told(const HttpAnswer &a, const std::string &key)
+	{
+		int64_t n = fleet.executions(key);
+
+		EXPECT_LE(n, 1) << key;
+		ASSERT_EQ(0, a.code) << key;
+		if (a.outcome() == "ran") {
+			EXPECT_EQ(1, n) << key;
+		} else if (a.outcome() == "not-run") {
+			EXPECT_EQ(0, n) << key;
+		} else {
+			EXPECT_EQ("unknown", a.outcome()) << key;
+		}
+	}
+};
+
+/*
+ * Guards against libcurl sending a POST again when the upstream closes a
+ * reused connection after reading the request, and against giving up the
+ * reuse of connections to prevent it.
+ */
+TEST_F(Hazard, PostOnAClosedReusedConnectionRunsOnce)
+{
+	for (const char *path : { "/near/x", "/far/x" }) {
+		Member &m = path[1] == 'n' ? near() : far();
+		std::string key = std::string("reused") + path;
+		double stopped = m.metric("upstream_resends_stopped_total");
+		HttpClient client;
+		HttpAnswer a;
+
+		for (int i = 0; i < 20; i++)
+			ASSERT_TRUE(client.get(near().url(path)).complete(200));
+		EXPECT_LT(m.metric("upstream_connections_total"), 20);
+		m.fault("{\"close_reused\":true}");
+		a = book(path, key);
+		EXPECT_EQ("unknown", a.outcome()) << path << a.status;
+		EXPECT_EQ(1, fleet.executions(key)) << path;
+		EXPECT_GT(m.metric("upstream_resends_stopped_total"), stopped);
+		m.fault("{}");
+		EXPECT_TRUE(book(path, key + "-after").complete(200));
+	}
+}
+
+/* The same with many bookings at once and connections of every age. */
+TEST_F(Hazard, PostsAmongClosingConnectionsRunAtMostOnce)
+{
+	std::vector<std::thread> callers;
+	std::atomic<int> next{ 0 };
+
+	near().fault("{\"close_reused\":true}");
+	for (int t = 0; t < 4; t++) {
+		callers.emplace_back([&] {
+			HttpClient client;
+
+			for (int i; (i = next++) < 200;)
+				client.post(near().url("/near/x"), "booking",
+					    { "Idempotency-Key: many-" +
+					      std::to_string(i) });
+		});
+	}
+	for (std::thread &t : callers)
+		t.join();
+	for (int i = 0; i < 200; i++)
+		EXPECT_LE(near().executions("many-" + std::to_string(i)), 1);
+}
+
+/*
+ * Guards against "not run" for a POST whose reused connection is reset before
+ * the first byte of the answer.
+ */
+TEST_F(Hazard, ResetBeforeTheAnswerIsUnknown)
+{
+	HttpAnswer a;
+
+	ASSERT_TRUE(http_get(near().url("/near/x")).complete(200));
+	std::thread killer([this] {
+		wait_until("the run",
+			   [this] { return near().executions("reset") == 1; });
+		near().upstream->kill();
+	});
+	a = book("/near/x?delay_us=3000000000", "reset");
+	killer.join();
+	EXPECT_EQ(0, a.code);
+	EXPECT_EQ("unknown", a.outcome()) << a.status;
+}
+
+/*
+ * Guards against old messages that ZeroMQ delivers to a restarted peer, and
+ * that run there after their callers were told otherwise.
+ */
+TEST_F(Hazard, RestartedPeerRunsNothingOld)
+{
+	std::vector<HttpAnswer> answers;
+
+	wait_served("/far/x");
+	far().daemon->kill();
+	for (int i = 0; i < 5; i++)
+		answers.push_back(book("/far/x", "old-" + std::to_string(i),
+				       { "Ebonypier-Deadline-Ms: 400" }));
+	fleet.start_daemon(1);
+	fleet.wait_ready(1);
+	wait_served("/far/x");
+	for (int i = 0; i < 5; i++)
+		check_told(answers[(size_t)i], "old-" + std::to_string(i));
+}
+
+/* Guards against a run that goes on when the origin of its call has died. */
+TEST_F(Hazard, DeadOriginIsNoticedByTheGate)
+{
+	RawSocket s(near().listen_port);
+
+	wait_served("/far/x");
+	s.send("GET /far/long?delay_us=3000000000 HTTP/1.1\r\nHost: a\r\n\r\n");
+	wait_until("the run",
+		   [this] { return far().runs_count("in_flight") == 1; });
+	near().daemon->kill();
+	wait_until("the end of the run",
+		   [this] { return far().runs_count("cut") == 1; });
+	wait_until("the slot",
+		   [this] { return !far().metric("calls_active"); });
+}
+
+/* Guards against a call that waits for ever on a peer that has died. */
+TEST_F(Hazard, DeadGateEndsCallsWithUnknown)
+{
+	HttpAnswer a;
+
+	wait_served("/far/x");
+	std::thread killer([this] {
+		wait_until("the run",
+			   [this] { return far().executions("dead") == 1; });
+		far().daemon->kill();
+	});
+	a = book("/far/x?delay_us=3000000000", "dead");
+	killer.join();
+	EXPECT_EQ(0, a.code);
+	EXPECT_EQ("unknown", a.outcome()) << a.status;
+	EXPECT_TRUE(http_get(near().url("/near/x")).complete(200));
+}
+
+struct silence_case {
+	const char *name;
+	const char *fault; /* NULL: silences the open links for good */
+};
+
+struct Silence : Hazard, testing::WithParamInterface<silence_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(
+	Links, Silence,
+	testing::Values(silence_case{ "Forward", "{\"silent\":\"forward\"}" },
+			silence_case{ "Backward", "{\"silent\":\"backward\"}" },
+			silence_case{ "BothWays", "{\"silent\":\"both\"}" },
+			silence_case{ "OpenLinks", nullptr }),
+	[](const testing::TestParamInfo<silence_case> &info) {
+		return std::string(info.param.name);
+	});
+
+/*
+ * Guards against an open connection that goes silent, which raises no error:
+ * calls on it end, nothing runs that was reported as not run, and the path is
+ * used again once it works.
+ */
+TEST_P(Silence, EndsCallsAndRecovers)
+{
+	HttpAnswer a, b;
+
+	wait_served("/far/x");
+	std::thread during([&] { a = book("/far/x?delay_us=500000", "in"); });
+	wait_until("the run", [this] { return far().executions("in") == 1; });
+	if (GetParam().fault)
+		relay->fault(GetParam().fault);
+	else
+		relay->silence_open();
+	b = book("/far/x", "after");
+	during.join();
+	EXPECT_NE("not-run", a.outcome());
+	check_told(a, "in");
+	relay->fault("{}");
+	wait_served("/far/x");
+	check_told(b, "after");
+}
+
+/* Guards against messages that are lost or doubled when a link is cut. */
+TEST_F(Hazard, CutLinkRunsNothingTwice)
+{
+	std::vector<HttpAnswer> answers(120);
+	std::vector<std::thread> callers;
+	std::atomic<size_t> next{ 0 };
+
+	wait_served("/far/x");
+	for (int t = 0; t < 6; t++) {
+		callers.emplace_back([&] {
+			for (size_t i; (i = next++) < answers.size();)
+				answers[i] =
+					book("/far/x?delay_us=2000",
+					     "cut-" + std::to_string(i),
+					     { "Ebonypier-Deadline-Ms: 2000" });
+		});
+	}
+	for (size_t at = 20; at < answers.size(); at += 20) {
+		wait_until("calls", [&] { return next >= at; });
+		relay->cut();
+	}
+	for (std::thread &t : callers)
+		t.join();
+	wait_served("/far/x");
+	for (size_t i = 0; i < answers.size(); i++)
+		check_told(answers[i], "cut-" + std::to_string(i));
+}
+
+/*
+ * Guards against suspended requests, one for each waiting call, that keep
+ * others from being served.
+ */
+TEST_F(Hazard, WaitingCallsDoNotStopOthers)
+{
+	std::vector<std::unique_ptr<RawSocket>> waiting;
+
+	for (int i = 0; i < 300; i++) {
+		waiting.push_back(
+			std::make_unique<RawSocket>(near().listen_port));
+		waiting.back()->send("GET /near/x?delay_us=3000000000 "
+				     "HTTP/1.1\r\nHost: a\r\n\r\n");
+	}
+	wait_until("the slots",
+		   [this] { return near().runs_count("in_flight") == 4; });
+	wait_served("/far/x");
+	EXPECT_TRUE(near().admin("/metrics").complete(200));
+	waiting.clear();
+	wait_until("the calls to leave",
+		   [this] { return !near().metric("calls_active"); });
+	wait_served("/near/x");
+}
+
+/* Guards against a caller who says nothing and holds what others need. */
+TEST_F(Hazard, IdleConnectionsDoNotStopOthers)
+{
+	std::vector<std::unique_ptr<RawSocket>> idle;
+
+	for (int i = 0; i < 300; i++) {
+		idle.push_back(std::make_unique<RawSocket>(near().listen_port));
+		idle.back()->send("GET /near/x HT");
+	}
+	for (int i = 0; i < 20; i++)
+		EXPECT_TRUE(http_get(near().url("/near/x")).complete(200));
+}
+
+/*
+ * Guards against stale work after SIGSTOP and SIGCONT: what queued up in a
+ * paused gate is not run when its caller was told that it was not.
+ */
+TEST_F(Hazard, PausedGateRunsNothingStale)
+{
+	std::vector<HttpAnswer> answers;
+
+	wait_served("/far/x");
+	far().daemon->signal(SIGSTOP);
+	for (int i = 0; i < 4; i++)
+		answers.push_back(book("/far/x", "stale-" + std::to_string(i),
+				       { "Ebonypier-Deadline-Ms: 1500" }));
+	far().daemon->signal(SIGCONT);
+	wait_served("/far/x");
+	for (int i = 0; i < 4; i++)
+		check_told(answers[(size_t)i], "stale-" + std::to_string(i));
+}
+
+/* The same for a paused origin, whose calls are over when it resumes. */
+TEST_F(Hazard, PausedOriginAnswersItsCallers)
+{
+	HttpAnswer a;
+
+	wait_served("/far/x");
+	std::thread pause([this] {
+		wait_until("the run",
+			   [this] { return far().executions("paused") == 1; });
+		near().daemon->signal(SIGSTOP);
+		/* The gate finds the origin silent and ends its calls. */
+		wait_until("the end of the run",
+			   [this] { return far().runs_count("cut") == 1; });
+		near().daemon->signal(SIGCONT);
+	});
+	a = book("/far/x?delay_us=3000000000", "paused",
+		 { "Ebonypier-Deadline-Ms: 10000" });
+	pause.join();
+	EXPECT_NE("not-run", a.outcome());
+	check_told(a, "paused");
+	wait_served("/far/x");
+}
+
+/* Guards against an upstream that accepts and never answers. */
+TEST_F(Hazard, SilentUpstreamEndsAtTheDeadline)
+{
+	HttpAnswer a;
+
+	near().fault("{\"silent\":true}");
+	a = book("/near/x", "silent", { "Ebonypier-Deadline-Ms: 300" });
+	EXPECT_EQ(0, a.code);
+	EXPECT_NE("ran", a.outcome());
+	near().fault("{}");
+	wait_served("/near/x");
+	check_told(a, "silent");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/it_peers.cc
@@ -0,0 +1,252 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <thread>
+
+#include <signal.h>
+#include <zmq.h>
+
+#include "harness.h"
+
+extern "C" {
+#include "eb_wire.h"
+}
+
+namespace
+{
+
+/* A socket that speaks to the ZeroMQ port of a daemon. */
+class Dealer
+{
+public:
+	/* Without keys there is no CURVE. */
+	Dealer(const Member &to, const KeyPair *keys)
+		: zmq_(zmq_ctx_new()), socket_(zmq_socket(zmq_, ZMQ_DEALER))
+	{
+		int zero = 0;
+
+		zmq_setsockopt(socket_, ZMQ_LINGER, &zero, sizeof(zero));
+		if (keys) {
+			zmq_setsockopt(socket_, ZMQ_CURVE_SERVERKEY,
+				       to.keys.public_key.c_str(), 41);
+			zmq_setsockopt(socket_, ZMQ_CURVE_PUBLICKEY,
+				       keys->public_key.c_str(), 41);
+			zmq_setsockopt(socket_, ZMQ_CURVE_SECRETKEY,
+				       keys->secret_key.c_str(), 41);
+		}
+		zmq_connect(socket_,
+			    ("tcp://" + loopback(to.daemon_port)).c_str());
+	}
+	~Dealer()
+	{
+		zmq_close(socket_);
+		zmq_ctx_term(zmq_);
+	}
+	Dealer(const Dealer &) = delete;
+	Dealer &operator=(const Dealer &) = delete;
+	void send(const std::string &bytes)
+	{
+		zmq_send(socket_, bytes.data(), bytes.size(), ZMQ_DONTWAIT);
+	}
+
+private:
+	void *zmq_;
+	void *socket_;
+};
+
+/* A request to run on `upstream`, as an origin would send it. */
+std::string head_frame(const std::string &upstream, uint64_t call)
+{
+	eb_frame *f = eb_frame_new(EB_FRAME_HEAD, call);
+	msgpack_sbuffer sb;
+	std::string out;
+
+	f->sender = 4711;
+	f->head->service = strdup("near");
+	f->head->upstream = strdup(upstream.c_str());
+	f->head->method = strdup("POST");
+	f->head->target = strdup("/near/forged");
+	f->head->remaining_us = 5000000;
+	f->head->hops = 5;
+	msgpack_sbuffer_init(&sb);
+	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
+	out.assign(sb.data, sb.size);
+	msgpack_sbuffer_destroy(&sb);
+	eb_frame_unref(f);
+	return out;
+}
+
+struct Peers : testing::Test {
+	Fleet fleet;
+
+	Peers() : fleet(options())
+	{
+	}
+	static FleetOptions options()
+	{
+		FleetOptions op;
+
+		op.services = { { "near" }, { "far" } };
+		return op;
+	}
+	void SetUp() override
+	{
+		fleet.start();
+	}
+	void check_alive()
+	{
+		for (size_t i = 0; i < fleet.size(); i++)
+			ASSERT_TRUE(fleet[i].daemon->running())
+				<< fleet[i].daemon->log();
+		EXPECT_TRUE(http_get(fleet[0].url("/near/x")).complete(200));
+		EXPECT_TRUE(http_get(fleet[0].url("/far/x")).complete(200));
+	}
+};
+
+/* Guards against a stranger who runs requests past the front. */
+TEST_F(Peers, UnknownKeyIsRefusedAndCounted)
+{
+	KeyPair strange = new_key_pair();
+	double before = fleet[0].metric("peer_auth_failed_total");
+	Dealer dealer(fleet[0], &strange);
+
+	for (uint64_t i = 1; i <= 10; i++)
+		dealer.send(head_frame("near-1", i));
+	wait_until("the refusal", [&] {
+		return fleet[0].metric("peer_auth_failed_total") > before;
+	});
+	check_alive();
+	EXPECT_EQ(1, fleet[0].runs_count("started"));
+}
+
+/* Guards against a port that takes frames without CURVE as well. */
+TEST_F(Peers, PlainPeerIsRefused)
+{
+	double frames = fleet[0].metric("frames_in_total");
+	Dealer dealer(fleet[0], nullptr);
+
+	for (uint64_t i = 1; i <= 10; i++) {
+		dealer.send(head_frame("near-1", i));
+		sleep_ms(20);
+	}
+	check_alive();
+	EXPECT_EQ(1, fleet[0].runs_count("started"));
+	/* Only the peer's heartbeats and answers may have come in. */
+	EXPECT_LT(fleet[0].metric("frames_in_total") - frames, 10);
+}
+
+/* Guards against a secret key that does not belong to the public one. */
+TEST_F(Peers, KnownKeyWithoutItsSecretIsRefused)
+{
+	KeyPair forged = { fleet[1].keys.public_key,
+			   new_key_pair().secret_key };
+	Dealer dealer(fleet[0], &forged);
+
+	for (uint64_t i = 1; i <= 10; i++) {
+		dealer.send(head_frame("near-1", i));
+		sleep_ms(20);
+	}
+	check_alive();
+	EXPECT_EQ(1, fleet[0].runs_count("started"));
+}
+
+/* Guards against a daemon that bytes on its ZeroMQ port bring down. */
+TEST_F(Peers, GarbageOnThePort)
+{
+	const std::string parts[] = {
+		"GET / HTTP/1.1\r\n\r\n",
+		std::string(100000, '\xff'),
+		std::string(64, '\0'),
+		std::string("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0CURVE", 17) +
+			std::string(200, '\x01'),
+	};
+
+	for (const std::string &bytes : parts) {
+		for (int i = 0; i < 10; i++) {
+			RawSocket s(fleet[0].daemon_port);
+
+			s.send(bytes);
+			if (i % 2)
+				s.reset();
+		}
+	}
+	check_alive();
+}
+
+/* Guards against trust in the messages of a peer that is known. */
+TEST_F(Peers, GarbageOfAKnownPeerIsCounted)
+{
+	std::string good = head_frame("near-1", 1);
+	double before = fleet[0].metric("frames_bad_total");
+	const std::string bad[] = {
+		"",
+		"x",
+		good.substr(0, good.size() / 2),
+		good + "x",
+		std::string(300000, 'x'),
+		"\x95\x01\x63\x01\x02\x03",
+		std::string("\xdd\xff\xff\xff\xff", 5),
+	};
+	Dealer dealer(fleet[0], &fleet[1].keys);
+
+	for (const std::string &bytes : bad)
+		dealer.send(bytes);
+	wait_until("the count", [&] {
+		return fleet[0].metric("frames_bad_total") - before >= 6;
+	});
+	check_alive();
+	EXPECT_EQ(1, fleet[0].runs_count("started"));
+}
+
+/* Guards against a request for another upstream than the gate's own. */
+TEST_F(Peers, FrameForAnotherUpstreamIsNotRun)
+{
+	Dealer dealer(fleet[0], &fleet[1].keys);
+
+	for (uint64_t i = 1; i <= 10; i++) {
+		dealer.send(head_frame("far-1", i));
+		sleep_ms(20);
+	}
+	check_alive();
+	EXPECT_EQ(1, fleet[0].runs_count("started"));
+	EXPECT_EQ(1, fleet[1].runs_count("started"));
+}
+
+/* Guards against a peer that is lost for good when it restarts. */
+TEST_F(Peers, RestartedPeerServesAgain)
+{
+	for (int round = 0; round < 3; round++) {
+		if (round == 1)
+			EXPECT_EQ(0, fleet[1].daemon->stop());
+		else
+			fleet[1].daemon->kill();
+		fleet.start_daemon(1);
+		fleet.wait_ready(1);
+		wait_until("the restarted peer", [this] {
+			return http_get(fleet[0].url("/far/x")).complete(200);
+		});
+	}
+	check_alive();
+}
+
+/* Guards against a new daemon that is given the calls of the old one. */
+TEST_F(Peers, RestartEndsCallsOfTheOldIncarnation)
+{
+	HttpAnswer a;
+
+	check_alive();
+	std::thread restart([this] {
+		wait_until("the run",
+			   [this] { return fleet[1].executions("old") == 1; });
+		fleet[1].daemon->kill();
+		fleet.start_daemon(1);
+	});
+	a = http_post(fleet[0].url("/far/x?delay_us=3000000000"), "a",
+		      { "Idempotency-Key: old" });
+	restart.join();
+	EXPECT_EQ(0, a.code);
+	EXPECT_EQ("unknown", a.outcome()) << a.status;
+	EXPECT_EQ(1, fleet.executions("old"));
+}
+
+} // namespace
