gate: load reports within the budget of the rule

Cause: the admission module reports load within a byte budget now and has no warm-up any more. Change: the gate asks for a report for each answer and counts its bytes; that it leaves is said on each answer; the check target runs the Spin model.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,8 @@
 	@$(MAKE) --no-print-directory -j10 lint
 	@$(MAKE) --no-print-directory -j10 all $(TESTS)
 	@$(MAKE) --no-print-directory unit
+	@scripts/check_model.sh $(B) >$(B)/log/model.log 2>&1 || \
+		{ cat $(B)/log/model.log; exit 1; }
 
 bench: deps
 	@$(MAKE) --no-print-directory -j all
--- a/src/eb_claims.c
+++ b/src/eb_claims.c
@@ -140,7 +140,7 @@
 	while (!f && (eb_claim_next_send(cs->claimant, &sd) ||
 		      eb_holder_next(cs->holder, &sd))) {
 		if (strlen(sd.to) < space) {
-			strcpy(to, sd.to);
+			memcpy(to, sd.to, strlen(sd.to) + 1);
 			f = wrap(cs, &sd);
 		}
 		eb_claim_send_clear(&sd);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -90,8 +90,7 @@
 	uint32_t slots;
 	uint32_t queue;
 	int draining;
-	int unreachable; /* the upstream refused the last connection */
-	int resumed;	 /* requests come from before a pause of this process */
+	int resumed; /* requests come from before a pause of this process */
 	uint64_t next_id;
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
@@ -112,7 +111,7 @@
 {
 	static const struct eb_chart_names names = { state_names, event_names,
 						     action_names };
-	struct eb_admit_config none = { 0, 0 };
+	struct eb_admit_config none = { 0 };
 	struct eb_gate *gt = calloc(1, sizeof(*gt));
 
 	if (!gt)
@@ -175,7 +174,7 @@
 void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
 		       const struct eb_rule *rule)
 {
-	struct eb_admit_config cf = { 0, 0 };
+	struct eb_admit_config cf = { 0 };
 
 	free(gt->address);
 	free(gt->service);
@@ -184,6 +183,7 @@
 	if (up) {
 		cf.slots = up->slots;
 		cf.queue = rule->queue;
+		cf.watch_bytes_per_s = rule->watch_bytes_per_s;
 	}
 	eb_admit_configure(gt->admit, &cf);
 }
@@ -218,14 +218,24 @@
 	return apr_hash_count(gt->calls);
 }
 
+/* Adds the load report, within its budget; that it leaves is always said. */
+static void add_report(struct eb_gate *gt, struct eb_reply *r, int64_t now_us)
+{
+	eb_admit_report(gt->admit, now_us, &r->load);
+	if (r->load.slots)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_WATCH_BYTES,
+			       EB_ADMIT_REPORT_BYTES);
+	r->load.draining = (uint16_t)gt->draining;
+}
+
 static void to_origin(struct eb_gate *gt, const struct call *ca,
-		      struct eb_frame *f)
+		      struct eb_frame *f, int64_t now_us)
 {
 	f->call = ca->key.call;
 	f->target = ca->key.origin;
 	f->sender = gt->config.incarnation;
 	if (f->reply)
-		eb_gate_load(gt, &f->reply->load);
+		add_report(gt, f->reply, now_us);
 	gt->out.to_origin(gt->out.ctx, ca->local ? NULL : &ca->back, f);
 }
 
@@ -308,7 +318,6 @@
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, ca->key.call);
 
-	(void)now_us;
 	eb_frame_unref(f);
 	ca->outcome = EB_OUTCOME_NOT_RUN;
 	ca->reason = ca->verdict.reason;
@@ -318,7 +327,7 @@
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = ca->verdict.reason;
 	out->reply->retry_after_ms = ca->verdict.retry_after_ms;
-	to_origin(gt, ca, out);
+	to_origin(gt, ca, out, now_us);
 }
 
 static void do_leave_queue(struct eb_gate *gt, struct call *ca,
@@ -343,10 +352,9 @@
 static void do_to_origin(struct eb_gate *gt, struct call *ca,
 			 struct eb_frame *f, int64_t now_us)
 {
-	(void)now_us;
 	if (f->reply)
 		ca->status = f->reply->status;
-	to_origin(gt, ca, f);
+	to_origin(gt, ca, f, now_us);
 }
 
 /*
@@ -363,18 +371,6 @@
 	return now_us - ca->started_us;
 }
 
-/* An upstream that has come back after refusing connections starts cold. */
-static void note_reachable(struct eb_gate *gt, const struct call *ca,
-			   int64_t now_us)
-{
-	if (ca->reason == EB_REASON_CONNECT) {
-		gt->unreachable = 1;
-	} else if (gt->unreachable && ca->outcome == EB_OUTCOME_RAN) {
-		gt->unreachable = 0;
-		eb_admit_warm(gt->admit, now_us);
-	}
-}
-
 /* Frees the slot of a call. */
 static void do_release(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
 		       int64_t now_us)
@@ -387,7 +383,6 @@
 	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_UPSTREAM_US,
 			   now_us - ca->started_us);
 	eb_admit_done(gt->admit, ca->id, service_sample_us(ca, now_us), now_us);
-	note_reachable(gt, ca, now_us);
 	eb_frame_unref(f);
 }
 
@@ -395,7 +390,7 @@
 		      int64_t now_us)
 {
 	do_release(gt, ca, eb_frame_ref(f), now_us);
-	to_origin(gt, ca, f);
+	to_origin(gt, ca, f, now_us);
 }
 
 static void do_stop(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
@@ -421,7 +416,7 @@
 		return;
 	out->reply->outcome = EB_OUTCOME_UNKNOWN;
 	out->reply->reason = EB_REASON_DEADLINE;
-	to_origin(gt, ca, out);
+	to_origin(gt, ca, out, now_us);
 }
 
 /* In the order of action_names. */
@@ -474,7 +469,8 @@
 /* Returns when admission needs its next turn; see the header. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us)
 {
-	return eb_admit_wake_us(gt->admit, now_us);
+	(void)now_us;
+	return eb_admit_wake_us(gt->admit);
 }
 
 /* ---- Frames ---- */
@@ -502,7 +498,8 @@
 
 /* Answers HEAD without keeping a call. */
 static void refuse_head(struct eb_gate *gt, const struct eb_frame *f,
-			const struct eb_back_route *back, enum eb_reason reason)
+			const struct eb_back_route *back, enum eb_reason reason,
+			int64_t now_us)
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
@@ -513,7 +510,7 @@
 	out->sender = gt->config.incarnation;
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = (uint8_t)reason;
-	eb_gate_load(gt, &out->reply->load);
+	add_report(gt, out->reply, now_us);
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
 
@@ -593,7 +590,7 @@
 		}
 		reason = EB_REASON_INTERNAL;
 	}
-	refuse_head(gt, f, back, reason);
+	refuse_head(gt, f, back, reason, now_us);
 	eb_frame_unref(f);
 }
 
@@ -628,7 +625,7 @@
 			offer(gt, f, back, og, now_us);
 			return;
 		}
-		refuse_head(gt, f, back, EB_REASON_QUEUE_FULL);
+		refuse_head(gt, f, back, EB_REASON_QUEUE_FULL, now_us);
 		eb_frame_unref(f);
 	} else if (!ca || f->type == EB_FRAME_HEAD) {
 		/* Late, or HEAD for a second time. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -887,7 +887,7 @@
 		n->draining = (uint8_t)ld->draining;
 		eb_nodes_changed(og->config.nodes, node, now_us);
 	}
-	if (sv)
+	if (sv && ld->slots)
 		eb_route_load(sv->route, node, ld, now_us);
 }
 
--- a/tests/test_eb_tool.cc
+++ b/tests/test_eb_tool.cc
@@ -139,7 +139,12 @@
 	*(int *)ctx = 1;
 }
 
-const eb_admin_ops ops = { status, drain };
+void open_claims(void *ctx)
+{
+	*(int *)ctx = 2;
+}
+
+const eb_admin_ops ops = { status, drain, open_claims };
 
 /* Two daemons as far as the tool sees them. */
 class ToolAdmin : public testing::Test
