admit: keep free slots open while an upstream stalls

Cause: A stalled gate refused requests although slots were free, but for one trial in eight service times; one long request could close the rest. Change: A stall only hands back and refuses when all slots are taken.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -18,8 +18,6 @@
  * upstream counts as stalled.
  */
 #define STALL_TIMES 8
-/* While stalled, one request is let through in this many service times. */
-#define TRIAL_TIMES 8
 /*
  * Longest expected wait for the first attempt; another upstream in the region
  * is 2 ms away. It doubles with each attempt.
@@ -33,7 +31,6 @@
 
 const struct eb_admit_tuning eb_admit_tuning_default = {
 	.stall_times = STALL_TIMES,
-	.trial_times = TRIAL_TIMES,
 	.wait_us = WAIT_US,
 };
 
@@ -53,7 +50,6 @@
 	int64_t owed_us;    /* slot time since the last completion */
 	int64_t owed_at_us; /* time up to which owed_us counts */
 	int64_t done_us;    /* last completion */
-	int64_t started_us; /* last time a request got a slot */
 	int64_t watch_tokens;
 	int64_t watch_at_us;
 	uint8_t draining;
@@ -132,7 +128,6 @@
 {
 	count_owed(ad, now_us);
 	ad->in_flight++;
-	ad->started_us = now_us;
 	act->verdict = EB_ADMIT_RUN;
 }
 
@@ -186,10 +181,8 @@
 		refuse(act, EB_REASON_DRAINING, 0);
 	} else if (rq->deadline_us <= now_us) {
 		refuse(act, EB_REASON_DEADLINE, 0);
-	} else if (stalled(ad, now_us) && rq->attempt < ATTEMPT_LAST &&
-		   (ad->in_flight >= slots ||
-		    now_us - ad->started_us <
-			    ad->tune.trial_times * ad->service_us)) {
+	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
+		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (ad->in_flight < slots && !ad->queued) {
 		run(ad, now_us, act);
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -21,7 +21,6 @@
 /* The constants of the policy; the bench varies them. */
 struct eb_admit_tuning {
 	int64_t stall_times; /* 0: nothing is handed back */
-	int64_t trial_times;
 	int64_t wait_us;
 };
 
