admit: take the last attempt's number from EB_ATTEMPTS_MAX

Cause: eb_admit and eb_retry had to agree on the number of the last attempt, and eb_admit held its own copy. Change: eb_admit derives it from EB_ATTEMPTS_MAX.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -24,7 +24,7 @@
  */
 #define WAIT_US 2000
 /* From this attempt on a request is not handed back. */
-#define ATTEMPT_LAST 3
+#define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
 /* Unused budget of load reports is kept for a tenth of a second. */
 #define WATCH_BURST_US 100000
 #define WATCH_GAP_MAX_US 100000000 /* keeps the product in 64 bits */
