claim: check the shape of payloads before unpacking

Cause: a payload of five bytes that announces an array of 2^32 - 1 items makes the MessagePack library ask for 64 GB; found by Claim wire tests under the address sanitizer. Change: eb_claim_shape_valid() walks the payload first; used for claims and for crash marks. Conclusion: eb_wire has the same weakness and is not changed here.

--- a/src/eb_claim_slot.c
+++ b/src/eb_claim_slot.c
@@ -258,7 +258,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < sl->requirement_count; i++)
+	for (i = 0; i < sl->requirement_count && i < EB_CLAIM_REQUIREMENTS_MAX;
+	     i++)
 		if (!covered(sl, i, self))
 			return 0;
 	return 1;
--- a/src/eb_claim_wire.c
+++ b/src/eb_claim_wire.c
@@ -83,6 +83,49 @@
 	return out->size > EB_CLAIM_MESSAGE_MAX_BYTES ? EB_EFULL : EB_OK;
 }
 
+/*
+ * Returns the length of the item at `p` without the members of an array, or
+ * 0 for a type that no message has or an array that cannot be complete.
+ */
+static size_t item_bytes(const uint8_t *p, size_t left)
+{
+	if (*p <= 0x7f || *p == 0xc0)
+		return 1;
+	if (*p >= 0x90 && *p <= 0x9f)
+		return (size_t)(*p & 0xf) < left ? 1 : 0;
+	if (*p >= 0xcc && *p <= 0xcf)
+		return 1 + ((size_t)1 << (*p - 0xcc));
+	if (*p == 0xc4 && left >= 2)
+		return 2 + (size_t)p[1];
+	if (left < 3)
+		return 0;
+	if (*p == 0xc5)
+		return 3 + ((size_t)p[1] << 8 | p[2]);
+	if (*p == 0xdc)
+		return ((size_t)p[1] << 8 | p[2]) <= left - 3 ? 3 : 0;
+	return 0;
+}
+
+/*
+ * Tells whether a payload consists of complete integers, byte strings and
+ * arrays only. To be called before unpacking, because the library allocates
+ * the announced size of an array (up to 64 GB) before it reads the members.
+ */
+int eb_claim_shape_valid(const void *bytes, size_t n)
+{
+	const uint8_t *p = bytes;
+	size_t item;
+
+	while (n) {
+		item = item_bytes(p, n);
+		if (!item || item > n)
+			return 0;
+		p += item;
+		n -= item;
+	}
+	return 1;
+}
+
 /* Takes the next item of this type, or marks the message as bad. */
 static const msgpack_object *next(struct reader *rd, msgpack_object_type type)
 {
@@ -235,6 +278,8 @@
 	memset(m, 0, sizeof(*m));
 	if (n > EB_CLAIM_MESSAGE_MAX_BYTES)
 		return EB_EFULL;
+	if (!eb_claim_shape_valid(bytes, n))
+		return EB_EPARSE;
 	msgpack_unpacked_init(&m->unpacked);
 	if (msgpack_unpack_next(&m->unpacked, bytes, n, &off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
--- a/src/eb_claim_wire.h
+++ b/src/eb_claim_wire.h
@@ -91,6 +91,7 @@
 	const msgpack_object *items;
 };
 
+int eb_claim_shape_valid(const void *bytes, size_t n);
 enum eb_status eb_claim_encode(const struct eb_claim_message *m,
 			       const struct eb_claim_record *records,
 			       msgpack_sbuffer *out);
--- a/src/eb_crash.c
+++ b/src/eb_crash.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "eb_claim_set.h"
+#include "eb_claim_wire.h"
 
 #define PAYLOAD_MAX_BYTES 8192
 #define MARK_FIELDS (2 + EB_CRASH_UPSTREAMS_MAX)
@@ -253,7 +253,8 @@
 		return EB_EFULL;
 	}
 	msgpack_unpacked_init(&up);
-	if (msgpack_unpack_next(&up, payload, n, &off) ==
+	if (eb_claim_shape_valid(payload, n) &&
+	    msgpack_unpack_next(&up, payload, n, &off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
 	    off == n && up.data.type == MSGPACK_OBJECT_ARRAY) {
 		list = &up.data.via.array;
--- a/tests/test_eb_holder.cc
+++ b/tests/test_eb_holder.cc
@@ -479,6 +479,10 @@
 	EXPECT_EQ(EB_EFULL, eb_claim_decode(large.data(), large.size(), &m));
 	large = good + "x";
 	EXPECT_EQ(EB_EPARSE, eb_claim_decode(large.data(), large.size(), &m));
+	/* An array of 2^32 - 1 items must not be allocated. */
+	large = std::string("\xdd\xff\xff\xff\xff", 5);
+	EXPECT_EQ(0, eb_claim_shape_valid(large.data(), large.size()));
+	EXPECT_EQ(1, eb_claim_shape_valid(good.data(), good.size()));
 	eb_rand_seed(&rand, 3);
 	for (int i = 0; i < 20000; i++) {
 		std::string bad = good;
