--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -990,6 +990,20 @@
 	});
 }
 
+void Fleet::wait_linked(size_t i)
+{
+	Member &m = members[i];
+
+	wait_until("links of " + m.name, [&m] {
+		std::string peers = m.admin("/status").json("peers");
+
+		if (!m.daemon->running())
+			throw std::runtime_error("daemon: " + m.daemon->log());
+		return !peers.empty() &&
+		       peers.find("\"down\"") == std::string::npos;
+	});
+}
+
 void Fleet::start()
 {
 	start_platform();
@@ -999,6 +1013,8 @@
 		start_daemon(i);
 	for (size_t i = 0; i < size(); i++)
 		wait_ready(i);
+	for (size_t i = 0; i < size() && options.wait_links; i++)
+		wait_linked(i);
 }
 
 namespace
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -213,6 +213,8 @@
 	std::string rules = "[]";
 	std::vector<std::string> regions = { "santiago", "valparaiso",
 					     "biobio" };
+	/* start() waits until each daemon has a link to all others. */
+	bool wait_links = true;
 	std::vector<std::string> upstream_flags;
 	std::vector<std::string> daemon_flags;
 };
@@ -280,12 +282,16 @@
 	Fleet(const Fleet &) = delete;
 	Fleet &operator=(const Fleet &) = delete;
 
-	/* Starts everything and waits until the release is in force. */
+	/*
+	 * Starts everything and waits until the release is in force and
+	 * the daemons are linked.
+	 */
 	void start();
 	void start_platform();
 	void start_upstream(size_t i);
 	void start_daemon(size_t i);
 	void wait_ready(size_t i);
+	void wait_linked(size_t i);
 	size_t size() const
 	{
 		return members.size();
