mesh: reach restarted peers, let a refused key try again; refuse more bad requests

Cause: heartbeats named the incarnation of the daemon before, so a killed and restarted peer dropped them and was never reached again. ZAP status 400 ended a dial for good when the release with its key had not arrived yet; together with claims that made a race of three daemons wait 30 s without a winner. Change: heartbeats are for any incarnation, unknown keys get status 300, reconnects start at 20 ms; a Host that is no host and port is refused, and the JSON of bad-transfer-encoding is valid.

--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -124,15 +124,28 @@
 
 /* ---- Requests ---- */
 
+struct collected {
+	struct eb_headers headers;
+	uint8_t bad; /* a NUL within a name or value, or an empty name */
+};
+
 static enum MHD_Result collect_header(void *data, enum MHD_ValueKind kind,
-				      const char *name, const char *value)
+				      const char *name, size_t name_bytes,
+				      const char *value, size_t value_bytes)
 {
-	struct eb_headers *hs = data;
+	struct collected *cd = data;
+	enum eb_status st;
 
 	(void)kind;
-	if (eb_headers_add(hs, name, value ? value : ""))
+	if (!value)
+		value = "";
+	if (!name_bytes || strlen(name) != name_bytes ||
+	    strlen(value) != value_bytes) {
+		cd->bad = 1;
 		return MHD_NO;
-	return MHD_YES;
+	}
+	st = eb_headers_add(&cd->headers, name, value);
+	return st ? MHD_NO : MHD_YES;
 }
 
 /* Hash of the caller's IP address, without its port. */
@@ -262,25 +275,28 @@
 	struct eb_http_request checked = { method, rq->target, NULL, 0 };
 	const struct eb_http_problem *pb = NULL;
 	struct eb_http_body body;
-	struct eb_headers hs = { 0 };
-	int want, got;
-
-	want = MHD_get_connection_values(rq->mhd, MHD_HEADER_KIND, NULL, NULL);
-	got = MHD_get_connection_values(rq->mhd, MHD_HEADER_KIND,
-					collect_header, &hs);
-	checked.headers = &hs;
+	struct collected cd = { 0 };
+	int want;
+
+	want = MHD_get_connection_values_n(rq->mhd, MHD_HEADER_KIND, NULL,
+					   NULL);
+	MHD_get_connection_values_n(rq->mhd, MHD_HEADER_KIND, collect_header,
+				    &cd);
+	checked.headers = &cd.headers;
 	checked.http11 = !strcmp(version, "HTTP/1.1");
 	eb_metrics_add(rq->front->config.metrics, EB_METRIC_REQUESTS, 1);
-	if (got != want || (int)hs.count != want)
+	if (cd.bad)
+		pb = &eb_http_bad_header;
+	else if ((int)cd.headers.count != want)
 		pb = &eb_http_headers_too_large;
 	else
 		pb = eb_http_check(&checked, &body);
 	if (!pb) {
-		rq->head = build_head(rq, method, &hs, &body);
+		rq->head = build_head(rq, method, &cd.headers, &body);
 		if (!rq->head)
 			pb = &eb_http_headers_too_large;
 	}
-	eb_headers_clear(&hs);
+	eb_headers_clear(&cd.headers);
 	if (pb)
 		return reject(rq, pb);
 	switch (rq->head->head->body_kind) {
--- a/src/eb_http.c
+++ b/src/eb_http.c
@@ -32,18 +32,21 @@
 static const struct eb_http_problem bad_host = {
 	400, "bad-host", "exactly one Host header is required"
 };
+static const struct eb_http_problem bad_host_name = {
+	400, "bad-host", "the Host header is not a host and port"
+};
 static const struct eb_http_problem bad_length = {
 	400, "bad-content-length", "Content-Length is repeated or not a number"
 };
 static const struct eb_http_problem bad_encoding = {
 	400, "bad-transfer-encoding",
-	"Transfer-Encoding is repeated or not \"chunked\""
+	"Transfer-Encoding is repeated or not 'chunked'"
 };
 static const struct eb_http_problem both_framings = {
 	400, "conflicting-length",
 	"Content-Length and Transfer-Encoding exclude each other"
 };
-static const struct eb_http_problem bad_header = {
+const struct eb_http_problem eb_http_bad_header = {
 	400, "bad-header", "a header name or value has an invalid character"
 };
 static const struct eb_http_problem bad_expect = {
@@ -264,9 +267,11 @@
 	uint64_t number;
 
 	if (!valid_header(h))
-		return &bad_header;
+		return &eb_http_bad_header;
 	if (!strcasecmp(h->name, "Host")) {
 		cn->host++;
+		if (h->value[strcspn(h->value, "/\\?#@ \t")])
+			return &bad_host_name;
 	} else if (!strcasecmp(h->name, "Content-Length")) {
 		if (eb_http_parse_number(h->value, &body->length_bytes))
 			return &bad_length;
--- a/src/eb_http.h
+++ b/src/eb_http.h
@@ -38,6 +38,7 @@
 
 /* Problems that the front finds itself. */
 extern const struct eb_http_problem eb_http_headers_too_large;
+extern const struct eb_http_problem eb_http_bad_header;
 extern const struct eb_http_problem eb_http_body_read_error;
 
 #endif
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -236,8 +236,8 @@
 	}
 	set_common(pr->socket);
 	set_int(pr->socket, ZMQ_IMMEDIATE, 1);
-	set_int(pr->socket, ZMQ_RECONNECT_IVL, 100);
-	set_int(pr->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+	set_int(pr->socket, ZMQ_RECONNECT_IVL, EB_PEER_RECONNECT_MS);
+	set_int(pr->socket, ZMQ_RECONNECT_IVL_MAX, EB_PEER_RECONNECT_MAX_MS);
 	if (set_curve(ms, pr->socket, pr->key) ||
 	    zmq_connect(pr->socket, endpoint) || watch(ms, pr->socket, pr)) {
 		zmq_close(pr->socket);
@@ -294,7 +294,8 @@
 			    struct eb_frame *f, int64_t now_us)
 {
 	f->sender = ms->incarnation;
-	f->target = pr->incarnation;
+	/* A heartbeat has to reach a daemon that was started anew as well. */
+	f->target = f->type == EB_FRAME_HELLO ? 0 : pr->incarnation;
 	msgpack_sbuffer_clear(&ms->out);
 	if (eb_wire_encode(f, &ms->out))
 		return EB_EINVAL;
@@ -495,7 +496,11 @@
 		zmq_send(ms->zap, "1.0", 3, ZMQ_SNDMORE);
 		zmq_send(ms->zap, rq.parts[1], (size_t)rq.sizes[1],
 			 ZMQ_SNDMORE);
-		zmq_send(ms->zap, ok ? "200" : "400", 3, ZMQ_SNDMORE);
+		/*
+		 * 300 lets the peer try again: its key may be in a release
+		 * that has not arrived here yet. After 400 it would not.
+		 */
+		zmq_send(ms->zap, ok ? "200" : "300", 3, ZMQ_SNDMORE);
 		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
 		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
 		zmq_send(ms->zap, "", 0, 0);
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -44,6 +44,8 @@
 #define EB_PEER_HEARTBEAT_MS 1000
 /* Pause between heartbeats to a peer that has not answered yet. */
 #define EB_PEER_DIAL_HELLO_MS 50
+#define EB_PEER_RECONNECT_MS 20
+#define EB_PEER_RECONNECT_MAX_MS 500
 /* A peer that sent nothing for this long counts as silent. */
 #define EB_PEER_SILENT_MS 4000
 /* Idle time after which the socket to a peer is closed. */
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -990,6 +990,20 @@
 	});
 }
 
+void Fleet::wait_linked(size_t i)
+{
+	Member &m = members[i];
+
+	wait_until("links of " + m.name, [&m] {
+		std::string peers = m.admin("/status").json("peers");
+
+		if (!m.daemon->running())
+			throw std::runtime_error("daemon: " + m.daemon->log());
+		return !peers.empty() &&
+		       peers.find("\"down\"") == std::string::npos;
+	});
+}
+
 void Fleet::start()
 {
 	start_platform();
@@ -1003,6 +1017,8 @@
 	for (const Member &m : members)
 		http_post("http://" + loopback(m.admin_port) + "/claims/open",
 			  "");
+	for (size_t i = 0; i < size() && options.wait_links; i++)
+		wait_linked(i);
 }
 
 namespace
