origin: fair limit of each caller

Cause: caller_rate_per_s was checked but had no effect, and one caller could take the whole call table. Change: each service in use has an eb_limit; a caller over its rate or its share of the table is refused as not run with 429 and Retry-After.

--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -5,67 +5,69 @@
 #include <stdio.h>
 
 /* One line for each counter or gauge: identifier, name with labels, help. */
-#define EB_METRIC_TABLE(X)                                                  \
-	X(REQUESTS, "requests_total", "Requests read from callers")         \
-	X(REJECTED, "requests_rejected_total",                              \
-	  "Requests answered with 4xx before routing")                      \
-	X(ANSWER_RAN, "answers_total{outcome=\"ran\"}",                     \
-	  "Answers to callers by outcome")                                  \
-	X(ANSWER_NOT_RUN, "answers_total{outcome=\"not-run\"}",             \
-	  "Answers to callers by outcome")                                  \
-	X(ANSWER_UNKNOWN, "answers_total{outcome=\"unknown\"}",             \
-	  "Answers to callers by outcome")                                  \
-	X(ANSWER_CUT, "answers_cut_total",                                  \
-	  "Connections ended because an answer could not be completed")     \
-	X(CALLER_GONE, "callers_gone_total",                                \
-	  "Callers that hung up before their answer was complete")          \
-	X(CALLS_ACTIVE, "calls_active", "Calls in the table now")           \
-	X(CALLS_REFUSED, "calls_refused_total",                             \
-	  "Calls refused because the call table was full")                  \
-	X(LOCAL_CALLS, "calls_local_total",                                 \
-	  "Calls handed to the upstream beside this daemon")                \
-	X(REMOTE_CALLS, "calls_remote_total", "Calls handed to a peer")     \
-	X(GATE_ADMITTED, "gate_admitted_total", "Calls that got a slot")    \
-	X(GATE_REFUSED, "gate_refused_total",                               \
-	  "Calls this gate refused as not run")                             \
-	X(GATE_QUEUED, "gate_queued_total", "Calls that waited for a slot") \
-	X(RETRIES, "retries_total", "Further attempts of a call")           \
-	X(RETRY_DENIED, "retries_denied_total",                             \
-	  "Retries that the budget turned away")                            \
-	X(LATE_FRAMES, "frames_late_total",                                 \
-	  "Frames for a call that no longer exists")                        \
-	X(STALE_FRAMES, "frames_stale_total",                               \
-	  "Frames from or for another incarnation")                         \
-	X(BAD_FRAMES, "frames_bad_total",                                   \
-	  "Messages from peers that could not be decoded")                  \
-	X(FRAMES_IN, "frames_in_total", "Frames received from peers")       \
-	X(FRAMES_OUT, "frames_out_total", "Frames sent to peers")           \
-	X(BYTES_IN, "peer_bytes_in_total", "Bytes received from peers")     \
-	X(BYTES_OUT, "peer_bytes_out_total", "Bytes sent to peers")         \
-	X(WATCH_BYTES, "watch_bytes_total",                                 \
-	  "Bytes spent on watching the load of upstreams")                  \
-	X(CONTROL_BYTES, "control_bytes_total",                             \
-	  "Bytes spent on membership, releases and claims")                 \
-	X(PEERS_ACTIVE, "peers_active", "Peers with an open socket")        \
-	X(PEERS_LOST, "peers_lost_total",                                   \
-	  "Peers found silent or in a new incarnation")                     \
-	X(PEER_SEND_FAILED, "peer_send_failed_total",                       \
-	  "Frames that could not be handed to a peer")                      \
-	X(PEER_AUTH_FAILED, "peer_auth_failed_total",                       \
-	  "Connections of peers refused because of their key")              \
-	X(UPSTREAM_CONNECTIONS, "upstream_connections_total",               \
-	  "Connections opened to the upstream")                             \
-	X(UPSTREAM_RESENDS_STOPPED, "upstream_resends_stopped_total",       \
-	  "Second sends of one request that were prevented")                \
-	X(UPSTREAM_CANCELLED, "upstream_cancelled_total",                   \
-	  "Requests cancelled at the upstream")                             \
-	X(PLATFORM_CALLS, "platform_calls_total",                           \
-	  "Calls to the configuration service and the list of VMs")         \
-	X(PLATFORM_FAILED, "platform_failed_total",                         \
-	  "Platform calls that failed")                                     \
-	X(RELEASE, "release", "Number of the release in force")             \
-	X(RELEASES_REJECTED, "releases_rejected_total",                     \
-	  "Release notes that were not accepted")                           \
+#define EB_METRIC_TABLE(X)                                                   \
+	X(REQUESTS, "requests_total", "Requests read from callers")          \
+	X(REJECTED, "requests_rejected_total",                               \
+	  "Requests answered with 4xx before routing")                       \
+	X(ANSWER_RAN, "answers_total{outcome=\"ran\"}",                      \
+	  "Answers to callers by outcome")                                   \
+	X(ANSWER_NOT_RUN, "answers_total{outcome=\"not-run\"}",              \
+	  "Answers to callers by outcome")                                   \
+	X(ANSWER_UNKNOWN, "answers_total{outcome=\"unknown\"}",              \
+	  "Answers to callers by outcome")                                   \
+	X(ANSWER_CUT, "answers_cut_total",                                   \
+	  "Connections ended because an answer could not be completed")      \
+	X(CALLER_GONE, "callers_gone_total",                                 \
+	  "Callers that hung up before their answer was complete")           \
+	X(CALLERS_LIMITED, "callers_limited_total",                          \
+	  "Requests refused because their caller sends more than its share") \
+	X(CALLS_ACTIVE, "calls_active", "Calls in the table now")            \
+	X(CALLS_REFUSED, "calls_refused_total",                              \
+	  "Calls refused because the call table was full")                   \
+	X(LOCAL_CALLS, "calls_local_total",                                  \
+	  "Calls handed to the upstream beside this daemon")                 \
+	X(REMOTE_CALLS, "calls_remote_total", "Calls handed to a peer")      \
+	X(GATE_ADMITTED, "gate_admitted_total", "Calls that got a slot")     \
+	X(GATE_REFUSED, "gate_refused_total",                                \
+	  "Calls this gate refused as not run")                              \
+	X(GATE_QUEUED, "gate_queued_total", "Calls that waited for a slot")  \
+	X(RETRIES, "retries_total", "Further attempts of a call")            \
+	X(RETRY_DENIED, "retries_denied_total",                              \
+	  "Retries that the budget turned away")                             \
+	X(LATE_FRAMES, "frames_late_total",                                  \
+	  "Frames for a call that no longer exists")                         \
+	X(STALE_FRAMES, "frames_stale_total",                                \
+	  "Frames from or for another incarnation")                          \
+	X(BAD_FRAMES, "frames_bad_total",                                    \
+	  "Messages from peers that could not be decoded")                   \
+	X(FRAMES_IN, "frames_in_total", "Frames received from peers")        \
+	X(FRAMES_OUT, "frames_out_total", "Frames sent to peers")            \
+	X(BYTES_IN, "peer_bytes_in_total", "Bytes received from peers")      \
+	X(BYTES_OUT, "peer_bytes_out_total", "Bytes sent to peers")          \
+	X(WATCH_BYTES, "watch_bytes_total",                                  \
+	  "Bytes spent on watching the load of upstreams")                   \
+	X(CONTROL_BYTES, "control_bytes_total",                              \
+	  "Bytes spent on membership, releases and claims")                  \
+	X(PEERS_ACTIVE, "peers_active", "Peers with an open socket")         \
+	X(PEERS_LOST, "peers_lost_total",                                    \
+	  "Peers found silent or in a new incarnation")                      \
+	X(PEER_SEND_FAILED, "peer_send_failed_total",                        \
+	  "Frames that could not be handed to a peer")                       \
+	X(PEER_AUTH_FAILED, "peer_auth_failed_total",                        \
+	  "Connections of peers refused because of their key")               \
+	X(UPSTREAM_CONNECTIONS, "upstream_connections_total",                \
+	  "Connections opened to the upstream")                              \
+	X(UPSTREAM_RESENDS_STOPPED, "upstream_resends_stopped_total",        \
+	  "Second sends of one request that were prevented")                 \
+	X(UPSTREAM_CANCELLED, "upstream_cancelled_total",                    \
+	  "Requests cancelled at the upstream")                              \
+	X(PLATFORM_CALLS, "platform_calls_total",                            \
+	  "Calls to the configuration service and the list of VMs")          \
+	X(PLATFORM_FAILED, "platform_failed_total",                          \
+	  "Platform calls that failed")                                      \
+	X(RELEASE, "release", "Number of the release in force")              \
+	X(RELEASES_REJECTED, "releases_rejected_total",                      \
+	  "Release notes that were not accepted")                            \
 	X(DRAINING, "draining", "1 while this daemon or its upstream leaves")
 
 enum eb_metric {
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -59,6 +59,7 @@
 		apr_hash_this(hi, NULL, NULL, &value);
 		sv = value;
 		eb_route_free(sv->route);
+		eb_limit_free(sv->limit);
 		free(sv->name);
 		free(sv);
 	}
@@ -234,6 +235,15 @@
 	}
 }
 
+/* One caller may use its rate, and its share of the call table. */
+static struct eb_limit_config limit_config(const struct eb_rule *rule)
+{
+	struct eb_limit_config cf = { .rate_per_s = rule->caller_rate_per_s,
+				      .in_flight_max = EB_CALLS_MAX };
+
+	return cf;
+}
+
 static struct eb_service_state *add_service(struct eb_nodes *nd,
 					    const char *name)
 {
@@ -257,6 +267,7 @@
 {
 	const char *name = nd->config->services[index]->name;
 	struct eb_service_state *sv;
+	struct eb_limit_config limit;
 
 	sv = apr_hash_get(nd->services, name, APR_HASH_KEY_STRING);
 	if (!sv)
@@ -264,6 +275,8 @@
 	if (!sv || sv->dialled_us)
 		return sv;
 	sv->index = index;
+	limit = limit_config(eb_nodes_rule(nd, sv));
+	sv->limit = eb_limit_new(&limit);
 	eb_retry_init(&sv->retry, eb_nodes_rule(nd, sv)->retry_permille);
 	dial(nd, sv, now_us);
 	refresh(nd, sv, now_us);
@@ -273,6 +286,7 @@
 /* Carries the services in use over to the new configuration. */
 static void update_services(struct eb_nodes *nd, int64_t now_us)
 {
+	struct eb_limit_config limit;
 	struct eb_service_state *sv;
 	apr_hash_index_t *hi;
 	void *value;
@@ -285,6 +299,8 @@
 		if (sv->index != EB_NONE) {
 			sv->retry.retry_permille =
 				eb_nodes_rule(nd, sv)->retry_permille;
+			limit = limit_config(eb_nodes_rule(nd, sv));
+			eb_limit_configure(sv->limit, &limit);
 			dial(nd, sv, now_us);
 		}
 		refresh(nd, sv, now_us);
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "eb_config.h"
+#include "eb_limit.h"
 #include "eb_mesh.h"
 #include "eb_retry.h"
 #include "eb_route.h"
@@ -36,8 +37,9 @@
 	char *name;
 	struct eb_route *route;
 	struct eb_retry retry;
-	uint32_t index;	    /* in the configuration in force, or EB_NONE */
-	int64_t dialled_us; /* 0: not in use yet */
+	struct eb_limit *limit; /* of each caller */
+	uint32_t index;		/* in the configuration in force, or EB_NONE */
+	int64_t dialled_us;	/* 0: not in use yet */
 };
 
 struct eb_nodes *eb_nodes_new(const struct eb_settings *se, struct eb_mesh *ms,
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -151,6 +151,7 @@
 			     NULL);
 	if (ca->parked)
 		og->parked--;
+	eb_limit_done(ca->service->limit, ca->head->head->caller);
 	eb_frame_unref(ca->head);
 	free(ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
@@ -677,7 +678,7 @@
 
 /* Answers a request for which no call is kept. */
 static void refuse_head(struct eb_origin *og, struct eb_frame *f,
-			enum eb_reason reason)
+			enum eb_reason reason, uint32_t retry_after_ms)
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
@@ -687,6 +688,7 @@
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = (uint8_t)reason;
 	out->reply->status = reason_status[reason];
+	out->reply->retry_after_ms = retry_after_ms;
 	if (out->reply->status == 503)
 		out->reply->retry_after_ms = 1000;
 	og->out.to_front(og->out.ctx, out);
@@ -746,7 +748,7 @@
 	if (index == EB_NONE)
 		return EB_REASON_NO_ROUTE;
 	*sv = eb_nodes_service(og->config.nodes, index, now_us);
-	return *sv ? EB_REASON_NONE : EB_REASON_INTERNAL;
+	return *sv && (*sv)->limit ? EB_REASON_NONE : EB_REASON_INTERNAL;
 }
 
 static void begin(struct eb_origin *og, struct eb_frame *f, int64_t now_us)
@@ -754,14 +756,22 @@
 	struct eb_service_state *sv = NULL;
 	enum eb_reason reason = check_head(og, f, now_us, &sv);
 	struct call *ca = NULL;
+	uint32_t wait_ms = 0;
 
 	if (reason == EB_REASON_NONE) {
-		ca = calloc(1, sizeof(*ca));
-		if (!ca)
-			reason = EB_REASON_INTERNAL;
+		wait_ms = eb_limit_take(sv->limit, f->head->caller, now_us);
+		if (wait_ms) {
+			eb_metrics_add(og->config.metrics,
+				       EB_METRIC_CALLERS_LIMITED, 1);
+			reason = EB_REASON_CALLER_LIMIT;
+		} else {
+			ca = calloc(1, sizeof(*ca));
+			if (!ca)
+				reason = EB_REASON_INTERNAL;
+		}
 	}
 	if (!ca) {
-		refuse_head(og, f, reason);
+		refuse_head(og, f, reason, wait_ms);
 		return;
 	}
 	ca->head = f;
