front: take the waiting connections before the listener closes

Cause: closing the listener on a graceful stop reset the connections that were not accepted yet, although their callers had sent a request. Change: accept_waiting() hands them to libmicrohttpd first.

--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -723,14 +723,37 @@
 	return (int)ms;
 }
 
+/*
+ * Takes the connections that wait to be accepted: closing the socket would
+ * reset them, although their callers may have sent a request already.
+ */
+static void accept_waiting(struct eb_front *ft)
+{
+	struct sockaddr_in sa;
+	socklen_t n;
+	int fd;
+
+	for (;;) {
+		n = sizeof(sa);
+		fd = accept4(ft->listen_fd, (struct sockaddr *)&sa, &n,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		/* It closes the socket when it can't take it. */
+		MHD_add_connection(ft->mhd, fd, (struct sockaddr *)&sa, n);
+	}
+}
+
 static void quiesce(struct eb_front *ft)
 {
 	if (ft->quiesced || !__atomic_load_n(&ft->draining, __ATOMIC_RELAXED))
 		return;
 	ft->quiesced = 1;
 	ft->listen_fd = MHD_quiesce_daemon(ft->mhd);
-	if (ft->listen_fd >= 0)
+	if (ft->listen_fd >= 0) {
+		accept_waiting(ft);
 		close(ft->listen_fd);
+	}
 	ft->listen_fd = -1;
 }
 
