--- a/src/eb_claims.c
+++ b/src/eb_claims.c
@@ -1,5 +1,6 @@
 #include "eb_claims.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -140,7 +141,7 @@
 	while (!f && (eb_claim_next_send(cs->claimant, &sd) ||
 		      eb_holder_next(cs->holder, &sd))) {
 		if (strlen(sd.to) < space) {
-			strcpy(to, sd.to);
+			snprintf(to, space, "%s", sd.to);
 			f = wrap(cs, &sd);
 		}
 		eb_claim_send_clear(&sd);
--- a/tests/test_eb_tool.cc
+++ b/tests/test_eb_tool.cc
@@ -139,7 +139,7 @@
 	*(int *)ctx = 1;
 }
 
-const eb_admin_ops ops = { status, drain };
+const eb_admin_ops ops = { status, drain, nullptr };
 
 /* Two daemons as far as the tool sees them. */
 class ToolAdmin : public testing::Test
