build: ebonypierd-test can switch a mechanism off

Cause: a checker proves nothing unless it is seen to catch its fault. Change: eb_test_off(), compiled in with EB_TEST_SWITCHES only: retry-rule, not-run-rule, whole-answer, drain, release-order, graceful-stop. Conclusion: kept; ebonypierd itself has no switch.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,13 @@
 LIB_SRC := $(filter-out $(PROGRAMS:%=src/%.c),$(wildcard src/*.c))
 LIB_OBJ := $(LIB_SRC:src/%.c=$(B)/src/%.o)
 LIB := $(B)/libebonypier.a
+# The daemon of tests, in which a mechanism can be switched off.
+TEST_DAEMON := $(B)/ebonypierd-test
+TEST_DAEMON_OBJ := $(LIB_SRC:src/%.c=$(B)/test-src/%.o) \
+	$(B)/test-src/ebonypierd.o
 STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
-TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o
+TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o $(B)/tests/world.o
 TESTS := $(patsubst tests/%.cc,$(B)/tests/%,$(wildcard tests/test_*.cc) \
 	$(wildcard tests/it_*.cc))
 C_FILES := $(wildcard src/*.c src/*.h standins/*.c standins/*.h bench/*.c \
@@ -46,14 +50,19 @@
 check: deps
 	@$(MAKE) --no-print-directory format-check
 	@$(MAKE) --no-print-directory -j10 lint
-	@$(MAKE) --no-print-directory -j10 all $(TESTS)
+	@$(MAKE) --no-print-directory -j10 all $(TESTS) $(TEST_DAEMON)
 	@$(MAKE) --no-print-directory unit
 
 bench: deps
 	@$(MAKE) --no-print-directory -j all
 	@scripts/bench.sh $(B)
 
-unit: all $(TESTS)
+# SEED and DURATION (seconds) choose the run.
+soak: deps
+	@$(MAKE) --no-print-directory -j all $(B)/tests/it_pairs
+	@scripts/soak.sh $(B)
+
+unit: all $(TESTS) $(TEST_DAEMON)
 	@scripts/run_tests.sh $(B) $(TESTS)
 
 format:
@@ -89,6 +98,13 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 
+$(B)/test-src/%.o: src/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -DEB_TEST_SWITCHES -MMD -MP -c $< -o $@
+
+$(TEST_DAEMON): $(TEST_DAEMON_OBJ)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
 	ar rcs $@ $^
@@ -104,7 +120,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -Ibench -o $@ $< $(LIB) $(LDLIBS)
 
-$(B)/tests/harness.o $(B)/tests/history.o: $(B)/tests/%.o: tests/%.cc
+$(TEST_HELP): $(B)/tests/%.o: tests/%.cc
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
@@ -121,4 +137,4 @@
 clean:
 	rm -rf $(B)
 
--include $(wildcard $(B)/src/*.d $(B)/tests/*.d)
+-include $(wildcard $(B)/src/*.d $(B)/test-src/*.d $(B)/tests/*.d)
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -16,6 +16,7 @@
 #include "eb_mesh.h"
 #include "eb_nodes.h"
 #include "eb_origin.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 #define STATUS_TIMEOUT_S 2
@@ -265,7 +266,8 @@
 	const struct eb_service_state *sv;
 	struct eb_node *n;
 
-	if (cf->index <= eb_nodes_config(co->nodes)->index)
+	if (cf->index <= eb_nodes_config(co->nodes)->index &&
+	    !eb_test_off("release-order"))
 		return; /* never back to an older state */
 	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
@@ -292,7 +294,7 @@
 
 static void drain(struct eb_core *co)
 {
-	if (co->draining)
+	if (co->draining || eb_test_off("drain"))
 		return;
 	co->draining = 1;
 	eb_gate_drain(co->gate);
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -14,6 +14,7 @@
 #include "eb_core.h"
 #include "eb_front.h"
 #include "eb_platform.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 #include "ebonypier.h"
 
@@ -173,6 +174,8 @@
 	int64_t begun_us = eb_clock_now_us(), idle_us = begun_us, now_us;
 	int64_t limit_us = dm->settings.drain_timeout_ms * 1000LL;
 
+	if (eb_test_off("graceful-stop"))
+		return;
 	eb_core_drain(dm->core);
 	eb_front_drain(dm->front);
 	for (;;) {
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -9,6 +9,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* How much longer than its deadline an origin waits for the gate's word. */
@@ -493,6 +494,8 @@
 	/* One attempt that may have run outweighs a later refusal. */
 	if (ca->maybe_ran)
 		ca->outcome = EB_OUTCOME_UNKNOWN;
+	if (eb_test_off("not-run-rule"))
+		ca->outcome = EB_OUTCOME_NOT_RUN;
 	if (ca->outcome == EB_OUTCOME_NOT_RUN)
 		type = EB_FRAME_REFUSE;
 	out = eb_frame_new(type, ca->front_id);
@@ -909,6 +912,9 @@
 	}
 	if (f->reply)
 		note_load(og, node, ca->service, &f->reply->load, now_us);
+	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
+	    f->type == EB_FRAME_ABORT)
+		f->type = EB_FRAME_REND;
 	step(og, ca, gate_event(f), f, now_us);
 }
 
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -10,6 +10,7 @@
 
 #include "eb_clock.h"
 #include "eb_release.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* A value is at most a megabyte; an answer holds several notes. */
@@ -123,6 +124,13 @@
 
 	if (!json_is_array(notes))
 		return -1;
+	if (eb_test_off("release-order") &&
+	    (uint64_t)json_integer_value(json_object_get(root, "index")) <
+		    pl->seen_index) {
+		eb_config_unref(pl->last);
+		pl->last = eb_config_new_empty();
+		pl->seen_index = 0;
+	}
 	json_array_foreach(notes, i, entry)
 	{
 		index = (uint64_t)json_integer_value(
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -1,6 +1,7 @@
 #include "eb_retry.h"
 
 #include "eb_frame.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 #define TOKENS_PER_RETRY 1000
@@ -77,7 +78,8 @@
 		return 0;
 	if (at->body_sent)
 		return 0;
-	if (at->outcome != EB_OUTCOME_NOT_RUN && !at->idempotent)
+	if (at->outcome != EB_OUTCOME_NOT_RUN && !at->idempotent &&
+	    !eb_test_off("retry-rule"))
 		return 0;
 	if (!is_refusal(at))
 		return pay(&rb->tokens);
