--- a/tests/harness.h
+++ b/tests/harness.h
@@ -84,6 +84,8 @@
 	uint64_t upload_bytes = 0; /* body of the pattern, streamed */
 	bool chunked = false;	   /* upload without Content-Length */
 	bool path_as_is = true;
+	/* Ends the request without an answer; 0: never. */
+	int64_t timeout_ms = 0;
 	/* Keeps the answer's body; otherwise only its checksum. */
 	bool keep_body = true;
 	/* Called for each piece of the answer; false hangs up. */
@@ -212,6 +214,10 @@
 					     "biobio" };
 	std::vector<std::string> upstream_flags;
 	std::vector<std::string> daemon_flags;
+	/* "ebonypierd-test" is built with EB_TEST_SWITCHES. */
+	std::string daemon_program = "ebonypierd";
+	/* Mechanism that ebonypierd-test switches off; "": none. */
+	std::string test_off;
 };
 
 /* One upstream with the daemon beside it. */
@@ -228,6 +234,11 @@
 	uint16_t relay_port = 0;
 	uint16_t admin_port = 0;
 	KeyPair keys;
+	/* Where other daemons reach this one. */
+	uint16_t peer_port() const
+	{
+		return relay_port ? relay_port : daemon_port;
+	}
 	std::unique_ptr<Process> upstream;
 	std::unique_ptr<Process> daemon;
 
