--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -455,6 +455,7 @@
 	curl_easy_setopt(curl_, CURLOPT_PATH_AS_IS, rq.path_as_is ? 1L : 0L);
 	curl_easy_setopt(curl_, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl_, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl_, CURLOPT_TIMEOUT_MS, (long)rq.timeout_ms);
 	curl_easy_setopt(curl_, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl_, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(curl_, CURLOPT_HEADERDATA, &t);
@@ -867,9 +868,8 @@
 			"{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i}", "name",
 			m.name.c_str(), "service", m.service.c_str(), "address",
 			loopback(m.upstream_port).c_str(), "daemon",
-			loopback(m.relay_port ? m.relay_port : m.daemon_port)
-				.c_str(),
-			"region", m.region.c_str(), "failure_domain",
+			loopback(m.peer_port()).c_str(), "region",
+			m.region.c_str(), "failure_domain",
 			m.failure_domain.c_str(), "slots", (int)options.slots,
 			"connections", (int)options.connections);
 
@@ -901,7 +901,7 @@
 	std::ofstream(path) << note();
 	for (const Member &m : members) {
 		argv.push_back("--vm");
-		argv.push_back(loopback(m.daemon_port));
+		argv.push_back(loopback(m.peer_port()));
 	}
 	platform = std::make_unique<Process>(argv);
 	wait_until("the platform", [this] {
@@ -947,7 +947,7 @@
 {
 	Member &m = members[i];
 	std::vector<std::string> env, argv = {
-		build_dir() + "/ebonypierd",
+		build_dir() + "/" + options.daemon_program,
 		"--upstream",
 		m.name,
 		"--listen",
@@ -973,6 +973,8 @@
 		env.push_back("EBONYPIER_CURVE_SECRET_KEY=" +
 			      m.keys.secret_key);
 	}
+	if (!options.test_off.empty())
+		env.push_back("EBONYPIER_TEST_OFF=" + options.test_off);
 	argv.insert(argv.end(), options.daemon_flags.begin(),
 		    options.daemon_flags.end());
 	m.daemon = std::make_unique<Process>(argv, env);
@@ -1046,7 +1048,7 @@
 void Fleet::vm(size_t i, const std::string &state)
 {
 	http_post(platform_url(*this, "/control/vm"),
-		  "{\"address\":\"" + loopback(members[i].daemon_port) +
+		  "{\"address\":\"" + loopback(members[i].peer_port()) +
 			  "\",\"state\":\"" + state + "\"}");
 }
 
