holder, mesh: a late copy no longer blocks a key; dials are made anew

Counters in the stuck state: 13 to 15 claims yielded, each holder answered busy 38 to 41 times, one had granted nothing: it had merged a copy of a grant that was released already, after it had begun to grant. Lost messages were ruled out: the dials were up and no frame was stale or bad. A daemon that was dialled before it had its release refused the key, and ZeroMQ gave up. Change: a slot that grants takes only ended claims from copies; a dial without an answer is made anew after 700 ms.

--- a/src/eb_holder.c
+++ b/src/eb_holder.c
@@ -526,6 +526,17 @@
 		eb_claim_slot_open(sl, 1);
 }
 
+/*
+ * A grant in a copy may have been released since. Once this slot grants, its
+ * own answers say who holds a key; a late copy would block the key for all
+ * claimants until it expires.
+ */
+static int still_counts(const struct eb_claim_slot *sl,
+			const struct eb_claim_record *rc)
+{
+	return !sl->able || rc->state >= EB_CLAIM_LOST;
+}
+
 static void on_copied(struct eb_holder *ho, const char *from,
 		      const struct eb_claim_message *m, int64_t now_us)
 {
@@ -549,7 +560,7 @@
 	}
 	for (i = 0; i < m->records; i++) {
 		eb_claim_record_at(m, i, &rc);
-		if (rc.key[0] == m->slot)
+		if (rc.key[0] == m->slot && still_counts(sl, &rc))
 			merge(ho, &rc, now_us);
 	}
 	pl->seen_part = pl->started ? pl->seen_part & m->seen : m->seen;
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -229,6 +229,7 @@
 	pr->user = user;
 	pr->last_used_us = now_us;
 	pr->last_received_us = now_us;
+	pr->dialled_us = now_us;
 	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
 	if (!pr->socket) {
 		free(pr);
@@ -582,6 +583,7 @@
 	zmq_disconnect(pr->socket, endpoint);
 	zmq_connect(pr->socket, endpoint);
 	pr->dirty = 1;
+	pr->dialled_us = now_us;
 	pr->last_received_us = now_us;
 }
 
@@ -612,6 +614,10 @@
 			}
 			reconnect(pr, now_us);
 		}
+		/* ZeroMQ gives a dial up for good when its key is refused. */
+		if (!pr->up &&
+		    now_us - pr->dialled_us >= EB_PEER_REDIAL_MS * 1000)
+			reconnect(pr, now_us);
 		if (hello_due(pr, now_us))
 			send_hello(ms, pr, now_us);
 	}
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -34,7 +34,8 @@
 	int64_t last_sent_us;
 	int64_t last_used_us;
 	int64_t last_hello_us;
-	uint32_t user; /* for the core: number of the node */
+	int64_t dialled_us; /* last attempt to connect */
+	uint32_t user;	    /* for the core: number of the node */
 	uint8_t up;
 	uint8_t dirty;
 };
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -44,6 +44,8 @@
 #define EB_PEER_HEARTBEAT_MS 1000
 /* Pause between heartbeats to a peer that has not answered yet. */
 #define EB_PEER_DIAL_HELLO_MS 50
+/* A dial without an answer is made anew after this long. */
+#define EB_PEER_REDIAL_MS 700
 #define EB_PEER_RECONNECT_MS 20
 #define EB_PEER_RECONNECT_MAX_MS 500
 /* A peer that sent nothing for this long counts as silent. */
