tests: known red tests with parameters are printed

Cause: the line of a parameterised test ends with its parameter, which the patterns of run_tests.sh did not match, so 17 known red tests ran unseen. Change: the patterns match such lines.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -15,7 +15,7 @@
 	"$t" --gtest_filter="-$red" >"$log" 2>&1
 	status=$?
 	p=$(grep -c '^\[       OK \]' "$log")
-	f=$(grep -c '^\[  FAILED  \] [^ ]* (' "$log")
+	f=$(grep -c '^\[  FAILED  \] .* ([0-9]* ms)$' "$log")
 	if [ "$status" -ne 0 ] && [ "$f" -eq 0 ]; then
 		f=1
 	fi
@@ -25,7 +25,7 @@
 	[ "$status" -eq 0 ] || tail -n 60 "$log"
 	if [ -n "$red" ]; then
 		"$t" --gtest_filter="$red" 2>&1 |
-			grep -E '^\[ *(OK|FAILED) *\] [^ ]* \(' |
+			grep -E '^\[ *(OK|FAILED) *\] .* \([0-9]+ ms\)$' |
 			sed 's/^/known red: /'
 	fi
 done
