--- a/src/eb_tool.c
+++ b/src/eb_tool.c
@@ -46,8 +46,8 @@
 	  eb_tool_plan, 0, 1, ITEMS_MAX, 0, 0 },
 	{ "status", "[--json] [ADDRESS...]", "show the state of daemons",
 	  "Prints a line for each daemon, or a JSON object by address with "
-	  "--json. CALLS are\nthose of its callers, PEERS the daemons it has "
-	  "a socket to.\n" ADDRESS_HELP
+	  "--json. CALLS are\nthose of its callers, PEERS the daemons in its "
+	  "view, itself included.\n" ADDRESS_HELP
 	  "Exits with 1 if a daemon does not answer.\n\nExample:\n  ebonypier "
 	  "status 127.0.0.1:26001 127.0.0.1:26002\n",
 	  eb_tool_status, 0, 1, ITEMS_MAX, 1, 1 },
