--- a/src/eb_metrics.c
+++ b/src/eb_metrics.c
@@ -117,9 +117,11 @@
 	if (previous && !strncmp(previous, in->name, n) &&
 	    (previous[n] == '{' || !previous[n]))
 		return;
-	fprintf(out, "# HELP ebonypier_%.*s %s\n", (int)n, in->name, in->help);
-	fprintf(out, "# TYPE ebonypier_%.*s %s\n", (int)n, in->name,
-		strstr(in->name, "_total") ? "counter" : "gauge");
+	fputs("# HELP ebonypier_", out);
+	fwrite(in->name, 1, n, out);
+	fprintf(out, " %s\n# TYPE ebonypier_", in->help);
+	fwrite(in->name, 1, n, out);
+	fprintf(out, " %s\n", strstr(in->name, "_total") ? "counter" : "gauge");
 }
 
 static void print_histogram(FILE *out, const struct metric_info *in,
