frame: one place says when an answer is complete

Change: eb_frame_ends_answer(). Result: test_eb_gate and test_eb_origin pass; no change of behaviour.

--- a/src/eb_frame.c
+++ b/src/eb_frame.c
@@ -126,6 +126,16 @@
 	free(f);
 }
 
+/* Tells whether an answer is complete with this frame, which has a reply. */
+int eb_frame_ends_answer(const struct eb_frame *f)
+{
+	if (f->type == EB_FRAME_REND)
+		return 1;
+	assert(f->type == EB_FRAME_RHEAD && f->reply);
+	return f->reply->body_kind == EB_BODY_NONE ||
+	       f->reply->body_kind == EB_BODY_INLINE;
+}
+
 /* Returns the name of a frame type, or "invalid". */
 const char *eb_frame_type_name(unsigned type)
 {
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -132,6 +132,8 @@
 				   const void *data, uint32_t bytes);
 struct eb_frame *eb_frame_ref(struct eb_frame *f);
 void eb_frame_unref(struct eb_frame *f);
+/* Whether a frame of an answer is also its last one. */
+int eb_frame_ends_answer(const struct eb_frame *f);
 const char *eb_frame_type_name(unsigned type);
 const char *eb_outcome_name(unsigned outcome);
 const char *eb_reason_name(unsigned reason);
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -871,15 +871,11 @@
 	case EB_FRAME_CREDIT:
 		return EVENT_CREDIT;
 	case EB_FRAME_RHEAD:
-		assert(f->reply);
-		if (f->reply->body_kind == EB_BODY_NONE ||
-		    f->reply->body_kind == EB_BODY_INLINE)
-			return EVENT_ANSWER_LAST;
-		return EVENT_ANSWER_HEAD;
+	case EB_FRAME_REND:
+		return eb_frame_ends_answer(f) ? EVENT_ANSWER_LAST
+					       : EVENT_ANSWER_HEAD;
 	case EB_FRAME_RDATA:
 		return EVENT_ANSWER_DATA;
-	case EB_FRAME_REND:
-		return EVENT_ANSWER_LAST;
 	case EB_FRAME_REFUSE:
 		return EVENT_REFUSE;
 	default:
