core: a starting daemon asks its peers before it serves a release

Cause: a daemon that restarted while the platform served a shorter log put the older release into force (2, then 1). Change: answers to heartbeats carry the index of the newest release known; the first release of a process comes into force only when no peer has named a newer one, and a peer has answered, there are no others, or 1.5 s are over.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -57,6 +57,14 @@
 	int epoll_fd;
 	int stopping;
 	int draining;
+	/*
+	 * A daemon that starts puts its first release into force only when no
+	 * peer is known to have a newer one: the platform may be stale.
+	 */
+	int serving;
+	int heard;	       /* a peer answered since the first release */
+	uint64_t heard_index;  /* newest release that a peer knows */
+	int64_t configured_us; /* when the first release came; 0: not yet */
 	int64_t turn_us;
 	int64_t tick_us;
 	apr_pool_t *pool;
@@ -224,11 +232,21 @@
 
 /* ---- Frames of the mesh ---- */
 
+/* A heartbeat says which release its sender knows. */
+static void note_peer_release(struct eb_core *co, const struct eb_frame *f)
+{
+	if (f->reply->body_bytes > co->heard_index)
+		co->heard_index = f->reply->body_bytes;
+	co->heard |= co->configured_us != 0;
+}
+
 static void on_frame(void *ctx, struct eb_frame *f, struct eb_peer *pr,
 		     const struct eb_back_route *back)
 {
 	struct eb_core *co = ctx;
 
+	if (f->type == EB_FRAME_HELLO && pr)
+		note_peer_release(co, f);
 	if (f->type == EB_FRAME_CLAIM)
 		on_claim(co, f, back);
 	else if (pr)
@@ -261,22 +279,13 @@
 
 /* ---- Frames of other threads ---- */
 
-static void apply_config(struct eb_core *co, struct eb_config *cf)
+/* Puts the newest release known into force at the gate and the origin. */
+static void serve_release(struct eb_core *co)
 {
+	const struct eb_config *cf = eb_nodes_config(co->nodes);
+	struct eb_node *n = eb_nodes_get(co->nodes, co->self);
 	const struct eb_service_state *sv;
-	struct eb_node *n;
 
-	if (cf->index <= eb_nodes_config(co->nodes)->index &&
-	    !eb_test_off("release-order"))
-		return; /* never back to an older state */
-	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
-		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
-			     "keys of the peers could not be stored", NULL);
-	if (eb_claims_configure(co->claims, cf, co->turn_us))
-		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
-			     "out of memory for the holders of claims", NULL);
-	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
-	n = eb_nodes_get(co->nodes, co->self);
 	if (n && n->present) {
 		sv = eb_nodes_service(co->nodes, n->service, co->turn_us);
 		eb_gate_configure(co->gate, n->info,
@@ -284,6 +293,7 @@
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
+	eb_origin_serve(co->origin);
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
 		       (int64_t)cf->release);
 	eb_log_write(co->config.log, EB_LOG_INFO, "core", "release in force",
@@ -292,6 +302,45 @@
 		     n && n->present);
 }
 
+/* Tells whether an older release than the peers' can be ruled out. */
+static int may_serve(const struct eb_core *co)
+{
+	const struct eb_config *cf = eb_nodes_config(co->nodes);
+
+	if (!cf->release || cf->index < co->heard_index)
+		return 0;
+	return co->heard || cf->upstream_total < 2 ||
+	       co->turn_us - co->configured_us >= EB_START_WAIT_MS * 1000LL;
+}
+
+static void start_serving(struct eb_core *co)
+{
+	if (co->serving || !may_serve(co))
+		return;
+	co->serving = 1;
+	serve_release(co);
+}
+
+static void apply_config(struct eb_core *co, struct eb_config *cf)
+{
+	if (cf->index <= eb_nodes_config(co->nodes)->index)
+		return; /* never back to an older state */
+	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
+		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
+			     "keys of the peers could not be stored", NULL);
+	if (eb_claims_configure(co->claims, cf, co->turn_us))
+		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
+			     "out of memory for the holders of claims", NULL);
+	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
+	eb_gate_note_index(co->gate, cf->index);
+	if (!co->configured_us)
+		co->configured_us = co->turn_us;
+	if (co->serving)
+		serve_release(co);
+	else
+		start_serving(co);
+}
+
 static void drain(struct eb_core *co)
 {
 	if (co->draining || eb_test_off("drain"))
@@ -353,7 +402,7 @@
 			 (json_int_t)cf->release, "index",
 			 (json_int_t)cf->index, "state",
 			 co->draining  ? "draining"
-			 : cf->release ? "serving"
+			 : co->serving ? "serving"
 				       : "waiting",
 			 "known", co->self != EB_NONE, "in_flight",
 			 (int)ld.in_flight, "queued", (int)ld.queued, "slots",
@@ -471,6 +520,7 @@
 	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->turn_us;
 		eb_mesh_tick(co->mesh, sink, co->turn_us);
+		start_serving(co);
 		eb_gate_tick(co->gate, co->turn_us);
 		eb_origin_tick(co->origin, co->turn_us);
 		eb_claims_tick(co->claims, co->turn_us);
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -101,8 +101,8 @@
 	uint16_t status;
 	uint8_t outcome;
 	uint8_t reason;
-	uint8_t body_kind; /* of RHEAD: NONE, LENGTH or CHUNKED */
-	uint64_t body_bytes;
+	uint8_t body_kind;   /* of RHEAD: NONE, LENGTH or CHUNKED */
+	uint64_t body_bytes; /* of HELLO: index of the newest release known */
 	uint32_t retry_after_ms;
 	struct eb_load load;
 	struct eb_headers headers;
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -90,6 +90,7 @@
 	uint32_t slots;
 	uint32_t queue;
 	int draining;
+	uint64_t release_index;
 	int resumed; /* requests come from before a pause of this process */
 	uint64_t next_id;
 	apr_pool_t *pool;
@@ -188,6 +189,12 @@
 	eb_admit_configure(gt->admit, &cf);
 }
 
+/* Notes the index that answers to heartbeats carry. */
+void eb_gate_note_index(struct eb_gate *gt, uint64_t index)
+{
+	gt->release_index = index;
+}
+
 /* Refuses new calls from now on; those that are here are finished. */
 void eb_gate_drain(struct eb_gate *gt)
 {
@@ -604,6 +611,7 @@
 	out->target = f->sender;
 	out->sender = gt->config.incarnation;
 	eb_gate_load(gt, &out->reply->load);
+	out->reply->body_bytes = gt->release_index;
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -108,6 +108,7 @@
 	apr_hash_t *by_number; /* number of an attempt -> call */
 	uint64_t next_number;
 	uint32_t parked;
+	int serving;
 };
 
 typedef void action_fn(struct eb_origin *og, struct call *ca,
@@ -176,6 +177,12 @@
 	free(og);
 }
 
+/* The release in force may be served from now on. */
+void eb_origin_serve(struct eb_origin *og)
+{
+	og->serving = 1;
+}
+
 /* Returns the number of calls that are not finished. */
 uint32_t eb_origin_active(const struct eb_origin *og)
 {
@@ -744,7 +751,7 @@
 		eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_REFUSED, 1);
 		return EB_REASON_QUEUE_FULL;
 	}
-	if (!cf->release)
+	if (!cf->release || !og->serving)
 		return EB_REASON_NO_UPSTREAM;
 	index = eb_config_match(cf, eb_headers_find(&h->headers, "Host"),
 				h->target);
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -41,6 +41,8 @@
 				const struct eb_origin_outlets *out,
 				struct eb_findings *fs);
 void eb_origin_free(struct eb_origin *og);
+/* Requests are refused until then: the release may be an old one. */
+void eb_origin_serve(struct eb_origin *og);
 void eb_origin_from_front(struct eb_origin *og, struct eb_frame *f,
 			  int64_t now_us);
 /* A frame of the gate of a node. */
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -66,6 +66,9 @@
 /* Origins that a gate tracks. */
 #define EB_ORIGINS_MAX 8192
 
+/* A starting daemon waits this long for the first answer of a peer. */
+#define EB_START_WAIT_MS 1500
+
 #define EB_PLATFORM_WAIT_MS 10000
 #define EB_PLATFORM_RETRY_MS 500
 /* The list of VMs is polled; it has no watch. */
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -69,6 +69,7 @@
 		og = eb_origin_new(&cf, &outlets, &fs);
 		ASSERT_EQ(0u, fs.count);
 		configure();
+		eb_origin_serve(og);
 		out.clear();
 		numbers.clear();
 		nodes.clear();
