--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,11 @@
 OPT ?= -O2 -g
 SAN ?=
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2
-CFLAGS = -std=gnu11 $(OPT) $(SAN) $(WARN) -D_GNU_SOURCE -Isrc $(PKG_CFLAGS)
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 \
+	-lhttp_parser -lz
+CFLAGS = -std=gnu11 $(OPT) $(SAN) $(WARN) -D_GNU_SOURCE -Isrc -Iplatform $(PKG_CFLAGS)
 CXXFLAGS = -std=gnu++17 -O1 -g $(SAN) -Wall -Wextra -Werror -D_GNU_SOURCE \
-	-Isrc -Itests $(PKG_CFLAGS)
+	-Isrc -Iplatform -Itests $(PKG_CFLAGS)
 LDLIBS = $(PKG_LIBS) -lpthread -lm
 
 PROGRAMS := ebonypierd ebonypier
@@ -25,20 +26,23 @@
 TEST_DAEMON := $(B)/ebonypierd-test
 TEST_DAEMON_OBJ := $(LIB_SRC:src/%.c=$(B)/test-src/%.o) \
 	$(B)/test-src/ebonypierd.o
+# The adapter to the users' platform, and the daemon with it.
+SITE := $(B)/ebonypier-site
+SITE_OBJ := $(patsubst platform/%.c,$(B)/platform/%.o,$(wildcard platform/*.c))
 STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
 TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o $(B)/tests/world.o
 TESTS := $(patsubst tests/%.cc,$(B)/tests/%,$(wildcard tests/test_*.cc) \
 	$(wildcard tests/it_*.cc))
 C_FILES := $(wildcard src/*.c src/*.h standins/*.c standins/*.h bench/*.c \
-	bench/*.h)
+	bench/*.h platform/*.c platform/*.h)
 CC_FILES := $(wildcard tests/*.cc tests/*.h)
 
 .PHONY: all deps demo check bench soak format format-check lint unit clean \
 	charts
 .SECONDARY:
 
-all: $(PROGRAMS:%=$(B)/%) $(STANDINS) $(BENCHES)
+all: $(PROGRAMS:%=$(B)/%) $(SITE) $(STANDINS) $(BENCHES)
 
 deps:
 	@scripts/deps.sh
@@ -81,13 +85,13 @@
 lint: $(patsubst %,$(B)/lint/%.ok,$(filter %.c,$(C_FILES)))
 	cppcheck -q --std=c11 --error-exitcode=1 --inline-suppr \
 		--enable=warning,performance,portability -j 10 \
-		--suppressions-list=.cppcheck-suppressions -Isrc \
+		--suppressions-list=.cppcheck-suppressions -Isrc -Iplatform \
 		$(filter %.c,$(C_FILES))
 
 $(B)/lint/%.ok: % .clang-tidy $(wildcard src/*.h)
 	@mkdir -p $(@D)
 	@clang-tidy --quiet --warnings-as-errors='*' $< -- -std=gnu11 \
-		-D_GNU_SOURCE -Isrc $(PKG_CFLAGS) 2>$@.log || \
+		-D_GNU_SOURCE -Isrc -Iplatform $(PKG_CFLAGS) 2>$@.log || \
 		{ cat $@.log; exit 1; }
 	@touch $@
 
@@ -104,6 +108,13 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DEB_TEST_SWITCHES -MMD -MP -c $< -o $@
 
+$(B)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(SITE): $(SITE_OBJ) $(LIB)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(TEST_DAEMON): $(TEST_DAEMON_OBJ)
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
@@ -139,4 +150,5 @@
 clean:
 	rm -rf $(B)
 
--include $(wildcard $(B)/src/*.d $(B)/test-src/*.d $(B)/tests/*.d)
+-include $(wildcard $(B)/src/*.d $(B)/test-src/*.d $(B)/tests/*.d \
+	$(B)/platform/*.d)
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -5,7 +5,7 @@
 packages="gcc g++ make pkg-config clang-format clang-tidy cppcheck \
 libapr1-dev libaprutil1-dev libzmq3-dev libmicrohttpd-dev libargtable2-dev \
 libmsgpack-dev libjansson-dev libxxhash-dev libsodium-dev \
-libcurl4-openssl-dev libgnutls28-dev libgtest-dev librapidcheck-dev \
+libcurl4-openssl-dev libhttp-parser-dev zlib1g-dev libgnutls28-dev libgtest-dev librapidcheck-dev \
 gnutls-bin spin gnuplot-nox"
 missing=""
 for p in $packages; do
--- a/src/eb_admin.c
+++ b/src/eb_admin.c
@@ -16,6 +16,7 @@
 
 struct eb_admin {
 	struct MHD_Daemon *http;
+	struct MHD_Daemon *ready; /* NULL: not asked for */
 	struct eb_metrics *metrics;
 	struct eb_tracer *tracer;
 	struct eb_log *log;
@@ -132,6 +133,19 @@
 		json_pack("{ss}", "health", draining ? "draining" : "ok"));
 }
 
+static enum MHD_Result answer_ready(struct eb_admin *am,
+				    struct MHD_Connection *c,
+				    const char *argument)
+{
+	int ready = (!am->ops->ready || am->ops->ready(am->ctx)) &&
+		    !eb_metrics_get(am->metrics, EB_METRIC_DRAINING);
+
+	(void)argument;
+	return send_json(
+		c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
+		json_pack("{sb}", "ready", ready));
+}
+
 static enum MHD_Result answer_drain(struct eb_admin *am,
 				    struct MHD_Connection *c,
 				    const char *argument)
@@ -161,6 +175,7 @@
 	{ "/status", "GET", answer_status },
 	{ "/traces/", "GET", answer_trace },
 	{ "/health", "GET", answer_health },
+	{ "/ready", "GET", answer_ready },
 	{ "/drain", "POST", answer_drain },
 	{ "/claims/open", "POST", answer_open_claims },
 };
@@ -228,6 +243,7 @@
 	if (!pg)
 		return send_error(c, MHD_HTTP_NOT_FOUND, NULL, "not-found",
 				  "known: /metrics /status /traces/ID /health "
+				  "/ready "
 				  "/drain /claims/open");
 	if (strcmp(method, pg->method) != 0)
 		return send_error(c, MHD_HTTP_METHOD_NOT_ALLOWED, pg->method,
@@ -270,6 +286,39 @@
 	return answer(cls, c, url, method);
 }
 
+/* Answers on the address that only says whether requests are served. */
+static enum MHD_Result handle_ready(void *cls, struct MHD_Connection *c,
+				    const char *url, const char *method,
+				    const char *version, const char *data,
+				    size_t *bytes, void **state)
+{
+	(void)version;
+	(void)data;
+	(void)state;
+	if (*bytes || strcmp(method, "GET") != 0 || strcmp(url, "/ready") != 0)
+		return send_error(c, MHD_HTTP_NOT_FOUND, NULL, "not-found",
+				  "known: GET /ready");
+	return answer_ready(cls, c, "");
+}
+
+static enum eb_status start_ready(struct eb_admin *am, const char *address,
+				  struct eb_error *err)
+{
+	struct eb_address ad;
+
+	if (!eb_address_parse(address, &ad))
+		am->ready = MHD_start_daemon(
+			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL, 0,
+			NULL, NULL, handle_ready, am, MHD_OPTION_SOCK_ADDR,
+			(struct sockaddr *)&ad.sa, MHD_OPTION_CONNECTION_LIMIT,
+			(unsigned)CONNECTIONS_MAX,
+			MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+			MHD_OPTION_END);
+	if (am->ready)
+		return EB_OK;
+	return eb_error_set(err, EB_EIO, "cannot listen on %s", address);
+}
+
 /*
  * Starts the admin port in a thread of its own. Port 0 takes a free one; see
  * eb_admin_port(). Returns NULL and an error when the address cannot be
@@ -309,8 +358,13 @@
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
 		MHD_OPTION_END);
-	if (am->http)
-		return am;
+	if (am->http) {
+		if (!se->ready_address ||
+		    !start_ready(am, se->ready_address, err))
+			return am;
+		eb_admin_stop(am);
+		return NULL;
+	}
 	free(am);
 	eb_error_set(err, EB_EIO, "cannot listen on admin port %s:%u",
 		     se->admin_address, se->admin_port);
@@ -331,6 +385,8 @@
 {
 	if (!am)
 		return;
+	if (am->ready)
+		MHD_stop_daemon(am->ready);
 	MHD_stop_daemon(am->http);
 	free(am);
 }
--- a/src/eb_admin.h
+++ b/src/eb_admin.h
@@ -11,7 +11,7 @@
 
 /*
  * The admin port: GET /metrics (Prometheus text), /status (JSON),
- * /traces/ID (JSON), /health; POST /drain,
+ * /traces/ID (JSON), /health, /ready; POST /drain,
  * /claims/open. It runs in a thread of its own.
  */
 struct eb_admin;
@@ -22,6 +22,7 @@
 	void (*drain)(void *ctx);
 	/* The operator's word that no idempotency key was used so far. */
 	void (*open_claims)(void *ctx);
+	int (*ready)(void *ctx); /* requests are served; NULL: always */
 };
 
 struct eb_admin *eb_admin_start(const struct eb_settings *se,
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -56,6 +56,7 @@
 	uint8_t receive_paused;
 	uint8_t body_kind;
 	uint8_t refused_by_upstream;
+	uint8_t foreign; /* the answer belongs to another request */
 	uint16_t status;
 	uint64_t body_bytes;
 	uint64_t credit_bytes;
@@ -172,8 +173,24 @@
 }
 
 /*
- * Decides how the answer travels. An answer must say how long it is, or be
- * chunked: one that ends with its connection could be cut unnoticed.
+ * Tells whether an answer belongs to another request: one that came late on
+ * this connection, where the next answer was due.
+ */
+static int is_foreign(const struct transfer *tf)
+{
+	const char *name = tf->client->config.dialect->request_id;
+	const char *want, *got;
+
+	if (!name)
+		return 0;
+	want = eb_headers_find(&tf->head->head->headers, name);
+	got = eb_headers_find(&tf->answer, name);
+	return want && got && strcmp(want, got) != 0;
+}
+
+/*
+ * Decides how the answer travels. One that says no length ends with its
+ * connection; libcurl reports a connection that is reset instead.
  */
 static void answer_head_complete(struct transfer *tf)
 {
@@ -184,6 +201,11 @@
 		      tf->status == 204 || tf->status == 304;
 
 	tf->answer_head = 1;
+	if (is_foreign(tf)) {
+		tf->foreign = 1;
+		tf->answer_bad = 1;
+		return;
+	}
 	if (cl && eb_http_parse_number(cl, &tf->body_bytes))
 		tf->answer_bad = 1;
 	if (no_body) {
@@ -191,7 +213,7 @@
 	} else if (chunked) {
 		tf->body_kind = EB_BODY_CHUNKED;
 	} else if (!cl) {
-		tf->answer_bad = 1;
+		tf->body_kind = EB_BODY_CHUNKED;
 	} else if (tf->body_bytes <= EB_INLINE_BODY_BYTES) {
 		tf->body_kind = EB_BODY_INLINE;
 		tf->inline_body = malloc(tf->body_bytes ? tf->body_bytes : 1);
@@ -204,6 +226,7 @@
 /* Splits a header line in place and adds it to the answer. */
 static int add_answer_header(struct transfer *tf, char *line)
 {
+	const struct eb_dialect *dl = tf->client->config.dialect;
 	char *colon = strchr(line, ':'), *value, *end;
 
 	if (!colon)
@@ -216,6 +239,8 @@
 		*--end = 0;
 	if (!strcasecmp(line, "Ebonypier-Outcome") && !strcmp(value, "not-run"))
 		tf->refused_by_upstream = 1;
+	if (dl->not_run && !strcasecmp(line, dl->not_run))
+		tf->refused_by_upstream = 1;
 	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
 }
 
@@ -328,6 +353,7 @@
 /* Builds the header list; NULL values stop curl's own defaults. */
 static void set_headers(struct transfer *tf)
 {
+	const struct eb_dialect *dl = tf->client->config.dialect;
 	const struct eb_head *h = tf->head->head;
 	struct eb_header hd;
 	char text[56];
@@ -335,6 +361,8 @@
 
 	while (eb_headers_next(&h->headers, &pos, &hd))
 		add_line(tf, hd.name, hd.value);
+	if (h->instance && dl->expect_instance)
+		add_line(tf, dl->expect_instance, h->instance);
 	if (!eb_headers_find(&h->headers, "Accept"))
 		add_line(tf, "Accept", NULL);
 	if (!eb_headers_find(&h->headers, "Content-Type"))
@@ -551,6 +579,14 @@
 		resume(tf);
 }
 
+/* The address belongs to another start of an upstream, which ran nothing. */
+static int is_misdirected(const struct transfer *tf)
+{
+	return tf->answer_head && tf->status == 421 &&
+	       tf->client->config.dialect->expect_instance &&
+	       tf->head->head->instance && !tf->foreign;
+}
+
 /* Sends the last frame of a request that curl has finished with. */
 static void finish(struct transfer *tf, CURLcode rc)
 {
@@ -565,12 +601,15 @@
 	if (!tf->sends) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_CONNECT);
+	} else if (is_misdirected(tf)) {
+		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
+				EB_REASON_NO_UPSTREAM);
 	} else if (rc || !tf->answer_head) {
 		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
 				EB_REASON_UPSTREAM_CLOSED);
 	} else if (tf->refused_by_upstream && !tf->answer_sent) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
-				EB_REASON_QUEUE_FULL);
+				EB_REASON_UPSTREAM_REFUSED);
 	} else if (tf->answer_sent) {
 		f = reply_frame(tf, EB_FRAME_REND, EB_OUTCOME_RAN,
 				EB_REASON_NONE);
--- a/src/eb_client.h
+++ b/src/eb_client.h
@@ -1,6 +1,7 @@
 #ifndef EB_CLIENT_H
 #define EB_CLIENT_H
 
+#include "eb_adapter.h"
 #include "eb_frame.h"
 #include "eb_log.h"
 #include "eb_metrics.h"
@@ -20,6 +21,7 @@
 	struct eb_metrics *metrics;
 	struct eb_log *log;
 	uint32_t connections; /* idle and busy ones together */
+	const struct eb_dialect *dialect;
 };
 
 struct eb_client *eb_client_start(const struct eb_client_config *cf,
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -12,7 +12,7 @@
 
 struct kind_info {
 	size_t bytes;
-	size_t texts[8]; /* offsets of owned strings; ends with 0 */
+	size_t texts[9]; /* offsets of owned strings; ends with 0 */
 };
 
 static const struct kind_info kinds[EB_ITEM_KINDS] = {
@@ -30,6 +30,7 @@
 				 offsetof(struct eb_upstream, address),
 				 offsetof(struct eb_upstream, daemon),
 				 offsetof(struct eb_upstream, region),
+				 offsetof(struct eb_upstream, instance),
 				 offsetof(struct eb_upstream,
 					  failure_domain) } },
 };
@@ -135,6 +136,12 @@
 		eb_config_item_unref(EB_ITEM_SERVICE, cf->services[i]);
 	for (i = 0; i < cf->upstream_total; i++)
 		eb_config_item_unref(EB_ITEM_UPSTREAM, cf->upstreams[i]);
+	for (i = 0; i < cf->match_count; i++) {
+		free(cf->matches[i].name);
+		free(cf->matches[i].host);
+		free(cf->matches[i].prefix);
+	}
+	free(cf->matches);
 	free(cf->rules);
 	free(cf->services);
 	free(cf->upstreams);
@@ -263,3 +270,74 @@
 	}
 	return best;
 }
+
+/* Tells whether a host without its port is the given one. */
+static int same_host(const char *want, const char *host, size_t n)
+{
+	return strlen(want) == n && !strncasecmp(want, host, n);
+}
+
+/*
+ * Returns the path of a request: of those of its host, the one with the
+ * longest prefix that begins the target. NULL when there is none.
+ */
+const struct eb_match *eb_config_find_match(const struct eb_config *cf,
+					  const char *host, const char *target)
+{
+	size_t n = host ? host_length(host) : 0, len = strcspn(target, "?#");
+	const struct eb_match *pt, *best = NULL;
+	size_t prefix, best_prefix = 0;
+	uint32_t i;
+
+	for (i = 0; i < cf->match_count; i++) {
+		pt = &cf->matches[i];
+		prefix = strlen(pt->prefix);
+		if (prefix > len || prefix <= best_prefix ||
+		    memcmp(pt->prefix, target, prefix) != 0 ||
+		    !same_host(pt->host, host ? host : "", n))
+			continue;
+		best = pt;
+		best_prefix = prefix;
+	}
+	return best;
+}
+
+static int compare_upstreams(const void *a, const void *b)
+{
+	const struct eb_upstream *const *x = a, *const *y = b;
+	int order = strcmp((*x)->service_name, (*y)->service_name);
+
+	return order ? order : strcmp((*x)->name, (*y)->name);
+}
+
+/*
+ * Sorts the upstreams and fills in which ones each service has. Services are
+ * sorted by name already, and each upstream's service exists. Returns
+ * EB_ENOMEM without memory.
+ */
+enum eb_status eb_config_group_upstreams(struct eb_config *cf)
+{
+	uint32_t i, service = 0;
+
+	if (cf->upstream_total)
+		qsort(cf->upstreams, cf->upstream_total, sizeof(*cf->upstreams),
+		      compare_upstreams);
+	cf->upstream_service =
+		calloc((size_t)cf->upstream_total + 1, sizeof(uint32_t));
+	cf->service_first =
+		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
+	cf->service_count =
+		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
+	if (!cf->upstream_service || !cf->service_first || !cf->service_count)
+		return EB_ENOMEM;
+	for (i = 0; i < cf->upstream_total; i++) {
+		while (strcmp(cf->services[service]->name,
+			      cf->upstreams[i]->service_name) != 0)
+			cf->service_first[++service] = i;
+		cf->upstream_service[i] = service;
+		cf->service_count[service]++;
+	}
+	while (service + 1 < cf->service_total)
+		cf->service_first[++service] = i;
+	return EB_OK;
+}
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "eb_status.h"
+
 /* Index of an item that is not there. */
 #define EB_NONE UINT32_MAX
 
@@ -54,8 +56,37 @@
 	char *region;
 	char *failure_domain;
 	char key[41]; /* CURVE public key of the daemon, Z85; or "" */
+	char *instance; /* identity of this start of it, or NULL */
 	uint32_t slots;
 	uint32_t connections;
+	uint32_t cold_ms; /* how much longer it is slow after its start */
+	uint8_t leaving;  /* gets no new requests */
+};
+
+/* Services that the requests of one path may be shared out to. */
+#define EB_SHARES_MAX 8
+
+/* A service that takes a part of the requests of a path. */
+struct eb_share {
+	uint32_t service; /* index into services, or EB_NONE */
+	uint32_t weight;
+};
+
+/*
+ * Where requests go and how they are handled, for sources that tell paths
+ * from services. Release notes have none: a service has its own match there.
+ */
+struct eb_match {
+	char *name;
+	char *host;   /* without a port */
+	char *prefix; /* begins and ends with a slash */
+	struct eb_share shares[EB_SHARES_MAX];
+	uint32_t share_count;
+	uint32_t timeout_ms;   /* longest time to an answer; 0: none */
+	uint32_t objective_ms; /* time that callers find good; 0: none */
+	uint8_t attempts;      /* upstreams that one request may run on */
+	uint8_t priority;      /* 0 is the most urgent */
+	uint8_t idempotent;    /* may run more than once */
 };
 
 /*
@@ -76,6 +107,9 @@
 	uint32_t rule_count;
 	uint32_t service_total;
 	uint32_t upstream_total;
+	uint8_t has_matches; /* paths decide, not the services' own match */
+	struct eb_match *matches;
+	uint32_t match_count;
 };
 
 struct eb_config *eb_config_new_empty(void);
@@ -95,4 +129,10 @@
 uint32_t eb_config_match(const struct eb_config *cf, const char *host,
 			 const char *path);
 
+/* The path of a request, or NULL; the longest prefix of the host wins. */
+const struct eb_match *eb_config_find_match(const struct eb_config *cf,
+					  const char *host, const char *target);
+/* Sorts the upstreams by service and name, and groups them. */
+enum eb_status eb_config_group_upstreams(struct eb_config *cf);
+
 #endif
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -16,6 +16,7 @@
 #include "eb_mesh.h"
 #include "eb_nodes.h"
 #include "eb_origin.h"
+#include "eb_spread.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
 
@@ -51,6 +52,9 @@
 	struct eb_gate *gate;
 	struct eb_origin *origin;
 	struct eb_claims *claims;
+	struct eb_spread *spread; /* NULL: the source pushes by itself */
+	struct eb_source *source; /* that this core directs, or NULL */
+	uint8_t items_changed;
 	struct local_frame *first, *last;
 	uint32_t self; /* number of the node of this daemon, or EB_NONE */
 	uint32_t active;
@@ -240,14 +244,86 @@
 	co->heard |= co->configured_us != 0;
 }
 
+/* ---- The copy of what the source publishes ---- */
+
+static void out_spread(void *ctx, uint32_t node, const void *data,
+		       uint32_t bytes)
+{
+	struct eb_core *co = ctx;
+	struct eb_node *n = eb_nodes_get(co->nodes, node);
+	struct eb_frame *f;
+
+	if (!n || !n->peer)
+		return;
+	f = eb_frame_new_data(EB_FRAME_GOSSIP, 0, data, bytes);
+	if (!f)
+		return;
+	/* A lost one is noticed by the next heartbeat. */
+	eb_mesh_send(co->mesh, n->peer, f, co->turn_us);
+	eb_frame_unref(f);
+}
+
+static void out_changed(void *ctx)
+{
+	struct eb_core *co = ctx;
+
+	co->items_changed = 1;
+}
+
+static void out_want(void *ctx, enum eb_source_mode mode, uint64_t revision)
+{
+	struct eb_core *co = ctx;
+	struct eb_source *sc = __atomic_load_n(&co->source, __ATOMIC_ACQUIRE);
+
+	if (sc)
+		co->config.adapter->source->want(sc, mode, revision);
+}
+
+/* Takes in a payload and answers it on the way that it came. */
+static void on_gossip(struct eb_core *co, struct eb_frame *f,
+		      const struct eb_back_route *back)
+{
+	struct eb_frame *out;
+	uint32_t bytes = 0;
+	uint8_t *reply = NULL;
+
+	if (!co->spread ||
+	    eb_spread_receive(co->spread, f->data, f->data_bytes, co->turn_us,
+			      &reply, &bytes) == EB_EPARSE)
+		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
+	if (reply && back && bytes) {
+		out = eb_frame_new_data(EB_FRAME_GOSSIP, 0, reply, bytes);
+		if (out) {
+			eb_mesh_reply(co->mesh, back, out);
+			eb_frame_unref(out);
+		}
+	}
+	free(reply);
+	eb_frame_unref(f);
+}
+
+static void on_report(struct eb_core *co, const struct eb_source_report *rp)
+{
+	if (co->spread)
+		eb_spread_report(co->spread, rp, co->turn_us);
+}
+
 static void on_frame(void *ctx, struct eb_frame *f, struct eb_peer *pr,
 		     const struct eb_back_route *back)
 {
 	struct eb_core *co = ctx;
 
-	if (f->type == EB_FRAME_HELLO && pr)
-		note_peer_release(co, f);
-	if (f->type == EB_FRAME_CLAIM)
+	if (f->type == EB_FRAME_HELLO && pr) {
+		if (co->spread)
+			eb_spread_heard(co->spread, pr->user,
+					f->reply->body_bytes,
+					f->reply->retry_after_ms, co->turn_us);
+		else
+			note_peer_release(co, f);
+	}
+	if (f->type == EB_FRAME_GOSSIP)
+		on_gossip(co, f, back);
+	else if (f->type == EB_FRAME_CLAIM)
 		on_claim(co, f, back);
 	else if (pr)
 		eb_origin_from_gate(co->origin, pr->user, f, co->turn_us);
@@ -290,6 +366,8 @@
 		sv = eb_nodes_service(co->nodes, n->service, co->turn_us);
 		eb_gate_configure(co->gate, n->info,
 				  eb_nodes_rule(co->nodes, sv));
+		if (cf->has_matches)
+			eb_gate_leave(co->gate, n->info->leaving);
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
@@ -307,6 +385,8 @@
 {
 	const struct eb_config *cf = eb_nodes_config(co->nodes);
 
+	if (co->spread)
+		return cf->has_matches;
 	if (!cf->release || cf->index < co->heard_index)
 		return 0;
 	return co->heard || cf->upstream_total < 2 ||
@@ -317,15 +397,16 @@
 {
 	if (co->serving || !may_serve(co))
 		return;
-	co->serving = 1;
+	__atomic_store_n(&co->serving, 1, __ATOMIC_RELEASE);
 	serve_release(co);
 }
 
 static void apply_config(struct eb_core *co, struct eb_config *cf)
 {
-	if (cf->index <= eb_nodes_config(co->nodes)->index &&
+	/* Never back to an older state; a copy of items sees to it itself. */
+	if (!co->spread && cf->index <= eb_nodes_config(co->nodes)->index &&
 	    !eb_test_off("release-order"))
-		return; /* never back to an older state */
+		return;
 	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "keys of the peers could not be stored", NULL);
@@ -333,7 +414,8 @@
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "out of memory for the holders of claims", NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
-	eb_gate_note_index(co->gate, cf->index);
+	if (!co->spread)
+		eb_gate_note_index(co->gate, cf->index, 0);
 	if (!co->configured_us)
 		co->configured_us = co->turn_us;
 	if (co->serving)
@@ -342,6 +424,62 @@
 		start_serving(co);
 }
 
+/* Lists the other daemons, which the source knows by their upstreams. */
+static void set_members(struct eb_core *co)
+{
+	uint32_t i, n = 0, total = eb_nodes_count(co->nodes);
+	struct eb_spread_member *list = calloc(total + 1, sizeof(*list));
+	const struct eb_node *node;
+
+	if (!list)
+		return;
+	for (i = 0; i < total; i++) {
+		node = eb_nodes_get(co->nodes, i);
+		if (!node->present || node->self)
+			continue;
+		list[n].node = i;
+		list[n++].order = eb_spread_order(node->name);
+	}
+	if (eb_spread_set_members(
+		    co->spread,
+		    eb_spread_order(co->config.settings->upstream), list, n))
+		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
+			     "out of memory for the list of daemons", NULL);
+	for (i = 0; i < n; i++)
+		if (eb_spread_is_reader(co->spread, list[i].node))
+			eb_nodes_peer(co->nodes, list[i].node, co->turn_us);
+	free(list);
+}
+
+/* Makes a configuration of the items, and puts it into force. */
+static void apply_items(struct eb_core *co)
+{
+	struct eb_config *cf;
+
+	co->items_changed = 0;
+	cf = co->config.adapter->source->decode(co->config.adapter,
+						co->config.settings,
+						eb_spread_feed(co->spread),
+						co->turn_us, co->config.log);
+	if (!cf)
+		return;
+	apply_config(co, cf);
+	eb_config_unref(cf);
+	set_members(co);
+}
+
+static void tick_spread(struct eb_core *co)
+{
+	if (!co->spread)
+		return;
+	eb_spread_tick(co->spread, co->turn_us);
+	eb_gate_note_index(co->gate,
+			   eb_feed_revision(eb_spread_feed(co->spread)),
+			   eb_spread_read_age_ms(co->spread, co->turn_us));
+	if (co->items_changed)
+		apply_items(co);
+}
+
 static void drain(struct eb_core *co)
 {
 	if (co->draining || eb_test_off("drain"))
@@ -451,6 +589,8 @@
 		note_vms(co, f->object);
 	else if (f->type == EB_FRAME_QUERY)
 		answer_query(co, f->object);
+	else if (f->type == EB_FRAME_REPORT)
+		on_report(co, f->object);
 	eb_frame_unref(f);
 }
 
@@ -513,6 +653,8 @@
 		run_local(co);
 		run_claims(co);
 		run_local(co);
+		if (co->items_changed)
+			apply_items(co);
 		co->turn_us = eb_clock_now_us();
 	} while (more && co->turn_us - co->tick_us < EB_CORE_TICK_MS * 1000);
 	if (!more)
@@ -521,6 +663,7 @@
 	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->turn_us;
 		eb_mesh_tick(co->mesh, sink, co->turn_us);
+		tick_spread(co);
 		start_serving(co);
 		eb_gate_tick(co->gate, co->turn_us);
 		eb_origin_tick(co->origin, co->turn_us);
@@ -589,12 +732,19 @@
 				       cf->metrics, cf->tracer };
 	struct eb_origin_config origin = { co->incarnation, NULL, cf->metrics,
 					   cf->tracer, NULL };
+	struct eb_spread_outlets spread_out = { out_spread, out_changed,
+						out_want, co };
 	struct eb_findings fs = { 0 };
 
 	co->mesh = eb_mesh_new(cf->settings, co->incarnation, cf->metrics,
 			       cf->log, err);
 	if (!co->mesh)
 		return err->status;
+	if (cf->adapter->source->decode) {
+		co->spread = eb_spread_new(&spread_out, eb_clock_now_us());
+		if (!co->spread)
+			return eb_error_set(err, EB_ENOMEM, "out of memory");
+	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
 	co->claims = eb_claims_new(cf->settings->upstream, co->incarnation);
 	origin.nodes = co->nodes;
@@ -655,6 +805,7 @@
 	eb_origin_free(co->origin);
 	eb_claims_free(co->claims);
 	eb_gate_free(co->gate);
+	eb_spread_free(co->spread);
 	eb_nodes_free(co->nodes);
 	eb_mesh_free(co->mesh);
 	if (co->epoll_fd >= 0)
@@ -705,6 +856,33 @@
 	return send_object(co, EB_FRAME_VMS, list, free_vms);
 }
 
+static void free_report(void *object)
+{
+	struct eb_source_report *rp = object;
+
+	eb_feed_change_clear(&rp->change);
+	free(rp);
+}
+
+/* Passes on what the source has brought; takes it over. */
+enum eb_status eb_core_send_report(struct eb_core *co,
+				   struct eb_source_report *rp)
+{
+	return send_object(co, EB_FRAME_REPORT, rp, free_report);
+}
+
+/* Names the source that the core directs from now on; NULL for none. */
+void eb_core_set_source(struct eb_core *co, struct eb_source *sc)
+{
+	__atomic_store_n(&co->source, sc, __ATOMIC_RELEASE);
+}
+
+/* Tells whether requests are served; from any thread. */
+int eb_core_serving(const struct eb_core *co)
+{
+	return __atomic_load_n(&co->serving, __ATOMIC_ACQUIRE);
+}
+
 /* Asks the core and waits; returns NULL when it does not answer in time. */
 static json_t *ask(struct eb_core *co, enum query_kind kind)
 {
--- a/src/eb_core.h
+++ b/src/eb_core.h
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "eb_adapter.h"
 #include "eb_config.h"
 #include "eb_log.h"
 #include "eb_metrics.h"
@@ -27,6 +28,7 @@
 	struct eb_metrics *metrics;
 	struct eb_tracer *tracer;
 	struct eb_log *log;
+	const struct eb_adapter *adapter;
 };
 
 /* A line of the platform's list of VMs. */
@@ -44,6 +46,11 @@
 			      struct eb_error *err);
 void eb_core_stop(struct eb_core *co);
 /* From any thread: */
+/* Names the source that the core directs; until then it directs none. */
+void eb_core_set_source(struct eb_core *co, struct eb_source *sc);
+enum eb_status eb_core_send_report(struct eb_core *co,
+				   struct eb_source_report *rp);
+int eb_core_serving(const struct eb_core *co);
 enum eb_status eb_core_send_config(struct eb_core *co, struct eb_config *cf);
 enum eb_status eb_core_send_vms(struct eb_core *co, struct eb_vm_list *list);
 json_t *eb_core_status(struct eb_core *co);
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -1,3 +1,5 @@
+#include "eb_daemon.h"
+
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <pthread.h>
@@ -8,6 +10,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "eb_adapter.h"
 #include "eb_admin.h"
 #include "eb_client.h"
 #include "eb_clock.h"
@@ -24,8 +27,6 @@
  * "Connection: close"; the daemon stays for this long after the last answer.
  */
 #define STOP_LINGER_MS 500
-/* Origins learn from answers and heartbeats that this daemon leaves. */
-#define STOP_ANNOUNCE_MS 1500
 
 struct daemon {
 	struct eb_settings settings;
@@ -36,7 +37,8 @@
 	struct eb_client *client;
 	struct eb_core *core;
 	struct eb_front *front;
-	struct eb_platform *platform;
+	const struct eb_adapter *adapter;
+	struct eb_source *source;
 	struct eb_admin *admin;
 };
 
@@ -55,6 +57,13 @@
 	return eb_core_status(dm->core);
 }
 
+static int admin_ready(void *ctx)
+{
+	struct daemon *dm = ctx;
+
+	return eb_core_serving(dm->core);
+}
+
 static void admin_drain(void *ctx)
 {
 	struct daemon *dm = ctx;
@@ -73,7 +82,7 @@
 {
 	int i;
 
-	dm->log = eb_log_new(STDERR_FILENO, dm->settings.log_level);
+	dm->log = eb_log_new(STDOUT_FILENO, dm->settings.log_level);
 	dm->metrics = eb_metrics_new();
 	dm->tracer = eb_tracer_new(dm->settings.upstream, EB_SPANS_MAX);
 	for (i = 0; i < 5; i++) {
@@ -90,7 +99,8 @@
 {
 	struct eb_client_config client = { dm->rings[RING_CLIENT_IN],
 					   dm->rings[RING_CLIENT_OUT],
-					   dm->metrics, dm->log, 200 };
+					   dm->metrics, dm->log, 200,
+					   dm->adapter->dialect };
 	struct eb_core_config core = {
 		&dm->settings,
 		dm->rings[RING_CONTROL],
@@ -101,15 +111,17 @@
 		dm->metrics,
 		dm->tracer,
 		dm->log,
+		dm->adapter,
 	};
 	struct eb_front_config front = { &dm->settings,
 					 dm->rings[RING_FRONT_IN],
 					 dm->rings[RING_FRONT_OUT], dm->metrics,
-					 dm->log };
-	struct eb_platform_config platform = { &dm->settings, NULL, dm->metrics,
-					       dm->log };
+					 dm->log, dm->adapter->dialect };
+	struct eb_source_config source = { dm->adapter, &dm->settings, NULL,
+					   dm->metrics, dm->log };
 	static const struct eb_admin_ops ops = { admin_status, admin_drain,
-						 admin_open_claims };
+						 admin_open_claims,
+						 admin_ready };
 
 	dm->client = eb_client_start(&client, err);
 	if (!dm->client)
@@ -124,9 +136,13 @@
 				   dm->log, &ops, dm, err);
 	if (!dm->admin)
 		return err->status;
-	platform.core = dm->core;
-	dm->platform = eb_platform_start(&platform, err);
-	return dm->platform ? EB_OK : err->status;
+	source.core = dm->core;
+	dm->source = dm->adapter->source->start(&source, err);
+	if (!dm->source)
+		return err->status;
+	if (dm->adapter->source->want)
+		eb_core_set_source(dm->core, dm->source);
+	return EB_OK;
 }
 
 static void free_ring(struct eb_ring *rg)
@@ -147,9 +163,12 @@
 	int i;
 
 	eb_admin_stop(dm->admin);
-	eb_platform_stop(dm->platform);
+	if (dm->core)
+		eb_core_set_source(dm->core, NULL);
 	eb_front_stop(dm->front);
 	eb_core_stop(dm->core);
+	if (dm->source)
+		dm->adapter->source->stop(dm->source);
 	eb_client_stop(dm->client);
 	for (i = 0; i < 5; i++)
 		free_ring(dm->rings[i]);
@@ -166,12 +185,14 @@
 }
 
 /*
- * Leaves without cutting a request: the gate refuses new calls, the front
- * takes no new connections, and everything in flight is finished.
+ * Leaves without cutting a request: the gate refuses new calls, and the front
+ * goes on until callers and other daemons have learned of it. Then it takes
+ * no new connections, and everything in flight is finished.
  */
 static void leave(struct daemon *dm)
 {
 	int64_t begun_us = eb_clock_now_us(), idle_us = begun_us, now_us;
+	int64_t announce_us = dm->settings.drain_announce_ms * 1000LL;
 	int64_t limit_us = dm->settings.drain_timeout_ms * 1000LL;
 
 	if (eb_test_off("graceful-stop"))
@@ -182,9 +203,11 @@
 		now_us = eb_clock_now_us();
 		if (eb_core_active(dm->core) || eb_front_active(dm->front))
 			idle_us = now_us;
-		if (now_us - begun_us >= STOP_ANNOUNCE_MS * 1000 &&
-		    now_us - idle_us >= STOP_LINGER_MS * 1000)
-			break;
+		if (now_us - begun_us >= announce_us) {
+			eb_front_close_listener(dm->front);
+			if (now_us - idle_us >= STOP_LINGER_MS * 1000)
+				break;
+		}
 		if (now_us - begun_us > limit_us) {
 			eb_log_write(dm->log, EB_LOG_ERROR, "daemon",
 				     "requests were cut at the drain timeout",
@@ -195,12 +218,23 @@
 	}
 }
 
-/* Signals are taken by this thread only, one after the other. */
-static void wait_for_signal(sigset_t *set)
+/*
+ * Signals are taken by this thread only, one after the other. Returns with
+ * the first one that ends the daemon.
+ */
+static void wait_for_signal(struct daemon *dm, sigset_t *set)
 {
 	int sig;
 
-	sigwait(set, &sig);
+	for (;;) {
+		if (sigwait(set, &sig))
+			continue;
+		if (sig != SIGHUP)
+			return;
+		eb_log_write(dm->log, EB_LOG_INFO, "daemon", "reload", NULL);
+		if (dm->adapter->source->reload)
+			dm->adapter->source->reload(dm->source);
+	}
 }
 
 static int run(struct daemon *dm, sigset_t *signals)
@@ -215,7 +249,7 @@
 	eb_log_write(dm->log, EB_LOG_INFO, "daemon", "started",
 		     "upstream=%s listen=%s daemon=%s", dm->settings.upstream,
 		     dm->settings.listen_address, dm->settings.daemon_address);
-	wait_for_signal(signals);
+	wait_for_signal(dm, signals);
 	leave(dm);
 	eb_log_write(dm->log, EB_LOG_INFO, "daemon", "stopped", NULL);
 	stop_all(dm);
@@ -223,12 +257,12 @@
 }
 
 /*
- * Runs the daemon until the first SIGTERM or SIGINT has been carried out;
- * further ones change nothing. Returns the exit status.
+ * Runs the daemon with an adapter until the first SIGTERM or SIGINT has been
+ * carried out; further ones change nothing. Returns the exit status.
  */
-int ebonypier_daemon_main(int argc, char **argv)
+int eb_daemon_run(int argc, char **argv, const struct eb_adapter *ad)
 {
-	struct daemon dm = { 0 };
+	struct daemon dm = { .adapter = ad };
 	struct eb_findings fs = { 0 };
 	sigset_t signals;
 	int status = EBONYPIER_EXIT_OK;
@@ -236,6 +270,7 @@
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0 ||
@@ -258,3 +293,12 @@
 	apr_terminate();
 	return status;
 }
+
+/* Runs the daemon on release notes; see the header. */
+int ebonypier_daemon_main(int argc, char **argv)
+{
+	static const struct eb_adapter notes = { &eb_dialect_default,
+						 &eb_platform_source };
+
+	return eb_daemon_run(argc, argv, &notes);
+}
--- /dev/null
+++ b/src/eb_feed.c
@@ -0,0 +1,460 @@
+#include "eb_feed.h"
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zlib.h>
+
+#include "eb_tunables.h"
+
+struct eb_feed {
+	struct eb_feed_item *items; /* sorted by key; removed ones included */
+	uint32_t count;
+	uint32_t space;
+	uint64_t revision;
+	uint64_t forgotten; /* removals up to this revision are not kept */
+	int64_t hold_until_us;
+	uint8_t holding;
+};
+
+/* Creates an empty copy at revision 0. Returns NULL without memory. */
+struct eb_feed *eb_feed_new(void)
+{
+	return calloc(1, sizeof(struct eb_feed));
+}
+
+static void clear_item(struct eb_feed_item *it)
+{
+	free(it->key);
+	free(it->value);
+}
+
+/* Frees the copy; NULL is allowed. */
+void eb_feed_free(struct eb_feed *fd)
+{
+	uint32_t i;
+
+	if (!fd)
+		return;
+	for (i = 0; i < fd->count; i++)
+		clear_item(&fd->items[i]);
+	free(fd->items);
+	free(fd);
+}
+
+/* Returns the revision up to which the copy is complete. */
+uint64_t eb_feed_revision(const struct eb_feed *fd)
+{
+	return fd->revision;
+}
+
+/* Returns the place of a key, or where it belongs; `found` says which. */
+static uint32_t search(const struct eb_feed *fd, const char *key, int *found)
+{
+	uint32_t low = 0, high = fd->count, mid;
+	int order;
+
+	*found = 0;
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(key, fd->items[mid].key);
+		if (!order) {
+			*found = 1;
+			return mid;
+		}
+		if (order < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return low;
+}
+
+/* Returns an item that is not removed, or NULL. */
+const struct eb_feed_item *eb_feed_find(const struct eb_feed *fd,
+					const char *key)
+{
+	int found;
+	uint32_t i = search(fd, key, &found);
+
+	return found && !fd->items[i].removed ? &fd->items[i] : NULL;
+}
+
+static struct eb_feed_item *insert(struct eb_feed *fd, const char *key,
+				   uint32_t at)
+{
+	uint32_t space = fd->space ? fd->space * 2 : 32;
+	struct eb_feed_item *items;
+	char *copy;
+
+	if (fd->count == EB_FEED_ITEMS_MAX)
+		return NULL;
+	if (fd->count == fd->space) {
+		items = realloc(fd->items, space * sizeof(*items));
+		if (!items)
+			return NULL;
+		fd->items = items;
+		fd->space = space;
+	}
+	copy = strdup(key);
+	if (!copy)
+		return NULL;
+	memmove(&fd->items[at + 1], &fd->items[at],
+		(fd->count - at) * sizeof(*fd->items));
+	memset(&fd->items[at], 0, sizeof(*fd->items));
+	fd->items[at].key = copy;
+	fd->count++;
+	return &fd->items[at];
+}
+
+/* Takes over one item that is newer than the copy's; see eb_feed_apply(). */
+static enum eb_status put(struct eb_feed *fd, const struct eb_feed_item *from,
+			  int *changed)
+{
+	int found;
+	uint32_t at = search(fd, from->key, &found);
+	struct eb_feed_item *it = found ? &fd->items[at] : NULL;
+	uint8_t *value = NULL;
+
+	if (it && it->revision >= from->revision)
+		return EB_OK;
+	if (!it && from->removed)
+		return EB_OK;
+	if (!it)
+		it = insert(fd, from->key, at);
+	if (!it)
+		return EB_EFULL;
+	if (!from->removed) {
+		value = malloc(from->value_bytes + 1);
+		if (!value)
+			return EB_ENOMEM;
+		if (from->value_bytes)
+			memcpy(value, from->value, from->value_bytes);
+		value[from->value_bytes] = 0;
+		free(it->value);
+		it->value = value;
+		it->value_bytes = from->value_bytes;
+	}
+	it->removed = from->removed;
+	it->revision = from->revision;
+	*changed = 1;
+	return EB_OK;
+}
+
+/* Marks the items that a full change does not have as removed. */
+static void remove_missing(struct eb_feed *fd, const struct eb_feed_change *ch,
+			   int *changed)
+{
+	struct eb_feed_item *it;
+	uint32_t i, j;
+
+	for (i = 0; i < fd->count; i++) {
+		it = &fd->items[i];
+		if (it->removed || it->revision > ch->revision)
+			continue;
+		for (j = 0; j < ch->count; j++)
+			if (!strcmp(ch->items[j].key, it->key))
+				break;
+		if (j < ch->count && !ch->items[j].removed)
+			continue;
+		it->removed = 1;
+		it->revision = ch->revision;
+		*changed = 1;
+	}
+}
+
+/* Drops removals when there are many; a peer behind them gets all items. */
+static void forget_removed(struct eb_feed *fd)
+{
+	uint32_t i, kept = 0, removed = 0;
+
+	for (i = 0; i < fd->count; i++)
+		removed += fd->items[i].removed;
+	if (removed < EB_FEED_REMOVED_MAX)
+		return;
+	for (i = 0; i < fd->count; i++) {
+		if (fd->items[i].removed)
+			clear_item(&fd->items[i]);
+		else
+			fd->items[kept++] = fd->items[i];
+	}
+	fd->count = kept;
+	fd->forgotten = fd->revision;
+}
+
+/*
+ * Brings the copy up to the revision of a change and sets `changed` when an
+ * item differs. Returns EB_EAGAIN when the copy lacks what lies before it,
+ * EB_ENOTFOUND when the change holds nothing newer, EB_EFULL or EB_ENOMEM;
+ * the revision stays as it is after an error, so that the change is asked for
+ * again. It never goes back.
+ */
+enum eb_status eb_feed_apply(struct eb_feed *fd,
+			     const struct eb_feed_change *ch, int64_t now_us,
+			     int *changed)
+{
+	int64_t hold_us = now_us + ch->hold_ms * 1000LL;
+	enum eb_status st;
+	uint32_t i;
+
+	*changed = 0;
+	if (!ch->full && ch->after > fd->revision)
+		return EB_EAGAIN;
+	if (ch->revision <= fd->revision)
+		return EB_ENOTFOUND;
+	if (ch->hold_ms && hold_us > fd->hold_until_us) {
+		fd->hold_until_us = hold_us;
+		fd->holding = 1;
+	}
+	for (i = 0; i < ch->count; i++) {
+		st = put(fd, &ch->items[i], changed);
+		if (st)
+			return st;
+	}
+	if (ch->full)
+		remove_missing(fd, ch, changed);
+	fd->revision = ch->revision;
+	if (ch->full)
+		fd->forgotten = ch->revision;
+	forget_removed(fd);
+	return EB_OK;
+}
+
+/* Tells whether the time of holding removed items has ended; see the header. */
+int eb_feed_settle(struct eb_feed *fd, int64_t now_us)
+{
+	if (!fd->holding || now_us < fd->hold_until_us)
+		return 0;
+	fd->holding = 0;
+	return 1;
+}
+
+/* Returns for how many milliseconds removed items are still held. */
+uint32_t eb_feed_hold_ms(const struct eb_feed *fd, int64_t now_us)
+{
+	if (now_us >= fd->hold_until_us)
+		return 0;
+	return (uint32_t)((fd->hold_until_us - now_us) / 1000) + 1;
+}
+
+/* Steps through the items that count as present; NULL at the end. */
+const struct eb_feed_item *eb_feed_next(const struct eb_feed *fd,
+					int64_t now_us, uint32_t *pos)
+{
+	const struct eb_feed_item *it;
+
+	while (*pos < fd->count) {
+		it = &fd->items[(*pos)++];
+		if (!it->removed || (it->value && now_us < fd->hold_until_us))
+			return it;
+	}
+	return NULL;
+}
+
+/*
+ * Appends an item to a change; key and value are copied. Returns EB_ENOMEM or
+ * EB_EFULL.
+ */
+enum eb_status eb_feed_change_add(struct eb_feed_change *ch, const char *key,
+				  const void *value, uint32_t bytes,
+				  uint64_t revision, int removed)
+{
+	uint32_t space = ch->space ? ch->space * 2 : 16;
+	struct eb_feed_item *it;
+
+	if (ch->count == EB_FEED_ITEMS_MAX)
+		return EB_EFULL;
+	if (ch->count == ch->space) {
+		it = realloc(ch->items, space * sizeof(*it));
+		if (!it)
+			return EB_ENOMEM;
+		ch->items = it;
+		ch->space = space;
+	}
+	it = &ch->items[ch->count];
+	memset(it, 0, sizeof(*it));
+	it->key = strdup(key);
+	it->value = malloc((size_t)bytes + 1);
+	if (!it->key || !it->value) {
+		clear_item(it);
+		return EB_ENOMEM;
+	}
+	if (bytes)
+		memcpy(it->value, value, bytes);
+	it->value_bytes = bytes;
+	it->revision = revision;
+	it->removed = removed != 0;
+	ch->count++;
+	return EB_OK;
+}
+
+/* Frees the items of a change and makes it an empty one. */
+void eb_feed_change_clear(struct eb_feed_change *ch)
+{
+	uint32_t i;
+
+	for (i = 0; i < ch->count; i++)
+		clear_item(&ch->items[i]);
+	free(ch->items);
+	memset(ch, 0, sizeof(*ch));
+}
+
+/* ---- Form on the wire: length, then a compressed MessagePack array ---- */
+
+#define CHANGE_FIELDS 4
+#define ITEM_FIELDS 4
+
+static void pack_item(msgpack_packer *pk, const struct eb_feed_item *it)
+{
+	uint32_t bytes = it->removed ? 0 : it->value_bytes;
+
+	msgpack_pack_str(pk, strlen(it->key));
+	msgpack_pack_str_body(pk, it->key, strlen(it->key));
+	msgpack_pack_uint64(pk, it->revision);
+	msgpack_pack_uint8(pk, it->removed);
+	msgpack_pack_bin(pk, bytes);
+	if (bytes)
+		msgpack_pack_bin_body(pk, it->value, bytes);
+}
+
+static enum eb_status compress_out(const msgpack_sbuffer *sb, uint8_t **out,
+				   uint32_t *bytes)
+{
+	uLongf n = compressBound(sb->size);
+	uint32_t plain = htonl((uint32_t)sb->size);
+	uint8_t *p = malloc(sizeof(plain) + n);
+
+	if (!p)
+		return EB_ENOMEM;
+	memcpy(p, &plain, sizeof(plain));
+	if (compress2(p + sizeof(plain), &n, (const Bytef *)sb->data, sb->size,
+		      Z_BEST_SPEED) != Z_OK ||
+	    n + sizeof(plain) > EB_FEED_PACKED_MAX_BYTES) {
+		free(p);
+		return EB_EFULL;
+	}
+	*out = p;
+	*bytes = (uint32_t)(n + sizeof(plain));
+	return EB_OK;
+}
+
+/*
+ * Packs what a copy at revision `after` lacks: the items changed since then,
+ * or all of them when removals before it are no longer known. Returns
+ * EB_EFULL when it does not fit one message, or EB_ENOMEM.
+ */
+enum eb_status eb_feed_pack(const struct eb_feed *fd, uint64_t after,
+			    int64_t now_us, uint8_t **out, uint32_t *bytes)
+{
+	int full = after < fd->forgotten || !after;
+	uint32_t i, n = 0;
+	enum eb_status st;
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	for (i = 0; i < fd->count; i++)
+		n += full ? !fd->items[i].removed
+			  : fd->items[i].revision > after;
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, CHANGE_FIELDS + n * ITEM_FIELDS);
+	msgpack_pack_uint64(&pk, full ? 0 : after);
+	msgpack_pack_uint64(&pk, fd->revision);
+	msgpack_pack_uint8(&pk, (uint8_t)full);
+	msgpack_pack_uint32(&pk, eb_feed_hold_ms(fd, now_us));
+	for (i = 0; i < fd->count; i++)
+		if (full ? !fd->items[i].removed
+			 : fd->items[i].revision > after)
+			pack_item(&pk, &fd->items[i]);
+	st = compress_out(&sb, out, bytes);
+	msgpack_sbuffer_destroy(&sb);
+	return st;
+}
+
+static int read_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return -1;
+	*out = o->via.u64;
+	return 0;
+}
+
+static enum eb_status read_item(const msgpack_object *o,
+				struct eb_feed_change *ch)
+{
+	char key[EB_FEED_KEY_MAX_BYTES + 1];
+	uint64_t revision, removed;
+
+	if (o[0].type != MSGPACK_OBJECT_STR ||
+	    o[0].via.str.size > EB_FEED_KEY_MAX_BYTES ||
+	    read_uint(&o[1], UINT64_MAX, &revision) ||
+	    read_uint(&o[2], 1, &removed) || o[3].type != MSGPACK_OBJECT_BIN)
+		return EB_EPARSE;
+	memcpy(key, o[0].via.str.ptr, o[0].via.str.size);
+	key[o[0].via.str.size] = 0;
+	return eb_feed_change_add(ch, key, o[3].via.bin.ptr, o[3].via.bin.size,
+				  revision, removed != 0);
+}
+
+static enum eb_status read_change(const msgpack_object *o,
+				  struct eb_feed_change *ch)
+{
+	uint64_t full, hold_ms;
+	enum eb_status st;
+	uint32_t i, n;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return EB_EPARSE;
+	n = o->via.array.size;
+	o = o->via.array.ptr;
+	if (n < CHANGE_FIELDS || (n - CHANGE_FIELDS) % ITEM_FIELDS ||
+	    read_uint(&o[0], UINT64_MAX, &ch->after) ||
+	    read_uint(&o[1], UINT64_MAX, &ch->revision) ||
+	    read_uint(&o[2], 1, &full) ||
+	    read_uint(&o[3], EB_FEED_HOLD_MS, &hold_ms))
+		return EB_EPARSE;
+	ch->full = (uint8_t)full;
+	ch->hold_ms = (uint32_t)hold_ms;
+	for (i = CHANGE_FIELDS; i < n; i += ITEM_FIELDS) {
+		st = read_item(&o[i], ch);
+		if (st)
+			return st;
+	}
+	return EB_OK;
+}
+
+/*
+ * Unpacks a change that came from a peer into an empty one. Returns EB_EPARSE
+ * for anything else, EB_EFULL for one that is too large, or EB_ENOMEM; the
+ * change is empty then.
+ */
+enum eb_status eb_feed_unpack(const void *data, uint32_t bytes,
+			      struct eb_feed_change *ch)
+{
+	enum eb_status st = EB_EPARSE;
+	msgpack_unpacked up;
+	uint32_t plain;
+	uLongf n;
+	char *p;
+
+	if (bytes <= sizeof(plain))
+		return EB_EPARSE;
+	memcpy(&plain, data, sizeof(plain));
+	n = ntohl(plain);
+	if (n > EB_FEED_PLAIN_MAX_BYTES)
+		return EB_EFULL;
+	p = malloc(n + 1);
+	if (!p)
+		return EB_ENOMEM;
+	msgpack_unpacked_init(&up);
+	if (uncompress((Bytef *)p, &n, (const Bytef *)data + sizeof(plain),
+		       bytes - sizeof(plain)) == Z_OK &&
+	    msgpack_unpack_next(&up, p, n, NULL) == MSGPACK_UNPACK_SUCCESS)
+		st = read_change(&up.data, ch);
+	msgpack_unpacked_destroy(&up);
+	free(p);
+	if (st)
+		eb_feed_change_clear(ch);
+	return st;
+}
--- a/src/eb_frame.c
+++ b/src/eb_frame.c
@@ -13,7 +13,7 @@
 	[EB_FRAME_ABORT] = "abort",	[EB_FRAME_HELLO] = "hello",
 	[EB_FRAME_GOSSIP] = "gossip",	[EB_FRAME_CLAIM] = "claim",
 	[EB_FRAME_CONFIG] = "config",	[EB_FRAME_VMS] = "vms",
-	[EB_FRAME_QUERY] = "query",
+	[EB_FRAME_QUERY] = "query",	[EB_FRAME_REPORT] = "report",
 };
 
 static const char *const outcome_names[] = { "unknown", "ran", "not-run" };
@@ -35,6 +35,7 @@
 	[EB_REASON_UPSTREAM_CLOSED] = "upstream-closed",
 	[EB_REASON_STALLED] = "stalled",
 	[EB_REASON_INTERNAL] = "internal",
+	[EB_REASON_UPSTREAM_REFUSED] = "upstream-refused",
 };
 
 /*
@@ -100,6 +101,7 @@
 	free(h->method);
 	free(h->target);
 	free(h->key);
+	free(h->instance);
 	eb_headers_clear(&h->headers);
 	free(h);
 }
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -25,7 +25,8 @@
 	EB_FRAME_CONFIG,   /* within a daemon: a new configuration */
 	EB_FRAME_VMS,	   /* within a daemon: the list of VMs */
 	EB_FRAME_QUERY,	   /* within a daemon: a query of the admin port */
-	EB_FRAME_TYPE_MAX = EB_FRAME_QUERY,
+	EB_FRAME_REPORT,   /* within a daemon: what the source has brought */
+	EB_FRAME_TYPE_MAX = EB_FRAME_REPORT,
 };
 
 /* What is known of a request when its call ends. */
@@ -53,7 +54,8 @@
 	EB_REASON_UPSTREAM_CLOSED,
 	EB_REASON_STALLED,
 	EB_REASON_INTERNAL,
-	EB_REASON_MAX = EB_REASON_INTERNAL,
+	EB_REASON_UPSTREAM_REFUSED,
+	EB_REASON_MAX = EB_REASON_UPSTREAM_REFUSED,
 };
 
 enum eb_body_kind {
@@ -85,6 +87,7 @@
 	char *method;
 	char *target; /* path and query, as the caller sent them */
 	char *key;    /* idempotency key or NULL */
+	char *instance; /* start of the upstream it is meant for, or NULL */
 	struct eb_headers headers;
 	uint64_t caller;     /* hash of the caller's address */
 	uint64_t body_bytes; /* for EB_BODY_INLINE and EB_BODY_LENGTH */
@@ -93,6 +96,7 @@
 	uint8_t body_kind;
 	uint8_t attempt; /* 0 for the first */
 	uint8_t idempotent;
+	uint8_t priority; /* 0 is the most urgent */
 	struct eb_trace_id trace;
 };
 
@@ -102,8 +106,8 @@
 	uint8_t outcome;
 	uint8_t reason;
 	uint8_t body_kind;   /* of RHEAD: NONE, LENGTH or CHUNKED */
-	uint64_t body_bytes; /* of HELLO: index of the newest release known */
-	uint32_t retry_after_ms;
+	uint64_t body_bytes; /* of HELLO: newest release or revision known */
+	uint32_t retry_after_ms; /* of HELLO: age of the last own read */
 	struct eb_load load;
 	struct eb_headers headers;
 };
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -5,11 +5,10 @@
 #include <apr_thread_proc.h>
 #include <arpa/inet.h>
 #include <assert.h>
-#include <microhttpd.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -19,26 +18,30 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "eb_answer.h"
 #include "eb_clock.h"
 #include "eb_frame.h"
 #include "eb_http.h"
-#include "eb_tls.h"
+#include "eb_parse.h"
+#include "eb_stream.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
 
-#define WAIT_MAX_MS 200
+#define WAIT_MAX_MS 500
 #define EVENTS_MAX 64
-#define ANSWER_BLOCK_BYTES 65536
+#define READ_BYTES 65536
+/* Output that waits in a connection before answers are held back. */
+#define OUTPUT_MAX_BYTES 65536
 /* Consumed answer bytes are granted again in portions of this size. */
 #define CREDIT_PORTION_BYTES 65536
+/* Time for a caller to read a last answer before its connection is reset. */
+#define LINGER_US 1000000
 
 enum phase {
-	PHASE_NEW = 0,	  /* only the request line is known */
-	PHASE_ADMISSION,  /* HEAD sent, waits for credit */
-	PHASE_BODY,	  /* body bytes are read */
-	PHASE_ANSWER,	  /* request complete, waits for the answer */
-	PHASE_RESPONDING, /* the answer is being sent */
-	PHASE_REJECTED,	  /* answered here with 4xx */
+	PHASE_ADMISSION, /* HEAD sent, its body waits for credit */
+	PHASE_BODY,	 /* body bytes are read */
+	PHASE_ANSWER,	 /* request complete, waits for the answer */
+	PHASE_REJECTED,	 /* answered here; it was never handed on */
 };
 
 struct queued {
@@ -46,55 +49,73 @@
 	struct eb_frame *frame;
 };
 
-struct connection {
-	int fd;
-	uint64_t caller;
-	struct request *request; /* the one that is active, or NULL */
-};
-
 struct request {
-	struct eb_front *front;
-	struct MHD_Connection *mhd;
 	struct connection *connection;
+	struct request *next; /* the one that was sent after it */
 	uint64_t id;
-	char *target;
 	struct eb_frame *head; /* until it is sent */
+	const struct eb_http_problem *problem;
 	uint8_t phase;
 	uint8_t in_table;
-	uint8_t suspended;
-	uint8_t gone;	   /* the caller hung up */
-	uint8_t discard;   /* the answer came before the end of the body */
-	uint8_t has_body;  /* body bytes follow HEAD */
-	uint8_t ended;	   /* last frame of the answer has arrived */
-	uint8_t failed;	   /* the answer can't be completed */
-	uint8_t delivered; /* the whole answer was handed to the caller */
+	uint8_t http11;
+	uint8_t is_head; /* its answer has no body */
+	uint8_t close;	 /* the connection ends with its answer */
+	uint8_t expects; /* waits for 100 Continue */
+	uint8_t discard; /* the answer came before the end of the body */
+	uint8_t begun;	 /* the head of the answer was written */
+	uint8_t chunked; /* the answer is sent in chunks */
+	uint8_t ended;	 /* last frame of the answer has arrived */
+	uint8_t failed;	 /* the answer can't be completed */
 	uint64_t credit_bytes;
-	uint64_t body_left_bytes; /* of a body with a length */
-	struct eb_frame *answer;  /* RHEAD, REFUSE or ABORT */
+	struct eb_frame *answer; /* RHEAD, REFUSE or ABORT */
 	struct queued *first, *last;
-	uint32_t offset_bytes;
 	uint64_t consumed_bytes;
 };
 
+struct connection {
+	struct eb_front *front;
+	struct connection *next, *previous;
+	struct eb_stream *stream;
+	struct eb_parse *parse;
+	uint64_t caller;
+	struct request *first, *last; /* in the order of their arrival */
+	struct request *reading;      /* whose body is due, or NULL */
+	uint32_t pending;
+	char *in;
+	size_t in_bytes;
+	size_t in_space;
+	struct eb_answer_buffer out;
+	uint32_t events;
+	int64_t active_us;
+	int64_t linger_until_us; /* 0: not lingering */
+	uint8_t caller_closed;
+	uint8_t stop_reading;
+	uint8_t closing; /* after the output has been written */
+	uint8_t dead;
+	uint8_t write_wants_read; /* TLS */
+};
+
 struct eb_front {
 	struct eb_front_config config;
-	struct MHD_Daemon *mhd;
 	struct eb_tls *tls;
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	apr_hash_t *requests;
+	struct connection *connections;
+	uint32_t connection_count;
 	uint64_t next_id;
+	int64_t swept_us;
 	int epoll_fd;
 	int listen_fd;
 	int stopping;
 	int draining;
-	int quiesced;
+	int closing_listener;
 	uint32_t active;
 };
 
 static void push(struct request *rq, struct eb_frame *f)
 {
-	struct eb_front *ft = rq->front;
+	struct eb_front *ft = rq->connection->front;
 
 	if (!f)
 		return;
@@ -106,59 +127,13 @@
 	}
 }
 
-static void suspend(struct request *rq)
-{
-	if (rq->suspended)
-		return;
-	rq->suspended = 1;
-	MHD_suspend_connection(rq->mhd);
-}
-
-static void resume(struct request *rq)
+static int leaving(const struct eb_front *ft)
 {
-	if (!rq->suspended)
-		return;
-	rq->suspended = 0;
-	MHD_resume_connection(rq->mhd);
+	return __atomic_load_n(&ft->draining, __ATOMIC_RELAXED);
 }
 
 /* ---- Requests ---- */
 
-struct collected {
-	struct eb_headers headers;
-	uint8_t bad; /* a NUL within a name or value, or an empty name */
-};
-
-static enum MHD_Result collect_header(void *data, enum MHD_ValueKind kind,
-				      const char *name, size_t name_bytes,
-				      const char *value, size_t value_bytes)
-{
-	struct collected *cd = data;
-	enum eb_status st;
-
-	(void)kind;
-	if (!value)
-		value = "";
-	if (!name_bytes || strlen(name) != name_bytes ||
-	    strlen(value) != value_bytes) {
-		cd->bad = 1;
-		return MHD_NO;
-	}
-	st = eb_headers_add(&cd->headers, name, value);
-	return st ? MHD_NO : MHD_YES;
-}
-
-/* Hash of the caller's IP address, without its port. */
-static uint64_t hash_caller(const struct sockaddr *sa)
-{
-	const struct sockaddr_in *v4 = (const void *)sa;
-	const struct sockaddr_in6 *v6 = (const void *)sa;
-
-	if (sa->sa_family == AF_INET6)
-		return XXH64(&v6->sin6_addr, sizeof(v6->sin6_addr), 0);
-	return XXH64(&v4->sin_addr, sizeof(v4->sin_addr), 0);
-}
-
 /* Fills in what the headers of this system say; they were checked. */
 static void read_own_headers(struct eb_head *h, const struct eb_headers *hs)
 {
@@ -181,26 +156,54 @@
 		h->key = strdup(value);
 }
 
+/* Tells whether this system sets a header, whatever the caller said. */
+static int is_ours(const struct eb_dialect *dl, const char *name)
+{
+	return (dl->expect_instance && !strcasecmp(name, dl->expect_instance)) ||
+	       (dl->caller_service && !strcasecmp(name, dl->caller_service));
+}
+
+static enum eb_status copy_headers(const struct eb_front *ft,
+				   const struct eb_headers *from,
+				   struct eb_headers *to)
+{
+	const struct eb_dialect *dl = ft->config.dialect;
+	struct eb_headers all = { 0 };
+	struct eb_header h;
+	enum eb_status st;
+	uint32_t pos = 0;
+
+	st = eb_http_copy_end_to_end(from, &all);
+	while (!st && eb_headers_next(&all, &pos, &h))
+		if (!is_ours(dl, h.name))
+			st = eb_headers_add(to, h.name, h.value);
+	eb_headers_clear(&all);
+	if (!st && dl->caller_service && ft->config.settings->service)
+		st = eb_headers_add(to, dl->caller_service,
+				    ft->config.settings->service);
+	return st;
+}
+
 /* Builds HEAD from a request that passed its checks. */
-static struct eb_frame *build_head(struct request *rq, const char *method,
-				   const struct eb_headers *hs,
-				   const struct eb_http_body *body)
+static struct eb_frame *build_head(const struct request *rq,
+				   const struct eb_parse_head *hd)
 {
 	struct eb_frame *f = eb_frame_new(EB_FRAME_HEAD, rq->id);
+	const struct eb_http_body *body = &hd->body;
 	struct eb_head *h;
 
 	if (!f)
 		return NULL;
 	h = f->head;
-	h->method = strdup(method);
-	h->target = strdup(rq->target);
+	h->method = strdup(hd->method);
+	h->target = strdup(hd->target);
 	h->caller = rq->connection->caller;
 	if (!h->method || !h->target ||
-	    eb_http_copy_end_to_end(hs, &h->headers)) {
+	    copy_headers(rq->connection->front, &hd->headers, &h->headers)) {
 		eb_frame_unref(f);
 		return NULL;
 	}
-	read_own_headers(h, hs);
+	read_own_headers(h, &hd->headers);
 	h->body_bytes = body->length_bytes;
 	if (body->chunked)
 		h->body_kind = EB_BODY_CHUNKED;
@@ -212,168 +215,224 @@
 	return f;
 }
 
-static enum MHD_Result queue_text(struct request *rq, unsigned int status,
-				  const char *code, const char *reason,
-				  enum eb_outcome outcome,
-				  uint32_t retry_after_ms)
-{
-	struct eb_front *ft = rq->front;
-	struct MHD_Response *rs;
-	enum MHD_Result rc;
-	char text[256];
-	int n;
-
-	n = snprintf(text, sizeof(text),
-		     "{\"error\":\"%s\",\"reason\":\"%s\"}\n", code, reason);
-	rs = MHD_create_response_from_buffer((size_t)n, text,
-					     MHD_RESPMEM_MUST_COPY);
-	if (!rs)
-		return MHD_NO;
-	MHD_add_response_header(rs, "Content-Type", "application/json");
-	MHD_add_response_header(rs, "Ebonypier-Outcome",
-				eb_outcome_name(outcome));
-	if (retry_after_ms) {
-		snprintf(text, sizeof(text), "%u",
-			 (retry_after_ms + 999) / 1000);
-		MHD_add_response_header(rs, "Retry-After", text);
-	}
-	if (__atomic_load_n(&ft->draining, __ATOMIC_RELAXED))
-		MHD_add_response_header(rs, "Connection", "close");
-	rc = MHD_queue_response(rq->mhd, status, rs);
-	MHD_destroy_response(rs);
-	eb_metrics_add(ft->config.metrics,
-		       outcome == EB_OUTCOME_NOT_RUN ? EB_METRIC_ANSWER_NOT_RUN
-						     : EB_METRIC_ANSWER_UNKNOWN,
-		       1);
-	return rc;
-}
-
-static enum MHD_Result reject(struct request *rq,
-			      const struct eb_http_problem *pb)
-{
-	eb_metrics_add(rq->front->config.metrics, EB_METRIC_REJECTED, 1);
-	rq->phase = PHASE_REJECTED;
-	rq->delivered = 1;
-	return queue_text(rq, pb->status, pb->code, pb->reason,
-			  EB_OUTCOME_NOT_RUN, 0);
-}
-
 static void send_head(struct request *rq)
 {
 	struct eb_frame *f = rq->head;
 
 	rq->head = NULL;
-	apr_hash_set(rq->front->requests, &rq->id, sizeof(rq->id), rq);
+	apr_hash_set(rq->connection->front->requests, &rq->id, sizeof(rq->id),
+		     rq);
 	rq->in_table = 1;
 	push(rq, f);
 }
 
-/* First call for a request: checks it and sends HEAD or reads the body. */
-static enum MHD_Result begin(struct request *rq, const char *method,
-			     const char *version)
-{
-	struct eb_http_request checked = { method, rq->target, NULL, 0 };
-	const struct eb_http_problem *pb = NULL;
-	struct eb_http_body body;
-	struct collected cd = { 0 };
-	int want;
-
-	want = MHD_get_connection_values_n(rq->mhd, MHD_HEADER_KIND, NULL,
-					   NULL);
-	MHD_get_connection_values_n(rq->mhd, MHD_HEADER_KIND, collect_header,
-				    &cd);
-	checked.headers = &cd.headers;
-	checked.http11 = !strcmp(version, "HTTP/1.1");
-	eb_metrics_add(rq->front->config.metrics, EB_METRIC_REQUESTS, 1);
-	if (cd.bad)
-		pb = &eb_http_bad_header;
-	else if ((int)cd.headers.count != want)
-		pb = &eb_http_headers_too_large;
+static struct request *new_request(struct connection *cn)
+{
+	struct request *rq = calloc(1, sizeof(*rq));
+
+	if (!rq)
+		return NULL;
+	rq->connection = cn;
+	rq->id = ++cn->front->next_id;
+	if (cn->last)
+		cn->last->next = rq;
 	else
-		pb = eb_http_check(&checked, &body);
-	if (!pb) {
-		rq->head = build_head(rq, method, &cd.headers, &body);
-		if (!rq->head)
-			pb = &eb_http_headers_too_large;
-	}
-	eb_headers_clear(&cd.headers);
-	if (pb)
-		return reject(rq, pb);
+		cn->first = rq;
+	cn->last = rq;
+	cn->pending++;
+	__atomic_add_fetch(&cn->front->active, 1, __ATOMIC_RELAXED);
+	return rq;
+}
+
+/* Frees the oldest request of a connection; its core side is told to stop. */
+static void drop_first(struct connection *cn)
+{
+	struct request *rq = cn->first;
+	struct queued *qd;
+
+	if (rq->in_table) {
+		if (!rq->ended || rq->failed)
+			push(rq, eb_frame_new(EB_FRAME_CANCEL, rq->id));
+		apr_hash_set(cn->front->requests, &rq->id, sizeof(rq->id),
+			     NULL);
+	}
+	while ((qd = rq->first)) {
+		rq->first = qd->next;
+		eb_frame_unref(qd->frame);
+		free(qd);
+	}
+	if (cn->reading == rq)
+		cn->reading = NULL;
+	cn->first = rq->next;
+	if (!cn->first)
+		cn->last = NULL;
+	cn->pending--;
+	__atomic_sub_fetch(&cn->front->active, 1, __ATOMIC_RELAXED);
+	eb_frame_unref(rq->head);
+	eb_frame_unref(rq->answer);
+	free(rq);
+}
+
+static void reject(struct request *rq, const struct eb_http_problem *pb)
+{
+	struct connection *cn = rq->connection;
+
+	eb_metrics_add(cn->front->config.metrics, EB_METRIC_REJECTED, 1);
+	rq->phase = PHASE_REJECTED;
+	rq->problem = pb;
+	rq->close = 1;
+	rq->ended = 1;
+	cn->stop_reading = 1;
+}
+
+/* Takes a request whose head is complete. */
+static void begin(struct connection *cn)
+{
+	struct eb_parse_head *hd = eb_parse_head(cn->parse);
+	struct request *rq = new_request(cn);
+
+	if (!rq) {
+		cn->dead = 1;
+		return;
+	}
+	eb_metrics_add(cn->front->config.metrics, EB_METRIC_REQUESTS, 1);
+	cn->reading = rq;
+	rq->http11 = hd->http11;
+	rq->is_head = !strcmp(hd->method, "HEAD");
+	rq->close = !hd->keep_alive;
+	rq->head = build_head(rq, hd);
+	if (!rq->head) {
+		reject(rq, &eb_http_headers_too_large);
+		return;
+	}
+	rq->phase = PHASE_BODY;
 	switch (rq->head->head->body_kind) {
 	case EB_BODY_NONE:
-		rq->phase = PHASE_ANSWER;
-		send_head(rq);
 		break;
 	case EB_BODY_INLINE:
-		rq->phase = PHASE_BODY;
-		rq->head->data = malloc(body.length_bytes);
+		rq->head->data = malloc(rq->head->head->body_bytes);
 		if (!rq->head->data)
-			return MHD_NO;
+			cn->dead = 1;
 		break;
 	default:
 		rq->phase = PHASE_ADMISSION;
-		rq->has_body = 1;
-		rq->body_left_bytes = body.length_bytes;
+		rq->expects = hd->body.expect_continue && hd->http11;
 		send_head(rq);
-		suspend(rq);
 		break;
 	}
-	return MHD_YES;
 }
 
-/* Takes body bytes into HEAD; a body over its length can't happen. */
-static enum MHD_Result read_inline(struct request *rq, const char *data,
-				   size_t *bytes)
+/* Takes body bytes, at most as many as there is credit for. */
+static void take_body(void *ctx, const void *data, size_t bytes)
 {
+	struct connection *cn = ctx;
+	struct request *rq = cn->reading;
 	struct eb_frame *f = rq->head;
 
-	if (!*bytes) {
-		if (f->data_bytes != f->head->body_bytes)
-			return reject(rq, &eb_http_body_read_error);
-		rq->phase = PHASE_ANSWER;
-		send_head(rq);
-		suspend(rq);
-		return MHD_YES;
+	if (rq->discard)
+		return;
+	if (f) {
+		assert(f->data_bytes + bytes <= f->head->body_bytes);
+		memcpy(f->data + f->data_bytes, data, bytes);
+		f->data_bytes += (uint32_t)bytes;
+		return;
 	}
-	if (f->data_bytes + *bytes > f->head->body_bytes)
-		return MHD_NO;
-	memcpy(f->data + f->data_bytes, data, *bytes);
-	f->data_bytes += (uint32_t)*bytes;
-	*bytes = 0;
-	return MHD_YES;
+	assert(bytes <= rq->credit_bytes);
+	rq->credit_bytes -= bytes;
+	push(rq,
+	     eb_frame_new_data(EB_FRAME_DATA, rq->id, data, (uint32_t)bytes));
 }
 
-/* Sends body bytes as far as there is credit, then waits for more. */
-static enum MHD_Result read_streamed(struct request *rq, const char *data,
-				     size_t *bytes)
+static void end_body(struct connection *cn)
 {
-	uint64_t n = *bytes;
+	struct request *rq = cn->reading;
 
-	if (!n) {
-		if (!rq->discard)
-			push(rq, eb_frame_new(EB_FRAME_END, rq->id));
+	cn->reading = NULL;
+	if (rq->head)
+		send_head(rq);
+	else if (!rq->discard && rq->phase != PHASE_REJECTED)
+		push(rq, eb_frame_new(EB_FRAME_END, rq->id));
+	if (rq->phase != PHASE_REJECTED)
 		rq->phase = PHASE_ANSWER;
-		if (!rq->answer)
-			suspend(rq);
-		return MHD_YES;
+	if (rq->close)
+		cn->stop_reading = 1;
+}
+
+/*
+ * Tells how many bytes the parser may take now. Requests behind another one
+ * are begun while it waits only as far as the pipeline's limit.
+ */
+static size_t readable_bytes(const struct connection *cn)
+{
+	const struct request *rq = cn->reading;
+
+	if (cn->stop_reading || cn->dead || cn->closing)
+		return 0;
+	if (!rq)
+		return cn->pending < EB_PIPELINE_MAX ? cn->in_bytes : 0;
+	if (rq->head || rq->discard)
+		return cn->in_bytes;
+	if (rq->phase == PHASE_ADMISSION)
+		return 0;
+	return rq->credit_bytes < cn->in_bytes ? rq->credit_bytes
+					       : cn->in_bytes;
+}
+
+static void parse_failed(struct connection *cn)
+{
+	struct request *rq = cn->reading;
+
+	cn->stop_reading = 1;
+	if (!rq) {
+		rq = new_request(cn);
+		if (!rq) {
+			cn->dead = 1;
+			return;
+		}
+		eb_metrics_add(cn->front->config.metrics, EB_METRIC_REQUESTS,
+			       1);
+		reject(rq, eb_parse_problem(cn->parse));
+		return;
 	}
-	if (rq->discard) {
-		*bytes = 0;
-		return MHD_YES;
+	/* A body that can't be read: what was sent of it is taken back. */
+	if (rq->in_table) {
+		push(rq, eb_frame_new(EB_FRAME_CANCEL, rq->id));
+		apr_hash_set(cn->front->requests, &rq->id, sizeof(rq->id),
+			     NULL);
+		rq->in_table = 0;
 	}
-	if (n > rq->credit_bytes)
-		n = rq->credit_bytes;
-	if (n > EB_CHUNK_BYTES)
-		n = EB_CHUNK_BYTES;
-	if (n) {
-		push(rq, eb_frame_new_data(EB_FRAME_DATA, rq->id, data,
-					   (uint32_t)n));
-		rq->credit_bytes -= n;
-		*bytes -= n;
+	if (rq->begun)
+		cn->dead = 1;
+	else
+		reject(rq, &eb_http_body_read_error);
+}
+
+/* Reads requests out of the bytes that have arrived. */
+static void parse(struct connection *cn)
+{
+	enum eb_parse_event ev = EB_PARSE_MORE;
+	size_t n, used, taken = 0;
+
+	for (;;) {
+		n = readable_bytes(cn);
+		n = n > taken ? n - taken : 0;
+		/* An empty body ends without any byte of its own. */
+		if (!n || cn->dead)
+			break;
+		ev = eb_parse_run(cn->parse, cn->in + taken, n, &used);
+		taken += used;
+		if (ev == EB_PARSE_HEAD)
+			begin(cn);
+		else if (ev == EB_PARSE_END)
+			end_body(cn);
+		else if (ev == EB_PARSE_BAD)
+			parse_failed(cn);
+		else if (!used)
+			break;
+		cn->in_bytes -= taken;
+		memmove(cn->in, cn->in + taken, cn->in_bytes);
+		taken = 0;
 	}
-	if (!rq->credit_bytes)
-		suspend(rq);
-	return MHD_YES;
 }
 
 /* ---- Answers ---- */
@@ -393,147 +452,451 @@
 	push(rq, f);
 }
 
-/* libmicrohttpd asks for the next bytes of the answer. */
-static ssize_t read_answer(void *data, uint64_t pos, char *buf, size_t max)
+static void count_answer(struct eb_front *ft, enum eb_outcome outcome)
 {
-	struct request *rq = data;
-	struct queued *qd = rq->first;
-	size_t n;
+	static const enum eb_metric metrics[] = {
+		[EB_OUTCOME_UNKNOWN] = EB_METRIC_ANSWER_UNKNOWN,
+		[EB_OUTCOME_RAN] = EB_METRIC_ANSWER_RAN,
+		[EB_OUTCOME_NOT_RUN] = EB_METRIC_ANSWER_NOT_RUN,
+	};
 
-	(void)pos;
-	if (rq->gone || (rq->failed && !qd))
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (!qd) {
-		if (rq->ended)
-			return MHD_CONTENT_READER_END_OF_STREAM;
-		suspend(rq);
-		return 0;
+	eb_metrics_add(ft->config.metrics, metrics[outcome], 1);
+}
+
+/* Writes an answer of this daemon's own. */
+static void write_own(struct request *rq, const struct eb_answer_own *own)
+{
+	struct connection *cn = rq->connection;
+
+	count_answer(cn->front, own->outcome);
+	rq->begun = 1;
+	rq->ended = 1;
+	if (eb_answer_write_own(&cn->out, own))
+		cn->dead = 1;
+}
+
+static void write_refusal(struct request *rq)
+{
+	const struct eb_reply *r = rq->answer->reply;
+	struct eb_answer_own own = { 0 };
+
+	own.status = r->status ? r->status : 500;
+	own.code = eb_reason_name(r->reason);
+	own.reason = r->outcome == EB_OUTCOME_NOT_RUN
+			     ? "the request was not run"
+			     : "it is not known whether the request ran";
+	own.outcome = r->outcome;
+	own.retry_after_ms = r->retry_after_ms;
+	own.fraction =
+		rq->connection->front->config.dialect->retry_after_fraction;
+	own.close = rq->close;
+	own.no_body = rq->is_head;
+	write_own(rq, &own);
+}
+
+static void write_problem(struct request *rq)
+{
+	struct eb_answer_own own = { 0 };
+
+	own.status = rq->problem->status;
+	own.code = rq->problem->code;
+	own.reason = rq->problem->reason;
+	own.outcome = EB_OUTCOME_NOT_RUN;
+	own.close = 1;
+	write_own(rq, &own);
+}
+
+/* Writes the head of an upstream's answer, and its body if it came along. */
+static void write_head(struct request *rq)
+{
+	struct connection *cn = rq->connection;
+	struct eb_frame *f = rq->answer;
+	struct eb_answer_head ah = { 0 };
+
+	ah.reply = f->reply;
+	ah.http11 = rq->http11;
+	ah.is_head = rq->is_head;
+	if (f->reply->body_kind == EB_BODY_CHUNKED && !rq->http11)
+		rq->close = 1;
+	ah.close = rq->close;
+	rq->chunked = f->reply->body_kind == EB_BODY_CHUNKED && rq->http11;
+	rq->begun = 1;
+	count_answer(cn->front, EB_OUTCOME_RAN);
+	if (eb_answer_write_head(&cn->out, &ah))
+		cn->dead = 1;
+	if (eb_frame_ends_answer(f)) {
+		if (!rq->is_head &&
+		    eb_answer_append(&cn->out, f->data, f->data_bytes))
+			cn->dead = 1;
+		rq->ended = 1;
 	}
-	n = qd->frame->data_bytes - rq->offset_bytes;
-	if (n > max)
-		n = max;
-	memcpy(buf, qd->frame->data + rq->offset_bytes, n);
-	rq->offset_bytes += (uint32_t)n;
-	if (rq->offset_bytes == qd->frame->data_bytes) {
+}
+
+/* Writes body frames until there is enough output. */
+static void write_body(struct request *rq)
+{
+	struct connection *cn = rq->connection;
+	struct queued *qd;
+	int failed = 0;
+
+	while ((qd = rq->first) &&
+	       eb_answer_pending(&cn->out) < OUTPUT_MAX_BYTES) {
 		rq->first = qd->next;
 		if (!rq->first)
 			rq->last = NULL;
-		rq->offset_bytes = 0;
+		if (rq->chunked)
+			failed |= eb_answer_append_chunk(&cn->out,
+							 qd->frame->data,
+							 qd->frame->data_bytes);
+		else
+			failed |= eb_answer_append(&cn->out, qd->frame->data,
+						   qd->frame->data_bytes);
+		grant_credit(rq, qd->frame->data_bytes);
 		eb_frame_unref(qd->frame);
 		free(qd);
 	}
-	grant_credit(rq, n);
-	return (ssize_t)n;
+	if (failed)
+		cn->dead = 1;
 }
 
-static struct MHD_Response *create_response(struct request *rq)
+/* Moves the oldest request's answer on; returns 1 when it is complete. */
+static int advance(struct request *rq)
 {
-	struct eb_frame *f = rq->answer;
-
-	switch (f->reply->body_kind) {
-	case EB_BODY_INLINE:
-		rq->ended = 1;
-		return MHD_create_response_from_buffer(
-			f->data_bytes, f->data ? (void *)f->data : (void *)"",
-			MHD_RESPMEM_MUST_COPY);
-	case EB_BODY_LENGTH:
-		return MHD_create_response_from_callback(f->reply->body_bytes,
-							 ANSWER_BLOCK_BYTES,
-							 read_answer, rq, NULL);
-	case EB_BODY_CHUNKED:
-		return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
-							 ANSWER_BLOCK_BYTES,
-							 read_answer, rq, NULL);
-	default:
-		rq->ended = 1;
-		/* HEAD: the length is that of the answer to GET. */
-		return MHD_create_response_from_callback(
-			f->reply->body_bytes, 1, read_answer, rq, NULL);
+	struct connection *cn = rq->connection;
+
+	if (!rq->begun) {
+		if (leaving(cn->front))
+			rq->close = 1;
+		if (rq->phase == PHASE_REJECTED)
+			write_problem(rq);
+		else if (!rq->answer)
+			return 0;
+		else if (rq->answer->type == EB_FRAME_RHEAD)
+			write_head(rq);
+		else
+			write_refusal(rq);
+	}
+	write_body(rq);
+	if (rq->first)
+		return 0;
+	if (rq->failed) {
+		/* An answer that can't be completed must not look complete. */
+		eb_metrics_add(cn->front->config.metrics, EB_METRIC_ANSWER_CUT,
+			       1);
+		cn->dead = 1;
+		return 0;
 	}
+	if (!rq->ended)
+		return 0;
+	if (rq->chunked && eb_answer_append(&cn->out, "0\r\n\r\n", 5))
+		cn->dead = 1;
+	rq->chunked = 0;
+	return 1;
 }
 
-static enum MHD_Result queue_answer(struct request *rq)
+/* An early answer: the rest of the body is read and dropped. */
+static void discard_rest(struct connection *cn, struct request *rq)
 {
-	struct eb_front *ft = rq->front;
-	struct eb_reply *r = rq->answer->reply;
-	struct MHD_Response *rs = create_response(rq);
-	enum MHD_Result rc;
-	struct eb_header h;
-	uint32_t pos = 0;
+	if (cn->reading != rq || rq->head)
+		return;
+	rq->discard = 1;
+	rq->phase = PHASE_BODY;
+	/* A caller that waits for 100 Continue sends no body after this. */
+	if (rq->expects)
+		rq->close = 1;
+}
 
-	if (!rs)
-		return MHD_NO;
-	while (eb_headers_next(&r->headers, &pos, &h))
-		if (!eb_http_is_hop_by_hop(h.name))
-			MHD_add_response_header(rs, h.name, h.value);
-	MHD_add_response_header(rs, "Ebonypier-Outcome",
-				eb_outcome_name(r->outcome));
-	if (__atomic_load_n(&ft->draining, __ATOMIC_RELAXED))
-		MHD_add_response_header(rs, "Connection", "close");
-	rc = MHD_queue_response(rq->mhd, r->status, rs);
-	MHD_destroy_response(rs);
-	if (rc == MHD_YES)
-		rq->phase = PHASE_RESPONDING;
-	eb_metrics_add(ft->config.metrics, EB_METRIC_ANSWER_RAN, 1);
-	return rc;
-}
-
-/* Sends the answer that has arrived. */
-static enum MHD_Result respond(struct request *rq)
+static void answer(struct connection *cn)
 {
-	struct eb_frame *f = rq->answer;
-	const char *reason;
+	struct request *rq;
 
-	if (f->type == EB_FRAME_RHEAD)
-		return queue_answer(rq);
-	reason = eb_reason_name(f->reply->reason);
-	rq->phase = PHASE_RESPONDING;
-	rq->ended = 1;
-	return queue_text(rq, f->reply->status ? f->reply->status : 500, reason,
-			  f->reply->outcome == EB_OUTCOME_NOT_RUN
-				  ? "the request was not run"
-				  : "it is not known whether the request ran",
-			  f->reply->outcome, f->reply->retry_after_ms);
-}
-
-static enum MHD_Result handle(void *data, struct MHD_Connection *mhd,
-			      const char *url, const char *method,
-			      const char *version, const char *upload,
-			      size_t *upload_bytes, void **context)
-{
-	struct request *rq = *context;
-
-	(void)data;
-	(void)url;
-	if (!rq || rq->gone)
-		return MHD_NO;
-	rq->mhd = mhd;
-	switch (rq->phase) {
-	case PHASE_NEW:
-		return begin(rq, method, version);
-	case PHASE_ADMISSION:
-		if (rq->answer)
-			return respond(rq);
-		if (!rq->credit_bytes) {
-			suspend(rq);
-			return MHD_YES;
+	while ((rq = cn->first) && !cn->dead && !cn->closing) {
+		if (rq->expects && rq->phase == PHASE_BODY && !rq->answer) {
+			rq->expects = 0;
+			if (eb_answer_append(
+				    &cn->out,
+				    "HTTP/1.1 100 Continue\r\n\r\n", 25))
+				cn->dead = 1;
 		}
-		rq->phase = PHASE_BODY;
-		return MHD_YES;
-	case PHASE_BODY:
-		if (rq->head)
-			return read_inline(rq, upload, upload_bytes);
-		if (rq->answer)
-			rq->discard = 1;
-		return read_streamed(rq, upload, upload_bytes);
-	case PHASE_ANSWER:
 		if (rq->answer)
-			return respond(rq);
-		suspend(rq);
-		return MHD_YES;
-	default:
-		*upload_bytes = 0;
-		return MHD_YES;
+			discard_rest(cn, rq);
+		if (!advance(rq))
+			return;
+		/* Kept until its body has been read. */
+		if (cn->reading == rq && !rq->close)
+			return;
+		if (rq->close)
+			cn->closing = 1;
+		drop_first(cn);
+	}
+}
+
+/* ---- Connections ---- */
+
+static void watch(struct connection *cn)
+{
+	struct epoll_event ev = { .data.ptr = cn };
+
+	if (!cn->caller_closed)
+		ev.events |= EPOLLRDHUP;
+	if (!cn->caller_closed && (cn->linger_until_us ||
+				   cn->in_bytes < READ_BYTES))
+		ev.events |= EPOLLIN;
+	if (eb_answer_pending(&cn->out))
+		ev.events |= cn->write_wants_read ? EPOLLIN : EPOLLOUT;
+	if (ev.events == cn->events)
+		return;
+	cn->events = ev.events;
+	epoll_ctl(cn->front->epoll_fd, EPOLL_CTL_MOD,
+		  eb_stream_fd(cn->stream), &ev);
+}
+
+static void free_connection(struct connection *cn)
+{
+	struct eb_front *ft = cn->front;
+
+	while (cn->first)
+		drop_first(cn);
+	if (cn->previous)
+		cn->previous->next = cn->next;
+	else
+		ft->connections = cn->next;
+	if (cn->next)
+		cn->next->previous = cn->previous;
+	ft->connection_count--;
+	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, eb_stream_fd(cn->stream), NULL);
+	eb_stream_free(cn->stream);
+	eb_parse_free(cn->parse);
+	eb_answer_clear(&cn->out);
+	free(cn->in);
+	free(cn);
+}
+
+static void write_out(struct connection *cn)
+{
+	enum eb_stream_wait wait = EB_STREAM_WRITABLE;
+	const void *data;
+	size_t bytes;
+	ssize_t n;
+
+	while ((bytes = eb_answer_peek(&cn->out, &data))) {
+		n = eb_stream_write(cn->stream, data, bytes, &wait);
+		if (n < 0) {
+			cn->dead |= wait == EB_STREAM_FAILED;
+			cn->write_wants_read = wait == EB_STREAM_READABLE;
+			return;
+		}
+		eb_answer_consume(&cn->out, (size_t)n);
+	}
+	cn->write_wants_read = 0;
+}
+
+/* Ends a connection whose last answer is written; see LINGER_US. */
+static void linger(struct connection *cn, int64_t now_us)
+{
+	if (!cn->closing || cn->linger_until_us || cn->dead ||
+	    eb_answer_pending(&cn->out))
+		return;
+	if (cn->caller_closed) {
+		cn->dead = 1;
+		return;
+	}
+	eb_stream_finish(cn->stream);
+	cn->linger_until_us = now_us + LINGER_US;
+	cn->in_bytes = 0;
+}
+
+/*
+ * The caller has closed its side: nobody waits for the answers of the
+ * requests that are in work. What was answered already is still written.
+ */
+static void caller_left(struct connection *cn)
+{
+	if (cn->first && cn->first->phase != PHASE_REJECTED)
+		eb_metrics_add(cn->front->config.metrics, EB_METRIC_CALLER_GONE,
+			       1);
+	while (cn->first && cn->first->phase != PHASE_REJECTED)
+		drop_first(cn);
+	cn->stop_reading = 1;
+	cn->closing = !cn->first;
+}
+
+static int reserve_input(struct connection *cn)
+{
+	size_t space = cn->in_space ? cn->in_space : 4096;
+	char *p;
+
+	while (space < cn->in_bytes + 4096)
+		space *= 2;
+	if (space == cn->in_space)
+		return 0;
+	p = realloc(cn->in, space);
+	if (!p)
+		return -1;
+	cn->in = p;
+	cn->in_space = space;
+	return 0;
+}
+
+/* Reads what has arrived, up to the input's limit. */
+static void read_in(struct connection *cn, int64_t now_us)
+{
+	enum eb_stream_wait wait = EB_STREAM_READABLE;
+	ssize_t n;
+
+	while (cn->in_bytes < READ_BYTES && !cn->dead) {
+		if (reserve_input(cn)) {
+			cn->dead = 1;
+			return;
+		}
+		n = eb_stream_read(cn->stream, cn->in + cn->in_bytes,
+				   cn->in_space - cn->in_bytes, &wait);
+		if (n < 0) {
+			cn->dead |= wait == EB_STREAM_FAILED;
+			return;
+		}
+		if (!n) {
+			cn->caller_closed = 1;
+			return;
+		}
+		cn->active_us = now_us;
+		/* What follows a last request is read and dropped. */
+		if (!cn->linger_until_us)
+			cn->in_bytes += (size_t)n;
+	}
+}
+
+/* Lets everything happen that can happen on a connection now. */
+static void settle(struct connection *cn, int64_t now_us)
+{
+	size_t before;
+
+	do {
+		if (eb_stream_buffered(cn->stream) && !cn->caller_closed)
+			read_in(cn, now_us);
+		before = cn->in_bytes;
+		parse(cn);
+		answer(cn);
+	} while (!cn->dead && cn->in_bytes != before);
+	if (cn->caller_closed && !cn->dead && !cn->closing &&
+	    (!readable_bytes(cn) || cn->in_bytes == before))
+		caller_left(cn);
+	answer(cn);
+	write_out(cn);
+	/* Room in the output lets the rest of an answer follow. */
+	if (!cn->dead && cn->first && !eb_answer_pending(&cn->out)) {
+		answer(cn);
+		write_out(cn);
+	}
+	linger(cn, now_us);
+	if (cn->dead || (cn->closing && cn->caller_closed &&
+			 !eb_answer_pending(&cn->out)))
+		free_connection(cn);
+	else
+		watch(cn);
+}
+
+static void on_event(struct connection *cn, uint32_t events, int64_t now_us)
+{
+	if (events & EPOLLERR)
+		cn->dead = 1;
+	if (!cn->dead && events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP))
+		read_in(cn, now_us);
+	/* With its input full, only this tells that the caller has left. */
+	if (events & (EPOLLRDHUP | EPOLLHUP))
+		cn->caller_closed = 1;
+	settle(cn, now_us);
+}
+
+/* Hash of the caller's IP address, without its port. */
+static uint64_t hash_caller(const struct sockaddr_in *sa)
+{
+	return XXH64(&sa->sin_addr, sizeof(sa->sin_addr), 0);
+}
+
+static void add_connection(struct eb_front *ft, int fd,
+			   const struct sockaddr_in *sa, int64_t now_us)
+{
+	struct epoll_event ev = { .events = EPOLLIN | EPOLLRDHUP };
+	struct connection *cn = calloc(1, sizeof(*cn));
+	int one = 1;
+
+	if (!cn || ft->connection_count >= EB_FRONT_CONNECTIONS_MAX) {
+		free(cn);
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	cn->front = ft;
+	cn->caller = hash_caller(sa);
+	cn->active_us = now_us;
+	cn->stream = eb_stream_new(fd, ft->tls);
+	cn->parse = eb_parse_new(take_body, cn);
+	ev.data.ptr = cn;
+	if (!cn->stream || !cn->parse ||
+	    epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, fd, &ev)) {
+		eb_stream_free(cn->stream);
+		eb_parse_free(cn->parse);
+		free(cn);
+		return;
+	}
+	cn->events = ev.events;
+	cn->next = ft->connections;
+	if (cn->next)
+		cn->next->previous = cn;
+	ft->connections = cn;
+	ft->connection_count++;
+	read_in(cn, now_us);
+	settle(cn, now_us);
+}
+
+static void accept_waiting(struct eb_front *ft, int64_t now_us)
+{
+	struct sockaddr_in sa;
+	socklen_t n;
+	int fd;
+
+	while (ft->listen_fd >= 0) {
+		n = sizeof(sa);
+		fd = accept4(ft->listen_fd, (struct sockaddr *)&sa, &n,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		add_connection(ft, fd, &sa, now_us);
+	}
+}
+
+/*
+ * Takes no new connections any more. Those that wait are taken first: closing
+ * the socket would reset them, although their callers may have sent a request.
+ */
+static void close_listener(struct eb_front *ft, int64_t now_us)
+{
+	if (ft->listen_fd < 0 ||
+	    !__atomic_load_n(&ft->closing_listener, __ATOMIC_RELAXED))
+		return;
+	accept_waiting(ft, now_us);
+	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, ft->listen_fd, NULL);
+	close(ft->listen_fd);
+	ft->listen_fd = -1;
+}
+
+/* Ends connections that have been idle, or have lingered, for too long. */
+static void sweep(struct eb_front *ft, int64_t now_us)
+{
+	int64_t idle_us = EB_FRONT_IDLE_TIMEOUT_S * 1000000LL;
+	struct connection *cn, *next;
+
+	if (now_us - ft->swept_us < WAIT_MAX_MS * 1000)
+		return;
+	ft->swept_us = now_us;
+	for (cn = ft->connections; cn; cn = next) {
+		next = cn->next;
+		if (cn->linger_until_us ? now_us >= cn->linger_until_us
+					: !cn->first &&
+						  now_us - cn->active_us >
+							  idle_us)
+			free_connection(cn);
 	}
 }
 
@@ -556,7 +919,26 @@
 	rq->last = qd;
 }
 
-static void handle_frame(struct eb_front *ft, struct eb_frame *f)
+static void take_credit(struct request *rq, const struct eb_frame *f)
+{
+	rq->credit_bytes += f->credit_bytes;
+	if (rq->phase == PHASE_ADMISSION)
+		rq->phase = PHASE_BODY;
+}
+
+static void take_failure(struct request *rq, struct eb_frame *f)
+{
+	rq->ended = 1;
+	if (!rq->answer) {
+		rq->answer = f;
+		return;
+	}
+	rq->failed = 1;
+	eb_frame_unref(f);
+}
+
+static void handle_frame(struct eb_front *ft, struct eb_frame *f,
+			 int64_t now_us)
 {
 	struct request *rq;
 
@@ -568,12 +950,13 @@
 	}
 	switch (f->type) {
 	case EB_FRAME_CREDIT:
-		rq->credit_bytes += f->credit_bytes;
+		take_credit(rq, f);
 		eb_frame_unref(f);
 		break;
 	case EB_FRAME_RHEAD:
 		assert(!rq->answer);
 		rq->answer = f;
+		rq->ended = eb_frame_ends_answer(f) != 0;
 		break;
 	case EB_FRAME_RDATA:
 		queue_data(rq, f);
@@ -584,22 +967,16 @@
 		break;
 	case EB_FRAME_REFUSE:
 	case EB_FRAME_ABORT:
-		if (rq->answer) {
-			rq->failed = 1;
-			rq->ended = 1;
-			eb_frame_unref(f);
-		} else {
-			rq->answer = f;
-		}
+		take_failure(rq, f);
 		break;
 	default:
 		eb_frame_unref(f);
 		return;
 	}
-	resume(rq);
+	settle(rq->connection, now_us);
 }
 
-static void take_frames(struct eb_front *ft)
+static void take_frames(struct eb_front *ft, int64_t now_us)
 {
 	void *items[EB_BATCH_FRAMES];
 	uint32_t i, n;
@@ -607,217 +984,43 @@
 	do {
 		n = eb_ring_pop(ft->config.in, items, EB_BATCH_FRAMES);
 		for (i = 0; i < n; i++)
-			handle_frame(ft, items[i]);
+			handle_frame(ft, items[i], now_us);
 	} while (n == EB_BATCH_FRAMES);
 }
 
-/* ---- Connections ---- */
-
-static void *begin_target(void *data, const char *uri,
-			  struct MHD_Connection *mhd)
-{
-	const union MHD_ConnectionInfo *in;
-	struct eb_front *ft = data;
-	struct request *rq = calloc(1, sizeof(*rq));
-
-	if (!rq)
-		return NULL;
-	in = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	rq->front = ft;
-	rq->mhd = mhd;
-	rq->connection = in ? in->socket_context : NULL;
-	rq->target = strdup(uri);
-	rq->id = ++ft->next_id;
-	if (!rq->target || !rq->connection) {
-		free(rq->target);
-		free(rq);
-		return NULL;
-	}
-	rq->connection->request = rq;
-	__atomic_add_fetch(&ft->active, 1, __ATOMIC_RELAXED);
-	return rq;
-}
-
-static void free_request(struct request *rq)
-{
-	struct queued *qd;
-
-	while ((qd = rq->first)) {
-		rq->first = qd->next;
-		eb_frame_unref(qd->frame);
-		free(qd);
-	}
-	if (rq->in_table)
-		apr_hash_set(rq->front->requests, &rq->id, sizeof(rq->id),
-			     NULL);
-	if (rq->connection && rq->connection->request == rq)
-		rq->connection->request = NULL;
-	__atomic_sub_fetch(&rq->front->active, 1, __ATOMIC_RELAXED);
-	eb_frame_unref(rq->head);
-	eb_frame_unref(rq->answer);
-	free(rq->target);
-	free(rq);
-}
-
-static void request_completed(void *data, struct MHD_Connection *mhd,
-			      void **context,
-			      enum MHD_RequestTerminationCode code)
-{
-	struct request *rq = *context;
-	struct eb_front *ft = data;
-
-	(void)mhd;
-	if (!rq)
-		return;
-	*context = NULL;
-	if (rq->in_table && !(rq->ended && !rq->failed)) {
-		push(rq, eb_frame_new(EB_FRAME_CANCEL, rq->id));
-		if (rq->failed)
-			eb_metrics_add(ft->config.metrics, EB_METRIC_ANSWER_CUT,
-				       1);
-	}
-	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && !rq->failed)
-		eb_metrics_add(ft->config.metrics, EB_METRIC_CALLER_GONE, 1);
-	free_request(rq);
-}
-
-/*
- * libmicrohttpd does not look at a suspended connection. This front watches
- * each one for a caller that hangs up.
- */
-static void connection_changed(void *data, struct MHD_Connection *mhd,
-			       void **context,
-			       enum MHD_ConnectionNotificationCode code)
-{
-	struct epoll_event ev = { .events = EPOLLRDHUP | EPOLLET };
-	const union MHD_ConnectionInfo *in;
-	struct eb_front *ft = data;
-	struct connection *cn = *context;
-
-	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-		if (cn)
-			epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, cn->fd, NULL);
-		free(cn);
-		*context = NULL;
-		return;
-	}
-	cn = calloc(1, sizeof(*cn));
-	if (!cn)
-		return;
-	in = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
-	cn->fd = in->connect_fd;
-	in = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-	cn->caller = in ? hash_caller(in->client_addr) : 0;
-	ev.data.ptr = cn;
-	epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, cn->fd, &ev);
-	*context = cn;
-}
-
-/*
- * The caller closed its side. A suspended request has nobody who waits for
- * its answer; any other one is noticed by libmicrohttpd. While the body is
- * read, its last bytes may still be unread.
- */
-static void caller_closed(struct connection *cn)
-{
-	struct request *rq = cn->request;
-
-	if (!rq || !rq->suspended || rq->phase == PHASE_BODY)
-		return;
-	rq->gone = 1;
-	resume(rq);
-}
-
 /* ---- Thread ---- */
 
-static int wait_ms(struct eb_front *ft)
-{
-	MHD_UNSIGNED_LONG_LONG ms;
-
-	if (MHD_get_timeout(ft->mhd, &ms) != MHD_YES || ms > WAIT_MAX_MS)
-		return WAIT_MAX_MS;
-	return (int)ms;
-}
-
-/*
- * Takes the connections that wait to be accepted: closing the socket would
- * reset them, although their callers may have sent a request already.
- */
-static void accept_waiting(struct eb_front *ft)
-{
-	struct sockaddr_in sa;
-	socklen_t n;
-	int fd;
-
-	for (;;) {
-		n = sizeof(sa);
-		fd = accept4(ft->listen_fd, (struct sockaddr *)&sa, &n,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0)
-			return;
-		/* It closes the socket when it can't take it. */
-		MHD_add_connection(ft->mhd, fd, (struct sockaddr *)&sa, n);
-	}
-}
-
-static void quiesce(struct eb_front *ft)
-{
-	if (ft->quiesced || !__atomic_load_n(&ft->draining, __ATOMIC_RELAXED))
-		return;
-	ft->quiesced = 1;
-	ft->listen_fd = MHD_quiesce_daemon(ft->mhd);
-	if (ft->listen_fd >= 0) {
-		accept_waiting(ft);
-		close(ft->listen_fd);
-	}
-	ft->listen_fd = -1;
-}
+/* Events that are not those of a connection. */
+static char listener_tag, ring_tag;
 
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
 	struct epoll_event ev[EVENTS_MAX];
 	struct eb_front *ft = data;
+	int64_t now_us;
 	int i, n;
 
 	(void)thread;
 	pthread_setname_np(pthread_self(), "eb-front");
-	eb_tls_use(ft->tls);
 	while (!__atomic_load_n(&ft->stopping, __ATOMIC_ACQUIRE)) {
-		n = epoll_wait(ft->epoll_fd, ev, EVENTS_MAX, wait_ms(ft));
-		quiesce(ft);
-		take_frames(ft);
-		for (i = 0; i < n; i++)
-			if (ev[i].data.ptr)
-				caller_closed(ev[i].data.ptr);
-		MHD_run(ft->mhd);
+		n = epoll_wait(ft->epoll_fd, ev, EVENTS_MAX, WAIT_MAX_MS);
+		now_us = eb_clock_now_us();
+		for (i = 0; i < n; i++) {
+			if (ev[i].data.ptr == &listener_tag)
+				accept_waiting(ft, now_us);
+			else if (ev[i].data.ptr != &ring_tag)
+				on_event(ev[i].data.ptr, ev[i].events, now_us);
+		}
+		/* Last, since it may free connections that have events. */
+		take_frames(ft, now_us);
+		close_listener(ft, now_us);
+		sweep(ft, now_us);
 		if (ft->tls)
-			eb_tls_tick(ft->tls, eb_clock_now_us());
+			eb_tls_tick(ft->tls, now_us);
 	}
 	return NULL;
 }
 
-static void log_mhd(void *data, const char *fmt, va_list ap)
-	__attribute__((format(printf, 2, 0)));
-
-static void log_mhd(void *data, const char *fmt, va_list ap)
-{
-	struct eb_front *ft = data;
-	char text[256];
-
-	vsnprintf(text, sizeof(text), fmt, ap);
-	text[strcspn(text, "\n\"")] = 0;
-	eb_log_write(ft->config.log, EB_LOG_DEBUG, "front", "libmicrohttpd",
-		     "text=\"%s\"", text);
-}
-
-/* The raw target is used; nothing is unescaped on the way. */
-static size_t keep_escapes(void *data, struct MHD_Connection *mhd, char *text)
-{
-	(void)data;
-	(void)mhd;
-	return strlen(text);
-}
-
 static int open_listener(const char *address, struct eb_error *err)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
@@ -845,44 +1048,16 @@
 	return fd;
 }
 
-static void start_mhd(struct eb_front *ft)
-{
-	struct MHD_OptionItem tls[2] = { { MHD_OPTION_END, 0, NULL },
-					 { MHD_OPTION_END, 0, NULL } };
-	unsigned int flags =
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
-
-	if (ft->tls) {
-		flags |= MHD_USE_TLS;
-		tls[0].option = MHD_OPTION_HTTPS_CERT_CALLBACK;
-		tls[0].ptr_value = eb_tls_callback();
-	}
-	ft->mhd = MHD_start_daemon(
-		flags, 0, NULL, NULL, handle, ft, MHD_OPTION_EXTERNAL_LOGGER,
-		log_mhd, ft, MHD_OPTION_LISTEN_SOCKET, ft->listen_fd,
-		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)EB_FRONT_CONNECTIONS_MAX,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)EB_FRONT_CONNECTION_BYTES,
-		MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)EB_FRONT_IDLE_TIMEOUT_S,
-		MHD_OPTION_STRICT_FOR_CLIENT, 0, MHD_OPTION_URI_LOG_CALLBACK,
-		begin_target, ft, MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes,
-		ft, MHD_OPTION_NOTIFY_COMPLETED, request_completed, ft,
-		MHD_OPTION_NOTIFY_CONNECTION, connection_changed, ft,
-		MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
-}
-
-static int watch(struct eb_front *ft)
+static int watch_all(struct eb_front *ft)
 {
-	struct epoll_event ev = { .events = EPOLLIN };
-	const union MHD_DaemonInfo *in;
-
-	in = MHD_get_daemon_info(ft->mhd, MHD_DAEMON_INFO_EPOLL_FD);
-	if (!in || epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, in->epoll_fd, &ev))
-		return -1;
-	return epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, eb_ring_fd(ft->config.in),
-			 &ev);
+	struct epoll_event listener = { .events = EPOLLIN,
+					.data.ptr = &listener_tag };
+	struct epoll_event ring = { .events = EPOLLIN, .data.ptr = &ring_tag };
+
+	return epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, ft->listen_fd,
+			 &listener) ||
+	       epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD,
+			 eb_ring_fd(ft->config.in), &ring);
 }
 
 /*
@@ -904,18 +1079,17 @@
 	ft->requests = apr_hash_make(ft->pool);
 	ft->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	ft->listen_fd = open_listener(se->listen_address, err);
-	if (ft->listen_fd >= 0 && se->tls_certificate) {
+	if (ft->listen_fd < 0)
+		goto fail;
+	if (se->tls_certificate) {
 		ft->tls = eb_tls_new(se->tls_certificate, se->tls_key, cf->log,
 				     err);
 		if (!ft->tls)
 			goto fail;
 	}
-	if (ft->listen_fd >= 0)
-		start_mhd(ft);
-	if (!ft->mhd || watch(ft)) {
-		if (ft->listen_fd >= 0)
-			eb_error_set(err, EB_EIO, "cannot serve %s",
-				     se->listen_address);
+	if (watch_all(ft)) {
+		eb_error_set(err, EB_EIO, "cannot serve %s",
+			     se->listen_address);
 		goto fail;
 	}
 	if (apr_thread_create(&ft->thread, NULL, run, ft, ft->pool) !=
@@ -929,32 +1103,22 @@
 	return NULL;
 }
 
-/* Starts to leave; see the header. From any thread. */
+/* Closes each connection after its answer from now on. From any thread. */
 void eb_front_drain(struct eb_front *ft)
 {
 	__atomic_store_n(&ft->draining, 1, __ATOMIC_RELEASE);
 }
 
-/* Counts the requests in flight; from any thread. */
-uint32_t eb_front_active(const struct eb_front *ft)
+/* Takes no new connections from now on. From any thread. */
+void eb_front_close_listener(struct eb_front *ft)
 {
-	return __atomic_load_n(&ft->active, __ATOMIC_ACQUIRE);
+	__atomic_store_n(&ft->closing_listener, 1, __ATOMIC_RELEASE);
 }
 
-/* Resumes all requests, which libmicrohttpd needs before it stops. */
-static void resume_all(struct eb_front *ft)
+/* Counts the requests in flight; from any thread. */
+uint32_t eb_front_active(const struct eb_front *ft)
 {
-	apr_hash_index_t *hi;
-	struct request *rq;
-	void *value;
-
-	for (hi = apr_hash_first(NULL, ft->requests); hi;
-	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		rq = value;
-		rq->gone = 1;
-		resume(rq);
-	}
+	return __atomic_load_n(&ft->active, __ATOMIC_ACQUIRE);
 }
 
 /* Stops the thread and closes all connections. */
@@ -967,10 +1131,9 @@
 	__atomic_store_n(&ft->stopping, 1, __ATOMIC_RELEASE);
 	if (ft->thread)
 		apr_thread_join(&status, ft->thread);
-	resume_all(ft);
-	if (ft->mhd)
-		MHD_stop_daemon(ft->mhd);
-	else if (ft->listen_fd >= 0)
+	while (ft->connections)
+		free_connection(ft->connections);
+	if (ft->listen_fd >= 0)
 		close(ft->listen_fd);
 	eb_tls_free(ft->tls);
 	close(ft->epoll_fd);
--- a/src/eb_front.h
+++ b/src/eb_front.h
@@ -1,6 +1,7 @@
 #ifndef EB_FRONT_H
 #define EB_FRONT_H
 
+#include "eb_adapter.h"
 #include "eb_log.h"
 #include "eb_metrics.h"
 #include "eb_ring.h"
@@ -20,12 +21,15 @@
 	struct eb_ring *out;
 	struct eb_metrics *metrics;
 	struct eb_log *log;
+	const struct eb_dialect *dialect;
 };
 
 struct eb_front *eb_front_start(const struct eb_front_config *cf,
 				struct eb_error *err);
-/* Takes no new connections, and closes each one after its answer. */
+/* Closes each connection after its answer. */
 void eb_front_drain(struct eb_front *ft);
+/* Takes no new connections. */
+void eb_front_close_listener(struct eb_front *ft);
 /* Returns the number of requests without a complete answer. */
 uint32_t eb_front_active(const struct eb_front *ft);
 void eb_front_stop(struct eb_front *ft);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -90,7 +90,9 @@
 	uint32_t slots;
 	uint32_t queue;
 	int draining;
+	int leaving; /* the upstream, while this daemon stays */
 	uint64_t release_index;
+	uint32_t read_age_ms;
 	int resumed; /* requests come from before a pause of this process */
 	uint64_t next_id;
 	apr_pool_t *pool;
@@ -189,10 +191,19 @@
 	eb_admit_configure(gt->admit, &cf);
 }
 
-/* Notes the index that answers to heartbeats carry. */
-void eb_gate_note_index(struct eb_gate *gt, uint64_t index)
+/* Notes what answers to heartbeats carry; see the header. */
+void eb_gate_note_index(struct eb_gate *gt, uint64_t index,
+			uint32_t read_age_ms)
 {
 	gt->release_index = index;
+	gt->read_age_ms = read_age_ms;
+}
+
+/* Takes new calls or refuses them, as the upstream stays or leaves. */
+void eb_gate_leave(struct eb_gate *gt, int leaving)
+{
+	gt->leaving = leaving != 0;
+	eb_admit_drain(gt->admit, gt->leaving || gt->draining);
 }
 
 /* Refuses new calls from now on; those that are here are finished. */
@@ -216,7 +227,7 @@
 void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld)
 {
 	eb_admit_load(gt->admit, ld);
-	ld->draining = (uint16_t)gt->draining;
+	ld->draining = gt->draining || gt->leaving;
 }
 
 /* Returns the number of calls that are not finished. */
@@ -232,7 +243,7 @@
 	if (r->load.slots)
 		eb_metrics_add(gt->config.metrics, EB_METRIC_WATCH_BYTES,
 			       EB_ADMIT_REPORT_BYTES);
-	r->load.draining = (uint16_t)gt->draining;
+	r->load.draining = gt->draining || gt->leaving;
 }
 
 static void to_origin(struct eb_gate *gt, const struct call *ca,
@@ -612,6 +623,7 @@
 	out->sender = gt->config.incarnation;
 	eb_gate_load(gt, &out->reply->load);
 	out->reply->body_bytes = gt->release_index;
+	out->reply->retry_after_ms = gt->read_age_ms;
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
 
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -44,8 +44,14 @@
 		       const struct eb_rule *rule);
 void eb_gate_drain(struct eb_gate *gt);
 void eb_gate_resumed(struct eb_gate *gt, int resumed);
-/* Index of the newest release known; it rides on heartbeats. */
-void eb_gate_note_index(struct eb_gate *gt, uint64_t index);
+/* The upstream leaves, while this daemon stays. */
+void eb_gate_leave(struct eb_gate *gt, int leaving);
+/*
+ * The newest release or revision known, and the age of this daemon's own last
+ * read of the source; they ride on heartbeats.
+ */
+void eb_gate_note_index(struct eb_gate *gt, uint64_t index,
+			uint32_t read_age_ms);
 /* A frame of an origin; `back` is NULL for this daemon's own. */
 void eb_gate_from_origin(struct eb_gate *gt, struct eb_frame *f,
 			 const struct eb_back_route *back, int64_t now_us);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -2,6 +2,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -163,6 +164,12 @@
 	n = id == EB_NONE ? add_node(nd, up->name) : nd->nodes[id];
 	if (!n)
 		return;
+	n->replaced = n->present_before &&
+		      strcmp(n->instance, up->instance ? up->instance : "") != 0;
+	snprintf(n->instance, sizeof(n->instance), "%s",
+		 up->instance ? up->instance : "");
+	if (nd->config->has_matches)
+		n->leaving = up->leaving;
 	n->present = 1;
 	n->info = up;
 	n->service = nd->config->upstream_service[i];
@@ -320,8 +327,11 @@
 
 	nd->config = eb_config_ref(cf);
 	apr_hash_clear(nd->by_address);
-	for (i = 0; i < nd->count; i++)
+	for (i = 0; i < nd->count; i++) {
+		nd->nodes[i]->present_before = nd->nodes[i]->present;
+		nd->nodes[i]->replaced = 0;
 		nd->nodes[i]->present = 0;
+	}
 	for (i = 0; i < cf->upstream_total; i++)
 		update_node(nd, i);
 	for (i = 0; i < nd->count; i++) {
@@ -334,6 +344,9 @@
 	if (cf->upstream_total <= EB_WARM_UPSTREAMS_MAX)
 		for (i = 0; i < cf->service_total; i++)
 			eb_nodes_service(nd, i, now_us);
+	for (i = 0; i < nd->count; i++)
+		if (nd->nodes[i]->replaced)
+			eb_nodes_restarted(nd, i, now_us);
 	eb_config_unref(old);
 	return st;
 }
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -9,6 +9,7 @@
 #include "eb_retry.h"
 #include "eb_route.h"
 #include "eb_settings.h"
+#include "eb_tunables.h"
 
 /*
  * The upstreams that a daemon knows, the sockets to the daemons beside them,
@@ -23,6 +24,8 @@
 	struct eb_peer *peer;	  /* NULL: no socket */
 	uint32_t service;	  /* index in the configuration */
 	uint8_t present;	  /* in the configuration */
+	uint8_t present_before;	  /* in the one before */
+	uint8_t replaced;	  /* by another start of it */
 	uint8_t self;		  /* beside this daemon */
 	uint8_t leaving;	  /* by the platform's list of VMs */
 	uint8_t draining;	  /* as its daemon says */
@@ -30,6 +33,7 @@
 	/* The way to a daemon that sent claims here, without a socket to it. */
 	struct eb_back_route back;
 	int64_t back_us;
+	char instance[EB_NAME_SPACE_BYTES]; /* its start, or "" */
 };
 
 /* What an origin keeps for a service. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -14,6 +14,8 @@
 
 /* How much longer than its deadline an origin waits for the gate's word. */
 #define EXPIRE_GRACE_US 50000
+/* The golden ratio of 2^32. */
+#define GOLDEN_STEP 2654435769U
 
 /* States, events and actions in the order of the names below. */
 enum state { CLAIMING, ROUTING, WAITING, SENDING, ANSWERING, DONE };
@@ -61,6 +63,7 @@
 	[EB_REASON_CLAIM] = 409,	[EB_REASON_HOPS] = 508,
 	[EB_REASON_LOST_PEER] = 502,	[EB_REASON_UPSTREAM_CLOSED] = 502,
 	[EB_REASON_STALLED] = 504,	[EB_REASON_INTERNAL] = 500,
+	[EB_REASON_UPSTREAM_REFUSED] = 503,
 };
 
 struct call {
@@ -82,6 +85,8 @@
 	uint8_t at_gate;   /* the router counts an attempt in flight */
 	uint8_t maybe_ran; /* an attempt ended without a word on it */
 	uint8_t claimed;   /* holds the grant of its key and must settle it */
+	uint8_t runs;	   /* attempts that may have run */
+	uint8_t runs_max;  /* as the path allows */
 	/* How the last attempt failed; the answer when there is no other. */
 	uint8_t outcome;
 	uint8_t reason;
@@ -108,6 +113,7 @@
 	apr_hash_t *by_number; /* number of an attempt -> call */
 	uint64_t next_number;
 	uint32_t parked;
+	uint32_t share_point; /* where the next request falls in a split */
 	int serving;
 };
 
@@ -134,6 +140,7 @@
 	og->config = *cf;
 	og->out = *out;
 	eb_rand_seed(&og->rand, cf->incarnation);
+	og->share_point = (uint32_t)cf->incarnation;
 	og->chart = eb_chart_load("origin", &names, fs);
 	if (!og->chart || apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
 		eb_chart_free(og->chart);
@@ -225,6 +232,9 @@
 		return;
 	ca->at_gate = 0;
 	ca->maybe_ran |= ca->outcome != EB_OUTCOME_NOT_RUN;
+	if (ca->outcome != EB_OUTCOME_NOT_RUN ||
+	    ca->reason == EB_REASON_UPSTREAM_REFUSED)
+		ca->runs++;
 	eb_route_done(ca->service->route, ca->node, &rs, now_us);
 	add_span(og, ca, EB_SPAN_ATTEMPT, ca->attempt_span, ca->call_span,
 		 ca->attempt_us, now_us);
@@ -338,6 +348,7 @@
 	to->method = strdup(from->method);
 	to->target = strdup(from->target);
 	to->key = from->key ? strdup(from->key) : NULL;
+	to->instance = NULL;
 	eb_headers_load(&to->headers, from->headers.block,
 			from->headers.used_bytes);
 	eb_frame_unref(old);
@@ -356,6 +367,8 @@
 		return NULL;
 	free(f->head->upstream);
 	f->head->upstream = strdup(n->name);
+	free(f->head->instance);
+	f->head->instance = n->instance[0] ? strdup(n->instance) : NULL;
 	f->head->attempt = eb_retry_mark(&ca->service->retry, ca->attempts);
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
@@ -560,7 +573,8 @@
 	at.attempts = ca->attempts;
 	at.mark = ca->mark;
 	at.remaining_us = ca->deadline_us - now_us;
-	if (eb_retry_allow(&ca->service->retry, &at)) {
+	if (ca->runs < ca->runs_max &&
+	    eb_retry_allow(&ca->service->retry, &at)) {
 		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
 		route(og, ca, now_us);
 		return;
@@ -704,7 +718,26 @@
 	og->out.to_front(og->out.ctx, out);
 }
 
-static void fill_call(struct eb_origin *og, struct call *ca, int64_t now_us)
+/* The path of a call bounds its time and attempts, and says its rank. */
+static void apply_match(struct call *ca, const struct eb_match *pt)
+{
+	struct eb_head *h = ca->head->head;
+
+	ca->idempotent = pt->idempotent;
+	h->idempotent = pt->idempotent;
+	h->priority = pt->priority;
+	if (pt->attempts)
+		ca->runs_max = pt->attempts;
+	if (pt->timeout_ms && (!ca->strict_deadline ||
+			       ca->budget_us > pt->timeout_ms * 1000LL))
+		ca->budget_us = pt->timeout_ms * 1000LL;
+	/* An answer is due then, whether or not the body has come. */
+	ca->strict_deadline = 1;
+	ca->body_done = 1;
+}
+
+static void fill_call(struct eb_origin *og, struct call *ca,
+		      const struct eb_match *pt, int64_t now_us)
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
 	const struct eb_rule *rule;
@@ -725,6 +758,9 @@
 	if (!ca->strict_deadline)
 		ca->budget_us =
 			cf->services[ca->service->index]->deadline_ms * 1000LL;
+	ca->runs_max = EB_ATTEMPTS_MAX;
+	if (pt)
+		apply_match(ca, pt);
 	ca->started_us = now_us;
 	ca->deadline_us = now_us + ca->budget_us;
 	ca->started_wall_us = eb_clock_wall_us();
@@ -735,9 +771,46 @@
 	ca->reason = EB_REASON_NO_UPSTREAM;
 }
 
+/*
+ * Picks the service of a path that is split. Steps of the golden ratio spread
+ * the requests evenly over the shares, in any run of them.
+ */
+static uint32_t pick_share(struct eb_origin *og, const struct eb_match *pt)
+{
+	uint64_t sum = 0, at;
+	uint32_t i;
+
+	if (pt->share_count < 2)
+		return pt->share_count ? pt->shares[0].service : EB_NONE;
+	for (i = 0; i < pt->share_count; i++)
+		sum += pt->shares[i].weight;
+	og->share_point += GOLDEN_STEP;
+	at = og->share_point * sum >> 32;
+	for (i = 0; i + 1 < pt->share_count; i++) {
+		if (at < pt->shares[i].weight)
+			break;
+		at -= pt->shares[i].weight;
+	}
+	return pt->shares[i].service;
+}
+
+/* Finds the path and the service of a request. */
+static uint32_t find_service(struct eb_origin *og, const struct eb_head *h,
+			     const struct eb_match **pt)
+{
+	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
+	const char *host = eb_headers_find(&h->headers, "Host");
+
+	if (!cf->has_matches)
+		return eb_config_match(cf, host, h->target);
+	*pt = eb_config_find_match(cf, host, h->target);
+	return *pt ? pick_share(og, *pt) : EB_NONE;
+}
+
 /* Checks a request and finds its service; returns why it is refused. */
 static enum eb_reason check_head(struct eb_origin *og, struct eb_frame *f,
-				 int64_t now_us, struct eb_service_state **sv)
+				 int64_t now_us, struct eb_service_state **sv,
+				 const struct eb_match **pt)
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
 	struct eb_head *h = f->head;
@@ -751,12 +824,11 @@
 		eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_REFUSED, 1);
 		return EB_REASON_QUEUE_FULL;
 	}
-	if (!cf->release || !og->serving)
+	if ((!cf->release && !cf->has_matches) || !og->serving)
 		return EB_REASON_NO_UPSTREAM;
-	index = eb_config_match(cf, eb_headers_find(&h->headers, "Host"),
-				h->target);
+	index = find_service(og, h, pt);
 	if (index == EB_NONE)
-		return EB_REASON_NO_ROUTE;
+		return *pt ? EB_REASON_NO_UPSTREAM : EB_REASON_NO_ROUTE;
 	*sv = eb_nodes_service(og->config.nodes, index, now_us);
 	return *sv && (*sv)->limit ? EB_REASON_NONE : EB_REASON_INTERNAL;
 }
@@ -764,7 +836,8 @@
 static void begin(struct eb_origin *og, struct eb_frame *f, int64_t now_us)
 {
 	struct eb_service_state *sv = NULL;
-	enum eb_reason reason = check_head(og, f, now_us, &sv);
+	const struct eb_match *pt = NULL;
+	enum eb_reason reason = check_head(og, f, now_us, &sv, &pt);
 	struct call *ca = NULL;
 	uint32_t wait_ms = 0;
 
@@ -787,7 +860,7 @@
 	ca->head = f;
 	ca->service = sv;
 	f->head->service = strdup(sv->name);
-	fill_call(og, ca, now_us);
+	fill_call(og, ca, pt, now_us);
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
 	eb_retry_request(&sv->retry);
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "eb_clock.h"
+#include "eb_core.h"
 #include "eb_release.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -20,7 +21,7 @@
 #define VMS_TIMEOUT_MS 2000
 
 struct fetch {
-	struct eb_platform *platform;
+	struct eb_source *platform;
 	CURL *easy;
 	char *body;
 	size_t used_bytes;
@@ -28,8 +29,8 @@
 	int64_t due_us;
 };
 
-struct eb_platform {
-	struct eb_platform_config config;
+struct eb_source {
+	struct eb_source_config config;
 	CURLM *multi;
 	struct fetch notes;
 	struct fetch vms;
@@ -61,7 +62,7 @@
 
 static void start_fetch(struct fetch *ft, const char *path, long timeout_ms)
 {
-	struct eb_platform *pl = ft->platform;
+	struct eb_source *pl = ft->platform;
 	char url[256];
 
 	snprintf(url, sizeof(url), "http://%s%s", pl->config.settings->platform,
@@ -74,7 +75,7 @@
 	curl_multi_add_handle(pl->multi, ft->easy);
 }
 
-static void start_due(struct eb_platform *pl, int64_t now_us)
+static void start_due(struct eb_source *pl, int64_t now_us)
 {
 	char path[96];
 
@@ -90,7 +91,7 @@
 }
 
 /* Applies one entry of the log; a note that is not accepted is skipped. */
-static void apply_note(struct eb_platform *pl, uint64_t index,
+static void apply_note(struct eb_source *pl, uint64_t index,
 		       const json_t *note)
 {
 	struct eb_findings fs = { 0 };
@@ -116,7 +117,7 @@
  * Replays the entries after the last one seen, in their order. Entries that
  * were seen before, or out of order, are ignored.
  */
-static int take_notes(struct eb_platform *pl, const json_t *root)
+static int take_notes(struct eb_source *pl, const json_t *root)
 {
 	const json_t *notes = json_object_get(root, "notes"), *entry;
 	uint64_t release = pl->last->index, index;
@@ -145,7 +146,7 @@
 	return 0;
 }
 
-static int take_vms(struct eb_platform *pl, const json_t *root)
+static int take_vms(struct eb_source *pl, const json_t *root)
 {
 	const json_t *vms = json_object_get(root, "vms"), *entry;
 	struct eb_vm_list *list;
@@ -176,7 +177,7 @@
 	return 0;
 }
 
-static void note_failure(struct eb_platform *pl, const char *what)
+static void note_failure(struct eb_source *pl, const char *what)
 {
 	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_FAILED, 1);
 	if (!pl->failing)
@@ -187,7 +188,7 @@
 
 static void finish_fetch(struct fetch *ft, CURLcode rc)
 {
-	struct eb_platform *pl = ft->platform;
+	struct eb_source *pl = ft->platform;
 	int is_notes = ft == &pl->notes, bad = 1;
 	int64_t now_us = eb_clock_now_us();
 	json_t *root = NULL;
@@ -215,7 +216,7 @@
 
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
-	struct eb_platform *pl = data;
+	struct eb_source *pl = data;
 	struct fetch *ft = NULL;
 	int running, left;
 	CURLMsg *msg;
@@ -237,7 +238,7 @@
 	return NULL;
 }
 
-static void init_fetch(struct eb_platform *pl, struct fetch *ft)
+static void init_fetch(struct eb_source *pl, struct fetch *ft)
 {
 	ft->platform = pl;
 	ft->easy = curl_easy_init();
@@ -249,31 +250,6 @@
 	curl_easy_setopt(ft->easy, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
 }
 
-/* Starts the thread. Returns NULL and sets `err` on failure. */
-struct eb_platform *eb_platform_start(const struct eb_platform_config *cf,
-				      struct eb_error *err)
-{
-	struct eb_platform *pl = calloc(1, sizeof(*pl));
-
-	if (!pl || apr_pool_create(&pl->pool, NULL) != APR_SUCCESS) {
-		free(pl);
-		eb_error_set(err, EB_ENOMEM, "out of memory");
-		return NULL;
-	}
-	pl->config = *cf;
-	pl->last = eb_config_new_empty();
-	pl->multi = curl_multi_init();
-	init_fetch(pl, &pl->notes);
-	init_fetch(pl, &pl->vms);
-	if (apr_thread_create(&pl->thread, NULL, run, pl, pl->pool) !=
-	    APR_SUCCESS) {
-		eb_error_set(err, EB_EIO, "cannot create the platform thread");
-		eb_platform_stop(pl);
-		return NULL;
-	}
-	return pl;
-}
-
 static void free_fetch(struct fetch *ft)
 {
 	if (ft->busy)
@@ -283,7 +259,7 @@
 }
 
 /* Stops the thread; a watch that waits is given up at once. */
-void eb_platform_stop(struct eb_platform *pl)
+static void stop(struct eb_source *pl)
 {
 	apr_status_t status;
 
@@ -300,3 +276,30 @@
 	apr_pool_destroy(pl->pool);
 	free(pl);
 }
+
+/* Starts the thread. Returns NULL and sets `err` on failure. */
+static struct eb_source *start(const struct eb_source_config *cf,
+				      struct eb_error *err)
+{
+	struct eb_source *pl = calloc(1, sizeof(*pl));
+
+	if (!pl || apr_pool_create(&pl->pool, NULL) != APR_SUCCESS) {
+		free(pl);
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		return NULL;
+	}
+	pl->config = *cf;
+	pl->last = eb_config_new_empty();
+	pl->multi = curl_multi_init();
+	init_fetch(pl, &pl->notes);
+	init_fetch(pl, &pl->vms);
+	if (apr_thread_create(&pl->thread, NULL, run, pl, pl->pool) !=
+	    APR_SUCCESS) {
+		eb_error_set(err, EB_EIO, "cannot create the platform thread");
+		stop(pl);
+		return NULL;
+	}
+	return pl;
+}
+
+const struct eb_source_ops eb_platform_source = { .start = start, .stop = stop };
--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -769,32 +769,6 @@
 	}
 }
 
-/* Groups the upstreams, which are sorted by service, under services. */
-static void link_upstreams(struct note *nt, struct eb_config *cf)
-{
-	uint32_t i, service = 0;
-
-	cf->upstream_service =
-		calloc((size_t)cf->upstream_total + 1, sizeof(uint32_t));
-	cf->service_first =
-		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
-	cf->service_count =
-		calloc((size_t)cf->service_total + 1, sizeof(uint32_t));
-	if (!cf->upstream_service || !cf->service_first || !cf->service_count) {
-		nt->failed = 1;
-		return;
-	}
-	for (i = 0; i < cf->upstream_total; i++) {
-		while (strcmp(cf->services[service]->name,
-			      cf->upstreams[i]->service_name) != 0)
-			cf->service_first[++service] = i;
-		cf->upstream_service[i] = service;
-		cf->service_count[service]++;
-	}
-	while (service + 1 < cf->service_total)
-		cf->service_first[++service] = i;
-}
-
 static uint64_t digest_note(struct note *nt)
 {
 	char *text = json_dumps(nt->json, JSON_COMPACT | JSON_SORT_KEYS);
@@ -826,7 +800,7 @@
 	if (!nt->failed)
 		link_rules(nt, cf);
 	if (!nt->failed)
-		link_upstreams(nt, cf);
+		nt->failed = eb_config_group_upstreams(cf) != EB_OK;
 	if (!nt->failed)
 		return cf;
 	eb_config_unref(cf);
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -65,7 +65,8 @@
 	return at->outcome == EB_OUTCOME_NOT_RUN &&
 	       (at->reason == EB_REASON_QUEUE_FULL ||
 		at->reason == EB_REASON_HANDED_BACK ||
-		at->reason == EB_REASON_DRAINING);
+		at->reason == EB_REASON_DRAINING ||
+		at->reason == EB_REASON_NO_UPSTREAM);
 }
 
 /*
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -20,6 +20,8 @@
 	char *platform;	       /* --platform: IP:port */
 	char *region;	       /* --region */
 	char *failure_domain;  /* --failure-domain */
+	char *service;	       /* --service: that the upstream belongs to */
+	char *ready_address;   /* --ready: IP:port that says when to serve */
 	char *peers;	       /* --peers: IP:port of other daemons, commas */
 	char *curve_public;    /* --curve-public-key: Z85, 40 characters */
 	char *curve_secret;    /* --curve-secret-key: Z85, 40 characters */
@@ -28,6 +30,7 @@
 	char *tls_key;	       /* --tls-key: PEM file */
 	uint8_t admin_remote;  /* --admin-remote: admin port may be remote */
 	uint32_t drain_timeout_ms;   /* --drain-timeout-ms, default 600000 */
+	uint32_t drain_announce_ms;  /* --drain-announce-ms, default 1500 */
 	enum eb_log_level log_level; /* --log-level */
 };
 
--- a/src/eb_tls.c
+++ b/src/eb_tls.c
@@ -22,18 +22,13 @@
 	char *certificate_file;
 	char *key_file;
 	struct eb_log *log;
+	gnutls_certificate_credentials_t credentials;
 	struct generation *generations[GENERATIONS]; /* newest first */
 	struct stat certificate_stat;
 	struct stat key_stat;
 	int64_t checked_us;
 };
 
-/*
- * libmicrohttpd passes no argument to the callback, and handshakes run in
- * the thread that owns the front, so the instance is kept per thread.
- */
-static __thread struct eb_tls *current;
-
 static void free_generation(struct generation *gn)
 {
 	unsigned int i;
@@ -122,6 +117,25 @@
 	return EB_OK;
 }
 
+/* Gives a handshake the newest pair; the session names the instance. */
+static int retrieve(gnutls_session_t session, const gnutls_datum_t *req_ca_dn,
+		    int nreqs, const gnutls_pk_algorithm_t *pk_algos,
+		    int pk_algos_length, gnutls_pcert_st **pcert,
+		    unsigned int *pcert_length, gnutls_privkey_t *privkey)
+{
+	const struct eb_tls *tls = gnutls_session_get_ptr(session);
+	struct generation *gn = tls->generations[0];
+
+	(void)req_ca_dn;
+	(void)nreqs;
+	(void)pk_algos;
+	(void)pk_algos_length;
+	*pcert = gn->chain;
+	*pcert_length = gn->chain_count;
+	*privkey = gn->key;
+	return 0;
+}
+
 /*
  * Reads certificate and key. Returns NULL and sets `err` when a file cannot
  * be read or they do not belong together.
@@ -144,6 +158,13 @@
 		eb_tls_free(tls);
 		return NULL;
 	}
+	if (gnutls_certificate_allocate_credentials(&tls->credentials)) {
+		tls->credentials = NULL;
+		eb_error_set(err, EB_ENOMEM, "out of memory");
+		eb_tls_free(tls);
+		return NULL;
+	}
+	gnutls_certificate_set_retrieve_function2(tls->credentials, retrieve);
 	return tls;
 }
 
@@ -156,8 +177,8 @@
 		return;
 	for (i = 0; i < GENERATIONS; i++)
 		free_generation(tls->generations[i]);
-	if (current == tls)
-		current = NULL;
+	if (tls->credentials)
+		gnutls_certificate_free_credentials(tls->credentials);
 	free(tls->certificate_file);
 	free(tls->key_file);
 	free(tls);
@@ -202,39 +223,24 @@
 			     "certificate replaced", NULL);
 }
 
-/* Chooses the instance that handshakes of this thread use. */
-void eb_tls_use(struct eb_tls *tls)
-{
-	current = tls;
-}
-
-static int retrieve(gnutls_session_t session, const gnutls_datum_t *req_ca_dn,
-		    int nreqs, const gnutls_pk_algorithm_t *pk_algos,
-		    int pk_algos_length, gnutls_pcert_st **pcert,
-		    unsigned int *pcert_length, gnutls_privkey_t *privkey)
-{
-	struct generation *gn;
-
-	(void)session;
-	(void)req_ca_dn;
-	(void)nreqs;
-	(void)pk_algos;
-	(void)pk_algos_length;
-	if (!current)
-		return -1;
-	gn = current->generations[0];
-	*pcert = gn->chain;
-	*pcert_length = gn->chain_count;
-	*privkey = gn->key;
-	return 0;
-}
-
-/* Returns the callback that libmicrohttpd hands to GnuTLS. */
-void *eb_tls_callback(void)
+/*
+ * Starts a server session on a socket that does not block. Returns NULL when
+ * GnuTLS refuses. The session must end before `tls` does.
+ */
+gnutls_session_t eb_tls_session(struct eb_tls *tls, int fd)
 {
-	gnutls_certificate_retrieve_function2 *fn = retrieve;
-	void *p;
+	gnutls_session_t session;
 
-	memcpy(&p, &fn, sizeof(p));
-	return p;
+	if (gnutls_init(&session, GNUTLS_SERVER | GNUTLS_NONBLOCK |
+					  GNUTLS_NO_SIGNAL))
+		return NULL;
+	gnutls_session_set_ptr(session, tls);
+	if (gnutls_set_default_priority(session) ||
+	    gnutls_credentials_set(session, GNUTLS_CRD_CERTIFICATE,
+				   tls->credentials)) {
+		gnutls_deinit(session);
+		return NULL;
+	}
+	gnutls_transport_set_int(session, fd);
+	return session;
 }
--- a/src/eb_tls.h
+++ b/src/eb_tls.h
@@ -1,6 +1,7 @@
 #ifndef EB_TLS_H
 #define EB_TLS_H
 
+#include <gnutls/gnutls.h>
 #include <stdint.h>
 
 #include "eb_log.h"
@@ -16,9 +17,7 @@
 			  struct eb_log *lg, struct eb_error *err);
 void eb_tls_free(struct eb_tls *tls);
 void eb_tls_tick(struct eb_tls *tls, int64_t now_us);
-/* A gnutls_certificate_retrieve_function2 for libmicrohttpd. */
-void *eb_tls_callback(void);
-/* The callback has no argument of its own: names the instance it uses. */
-void eb_tls_use(struct eb_tls *tls);
+/* A new server session on a connected socket, or NULL. */
+gnutls_session_t eb_tls_session(struct eb_tls *tls, int fd);
 
 #endif
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -25,7 +25,8 @@
  */
 #define EB_RING_SLOTS 65536
 #define EB_FRONT_CONNECTIONS_MAX 2048
-#define EB_FRONT_CONNECTION_BYTES 32768
+/* Requests of one connection that are in work at the same time. */
+#define EB_PIPELINE_MAX 8
 /* Closes a caller's connection that makes no progress. */
 #define EB_FRONT_IDLE_TIMEOUT_S 75
 
@@ -74,6 +75,35 @@
 /* The list of VMs is polled; it has no watch. */
 #define EB_PLATFORM_VMS_POLL_MS 1000
 
+/* Items of the source, and how many removed ones are remembered. */
+#define EB_FEED_ITEMS_MAX 65536
+#define EB_FEED_REMOVED_MAX 4096
+#define EB_FEED_KEY_MAX_BYTES 200
+/* A packed change fits one message between daemons. */
+#define EB_FEED_PACKED_MAX_BYTES 200000
+#define EB_FEED_PLAIN_MAX_BYTES 33554432
+/*
+ * Items that went while the source was away may be back this long after its
+ * return: the platform says about two seconds.
+ */
+#define EB_FEED_HOLD_MS 2500
+
+/* Daemons of the whole fleet that read the source in the normal case. */
+#define EB_SPREAD_READERS 2
+/* A starting daemon reads by itself for this long: it knows no others yet. */
+#define EB_SPREAD_START_MS 3000
+/* A daemon that was not heard of for this long counts as silent. */
+#define EB_SPREAD_HEARD_MS 1300
+/* A reader's last read may be this old: a watch, its timeout, a heartbeat. */
+#define EB_SPREAD_FRESH_MS 4000
+/* Each place further back in the order waits this much longer. */
+#define EB_SPREAD_STEP_MS 150
+#define EB_SPREAD_STEPS_MAX 20
+/* The same daemon is not asked or told again within this time. */
+#define EB_SPREAD_ASK_MS 200
+/* Failures of reads for this long count as an outage of the source. */
+#define EB_SPREAD_OUTAGE_MS 1000
+
 #define EB_SPANS_MAX 8192
 #define EB_LOG_LINES_PER_S 200
 
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define COMMON_FIELDS 5
-#define HEAD_FIELDS 16
+#define HEAD_FIELDS 18
 #define REPLY_FIELDS 12
 /* The most fields that a frame of any type has. */
 #define FIELDS_MAX (COMMON_FIELDS + 2 + HEAD_FIELDS)
@@ -42,6 +42,7 @@
 	pack_str(pk, h->method);
 	pack_str(pk, h->target);
 	pack_str(pk, h->key);
+	pack_str(pk, h->instance);
 	pack_bin(pk, h->headers.block, h->headers.used_bytes);
 	msgpack_pack_uint64(pk, h->caller);
 	msgpack_pack_uint64(pk, h->body_bytes);
@@ -50,6 +51,7 @@
 	msgpack_pack_uint8(pk, h->body_kind);
 	msgpack_pack_uint8(pk, h->attempt);
 	msgpack_pack_uint8(pk, h->idempotent);
+	msgpack_pack_uint8(pk, h->priority);
 	pack_bin(pk, h->trace.trace, sizeof(h->trace.trace));
 	pack_bin(pk, h->trace.span, sizeof(h->trace.span));
 	msgpack_pack_uint8(pk, h->trace.sampled);
@@ -198,6 +200,7 @@
 	h->method = read_str(rd, 32, 0);
 	h->target = read_str(rd, EB_TARGET_MAX_BYTES, 0);
 	h->key = read_str(rd, EB_IDEMPOTENCY_KEY_MAX_BYTES, 1);
+	h->instance = read_str(rd, 256, 1);
 	read_headers(rd, &h->headers);
 	h->caller = read_uint(rd, UINT64_MAX);
 	h->body_bytes = read_uint(rd, UINT64_MAX);
@@ -206,6 +209,7 @@
 	h->body_kind = (uint8_t)read_uint(rd, EB_BODY_CHUNKED);
 	h->attempt = (uint8_t)read_uint(rd, UINT8_MAX);
 	h->idempotent = (uint8_t)read_uint(rd, 1);
+	h->priority = (uint8_t)read_uint(rd, UINT8_MAX);
 	read_bytes(rd, h->trace.trace, sizeof(h->trace.trace));
 	read_bytes(rd, h->trace.span, sizeof(h->trace.span));
 	h->trace.sampled = (uint8_t)read_uint(rd, 1);
