tests: the pattern of upload bytes is made once, before any thread uses it

Cause: Shutdown.SigtermCutsNothing failed now and then: threads that start together filled one static vector at the same time, so wrong bytes were sent. Change: initialised by the language's own thread-safe rule; the counter of logs is atomic.

--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <curl/curl.h>
 #include <dirent.h>
 #include <fcntl.h>
@@ -16,6 +17,7 @@
 #include <zmq.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <cstdio>
 #include <cstdlib>
@@ -77,12 +79,14 @@
 
 const uint8_t *pattern_bytes()
 {
-	static std::vector<uint8_t> bytes;
+	/* Threads that start together come here at the same time. */
+	static const std::vector<uint8_t> bytes = [] {
+		std::vector<uint8_t> all(STANDIN_PATTERN_BYTES);
+
+		standin_pattern_init(all.data());
+		return all;
+	}();
 
-	if (bytes.empty()) {
-		bytes.resize(STANDIN_PATTERN_BYTES);
-		standin_pattern_init(bytes.data());
-	}
 	return bytes.data();
 }
 
@@ -210,7 +214,7 @@
 
 Process::Process(std::vector<std::string> argv, std::vector<std::string> env)
 {
-	static int number;
+	static std::atomic<int> number{ 0 };
 	std::vector<char *> args, vars;
 	posix_spawn_file_actions_t acts;
 	posix_spawnattr_t attr;
