--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -440,14 +440,12 @@
 		list[n].node = i;
 		list[n++].order = eb_spread_order(node->name);
 	}
-	if (eb_spread_set_members(
-		    co->spread,
-		    eb_spread_order(co->config.settings->upstream), list, n))
+	if (eb_spread_set_members(co->spread, list, n))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "out of memory for the list of daemons", NULL);
 	for (i = 0; i < n; i++)
 		if (eb_spread_is_reader(co->spread, list[i].node))
-			eb_nodes_peer(co->nodes, list[i].node, co->turn_us);
+			eb_nodes_listen(co->nodes, list[i].node, co->turn_us);
 	free(list);
 }
 
@@ -741,7 +739,9 @@
 	if (!co->mesh)
 		return err->status;
 	if (cf->adapter->source->decode) {
-		co->spread = eb_spread_new(&spread_out, eb_clock_now_us());
+		co->spread = eb_spread_new(
+			&spread_out, eb_spread_order(cf->settings->upstream),
+			eb_clock_now_us());
 		if (!co->spread)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
 	}
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -230,6 +230,7 @@
 	pr->last_used_us = now_us;
 	pr->last_received_us = now_us;
 	pr->dialled_us = now_us;
+	pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_MS;
 	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
 	if (!pr->socket) {
 		free(pr);
@@ -302,6 +303,8 @@
 	if (zmq_send(pr->socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
 		return send_failed(ms);
 	pr->last_sent_us = now_us;
+	if (f->type != EB_FRAME_HELLO)
+		pr->busy_us = now_us;
 	count_out(ms, f);
 	return EB_OK;
 }
@@ -349,6 +352,7 @@
 			     const struct eb_mesh_sink *sink, int64_t now_us)
 {
 	pr->last_received_us = now_us;
+	pr->asked_us = 0;
 	if (pr->up && pr->incarnation == f->sender)
 		return;
 	if (pr->incarnation && pr->incarnation != f->sender) {
@@ -555,6 +559,8 @@
 	if (!f)
 		return;
 	pr->last_hello_us = now_us;
+	if (!pr->asked_us)
+		pr->asked_us = now_us;
 	eb_mesh_send(ms, pr, f, now_us);
 	eb_frame_unref(f);
 }
@@ -565,9 +571,12 @@
  */
 static int hello_due(const struct eb_peer *pr, int64_t now_us)
 {
-	int64_t pause_ms =
-		pr->up ? EB_PEER_HEARTBEAT_MS : EB_PEER_DIAL_HELLO_MS;
+	int64_t pause_ms = pr->idle_heartbeat_ms;
 
+	if (!pr->up)
+		pause_ms = EB_PEER_DIAL_HELLO_MS;
+	else if (now_us - pr->busy_us < EB_PEER_BUSY_MS * 1000)
+		pause_ms = EB_PEER_HEARTBEAT_MS;
 	return now_us - pr->last_hello_us >= pause_ms * 1000;
 }
 
@@ -582,6 +591,7 @@
 	pr->dirty = 1;
 	pr->dialled_us = now_us;
 	pr->last_received_us = now_us;
+	pr->asked_us = 0;
 }
 
 /*
@@ -601,8 +611,9 @@
 		pr = ms->peers[i];
 		/* After a pause of this process, silence says nothing. */
 		if (paused)
-			pr->last_received_us = now_us;
-		if (now_us - pr->last_received_us >= EB_PEER_SILENT_MS * 1000) {
+			pr->asked_us = 0;
+		if (pr->asked_us &&
+		    now_us - pr->asked_us >= EB_PEER_SILENT_MS * 1000) {
 			if (pr->up) {
 				pr->up = 0;
 				eb_metrics_add(ms->metrics,
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -214,6 +214,13 @@
 	free(ups);
 }
 
+/* Sets how often an idle socket is used; far ones cost the most. */
+static void set_heartbeat(struct eb_node *n)
+{
+	if (n->peer && n->distance == EB_DISTANCE_FAR)
+		n->peer->idle_heartbeat_ms = EB_PEER_HEARTBEAT_FAR_MS;
+}
+
 /* Dials the daemons of a service, the nearest ones first. */
 static void dial(struct eb_nodes *nd, struct eb_service_state *sv,
 		 int64_t now_us)
@@ -234,10 +241,11 @@
 			if (n->self || n->distance != distance)
 				continue;
 			dialled++;
-			if (!n->peer)
-				n->peer =
-					eb_mesh_dial(nd->mesh, n->info->daemon,
-						     n->info->key, id, now_us);
+			if (n->peer)
+				continue;
+			n->peer = eb_mesh_dial(nd->mesh, n->info->daemon,
+					       n->info->key, id, now_us);
+			set_heartbeat(n);
 		}
 	}
 }
@@ -377,6 +385,15 @@
 	return n->peer;
 }
 
+/* Makes a daemon one that is heard of often; see the header. */
+void eb_nodes_listen(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_peer *pr = eb_nodes_peer(nd, id, now_us);
+
+	if (pr)
+		pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_MS;
+}
+
 /* Passes a change of one node on to the router of its service. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -59,6 +59,8 @@
 					  int64_t now_us);
 /* The socket to a node's daemon; dials it when there is none. */
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+/* Dials a daemon that must be heard of often, however far it is. */
+void eb_nodes_listen(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* To be called when a node has come up, gone, or is leaving. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* The daemon of a node has started anew. */
--- a/src/eb_spread.c
+++ b/src/eb_spread.c
@@ -8,10 +8,18 @@
 #include "eb_tunables.h"
 
 /* First byte of a payload. */
-enum payload { PAYLOAD_CHANGE = 1, PAYLOAD_REQUEST = 2 };
+enum payload { PAYLOAD_CHANGE = 1, PAYLOAD_REQUEST, PAYLOAD_WORD };
 
 #define REQUEST_BYTES (1 + sizeof(uint64_t))
 
+/* What a daemon says of itself when it begins or ceases to read. */
+struct word {
+	uint64_t order; /* its place */
+	uint64_t revision;
+	uint32_t read_age_ms;
+	uint32_t reserved;
+};
+
 struct member {
 	struct eb_spread_member info;
 	uint64_t revision;
@@ -24,6 +32,7 @@
 struct eb_spread {
 	struct eb_spread_outlets out;
 	struct eb_feed *feed;
+	uint64_t own_order;
 	struct member *members; /* by their place in the order */
 	uint32_t count;
 	uint32_t ahead; /* members before this daemon in the order */
@@ -37,13 +46,14 @@
 
 /* Creates an empty copy. Returns NULL without memory. */
 struct eb_spread *eb_spread_new(const struct eb_spread_outlets *out,
-				int64_t now_us)
+				uint64_t own_order, int64_t now_us)
 {
 	struct eb_spread *sp = calloc(1, sizeof(*sp));
 
 	if (!sp)
 		return NULL;
 	sp->out = *out;
+	sp->own_order = own_order;
 	sp->started_us = now_us;
 	sp->feed = eb_feed_new();
 	if (!sp->feed) {
@@ -94,7 +104,7 @@
 }
 
 /* Replaces the list of other daemons. Returns EB_ENOMEM without memory. */
-enum eb_status eb_spread_set_members(struct eb_spread *sp, uint64_t own_order,
+enum eb_status eb_spread_set_members(struct eb_spread *sp,
 				     const struct eb_spread_member *members,
 				     uint32_t count)
 {
@@ -110,7 +120,7 @@
 		if (old)
 			next[i] = *old;
 		next[i].info = members[i];
-		sp->ahead += members[i].order < own_order;
+		sp->ahead += members[i].order < sp->own_order;
 	}
 	qsort(next, count, sizeof(*next), compare_order);
 	free(sp->members);
@@ -200,6 +210,34 @@
 	sp->out.send(sp->out.ctx, mb->info.node, data, sizeof(data));
 }
 
+/* Tells all others that this daemon reads the source, or can't. */
+static void send_word(struct eb_spread *sp, int64_t now_us)
+{
+	struct word wd = { sp->own_order, eb_feed_revision(sp->feed),
+			   eb_spread_read_age_ms(sp, now_us), 0 };
+	uint8_t data[1 + sizeof(wd)];
+	uint32_t i;
+
+	data[0] = PAYLOAD_WORD;
+	memcpy(data + 1, &wd, sizeof(wd));
+	for (i = 0; i < sp->count; i++)
+		sp->out.send(sp->out.ctx, sp->members[i].info.node, data,
+			     sizeof(data));
+}
+
+/* Notes whether reads succeed; a change matters to those who rely on it. */
+static void note_result(struct eb_spread *sp, int failed, int64_t now_us)
+{
+	int news = sp->mode == EB_SOURCE_WATCH &&
+		   (sp->last_failed != failed || !sp->read_us);
+
+	sp->last_failed = (uint8_t)failed;
+	if (!failed)
+		sp->read_us = now_us;
+	if (news)
+		send_word(sp, now_us);
+}
+
 /*
  * Takes in what a call to the source has brought. Items that went while the
  * source was away are held for a while, since they may come back.
@@ -211,7 +249,7 @@
 	uint64_t before = eb_feed_revision(sp->feed);
 	int changed = 0;
 
-	sp->last_failed = rp->failed;
+	note_result(sp, rp->failed, now_us);
 	if (rp->failed) {
 		if (!sp->failing_us)
 			sp->failing_us = now_us;
@@ -223,7 +261,6 @@
 	else
 		ch.hold_ms = eb_feed_hold_ms(sp->feed, now_us);
 	sp->failing_us = 0;
-	sp->read_us = now_us;
 	if (eb_feed_apply(sp->feed, &ch, now_us, &changed))
 		return;
 	if (changed)
@@ -231,15 +268,12 @@
 	push_all(sp, before, now_us);
 }
 
-/* Takes in a daemon's word; one that is behind is told, one ahead asked. */
-void eb_spread_heard(struct eb_spread *sp, uint32_t node, uint64_t revision,
-		     uint32_t read_age_ms, int64_t now_us)
+/* Takes in a member's word; one that is behind is told, one ahead asked. */
+static void hear(struct eb_spread *sp, struct member *mb, uint64_t revision,
+		 uint32_t read_age_ms, int64_t now_us)
 {
-	struct member *mb = find(sp, node);
 	uint64_t own = eb_feed_revision(sp->feed);
 
-	if (!mb)
-		return;
 	mb->revision = revision;
 	mb->heard_us = now_us;
 	mb->read_us = read_age_ms == UINT32_MAX
@@ -253,6 +287,29 @@
 		push(sp, mb, revision, now_us);
 }
 
+/* Takes in what a daemon says of itself; see the header. */
+void eb_spread_heard(struct eb_spread *sp, uint32_t node, uint64_t revision,
+		     uint32_t read_age_ms, int64_t now_us)
+{
+	struct member *mb = find(sp, node);
+
+	if (mb)
+		hear(sp, mb, revision, read_age_ms, now_us);
+}
+
+static void take_word(struct eb_spread *sp, const uint8_t *data,
+		      int64_t now_us)
+{
+	struct word wd;
+	uint32_t i;
+
+	memcpy(&wd, data, sizeof(wd));
+	for (i = 0; i < sp->count; i++)
+		if (sp->members[i].info.order == wd.order)
+			hear(sp, &sp->members[i], wd.revision, wd.read_age_ms,
+			     now_us);
+}
+
 /*
  * Takes in a payload of another daemon. `*reply` is set to an answer for its
  * sender, which the caller frees, or to NULL. Returns EB_EPARSE for a payload
@@ -278,6 +335,10 @@
 				make_change(sp, revision, now_us, reply);
 		return EB_OK;
 	}
+	if (p[0] == PAYLOAD_WORD && bytes == 1 + sizeof(struct word)) {
+		take_word(sp, p + 1, now_us);
+		return EB_OK;
+	}
 	if (p[0] != PAYLOAD_CHANGE)
 		return EB_EPARSE;
 	st = eb_feed_unpack(p + 1, bytes - 1, &ch);
--- a/src/eb_spread.h
+++ b/src/eb_spread.h
@@ -32,13 +32,13 @@
 };
 
 struct eb_spread *eb_spread_new(const struct eb_spread_outlets *out,
-				int64_t now_us);
+				uint64_t own_order, int64_t now_us);
 void eb_spread_free(struct eb_spread *sp);
 const struct eb_feed *eb_spread_feed(const struct eb_spread *sp);
 /* A daemon's place in the order, by its name. */
 uint64_t eb_spread_order(const char *name);
 /* Replaces the list of other daemons; what is known of those kept stays. */
-enum eb_status eb_spread_set_members(struct eb_spread *sp, uint64_t own_order,
+enum eb_status eb_spread_set_members(struct eb_spread *sp,
 				     const struct eb_spread_member *members,
 				     uint32_t count);
 void eb_spread_report(struct eb_spread *sp, const struct eb_source_report *rp,
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -43,13 +43,17 @@
 #define EB_UPSTREAM_CONNECT_TIMEOUT_MS 2000
 
 #define EB_PEER_HEARTBEAT_MS 1000
+/* To an idle peer in another region: bytes between regions are billed. */
+#define EB_PEER_HEARTBEAT_FAR_MS 4000
+/* A peer counts as idle when nothing else was sent for this long. */
+#define EB_PEER_BUSY_MS 3000
 /* Pause between heartbeats to a peer that has not answered yet. */
 #define EB_PEER_DIAL_HELLO_MS 50
 /* A dial without an answer is made anew after this long. */
 #define EB_PEER_REDIAL_MS 700
 #define EB_PEER_RECONNECT_MS 20
 #define EB_PEER_RECONNECT_MAX_MS 500
-/* A peer that sent nothing for this long counts as silent. */
+/* A peer that owes the answer to a heartbeat for this long is silent. */
 #define EB_PEER_SILENT_MS 4000
 /* Idle time after which the socket to a peer is closed. */
 #define EB_PEER_IDLE_MS 60000
