core: no claims on a platform without idempotency keys; a log line for each call

Change: the holders of idempotency keys are not started under an adapter that knows no keys. The origin logs each ended call and each failed attempt; the log never blocks, thins ordinary lines first and says what it dropped.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -51,7 +51,7 @@
 	struct eb_nodes *nodes;
 	struct eb_gate *gate;
 	struct eb_origin *origin;
-	struct eb_claims *claims;
+	struct eb_claims *claims; /* NULL: the platform knows no keys */
 	struct eb_spread *spread; /* NULL: the source pushes by itself */
 	struct eb_source *source; /* that this core directs, or NULL */
 	uint8_t items_changed;
@@ -198,7 +198,8 @@
 	char name[EB_NAME_SPACE_BYTES];
 	struct eb_node *n;
 
-	if (eb_claims_sender(f->data, f->data_bytes, name, sizeof(name)) ||
+	if (!co->claims ||
+	    eb_claims_sender(f->data, f->data_bytes, name, sizeof(name)) ||
 	    eb_claims_recv(co->claims, f->data, f->data_bytes, co->turn_us)) {
 		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
 	} else if (back) {
@@ -214,12 +215,15 @@
 /* Carries out what the two roles of claims have decided. */
 static void run_claims(struct eb_core *co)
 {
-	struct eb_claim *cl = eb_claims_claimant(co->claims);
+	struct eb_claim *cl;
 	struct eb_claim_action act;
 	char to[EB_NAME_SPACE_BYTES];
 	struct eb_frame *f;
 	int more = 1;
 
+	if (!co->claims)
+		return;
+	cl = eb_claims_claimant(co->claims);
 	while (more) {
 		more = 0;
 		while ((f = eb_claims_next(co->claims, to, sizeof(to)))) {
@@ -410,7 +414,8 @@
 	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "keys of the peers could not be stored", NULL);
-	if (eb_claims_configure(co->claims, cf, co->turn_us))
+	if (co->claims &&
+	    eb_claims_configure(co->claims, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "out of memory for the holders of claims", NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
@@ -527,7 +532,8 @@
 	uint32_t i;
 
 	eb_gate_load(co->gate, &ld);
-	eb_claims_slots(co->claims, &claims_held, &claims_able);
+	if (co->claims)
+		eb_claims_slots(co->claims, &claims_held, &claims_able);
 	for (i = 0; i < eb_nodes_count(co->nodes); i++) {
 		n = eb_nodes_get(co->nodes, i);
 		if (n->present && (n->self || n->peer))
@@ -568,7 +574,7 @@
 
 	if (qu->kind == QUERY_DRAIN)
 		drain(co);
-	else if (qu->kind == QUERY_OPEN_CLAIMS)
+	else if (qu->kind == QUERY_OPEN_CLAIMS && co->claims)
 		eb_claims_open(co->claims, co->turn_us);
 	else
 		answer = make_status(co);
@@ -665,7 +671,8 @@
 		start_serving(co);
 		eb_gate_tick(co->gate, co->turn_us);
 		eb_origin_tick(co->origin, co->turn_us);
-		eb_claims_tick(co->claims, co->turn_us);
+		if (co->claims)
+			eb_claims_tick(co->claims, co->turn_us);
 		run_claims(co);
 		run_local(co);
 	}
@@ -729,7 +736,8 @@
 	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
 				       cf->metrics, cf->tracer };
 	struct eb_origin_config origin = { co->incarnation, NULL, cf->metrics,
-					   cf->tracer, NULL };
+					   cf->tracer, NULL, cf->log,
+					   cf->adapter->dialect };
 	struct eb_spread_outlets spread_out = { out_spread, out_changed,
 						out_want, co };
 	struct eb_findings fs = { 0 };
@@ -746,10 +754,13 @@
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
 	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
-	co->claims = eb_claims_new(cf->settings->upstream, co->incarnation);
+	if (!co->spread)
+		co->claims = eb_claims_new(cf->settings->upstream,
+					   co->incarnation);
 	origin.nodes = co->nodes;
-	if (co->nodes && co->claims) {
-		origin.claims = eb_claims_claimant(co->claims);
+	if (co->nodes && (co->claims || co->spread)) {
+		if (co->claims)
+			origin.claims = eb_claims_claimant(co->claims);
 		co->gate = eb_gate_new(&gate, &gate_out, &fs);
 		co->origin = eb_origin_new(&origin, &origin_out, &fs);
 	}
@@ -803,7 +814,8 @@
 		apr_thread_join(&status, co->thread);
 	run_local(co);
 	eb_origin_free(co->origin);
-	eb_claims_free(co->claims);
+	if (co->claims)
+		eb_claims_free(co->claims);
 	eb_gate_free(co->gate);
 	eb_spread_free(co->spread);
 	eb_nodes_free(co->nodes);
--- a/src/eb_log.c
+++ b/src/eb_log.c
@@ -1,5 +1,6 @@
 #include "eb_log.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -17,6 +18,7 @@
 	time_t window_s;
 	uint32_t lines;
 	uint64_t dropped;
+	uint64_t told; /* of those dropped, already said in the log */
 };
 
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
@@ -57,7 +59,18 @@
 	return -1;
 }
 
-/* Counts the line against this second's budget. Errors are never dropped. */
+/*
+ * Lines of a level that fit a second: ordinary ones are thinned out first,
+ * failures last.
+ */
+static const uint32_t level_lines[] = {
+	[EB_LOG_ERROR] = 2 * EB_LOG_LINES_PER_S,
+	[EB_LOG_WARN] = EB_LOG_LINES_PER_S * 3 / 2,
+	[EB_LOG_INFO] = EB_LOG_LINES_PER_S,
+	[EB_LOG_DEBUG] = EB_LOG_LINES_PER_S,
+};
+
+/* Counts the line against this second's budget. */
 static int take_line(struct eb_log *lg, enum eb_log_level level, time_t now_s)
 {
 	int ok = 1;
@@ -67,7 +80,7 @@
 		lg->window_s = now_s;
 		lg->lines = 0;
 	}
-	if (lg->lines >= EB_LOG_LINES_PER_S && level != EB_LOG_ERROR) {
+	if (lg->lines >= level_lines[level]) {
 		lg->dropped++;
 		ok = 0;
 	} else {
@@ -77,6 +90,42 @@
 	return ok;
 }
 
+/*
+ * Writes a line if there is room for it: a reader that stops costs lines, not
+ * requests. A pipe that is writable has room for a whole line.
+ */
+static void put_line(struct eb_log *lg, const char *line, size_t n)
+{
+	struct pollfd pf = { .fd = lg->fd, .events = POLLOUT };
+
+	if (poll(&pf, 1, 0) == 1 && pf.revents & POLLOUT &&
+	    write(lg->fd, line, n) == (ssize_t)n)
+		return;
+	pthread_mutex_lock(&lg->lock);
+	lg->dropped++;
+	pthread_mutex_unlock(&lg->lock);
+}
+
+/* Says how many lines were dropped, once a line gets through again. */
+static void tell_dropped(struct eb_log *lg)
+{
+	char line[96];
+	uint64_t n;
+	int len;
+
+	pthread_mutex_lock(&lg->lock);
+	n = lg->lines < EB_LOG_LINES_PER_S ? lg->dropped - lg->told : 0;
+	lg->told += n;
+	pthread_mutex_unlock(&lg->lock);
+	if (!n)
+		return;
+	len = snprintf(line, sizeof(line),
+		       "level=warn module=log msg=\"lines dropped\" "
+		       "lines=%llu\n",
+		       (unsigned long long)n);
+	put_line(lg, line, (size_t)len);
+}
+
 /* Writes one line; see the header. Control characters are replaced. */
 void eb_log_write(struct eb_log *lg, enum eb_log_level level,
 		  const char *module, const char *msg, const char *fmt, ...)
@@ -111,11 +160,11 @@
 		if ((unsigned char)line[i] < ' ')
 			line[i] = '?';
 	line[n++] = '\n';
-	if (write(lg->fd, line, (size_t)n) < 0)
-		return;
+	put_line(lg, line, (size_t)n);
+	tell_dropped(lg);
 }
 
-/* Returns the number of lines dropped by the rate limit so far. */
+/* Returns the number of lines dropped so far. */
 uint64_t eb_log_dropped(struct eb_log *lg)
 {
 	uint64_t n;
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -196,6 +196,62 @@
 	return apr_hash_count(og->by_front);
 }
 
+/* The number by which callers know a request; "-" when there is none. */
+static const char *request_id(const struct eb_origin *og,
+			      const struct eb_frame *head)
+{
+	const struct eb_dialect *dl = og->config.dialect;
+	const char *id = NULL;
+
+	if (dl && dl->request_id)
+		id = eb_headers_find(&head->head->headers, dl->request_id);
+	return id ? id : "-";
+}
+
+static const char *const distance_names[] = { "self", "domain", "region",
+					      "far" };
+
+/* One line for each way that an attempt ended without an answer. */
+static void log_attempt(const struct eb_origin *og, const struct call *ca,
+			int64_t now_us)
+{
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+
+	eb_log_write(og->config.log, EB_LOG_INFO, "origin", "attempt ended",
+		     "id=%s upstream=%s distance=%s attempt=%u outcome=%s "
+		     "reason=%s attempt_ms=%lld left_ms=%lld",
+		     request_id(og, ca->head), n ? n->name : "-",
+		     n ? distance_names[n->distance] : "-", ca->attempts,
+		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		     (long long)(now_us - ca->attempt_us) / 1000,
+		     (long long)(ca->deadline_us - now_us) / 1000);
+}
+
+/* One line for each call that has ended. */
+static void log_call(const struct eb_origin *og, const struct call *ca,
+		     int64_t now_us)
+{
+	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+
+	eb_log_write(og->config.log,
+		     ca->outcome == EB_OUTCOME_RAN && ca->status < 500
+			     ? EB_LOG_INFO
+			     : EB_LOG_WARN,
+		     "origin", "call ended",
+		     "id=%s service=%s upstream=%s distance=%s attempts=%u "
+		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
+		     "last_ms=%lld left_ms=%lld release=%llu",
+		     request_id(og, ca->head), ca->service->name,
+		     n ? n->name : "-", n ? distance_names[n->distance] : "-",
+		     ca->attempts, ca->runs, ca->status,
+		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		     (long long)(now_us - ca->started_us) / 1000,
+		     (long long)(now_us - ca->attempt_us) / 1000,
+		     (long long)(ca->deadline_us - now_us) / 1000,
+		     (unsigned long long)cf->release);
+}
+
 static void add_span(struct eb_origin *og, const struct call *ca,
 		     enum eb_span_kind kind, const uint8_t *id,
 		     const uint8_t *parent, int64_t from_us, int64_t now_us)
@@ -567,6 +623,7 @@
 		note_reply(ca, f->reply);
 	eb_frame_unref(f);
 	end_attempt(og, ca, now_us);
+	log_attempt(og, ca, now_us);
 	at.outcome = ca->outcome;
 	at.reason = ca->reason;
 	at.idempotent = ca->idempotent;
@@ -678,6 +735,7 @@
 	if (next != DONE)
 		return;
 	end_attempt(og, ca, now_us);
+	log_call(og, ca, now_us);
 	settle_claim(og, ca, NULL, now_us);
 	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
 		 ca->started_us, now_us);
@@ -706,6 +764,12 @@
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
+	eb_log_write(og->config.log, EB_LOG_WARN, "origin", "call refused",
+		     "id=%s target=\"%s\" reason=%s release=%llu",
+		     request_id(og, f), f->head->target,
+		     eb_reason_name(reason),
+		     (unsigned long long)eb_nodes_config(og->config.nodes)
+			     ->release);
 	eb_frame_unref(f);
 	if (!out)
 		return;
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eb_adapter.h"
 #include "eb_claim.h"
 #include "eb_findings.h"
 #include "eb_frame.h"
@@ -35,6 +36,8 @@
 	struct eb_metrics *metrics;
 	struct eb_tracer *tracer;
 	struct eb_claim *claims; /* NULL: keys are passed on only */
+	struct eb_log *log;	 /* NULL: nothing is logged */
+	const struct eb_dialect *dialect;
 };
 
 struct eb_origin *eb_origin_new(const struct eb_origin_config *cf,
