gate: hand work back while the upstream's machine is slow

Change: answers tell the pace of the machine; a gate that knows none younger than 25 ms probes its own upstream (at most 6 ms) and hands calls back, not run, while work takes twice as long as usual. Origins weigh the reported pace, and after all near upstreams handed back, look at another region.

--- a/src/eb_adapter.h
+++ b/src/eb_adapter.h
@@ -23,6 +23,10 @@
 	const char *not_run;
 	/* The service beside which a request began. */
 	const char *caller_service;
+	/* On an answer: the load of the upstream and its machine. */
+	const char *load;
+	/* Reads that header's value; returns the pace, or 0. */
+	uint16_t (*read_pace)(const char *value);
 	/* Retry-After may have a fraction of a second. */
 	uint8_t retry_after_fraction;
 };
--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -23,6 +23,11 @@
  * is 2 ms away. It doubles with each attempt.
  */
 #define WAIT_US 2000
+/*
+ * Work on a machine this much slower than usual goes to another one: the
+ * pace changes within a few hundred milliseconds.
+ */
+#define PACE_SLOW_PERCENT 200
 /* From this attempt on a request is not handed back. */
 #define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
 /* Unused budget of load reports is kept for a tenth of a second. */
@@ -52,6 +57,7 @@
 	int64_t done_us;    /* last completion */
 	int64_t watch_tokens;
 	int64_t watch_at_us;
+	uint16_t pace_percent; /* of the machine; 0: unknown */
 	uint8_t draining;
 };
 
@@ -88,6 +94,12 @@
 	ad->tune = *tn;
 }
 
+/* Notes the pace of the machine; see the header. */
+void eb_admit_pace(struct eb_admit *ad, uint16_t pace_percent)
+{
+	ad->pace_percent = pace_percent;
+}
+
 /* While draining, new requests are refused; those that wait still run. */
 void eb_admit_drain(struct eb_admit *ad, int draining)
 {
@@ -181,6 +193,9 @@
 		refuse(act, EB_REASON_DRAINING, 0);
 	} else if (rq->deadline_us <= now_us) {
 		refuse(act, EB_REASON_DEADLINE, 0);
+	} else if (ad->pace_percent >= PACE_SLOW_PERCENT &&
+		   rq->attempt < ATTEMPT_LAST) {
+		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
@@ -311,6 +326,7 @@
 	ld->slots = (uint16_t)ad->config.slots;
 	ld->draining = ad->draining;
 	ld->service_us = (uint32_t)ad->service_us;
+	ld->pace_percent = ad->pace_percent;
 }
 
 /* Fills in the load report within the budget of bytes; see the header. */
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -32,6 +32,7 @@
 	int64_t deadline_us; /* monotonic time of this daemon */
 	uint8_t idempotent;
 	uint8_t attempt; /* 0 for the first; later ones may wait longer */
+	uint8_t priority; /* 0 is the most urgent */
 };
 
 enum eb_admit_verdict {
@@ -52,6 +53,8 @@
 void eb_admit_free(struct eb_admit *ad);
 void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf);
 void eb_admit_tune(struct eb_admit *ad, const struct eb_admit_tuning *tn);
+/* How long work takes on the machine now; 100: as usual, 0: unknown. */
+void eb_admit_pace(struct eb_admit *ad, uint16_t pace_percent);
 void eb_admit_drain(struct eb_admit *ad, int draining);
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act);
--- a/src/eb_charts_data.c
+++ b/src/eb_charts_data.c
@@ -46,6 +46,8 @@
 	  "offered   run          -> running    start\n"
 	  "offered   wait         -> queued     none\n"
 	  "offered   refuse       -> done       refuse\n"
+	  "offered   cancel       -> done       none\n"
+	  "offered   origin_lost  -> done       none\n"
 	  "queued    run          -> running    start\n"
 	  "queued    refuse       -> done       refuse\n"
 	  "queued    cancel       -> done       leave_queue\n"
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -24,6 +24,8 @@
 #define IDLE_CONNECTION_MAX_S 15
 /* Sent bytes that stay unacknowledged for this long end the connection. */
 #define UNACKNOWLEDGED_MAX_MS 5000
+/* A probe that takes longer tells nothing of the pace now. */
+#define PROBE_TIMEOUT_MS 300
 
 /* Calls are told apart by the origin's incarnation and its number. */
 struct call_key {
@@ -58,6 +60,7 @@
 	uint8_t refused_by_upstream;
 	uint8_t foreign; /* the answer belongs to another request */
 	uint16_t status;
+	uint16_t pace_percent;
 	uint64_t body_bytes;
 	uint64_t credit_bytes;
 	struct eb_headers answer;
@@ -72,6 +75,9 @@
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	apr_hash_t *transfers;
+	CURL *probe; /* asks for the upstream's pace */
+	uint16_t probe_pace;
+	uint8_t probing;
 	CURL *spare[SPARE_HANDLES_MAX];
 	uint32_t spares;
 	int stopping;
@@ -104,6 +110,7 @@
 	f->reply->outcome = (uint8_t)outcome;
 	f->reply->reason = (uint8_t)reason;
 	f->reply->status = tf->status;
+	f->reply->load.pace_percent = tf->pace_percent;
 	return f;
 }
 
@@ -241,6 +248,8 @@
 		tf->refused_by_upstream = 1;
 	if (dl->not_run && !strcasecmp(line, dl->not_run))
 		tf->refused_by_upstream = 1;
+	if (dl->load && !strcasecmp(line, dl->load))
+		tf->pace_percent = dl->read_pace(value);
 	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
 }
 
@@ -538,6 +547,83 @@
 				(tf->receive_paused ? CURLPAUSE_RECV : 0));
 }
 
+/* ---- Probes of the upstream's pace ---- */
+
+static size_t read_probe_header(char *buf, size_t size, size_t items,
+				void *data)
+{
+	struct eb_client *cl = data;
+	const struct eb_dialect *dl = cl->config.dialect;
+	size_t n = size * items, name = strlen(dl->load);
+	char value[64];
+	size_t i, len;
+
+	if (n <= name || strncasecmp(buf, dl->load, name) != 0 ||
+	    buf[name] != ':')
+		return n;
+	i = name + 1;
+	while (i < n && buf[i] == ' ')
+		i++;
+	len = n - i < sizeof(value) ? n - i : sizeof(value) - 1;
+	memcpy(value, buf + i, len);
+	value[len] = 0;
+	value[strcspn(value, "\r\n")] = 0;
+	cl->probe_pace = dl->read_pace(value);
+	return n;
+}
+
+static size_t drop_body(char *buf, size_t size, size_t items, void *data)
+{
+	(void)buf;
+	(void)data;
+	return size * items;
+}
+
+/* Asks the upstream; the frame names its address, a space and the path. */
+static void start_probe(struct eb_client *cl, struct eb_frame *f)
+{
+	char url[256];
+	const char *where = f->object;
+	size_t n = strcspn(where, " ");
+
+	if (cl->probing || !cl->config.dialect->load || !where[n])
+		return;
+	if (!cl->probe)
+		cl->probe = curl_easy_init();
+	if (!cl->probe)
+		return;
+	snprintf(url, sizeof(url), "http://%.*s%s", (int)n, where,
+		 where + n + 1);
+	curl_easy_setopt(cl->probe, CURLOPT_URL, url);
+	curl_easy_setopt(cl->probe, CURLOPT_PROXY, "");
+	curl_easy_setopt(cl->probe, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(cl->probe, CURLOPT_TIMEOUT_MS, (long)PROBE_TIMEOUT_MS);
+	curl_easy_setopt(cl->probe, CURLOPT_HEADERFUNCTION, read_probe_header);
+	curl_easy_setopt(cl->probe, CURLOPT_HEADERDATA, cl);
+	curl_easy_setopt(cl->probe, CURLOPT_WRITEFUNCTION, drop_body);
+	curl_easy_setopt(cl->probe, CURLOPT_PRIVATE, NULL);
+	cl->probe_pace = 0;
+	cl->probing = 1;
+	eb_metrics_add(cl->config.metrics, EB_METRIC_PROBES, 1);
+	curl_multi_add_handle(cl->multi, cl->probe);
+}
+
+static void finish_probe(struct eb_client *cl, CURLcode rc)
+{
+	struct eb_frame *f = eb_frame_new(EB_FRAME_PROBE, 0);
+	long status = 0;
+
+	curl_easy_getinfo(cl->probe, CURLINFO_RESPONSE_CODE, &status);
+	curl_multi_remove_handle(cl->multi, cl->probe);
+	cl->probing = 0;
+	if (!f)
+		return;
+	f->reply->status = rc ? 0 : (uint16_t)status;
+	f->reply->load.pace_percent = cl->probe_pace;
+	if (eb_ring_push(cl->config.out, f))
+		eb_frame_unref(f);
+}
+
 static void handle_frame(struct eb_client *cl, struct eb_frame *f)
 {
 	struct call_key key = { f->sender, f->call };
@@ -547,6 +633,11 @@
 		start(cl, f);
 		return;
 	}
+	if (f->type == EB_FRAME_PROBE) {
+		start_probe(cl, f);
+		eb_frame_unref(f);
+		return;
+	}
 	tf = apr_hash_get(cl->transfers, &key, sizeof(key));
 	if (!tf) {
 		eb_metrics_add(cl->config.metrics, EB_METRIC_LATE_FRAMES, 1);
@@ -636,6 +727,10 @@
 	while ((msg = curl_multi_info_read(cl->multi, &left))) {
 		if (msg->msg != CURLMSG_DONE)
 			continue;
+		if (msg->easy_handle == cl->probe) {
+			finish_probe(cl, msg->data.result);
+			continue;
+		}
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tf);
 		finish(tf, msg->data.result);
 	}
@@ -747,6 +842,9 @@
 		curl_multi_remove_handle(cl->multi, tf->easy);
 		free_transfer(tf);
 	}
+	if (cl->probing)
+		curl_multi_remove_handle(cl->multi, cl->probe);
+	curl_easy_cleanup(cl->probe);
 	while (cl->spares)
 		curl_easy_cleanup(cl->spare[--cl->spares]);
 	curl_multi_cleanup(cl->multi);
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -12,7 +12,7 @@
 
 struct kind_info {
 	size_t bytes;
-	size_t texts[9]; /* offsets of owned strings; ends with 0 */
+	size_t texts[10]; /* offsets of owned strings; ends with 0 */
 };
 
 static const struct kind_info kinds[EB_ITEM_KINDS] = {
@@ -23,7 +23,8 @@
 			      { offsetof(struct eb_service, name),
 				offsetof(struct eb_service, host),
 				offsetof(struct eb_service, path_prefix),
-				offsetof(struct eb_service, rule_name) } },
+				offsetof(struct eb_service, rule_name),
+				offsetof(struct eb_service, probe_path) } },
 	[EB_ITEM_UPSTREAM] = { sizeof(struct eb_upstream),
 			       { offsetof(struct eb_upstream, name),
 				 offsetof(struct eb_upstream, service_name),
@@ -31,6 +32,7 @@
 				 offsetof(struct eb_upstream, daemon),
 				 offsetof(struct eb_upstream, region),
 				 offsetof(struct eb_upstream, instance),
+				 offsetof(struct eb_upstream, probe_path),
 				 offsetof(struct eb_upstream,
 					  failure_domain) } },
 };
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -43,6 +43,7 @@
 	char *host;	   /* NULL: any */
 	char *path_prefix; /* NULL: any */
 	char *rule_name;   /* NULL: defaults */
+	char *probe_path;  /* of its upstreams, or NULL */
 	uint32_t deadline_ms;
 	uint32_t rule; /* index into rules, or EB_NONE */
 };
@@ -57,6 +58,7 @@
 	char *failure_domain;
 	char key[41]; /* CURVE public key of the daemon, Z85; or "" */
 	char *instance; /* identity of this start of it, or NULL */
+	char *probe_path; /* that tells its load at once, or NULL */
 	uint32_t slots;
 	uint32_t connections;
 	uint32_t cold_ms; /* how much longer it is slow after its start */
--- a/src/eb_frame.c
+++ b/src/eb_frame.c
@@ -14,6 +14,7 @@
 	[EB_FRAME_GOSSIP] = "gossip",	[EB_FRAME_CLAIM] = "claim",
 	[EB_FRAME_CONFIG] = "config",	[EB_FRAME_VMS] = "vms",
 	[EB_FRAME_QUERY] = "query",	[EB_FRAME_REPORT] = "report",
+	[EB_FRAME_PROBE] = "probe",
 };
 
 static const char *const outcome_names[] = { "unknown", "ran", "not-run" };
@@ -55,7 +56,7 @@
 		f->head = calloc(1, sizeof(*f->head));
 	else if (type == EB_FRAME_RHEAD || type == EB_FRAME_REND ||
 		 type == EB_FRAME_REFUSE || type == EB_FRAME_ABORT ||
-		 type == EB_FRAME_HELLO)
+		 type == EB_FRAME_HELLO || type == EB_FRAME_PROBE)
 		f->reply = calloc(1, sizeof(*f->reply));
 	else
 		return f;
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -26,7 +26,8 @@
 	EB_FRAME_VMS,	   /* within a daemon: the list of VMs */
 	EB_FRAME_QUERY,	   /* within a daemon: a query of the admin port */
 	EB_FRAME_REPORT,   /* within a daemon: what the source has brought */
-	EB_FRAME_TYPE_MAX = EB_FRAME_REPORT,
+	EB_FRAME_PROBE,	   /* within a daemon: asks the upstream for its pace */
+	EB_FRAME_TYPE_MAX = EB_FRAME_PROBE,
 };
 
 /* What is known of a request when its call ends. */
@@ -72,6 +73,8 @@
 	uint16_t slots;
 	uint16_t draining;
 	uint32_t service_us; /* smoothed time of one request in a slot */
+	/* How long work takes on its machine now; 100: as usual, 0: unknown. */
+	uint16_t pace_percent;
 };
 
 struct eb_trace_id {
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -3,6 +3,7 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <assert.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -66,6 +67,7 @@
 	uint8_t local;
 	uint8_t streamed;  /* has a body that follows HEAD */
 	uint8_t body_done; /* the deadline counts from here on */
+	uint8_t held;	   /* waits for a probe before admission */
 	uint8_t outcome;
 	uint8_t reason;
 	uint16_t status;
@@ -87,8 +89,10 @@
 	struct eb_admit *admit;
 	char *address; /* of the upstream; NULL: not configured */
 	char *service;
-	uint32_t slots;
-	uint32_t queue;
+	char *probe; /* address and path to ask for the pace, or NULL */
+	int64_t pace_us;  /* when the pace was told; 0: never */
+	int64_t probe_us; /* when a probe was sent; 0: none is out */
+	uint32_t held;	  /* calls that wait for a probe */
 	int draining;
 	int leaving; /* the upstream, while this daemon stays */
 	uint64_t release_index;
@@ -140,6 +144,7 @@
 	apr_hash_set(gt->calls, &ca->key, sizeof(ca->key), NULL);
 	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
 	ca->origin->calls--;
+	gt->held -= ca->held;
 	eb_frame_unref(ca->head);
 	free(ca);
 	eb_metrics_add(gt->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
@@ -170,6 +175,7 @@
 	eb_admit_free(gt->admit);
 	free(gt->address);
 	free(gt->service);
+	free(gt->probe);
 	free(gt);
 }
 
@@ -181,6 +187,11 @@
 
 	free(gt->address);
 	free(gt->service);
+	free(gt->probe);
+	gt->probe = NULL;
+	if (up && up->probe_path &&
+	    asprintf(&gt->probe, "%s %s", up->address, up->probe_path) < 0)
+		gt->probe = NULL;
 	gt->address = up ? strdup(up->address) : NULL;
 	gt->service = up ? strdup(up->service_name) : NULL;
 	if (up) {
@@ -478,17 +489,102 @@
 	}
 }
 
+/* Lets admission decide on a call that has arrived. */
+static void admit(struct eb_gate *gt, struct call *ca, int64_t now_us)
+{
+	static const enum event events[] = {
+		[EB_ADMIT_RUN] = EVENT_RUN,
+		[EB_ADMIT_WAIT] = EVENT_WAIT,
+		[EB_ADMIT_REFUSE] = EVENT_REFUSE,
+	};
+	struct eb_admit_request rq = { 0 };
+
+	rq.id = ca->id;
+	rq.caller = ca->head->head->caller;
+	rq.deadline_us = ca->deadline_us;
+	rq.idempotent = ca->head->head->idempotent;
+	rq.attempt = ca->head->head->attempt;
+	rq.priority = ca->head->head->priority;
+	eb_admit_offer(gt->admit, &rq, now_us, &ca->verdict);
+	if (ca->verdict.verdict == EB_ADMIT_WAIT)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_QUEUED, 1);
+	step(gt, ca, events[ca->verdict.verdict], NULL, now_us);
+}
+
+/* Admits the calls that have waited for a probe. */
+static void release_held(struct eb_gate *gt, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, gt->calls); hi && gt->held;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (!ca->held)
+			continue;
+		ca->held = 0;
+		gt->held--;
+		admit(gt, ca, now_us);
+	}
+}
+
+/*
+ * Tells whether a call should wait for a probe: its machine's pace changes
+ * many times a second, and what is known of it is too old.
+ */
+static int wants_probe(const struct eb_gate *gt, int64_t now_us)
+{
+	if (!gt->probe || gt->draining || gt->leaving)
+		return 0;
+	if (gt->pace_us && now_us - gt->pace_us < EB_PACE_FRESH_US)
+		return 0;
+	return !gt->probe_us || now_us - gt->probe_us < EB_PACE_WAIT_US;
+}
+
+static void send_probe(struct eb_gate *gt, int64_t now_us)
+{
+	struct eb_frame *f;
+
+	if (gt->probe_us)
+		return;
+	f = eb_frame_new(EB_FRAME_PROBE, 0);
+	if (!f)
+		return;
+	f->object = strdup(gt->probe);
+	f->object_free = free;
+	gt->probe_us = now_us;
+	gt->out.to_client(gt->out.ctx, f);
+}
+
+/* Notes the pace that an answer of the upstream told. */
+static void note_pace(struct eb_gate *gt, const struct eb_reply *r,
+		      int64_t now_us)
+{
+	if (!r || !r->load.pace_percent)
+		return;
+	gt->pace_us = now_us;
+	eb_admit_pace(gt->admit, r->load.pace_percent);
+}
+
 /* Carries out what admission decides by time; see the header. */
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us)
 {
+	if (gt->held && now_us - gt->probe_us >= EB_PACE_WAIT_US)
+		release_held(gt, now_us);
 	run_admission(gt, now_us);
 }
 
 /* Returns when admission needs its next turn; see the header. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us)
 {
+	int64_t wake_us = eb_admit_wake_us(gt->admit);
+
 	(void)now_us;
-	return eb_admit_wake_us(gt->admit);
+	if (gt->held && gt->probe_us + EB_PACE_WAIT_US < wake_us)
+		wake_us = gt->probe_us + EB_PACE_WAIT_US;
+	return wake_us;
 }
 
 /* ---- Frames ---- */
@@ -582,28 +678,19 @@
 		  const struct eb_back_route *back, struct origin *og,
 		  int64_t now_us)
 {
-	static const enum event events[] = {
-		[EB_ADMIT_RUN] = EVENT_RUN,
-		[EB_ADMIT_WAIT] = EVENT_WAIT,
-		[EB_ADMIT_REFUSE] = EVENT_REFUSE,
-	};
 	enum eb_reason reason = check_head(gt, f);
-	struct eb_admit_request rq = { 0 };
 	struct call *ca;
 
 	if (reason == EB_REASON_NONE) {
 		ca = new_call(gt, f, back, og, now_us);
 		if (ca) {
-			rq.id = ca->id;
-			rq.caller = f->head->caller;
-			rq.deadline_us = ca->deadline_us;
-			rq.idempotent = f->head->idempotent;
-			rq.attempt = f->head->attempt;
-			eb_admit_offer(gt->admit, &rq, now_us, &ca->verdict);
-			if (ca->verdict.verdict == EB_ADMIT_WAIT)
-				eb_metrics_add(gt->config.metrics,
-					       EB_METRIC_GATE_QUEUED, 1);
-			step(gt, ca, events[ca->verdict.verdict], NULL, now_us);
+			if (wants_probe(gt, now_us)) {
+				ca->held = 1;
+				gt->held++;
+				send_probe(gt, now_us);
+			} else {
+				admit(gt, ca, now_us);
+			}
 			return;
 		}
 		reason = EB_REASON_INTERNAL;
@@ -683,6 +770,13 @@
 	struct key key = { f->target, f->call };
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
+	note_pace(gt, f->reply, now_us);
+	if (f->type == EB_FRAME_PROBE) {
+		gt->probe_us = 0;
+		eb_frame_unref(f);
+		release_held(gt, now_us);
+		return;
+	}
 	if (!ca) {
 		do_drop(gt, NULL, f, now_us);
 		return;
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -44,6 +44,7 @@
 	X(FRAMES_OUT, "frames_out_total", "Frames sent to peers")            \
 	X(BYTES_IN, "peer_bytes_in_total", "Bytes received from peers")      \
 	X(BYTES_OUT, "peer_bytes_out_total", "Bytes sent to peers")          \
+	X(PROBES, "probes_total", "Probes of the upstream's pace")           \
 	X(WATCH_BYTES, "watch_bytes_total",                                  \
 	  "Bytes spent on watching the load of upstreams")                   \
 	X(CONTROL_BYTES, "control_bytes_total",                              \
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -487,6 +487,8 @@
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
+	q.handed_back =
+		ca->attempts && ca->reason == EB_REASON_HANDED_BACK;
 	while (ca->tried_count < EB_TRIED_MAX) {
 		q.tried_count = ca->tried_count;
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -43,6 +43,7 @@
 /* Other regions that are full as well are left alone for this long. */
 #define FAR_HOLD_US 250000
 #define SERVICE_FIRST_US 1000
+#define PACE_AGE_US 150000
 /* Keeps nine tenths of the requests within the failure domain. */
 #define LEAVE_US 3000
 #define EJECT_PERMILLE 500
@@ -67,6 +68,7 @@
 	uint32_t in_flight; /* sent from here and not answered */
 	uint32_t sent;	    /* of these, sent after the last report */
 	uint32_t service_us;
+	uint32_t pace_percent; /* of its machine at the last report */
 	uint32_t latency_us; /* smoothed, without the network */
 	uint32_t reported;   /* in flight and queued at the gate */
 	int64_t started_us;  /* sum of the send times of those in flight */
@@ -283,6 +285,22 @@
 	return sum;
 }
 
+/*
+ * Service time at the pace that the upstream's machine had; half of the
+ * difference to the usual one is gone after PACE_AGE_US.
+ */
+static int64_t paced_us(const struct upstream *up, int64_t service_us,
+			int64_t now_us)
+{
+	int64_t age_us = now_us - up->report_at_us;
+	int64_t extra = (int64_t)up->pace_percent - 100;
+
+	if (extra <= 0)
+		return service_us;
+	return service_us + service_us * extra / 100 * PACE_AGE_US /
+				    (PACE_AGE_US + age_us);
+}
+
 static int64_t score_us(const struct eb_route *rt, const struct upstream *up,
 			int64_t now_us)
 {
@@ -293,6 +311,7 @@
 	    now_us - up->report_at_us < rt->expiry_us)
 		service = up->service_us;
 
+	service = paced_us(up, service, now_us);
 	return distance_us[up->info.distance] + service +
 	       (up->info.distance >= EB_DISTANCE_REGION ? rt->tune.leave_us
 							: 0) +
@@ -312,6 +331,18 @@
 	return 1;
 }
 
+/* Tells whether an upstream at home has not been offered the request yet. */
+static int untried_near(const struct eb_route *rt,
+			const struct eb_route_query *q)
+{
+	uint32_t i;
+
+	for (i = 0; i < rt->first[EB_DISTANCE_FAR]; i++)
+		if (usable(&rt->ups[i], q))
+			return 1;
+	return 0;
+}
+
 struct best {
 	struct upstream *up;
 	int64_t score_us;
@@ -407,7 +438,7 @@
 	       rt->pressure_permille > rt->tune.full_permille &&
 	       rt->far_in_flight < rt->far_window &&
 	       now_us >= rt->far_hold_until_us;
-	if (!best.up || full)
+	if (!best.up || full || (q->handed_back && !untried_near(rt, q)))
 		sample(rt, first[EB_DISTANCE_FAR], first[TIERS],
 		       rt->tune.choices, q, now_us, &best);
 	if (!best.up)
@@ -546,6 +577,7 @@
 	up->report_at_us = now_us;
 	up->sent = 0;
 	up->service_us = ld->service_us;
+	up->pace_percent = ld->pace_percent;
 	load = up->reported * 1000 / ld->slots;
 	if (load > 2000)
 		load = 2000;
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -71,6 +71,11 @@
 /* Origins that a gate tracks. */
 #define EB_ORIGINS_MAX 8192
 
+/* What is known of the pace of a machine is good for this long. */
+#define EB_PACE_FRESH_US 25000
+/* A call waits this long for a probe of the pace. */
+#define EB_PACE_WAIT_US 6000
+
 /* A starting daemon waits this long for the first answer of a peer. */
 #define EB_START_WAIT_MS 1500
 
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -5,7 +5,7 @@
 
 #define COMMON_FIELDS 5
 #define HEAD_FIELDS 18
-#define REPLY_FIELDS 12
+#define REPLY_FIELDS 13
 /* The most fields that a frame of any type has. */
 #define FIELDS_MAX (COMMON_FIELDS + 2 + HEAD_FIELDS)
 
@@ -70,6 +70,7 @@
 	msgpack_pack_uint16(pk, r->load.slots);
 	msgpack_pack_uint16(pk, r->load.draining);
 	msgpack_pack_uint32(pk, r->load.service_us);
+	msgpack_pack_uint16(pk, r->load.pace_percent);
 	pack_bin(pk, r->headers.block, r->headers.used_bytes);
 }
 
@@ -230,6 +231,7 @@
 	r->load.slots = (uint16_t)read_uint(rd, UINT16_MAX);
 	r->load.draining = (uint16_t)read_uint(rd, 1);
 	r->load.service_us = (uint32_t)read_uint(rd, UINT32_MAX);
+	r->load.pace_percent = (uint16_t)read_uint(rd, UINT16_MAX);
 	read_headers(rd, &r->headers);
 }
 
