--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -192,7 +192,8 @@
 		return 0;
 	want = eb_headers_find(&tf->head->head->headers, name);
 	got = eb_headers_find(&tf->answer, name);
-	return want && got && strcmp(want, got) != 0;
+	/* A probe has no number, and its answer none either. */
+	return want && (!got || strcmp(want, got) != 0);
 }
 
 /*
