admit: those that can be on time go first; the others are refused at once

Change: a request carries the time left to be on time, counted from its caller's first try; the queue serves those that can make it first, then by priority; one that cannot is refused while others wait. A fifth of the slots stays free where there are five or more.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -28,6 +28,12 @@
  * pace changes within a few hundred milliseconds.
  */
 #define PACE_SLOW_PERCENT 200
+/*
+ * Many servers slow down when nearly all of their slots are in use: with one
+ * fifth left free, more is served, and sooner. Few slots are all used.
+ */
+#define SLOTS_USED_PERMILLE 800
+#define SLOTS_KNEE_MIN 5
 /* From this attempt on a request is not handed back. */
 #define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
 /* Unused budget of load reports is kept for a tenth of a second. */
@@ -86,6 +92,8 @@
 void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf)
 {
 	ad->config = *cf;
+	if (cf->slots >= SLOTS_KNEE_MIN)
+		ad->config.slots = cf->slots * SLOTS_USED_PERMILLE / 1000;
 }
 
 /* Replaces the constants of the policy. */
@@ -143,12 +151,45 @@
 	act->verdict = EB_ADMIT_RUN;
 }
 
-/* Expected wait of a request at the end of the queue. */
-static int64_t expected_wait_us(const struct eb_admit *ad)
+/* Whether an answer can still be on time if the request ran now. */
+static int is_late(const struct eb_admit *ad,
+		   const struct eb_admit_request *rq, int64_t now_us)
+{
+	return rq->goal_us && now_us + ad->service_us > rq->goal_us;
+}
+
+/*
+ * Whether a request goes before another: those that can be on time before
+ * those that can't, the urgent ones first, then in the order of arrival.
+ */
+static int goes_before(const struct eb_admit *ad,
+		       const struct eb_admit_request *a,
+		       const struct eb_admit_request *b, int64_t now_us)
+{
+	int late_a = is_late(ad, a, now_us), late_b = is_late(ad, b, now_us);
+
+	if (late_a != late_b)
+		return late_b;
+	return a->priority < b->priority;
+}
+
+/* How many of those that wait would run before a request. */
+static uint32_t count_ahead(const struct eb_admit *ad,
+			    const struct eb_admit_request *rq, int64_t now_us)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < ad->queued; i++)
+		n += !goes_before(ad, rq, &ad->queue[i].rq, now_us);
+	return n;
+}
+
+/* Expected wait of a request with so many others ahead of it. */
+static int64_t expected_wait_us(const struct eb_admit *ad, uint32_t ahead)
 {
 	uint32_t slots = ad->config.slots;
 
-	return ad->service_us * (ad->queued + 1) / (slots ? slots : 1);
+	return ad->service_us * (ahead + 1) / (slots ? slots : 1);
 }
 
 static int append(struct eb_admit *ad, const struct eb_admit_request *rq,
@@ -169,14 +210,23 @@
 	return 0;
 }
 
+/*
+ * Whether a request may wait: elsewhere it might run at once, unless this is
+ * its last attempt. One that would come late, or not be served at all, is
+ * refused now, so that its caller can come back.
+ */
 static int may_wait(const struct eb_admit *ad,
-		    const struct eb_admit_request *rq, int64_t wait_us,
-		    int64_t now_us)
+		    const struct eb_admit_request *rq, int64_t now_us)
 {
+	uint32_t ahead = count_ahead(ad, rq, now_us);
+	int64_t wait_us = expected_wait_us(ad, ahead);
+
 	if (ad->queued >= ad->config.queue ||
 	    now_us + wait_us > rq->deadline_us)
 		return 0;
-	return rq->attempt >= ATTEMPT_LAST || !ad->queued ||
+	if (rq->goal_us && now_us + wait_us + ad->service_us > rq->goal_us)
+		return 0;
+	return rq->attempt >= ATTEMPT_LAST || !ahead ||
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
 }
 
@@ -185,7 +235,7 @@
 		    int64_t now_us, struct eb_admit_action *act)
 {
 	uint32_t slots = ad->config.slots;
-	int64_t wait_us = expected_wait_us(ad);
+	int64_t wait_us = expected_wait_us(ad, ad->queued);
 
 	memset(act, 0, sizeof(*act));
 	act->id = rq->id;
@@ -201,7 +251,7 @@
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (ad->in_flight < slots && !ad->queued) {
 		run(ad, now_us, act);
-	} else if (!may_wait(ad, rq, wait_us, now_us) ||
+	} else if (!may_wait(ad, rq, now_us) ||
 		   append(ad, rq, now_us)) {
 		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	} else {
@@ -268,44 +318,79 @@
 	return 0;
 }
 
+/* Returns the place of the request that is to run first. */
+static uint32_t first_to_run(const struct eb_admit *ad, int64_t now_us)
+{
+	uint32_t i, best = 0;
+
+	for (i = 1; i < ad->queued; i++)
+		if (goes_before(ad, &ad->queue[i].rq, &ad->queue[best].rq,
+				now_us))
+			best = i;
+	return best;
+}
+
+/* Refuses a waiting request that has to go; returns 0 when it may stay. */
+static int turn_away(const struct eb_admit *ad, const struct waiter *w,
+		     int hand_back, int64_t now_us,
+		     struct eb_admit_action *act)
+{
+	int64_t wait_us = expected_wait_us(ad, ad->queued);
+
+	if (w->rq.deadline_us <= now_us)
+		refuse(act, EB_REASON_DEADLINE, 0);
+	else if (is_late(ad, &w->rq, now_us) && ad->queued > 1)
+		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
+	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
+		refuse(act, EB_REASON_HANDED_BACK, wait_us);
+	else
+		return 0;
+	return 1;
+}
+
 /* Gives the next decision on the waiting requests; see the header. */
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act)
 {
-	uint32_t i, slots = ad->config.slots;
-	int hand_back = stalled(ad, now_us) && ad->in_flight >= slots;
-	const struct waiter *w;
+	int free_slot = ad->in_flight < ad->config.slots;
+	int hand_back = stalled(ad, now_us) && !free_slot;
+	uint32_t i, n = ad->queued;
 
 	memset(act, 0, sizeof(*act));
-	for (i = 0; i < ad->queued; i++) {
-		w = &ad->queue[i];
-		if (w->rq.deadline_us <= now_us)
+	if (n && free_slot) {
+		i = first_to_run(ad, now_us);
+		if (ad->queue[i].rq.deadline_us <= now_us)
 			refuse(act, EB_REASON_DEADLINE, 0);
-		else if (ad->in_flight < slots)
-			run(ad, now_us, act);
-		else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
-			refuse(act, EB_REASON_HANDED_BACK,
-			       expected_wait_us(ad));
 		else
-			continue;
-		act->id = w->rq.id;
-		act->waited_us = now_us - w->since_us;
-		remove_waiter(ad, i);
-		return 1;
+			run(ad, now_us, act);
+	} else {
+		for (i = 0; i < n; i++)
+			if (turn_away(ad, &ad->queue[i], hand_back, now_us,
+				      act))
+				break;
+		if (i == n)
+			return 0;
 	}
-	return 0;
+	act->id = ad->queue[i].rq.id;
+	act->waited_us = now_us - ad->queue[i].since_us;
+	remove_waiter(ad, i);
+	return 1;
 }
 
 /* Tells when the next waiting request expires, runs or is handed back. */
 int64_t eb_admit_wake_us(const struct eb_admit *ad)
 {
-	int64_t wake_us = INT64_MAX, left_us, stall_us;
+	int64_t wake_us = INT64_MAX, left_us, stall_us, late_us;
 	int early = 0;
 	uint32_t i;
 
 	for (i = 0; i < ad->queued; i++) {
 		if (ad->queue[i].rq.deadline_us < wake_us)
 			wake_us = ad->queue[i].rq.deadline_us;
+		late_us = ad->queue[i].rq.goal_us - ad->service_us + 1;
+		if (ad->queue[i].rq.goal_us && ad->queued > 1 &&
+		    late_us < wake_us)
+			wake_us = late_us;
 		early |= ad->queue[i].rq.attempt < ATTEMPT_LAST;
 	}
 	if (!early || !ad->in_flight || !ad->service_us ||
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -95,6 +95,7 @@
 	uint64_t caller;     /* hash of the caller's address */
 	uint64_t body_bytes; /* for EB_BODY_INLINE and EB_BODY_LENGTH */
 	int64_t remaining_us;
+	int64_t goal_us; /* time left to be on time; INT64_MAX: no goal */
 	uint8_t hops;
 	uint8_t body_kind;
 	uint8_t attempt; /* 0 for the first */
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -73,6 +73,7 @@
 	uint16_t status;
 	int64_t budget_us;
 	int64_t deadline_us;
+	int64_t goal_us; /* until then an answer is on time; 0: no goal */
 	int64_t arrived_us;
 	int64_t started_us; /* 0: has no slot */
 	int64_t arrived_wall_us;
@@ -502,6 +503,7 @@
 	rq.id = ca->id;
 	rq.caller = ca->head->head->caller;
 	rq.deadline_us = ca->deadline_us;
+	rq.goal_us = ca->goal_us;
 	rq.idempotent = ca->head->head->idempotent;
 	rq.attempt = ca->head->head->attempt;
 	rq.priority = ca->head->head->priority;
@@ -663,6 +665,8 @@
 	ca->body_done = !ca->streamed;
 	ca->budget_us = f->head->remaining_us;
 	ca->deadline_us = now_us + f->head->remaining_us;
+	if (f->head->goal_us && f->head->goal_us != INT64_MAX)
+		ca->goal_us = now_us + f->head->goal_us;
 	ca->arrived_us = now_us;
 	ca->arrived_wall_us = eb_clock_wall_us();
 	ca->parent = f->head->trace;
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -2,6 +2,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
+#include <apr_strings.h>
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
@@ -95,6 +96,7 @@
 	uint8_t hops;
 	int64_t budget_us;
 	int64_t deadline_us;
+	int64_t goal_us; /* until then an answer is on time; 0: no goal */
 	int64_t started_us;
 	int64_t attempt_us;
 	int64_t started_wall_us;
@@ -111,6 +113,7 @@
 	apr_pool_t *pool;
 	apr_hash_t *by_front;  /* number given by the front -> call */
 	apr_hash_t *by_number; /* number of an attempt -> call */
+	apr_hash_t *longest;   /* match -> longest deadline seen, us */
 	uint64_t next_number;
 	uint32_t parked;
 	uint32_t share_point; /* where the next request falls in a split */
@@ -149,6 +152,7 @@
 	}
 	og->by_front = apr_hash_make(og->pool);
 	og->by_number = apr_hash_make(og->pool);
+	og->longest = apr_hash_make(og->pool);
 	return og;
 }
 
@@ -428,6 +432,7 @@
 	f->head->attempt = eb_retry_mark(&ca->service->retry, ca->attempts);
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
+	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
 	f->head->hops = ca->hops;
 	f->head->trace = ca->parent;
 	eb_trace_new_span(&og->rand, ca->attempt_span);
@@ -802,6 +807,31 @@
 	ca->body_done = 1;
 }
 
+/*
+ * Sets until when an answer is on time. That counts from the caller's first
+ * try; the time that its deadline has lost since then is known from the
+ * longest deadline of requests on this match.
+ */
+static void set_goal(struct eb_origin *og, struct call *ca,
+		     const struct eb_match *pt, int64_t sent_us)
+{
+	int64_t *longest, spent_us = 0;
+
+	if (!pt->objective_ms)
+		return;
+	longest = apr_hash_get(og->longest, pt->name, APR_HASH_KEY_STRING);
+	if (!longest && apr_hash_count(og->longest) < EB_MATCHES_KNOWN_MAX) {
+		longest = apr_pcalloc(og->pool, sizeof(*longest));
+		apr_hash_set(og->longest, apr_pstrdup(og->pool, pt->name),
+			     APR_HASH_KEY_STRING, longest);
+	}
+	if (longest && sent_us > *longest)
+		*longest = sent_us;
+	if (longest && sent_us > 0)
+		spent_us = *longest - sent_us;
+	ca->goal_us = ca->started_us + pt->objective_ms * 1000LL - spent_us;
+}
+
 static void fill_call(struct eb_origin *og, struct call *ca,
 		      const struct eb_match *pt, int64_t now_us)
 {
@@ -829,6 +859,8 @@
 		apply_match(ca, pt);
 	ca->started_us = now_us;
 	ca->deadline_us = now_us + ca->budget_us;
+	if (pt)
+		set_goal(og, ca, pt, h->remaining_us);
 	ca->started_wall_us = eb_clock_wall_us();
 	ca->parent = h->trace;
 	eb_trace_new_span(&og->rand, ca->call_span);
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -17,6 +17,9 @@
 /* Names in release notes, with the closing NUL. */
 #define EB_NAME_SPACE_BYTES 64
 
+/* Matches whose callers' deadlines are remembered. */
+#define EB_MATCHES_KNOWN_MAX 4096
+
 /* Calls a daemon holds at once, as origin and as gate together. */
 #define EB_CALLS_MAX 4096
 /*
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define COMMON_FIELDS 5
-#define HEAD_FIELDS 18
+#define HEAD_FIELDS 19
 #define REPLY_FIELDS 13
 /* The most fields that a frame of any type has. */
 #define FIELDS_MAX (COMMON_FIELDS + 2 + HEAD_FIELDS)
@@ -47,6 +47,7 @@
 	msgpack_pack_uint64(pk, h->caller);
 	msgpack_pack_uint64(pk, h->body_bytes);
 	msgpack_pack_int64(pk, h->remaining_us);
+	msgpack_pack_int64(pk, h->goal_us);
 	msgpack_pack_uint8(pk, h->hops);
 	msgpack_pack_uint8(pk, h->body_kind);
 	msgpack_pack_uint8(pk, h->attempt);
@@ -206,6 +207,7 @@
 	h->caller = read_uint(rd, UINT64_MAX);
 	h->body_bytes = read_uint(rd, UINT64_MAX);
 	h->remaining_us = read_int(rd);
+	h->goal_us = read_int(rd);
 	h->hops = (uint8_t)read_uint(rd, UINT8_MAX);
 	h->body_kind = (uint8_t)read_uint(rd, EB_BODY_CHUNKED);
 	h->attempt = (uint8_t)read_uint(rd, UINT8_MAX);
