--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -289,13 +289,13 @@
  * Service time at the pace that the upstream's machine had; half of the
  * difference to the usual one is gone after PACE_AGE_US.
  */
-static int64_t paced_us(const struct upstream *up, int64_t service_us,
-			int64_t now_us)
+static int64_t paced_us(const struct eb_route *rt, const struct upstream *up,
+			int64_t service_us, int64_t now_us)
 {
 	int64_t age_us = now_us - up->report_at_us;
 	int64_t extra = (int64_t)up->pace_percent - 100;
 
-	if (extra <= 0)
+	if (extra <= 0 || age_us > rt->expiry_us)
 		return service_us;
 	return service_us + service_us * extra / 100 * PACE_AGE_US /
 				    (PACE_AGE_US + age_us);
@@ -311,7 +311,7 @@
 	    now_us - up->report_at_us < rt->expiry_us)
 		service = up->service_us;
 
-	service = paced_us(up, service, now_us);
+	service = paced_us(rt, up, service, now_us);
 	return distance_us[up->info.distance] + service +
 	       (up->info.distance >= EB_DISTANCE_REGION ? rt->tune.leave_us
 							: 0) +
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -240,4 +240,157 @@
 	}
 }
 
+/* Guards against servers that slow down because nearly all slots are used. */
+TEST(Admit, AFifthOfManySlotsStaysFree)
+{
+	const struct {
+		uint32_t slots;
+		uint16_t used;
+	} cases[] = { { 1, 1 }, { 4, 4 }, { 5, 4 }, { 6, 4 }, { 9, 7 },
+		      { 10, 8 } };
+
+	for (const auto &c : cases) {
+		gate g(c.slots);
+		eb_load ld;
+
+		for (uint64_t i = 0; i < 20; i++)
+			g.offer(i, 3);
+		eb_admit_load(g.ad, &ld);
+		EXPECT_EQ(c.used, ld.in_flight) << c.slots;
+	}
+}
+
+/* Guards against work on a machine that is slow now while others are not. */
+TEST(Admit, ASlowMachineHandsBackUntilTheLastAttempt)
+{
+	const struct {
+		uint16_t pace_percent;
+		uint8_t attempt;
+		eb_admit_verdict verdict;
+	} cases[] = {
+		{ 0, 0, EB_ADMIT_RUN },	     { 100, 0, EB_ADMIT_RUN },
+		{ 150, 0, EB_ADMIT_RUN },    { 400, 0, EB_ADMIT_REFUSE },
+		{ 400, 2, EB_ADMIT_REFUSE }, { 400, 3, EB_ADMIT_RUN },
+	};
+
+	for (const auto &c : cases) {
+		gate g(4);
+		eb_admit_action act;
+
+		eb_admit_pace(g.ad, c.pace_percent);
+		act = g.offer(1, c.attempt);
+		EXPECT_EQ(c.verdict, act.verdict)
+			<< c.pace_percent << " attempt " << (int)c.attempt;
+		if (c.verdict == EB_ADMIT_REFUSE) {
+			EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+		}
+	}
+}
+
+/*
+ * A burst: `rate` times the capacity of four slots, in which every fourth
+ * request is urgent. Each may wait here and has a goal of three service times.
+ */
+struct burst {
+	eb_admit *ad;
+	int64_t service_us = 100000, goal_us = 300000, now = 0;
+	std::vector<int64_t> busy_until;
+	std::vector<int64_t> goal, started;
+	std::vector<uint8_t> urgent;
+
+	explicit burst(double rate)
+	{
+		eb_admit_config cf = { 4, 64, 0 };
+		int64_t gap_us = (int64_t)((double)service_us / 4 / rate);
+
+		ad = eb_admit_new(&cf);
+		for (int64_t end = 20 * service_us; now < end; now += 1000) {
+			finish();
+			if (now / gap_us != (now - 1000) / gap_us)
+				arrive();
+			next();
+		}
+		for (int64_t end = now + 10 * service_us; now < end;
+		     now += 1000) {
+			finish();
+			next();
+		}
+	}
+	~burst()
+	{
+		eb_admit_free(ad);
+	}
+	void arrive()
+	{
+		eb_admit_request rq = {};
+		eb_admit_action act;
+
+		rq.id = goal.size();
+		urgent.push_back(rq.id % 4 == 0);
+		goal.push_back(now + goal_us);
+		started.push_back(-1);
+		rq.attempt = 3;
+		rq.priority = urgent.back() ? 1 : 2;
+		rq.goal_us = goal.back();
+		rq.deadline_us = now + 2000000;
+		eb_admit_offer(ad, &rq, now, &act);
+		if (act.verdict == EB_ADMIT_RUN)
+			start(act.id);
+	}
+	void start(uint64_t id)
+	{
+		started[id] = now;
+		busy_until.push_back(now + service_us);
+	}
+	void finish()
+	{
+		for (size_t i = 0; i < busy_until.size();) {
+			if (busy_until[i] > now) {
+				i++;
+				continue;
+			}
+			busy_until.erase(busy_until.begin() + (long)i);
+			eb_admit_done(ad, 0, service_us, now);
+		}
+	}
+	void next()
+	{
+		eb_admit_action act;
+
+		while (eb_admit_next(ad, now, &act))
+			if (act.verdict == EB_ADMIT_RUN)
+				start(act.id);
+	}
+	size_t on_time(bool only_urgent)
+	{
+		size_t n = 0;
+
+		for (size_t i = 0; i < goal.size(); i++)
+			n += started[i] >= 0 &&
+			     started[i] + service_us <= goal[i] &&
+			     (!only_urgent || urgent[i]);
+		return n;
+	}
+};
+
+/*
+ * Guards against a burst in which everyone waits and nobody is served in
+ * time: at least 95 % of what the slots can do is done on time, and the urgent
+ * requests, which fit, are all on time.
+ */
+TEST(Admit, ABurstIsServedOnTimeAsFarAsThereAreSlots)
+{
+	for (double rate : { 1.5, 2.0, 5.0 }) {
+		burst b(rate);
+		size_t urgent = 0;
+
+		for (uint8_t u : b.urgent)
+			urgent += u;
+		EXPECT_GE(b.on_time(false), 20u * 4 * 95 / 100) << rate;
+		if (rate <= 2) {
+			EXPECT_GE(b.on_time(true), urgent * 95 / 100) << rate;
+		}
+	}
+}
+
 } // namespace
--- a/tests/test_eb_config.cc
+++ b/tests/test_eb_config.cc
@@ -167,4 +167,56 @@
 	eb_config_unref(two);
 }
 
+/* Guards against requests that go to the service of another path or host. */
+TEST(Config, MatchesByHostAndLongestPrefix)
+{
+	const struct {
+		const char *name;
+		const char *host;
+		const char *prefix;
+	} matches[] = {
+		{ "short", "a.example", "/x/" },
+		{ "long", "a.example", "/x/y/" },
+		{ "other", "b.example", "/x/" },
+		{ "root", "c.example", "/" },
+	};
+	const struct {
+		const char *host;
+		const char *target;
+		const char *want; /* NULL: none */
+	} cases[] = {
+		{ "a.example", "/x/", "short" },
+		{ "a.example", "/x/1?q=/x/y/", "short" },
+		{ "a.example", "/x/y/1", "long" },
+		{ "A.Example:80", "/x/y/1", "long" },
+		{ "a.example", "/x/y", "short" },
+		{ "a.example", "/x", nullptr },
+		{ "a.example", "/xy/", nullptr },
+		{ "b.example", "/x/y/", "other" },
+		{ "c.example", "/anything", "root" },
+		{ "d.example", "/x/", nullptr },
+		{ nullptr, "/x/", nullptr },
+		{ "a.example", "/x?/y/", nullptr },
+	};
+	eb_config *cf = eb_config_new_empty();
+
+	cf->has_matches = 1;
+	cf->matches = (eb_match *)calloc(4, sizeof(*cf->matches));
+	for (const auto &m : matches) {
+		eb_match *mt = &cf->matches[cf->match_count++];
+
+		mt->name = strdup(m.name);
+		mt->host = strdup(m.host);
+		mt->prefix = strdup(m.prefix);
+	}
+	for (const auto &c : cases) {
+		const eb_match *mt =
+			eb_config_find_match(cf, c.host, c.target);
+
+		EXPECT_STREQ(c.want, mt ? mt->name : nullptr)
+			<< (c.host ? c.host : "-") << " " << c.target;
+	}
+	eb_config_unref(cf);
+}
+
 } // namespace
--- /dev/null
+++ b/tests/test_eb_feed.cc
@@ -0,0 +1,213 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "eb_feed.h"
+#include "eb_tunables.h"
+}
+
+namespace
+{
+
+const int64_t MS = 1000;
+
+struct item {
+	const char *key;
+	const char *value; /* NULL: removed */
+	uint64_t revision;
+};
+
+struct change {
+	uint64_t after;
+	uint64_t revision;
+	bool full;
+	std::vector<item> items;
+	uint32_t hold_ms;
+};
+
+enum eb_status apply(eb_feed *fd, const change &c, int64_t now_us, int *changed)
+{
+	eb_feed_change ch = {};
+	enum eb_status st;
+
+	ch.after = c.after;
+	ch.revision = c.revision;
+	ch.full = c.full;
+	ch.hold_ms = c.hold_ms;
+	for (const item &it : c.items) {
+		const char *value = it.value ? it.value : "";
+
+		EXPECT_EQ(EB_OK, eb_feed_change_add(&ch, it.key, value,
+						    (uint32_t)strlen(value),
+						    it.revision, !it.value));
+	}
+	st = eb_feed_apply(fd, &ch, now_us, changed);
+	eb_feed_change_clear(&ch);
+	return st;
+}
+
+/* Returns "key=value " for each item that counts as present. */
+std::string content(const eb_feed *fd, int64_t now_us = 0)
+{
+	const eb_feed_item *it;
+	std::string out;
+	uint32_t pos = 0;
+
+	while ((it = eb_feed_next(fd, now_us, &pos)))
+		out += std::string(it->key) + "=" +
+		       std::string((const char *)it->value, it->value_bytes) +
+		       " ";
+	return out;
+}
+
+/*
+ * Guards against a copy that goes back to an older state, misses what lies
+ * between two changes, or keeps what was removed.
+ */
+TEST(Feed, ChangesInTurn)
+{
+	const struct {
+		const char *name;
+		change ch;
+		eb_status status;
+		int changed;
+		uint64_t revision;
+		const char *content;
+	} cases[] = {
+		{ "a change that leaves a gap",
+		  { 5, 7, false, { { "a", "1", 7 } }, 0 },
+		  EB_EAGAIN, 0, 0, "" },
+		{ "all items",
+		  { 0, 10, true, { { "a", "1", 4 }, { "b", "2", 10 } }, 0 },
+		  EB_OK, 1, 10, "a=1 b=2 " },
+		{ "an older full state",
+		  { 0, 9, true, { { "a", "0", 3 } }, 0 },
+		  EB_ENOTFOUND, 0, 10, "a=1 b=2 " },
+		{ "the same revision again",
+		  { 0, 10, true, { { "a", "9", 10 } }, 0 },
+		  EB_ENOTFOUND, 0, 10, "a=1 b=2 " },
+		{ "one item changes, one is new",
+		  { 10, 12, false, { { "b", "3", 11 }, { "c", "4", 12 } }, 0 },
+		  EB_OK, 1, 12, "a=1 b=3 c=4 " },
+		{ "a change that overlaps what is known",
+		  { 9, 13, false, { { "b", "2", 10 }, { "a", "5", 13 } }, 0 },
+		  EB_OK, 1, 13, "a=5 b=3 c=4 " },
+		{ "an item is removed",
+		  { 13, 14, false, { { "b", nullptr, 14 } }, 0 },
+		  EB_OK, 1, 14, "a=5 c=4 " },
+		{ "its older value comes late",
+		  { 12, 15, false, { { "b", "3", 11 } }, 0 },
+		  EB_OK, 0, 15, "a=5 c=4 " },
+		{ "all items again, one less",
+		  { 0, 16, true, { { "c", "4", 12 } }, 0 },
+		  EB_OK, 1, 16, "c=4 " },
+		{ "nothing but a newer revision",
+		  { 16, 20, false, {}, 0 },
+		  EB_OK, 0, 20, "c=4 " },
+	};
+	eb_feed *fd = eb_feed_new();
+
+	for (const auto &c : cases) {
+		int changed = -1;
+
+		EXPECT_EQ(c.status, apply(fd, c.ch, 0, &changed)) << c.name;
+		EXPECT_EQ(c.changed, changed) << c.name;
+		EXPECT_EQ(c.revision, eb_feed_revision(fd)) << c.name;
+		EXPECT_EQ(c.content, content(fd)) << c.name;
+	}
+	eb_feed_free(fd);
+}
+
+/*
+ * Guards against upstreams that are taken as gone because their entries
+ * lapsed while the source was away, and against entries that stay for ever.
+ */
+TEST(Feed, RemovedItemsAreHeldAfterAnOutage)
+{
+	eb_feed *fd = eb_feed_new();
+	int64_t now = 1000 * MS, until = now + EB_FEED_HOLD_MS * MS;
+	int changed;
+
+	apply(fd, { 0, 5, true, { { "a", "1", 4 }, { "b", "2", 5 } }, 0 }, now,
+	      &changed);
+	apply(fd, { 0, 9, true, { { "b", "2", 5 } }, EB_FEED_HOLD_MS }, now,
+	      &changed);
+	EXPECT_EQ("a=1 b=2 ", content(fd, now));
+	EXPECT_EQ(0, eb_feed_settle(fd, until - 1));
+	EXPECT_GT(eb_feed_hold_ms(fd, until - MS), 0u);
+	EXPECT_EQ(1, eb_feed_settle(fd, until));
+	EXPECT_EQ(0, eb_feed_settle(fd, until)) << "told once";
+	EXPECT_EQ("b=2 ", content(fd, until));
+	EXPECT_EQ(nullptr, eb_feed_find(fd, "a"));
+	eb_feed_free(fd);
+}
+
+/* Guards against a peer that is told less than it lacks. */
+TEST(Feed, PeersAtAnyRevisionAreBroughtUpToDate)
+{
+	eb_feed *from = eb_feed_new();
+	int changed;
+
+	apply(from, { 0, 4, true, { { "a", "1", 3 }, { "b", "2", 4 } }, 0 }, 0,
+	      &changed);
+	apply(from, { 4, 6, false, { { "a", nullptr, 5 }, { "c", "3", 6 } }, 0 },
+	      0, &changed);
+	for (uint64_t at : { 0, 2, 4, 5 }) {
+		eb_feed *to = eb_feed_new();
+		eb_feed_change ch = {};
+		uint8_t *packed;
+		uint32_t bytes;
+
+		if (at == 5)
+			apply(to, { 0, at, true, { { "b", "2", 4 } }, 0 }, 0,
+			      &changed);
+		else if (at >= 2)
+			apply(to, { 0, at, true, { { "a", "1", 2 } }, 0 }, 0,
+			      &changed);
+		ASSERT_EQ(EB_OK, eb_feed_pack(from, at, 0, &packed, &bytes));
+		ASSERT_EQ(EB_OK, eb_feed_unpack(packed, bytes, &ch));
+		EXPECT_EQ(EB_OK, eb_feed_apply(to, &ch, 0, &changed)) << at;
+		EXPECT_EQ(6u, eb_feed_revision(to)) << at;
+		if (at < 4) {
+			EXPECT_EQ("b=2 c=3 ", content(to)) << at;
+		} else {
+			EXPECT_EQ(nullptr, eb_feed_find(to, "a")) << at;
+		}
+		eb_feed_change_clear(&ch);
+		free(packed);
+		eb_feed_free(to);
+	}
+	eb_feed_free(from);
+}
+
+/* Guards against bytes of a peer that crash a daemon or fill its memory. */
+TEST(Feed, UnpackRefusesWhatIsNoChange)
+{
+	eb_feed *fd = eb_feed_new();
+	eb_feed_change ch = {};
+	uint8_t *packed;
+	uint32_t bytes;
+	int changed;
+
+	apply(fd, { 0, 4, true, { { "a", "value", 3 } }, 0 }, 0, &changed);
+	ASSERT_EQ(EB_OK, eb_feed_pack(fd, 0, 0, &packed, &bytes));
+	for (uint32_t n = 0; n < bytes; n++) {
+		EXPECT_NE(EB_OK, eb_feed_unpack(packed, n, &ch)) << n;
+		EXPECT_EQ(0u, ch.count);
+	}
+	for (uint32_t i = 0; i < bytes; i++) {
+		packed[i] ^= 0x55;
+		eb_feed_unpack(packed, bytes, &ch);
+		eb_feed_change_clear(&ch);
+		packed[i] ^= 0x55;
+	}
+	memset(packed, 0xff, 4);
+	EXPECT_EQ(EB_EFULL, eb_feed_unpack(packed, bytes, &ch));
+	free(packed);
+	eb_feed_free(fd);
+}
+
+} // namespace
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -49,11 +49,12 @@
 		eb_metrics_free(mt);
 	}
 
-	void configure()
+	void configure(const char *probe_path = nullptr)
 	{
 		eb_upstream up = {};
 		eb_rule rule = {};
 
+		up.probe_path = (char *)probe_path;
 		up.address = strdup("127.0.0.1:1");
 		up.service_name = strdup("agenda");
 		up.slots = 1;
@@ -102,6 +103,15 @@
 			eb_gate_tick(gt, now_us);
 		} else if (w == "drain") {
 			eb_gate_drain(gt);
+		} else if (w == "probe") {
+			eb_frame *f = make("probe", 0);
+
+			f->reply->load.pace_percent = (uint16_t)atoi(what);
+			eb_gate_from_client(gt, f, now_us);
+		} else if (w == "poll") {
+			now_us += atoi(what) * MS;
+			EXPECT_GE(now_us, eb_gate_wake_us(gt, now_us));
+			eb_gate_poll(gt, now_us);
 		} else if (w == "resumed") {
 			eb_gate_resumed(gt, atoi(what));
 		} else {
@@ -205,6 +215,51 @@
 	}
 }
 
+/* An upstream that tells the pace of its machine. */
+const scenario probed[] = {
+	{ "a request waits for the pace, then runs",
+	  { "origin head 1", "probe 100" },
+	  { "client probe 0 unknown none", "client head 1" } },
+	{ "work is handed back while the machine is slow",
+	  { "origin head 1", "probe 400" },
+	  { "client probe 0 unknown none",
+	    "origin refuse 1 not-run handed-back" } },
+	{ "one probe serves all that wait",
+	  { "origin head 1", "origin head 2", "origin cancel 2", "probe 100" },
+	  { "client probe 0 unknown none", "client head 1" } },
+	{ "a probe without an answer holds nobody up",
+	  { "origin head 1", "poll 6", "origin cancel 1", "client abort 1",
+	    "origin head 2" },
+	  { "client probe 0 unknown none", "client head 1", "client cancel 1",
+	    "client head 2" } },
+	{ "a request that is cancelled while it waits is never run",
+	  { "origin head 1", "origin cancel 1", "probe 100" },
+	  { "client probe 0 unknown none" } },
+	{ "what an answer told is not asked again at once",
+	  { "origin head 1", "probe 100", "client rhead 1", "origin head 2" },
+	  { "client probe 0 unknown none", "client head 1", "origin rhead 1",
+	    "client head 2" } },
+	{ "a leaving upstream is not probed",
+	  { "drain now", "origin head 1" },
+	  { "origin refuse 1 not-run draining" } },
+};
+
+TEST_F(Gate, ProbedUpstreams)
+{
+	for (const scenario &sc : probed) {
+		SCOPED_TRACE(sc.guards);
+		TearDown();
+		mt = eb_metrics_new();
+		tr = eb_tracer_new("test", 64);
+		SetUp();
+		configure("/health");
+		out.clear();
+		for (const std::string &event : sc.events)
+			run(event);
+		EXPECT_EQ(sc.expected, out);
+	}
+}
+
 /* Guards against a request for another upstream running at this one. */
 TEST_F(Gate, RefusesOtherUpstreams)
 {
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -316,4 +316,58 @@
 	EXPECT_LE(st.out, 500u);
 }
 
+/*
+ * Guards against a machine that is slow at the moment and still gets work
+ * that a neighbour would do at once.
+ */
+TEST(Route, SlowMachinesArePassedOver)
+{
+	router r;
+	eb_load slow = { 0, 0, 6, 0, 4000, 400 }, usual = { 0, 0, 6, 0, 4000,
+							    100 };
+
+	r.add(1, EB_DISTANCE_DOMAIN);
+	r.add(2, EB_DISTANCE_DOMAIN);
+	r.set();
+	for (int i = 0; i < 20; i++) {
+		r.good(1);
+		r.good(2);
+	}
+	eb_route_load(r.rt, 1, &slow, r.now);
+	eb_route_load(r.rt, 2, &usual, r.now);
+	EXPECT_EQ(0, r.picks(100)[1]);
+	/* The pace changes soon, so it is forgotten soon. */
+	r.now += 5000000;
+	EXPECT_GT(r.picks(200)[1], 20);
+}
+
+/* Guards against hand-backs that go round at home while others are free. */
+TEST(Route, HandedBackEverywhereGoesToAnotherRegion)
+{
+	router r;
+	uint32_t tried[] = { 1, 2 }, id = 0;
+	eb_route_query q = {};
+
+	r.add(1, EB_DISTANCE_DOMAIN);
+	r.add(2, EB_DISTANCE_REGION);
+	r.add(3, EB_DISTANCE_FAR);
+	r.set();
+	for (int i = 0; i < 20; i++) {
+		r.good(1, 100000);
+		r.good(2, 100000);
+		r.good(3, 120000);
+	}
+	r.refuse(1, EB_REASON_HANDED_BACK);
+	q.remaining_us = 1000000;
+	q.handed_back = 1;
+	q.tried = tried;
+	q.tried_count = 1;
+	ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
+	EXPECT_EQ(2u, id) << "home first";
+	r.refuse(2, EB_REASON_HANDED_BACK);
+	q.tried_count = 2;
+	ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
+	EXPECT_EQ(3u, id);
+}
+
 } // namespace
