front: bytes that had to wait are read on once they may be

Cause: a request answered early, with more of its body in the input than fits, stopped its connection for good: nothing looked at the input again after the answer allowed it. it_site EarlyAnswersLeaveTheConnectionUsable hung. The same held for the ninth of pipelined requests. Change: the input is parsed again when an answer or its end unblocks it. The tests run daemons on stand-ins of the store and the upstreams (tests/site).

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,10 @@
 SITE_OBJ := $(patsubst platform/%.c,$(B)/platform/%.o,$(wildcard platform/*.c))
 STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
-TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o $(B)/tests/world.o
+TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o $(B)/tests/world.o \
+	$(B)/tests/site.o
+# The adapter without its main(), for tests.
+PF_OBJ := $(filter-out $(B)/platform/ebonypier-site.o,$(SITE_OBJ))
 TESTS := $(patsubst tests/%.cc,$(B)/tests/%,$(wildcard tests/test_*.cc) \
 	$(wildcard tests/it_*.cc))
 C_FILES := $(wildcard src/*.c src/*.h standins/*.c standins/*.h bench/*.c \
@@ -142,6 +145,11 @@
 	$(CXX) $(CXXFLAGS) -MMD -MP -o $@ $< $(LIB) -lgtest -lgtest_main \
 		-lrapidcheck $(LDLIBS)
 
+$(B)/tests/test_pf_%: tests/test_pf_%.cc $(PF_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -o $@ $< $(PF_OBJ) $(LIB) -lgtest \
+		-lgtest_main $(LDLIBS)
+
 $(B)/tests/it_%: tests/it_%.cc $(TEST_HELP) $(LIB)
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -MMD -MP -o $@ $< $(TEST_HELP) $(LIB) -lgtest \
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -93,6 +93,7 @@
 	uint8_t closing; /* after the output has been written */
 	uint8_t dead;
 	uint8_t write_wants_read; /* TLS */
+	uint8_t unblocked;	  /* bytes that had to wait may be read now */
 };
 
 struct eb_front {
@@ -597,8 +598,9 @@
 /* An early answer: the rest of the body is read and dropped. */
 static void discard_rest(struct connection *cn, struct request *rq)
 {
-	if (cn->reading != rq || rq->head)
+	if (cn->reading != rq || rq->head || rq->discard)
 		return;
+	cn->unblocked = 1;
 	rq->discard = 1;
 	rq->phase = PHASE_BODY;
 	/* A caller that waits for 100 Continue sends no body after this. */
@@ -628,6 +630,7 @@
 		if (rq->close)
 			cn->closing = 1;
 		drop_first(cn);
+		cn->unblocked = 1;
 	}
 }
 
@@ -775,9 +778,10 @@
 		if (eb_stream_buffered(cn->stream) && !cn->caller_closed)
 			read_in(cn, now_us);
 		before = cn->in_bytes;
+		cn->unblocked = 0;
 		parse(cn);
 		answer(cn);
-	} while (!cn->dead && cn->in_bytes != before);
+	} while (!cn->dead && (cn->in_bytes != before || cn->unblocked));
 	if (cn->caller_closed && !cn->dead && !cn->closing &&
 	    (!readable_bytes(cn) || cn->in_bytes == before))
 		caller_left(cn);
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -1,7 +1,6 @@
 #include "harness.h"
 
 #include <arpa/inet.h>
-#include <atomic>
 #include <curl/curl.h>
 #include <dirent.h>
 #include <fcntl.h>
@@ -513,14 +512,15 @@
 	return HttpClient().post(url, body, std::move(headers));
 }
 
-RawSocket::RawSocket(uint16_t port, int receive_buffer_bytes)
+RawSocket::RawSocket(uint16_t port, int receive_buffer_bytes,
+		     const std::string &ip)
 {
 	sockaddr_in sa = {};
 	int one = 1;
 
 	sa.sin_family = AF_INET;
 	sa.sin_port = htons(port);
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, ip.c_str(), &sa.sin_addr);
 	fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (receive_buffer_bytes)
 		setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -148,7 +148,8 @@
 class RawSocket
 {
 public:
-	RawSocket(uint16_t port, int receive_buffer_bytes = 0);
+	RawSocket(uint16_t port, int receive_buffer_bytes = 0,
+		  const std::string &ip = "127.0.0.1");
 	~RawSocket();
 	RawSocket(const RawSocket &) = delete;
 	RawSocket &operator=(const RawSocket &) = delete;
--- /dev/null
+++ b/tests/it_site.cc
@@ -0,0 +1,491 @@
+#include <gtest/gtest.h>
+
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <thread>
+
+#include "site.h"
+
+namespace
+{
+
+/*
+ * The daemons on the users' platform, over real processes: machine 0 and 1
+ * serve `near`, machine 2 and 3 serve `far`.
+ */
+struct SiteTest : testing::Test {
+	Site site{ { "near", "near", "far", "far" } };
+
+	void SetUp() override
+	{
+		site.start_all();
+	}
+	int runs(const std::string &id)
+	{
+		int n = 0;
+
+		for (auto &up : site.upstreams)
+			n += up->runs(id);
+		return n;
+	}
+	void on(const std::string &part, SiteUpstream::Run run)
+	{
+		for (auto &up : site.upstreams)
+			up->on(part, run);
+	}
+	int active()
+	{
+		int n = 0;
+
+		for (auto &up : site.upstreams)
+			n += up->active();
+		return n;
+	}
+	/* The usual answer of whichever upstream has the request. */
+	std::string answer(const SiteRequest &rq, const std::string &body)
+	{
+		return site.upstreams[0]->answer(rq, body);
+	}
+};
+
+/* Guards against a request that is changed, or lost, on its way. */
+TEST_F(SiteTest, RequestsReachTheirService)
+{
+	const struct {
+		const char *method;
+		const char *path;
+		const char *service;
+		std::string body;
+	} cases[] = {
+		{ "GET", "/near/a?q=1%2F", "near", "" },
+		{ "GET", "/far/a", "far", "" },
+		{ "POST", "/far/once/b", "far", "short" },
+		{ "POST", "/near/once/c", "near", std::string(300000, 'x') },
+		{ "DELETE", "/far/once/d", "far", "" },
+	};
+	int n = 0;
+
+	for (const auto &c : cases) {
+		std::string id = "request-" + std::to_string(n++);
+		HttpAnswer a = site.send(0, c.method, c.path, id, c.body);
+		SiteRequest seen;
+
+		ASSERT_TRUE(a.complete(200)) << c.path << a.status;
+		EXPECT_EQ(id, a.header("Ebonypier-Request-Id"));
+		EXPECT_EQ(1, runs(id));
+		for (auto &up : site.upstreams) {
+			if (!up->runs(id))
+				continue;
+			EXPECT_EQ(c.service, up->service);
+			EXPECT_EQ("stamp-" + up->id,
+				  a.header("Ebonypier-Response-Stamp"));
+			seen = up->last();
+			EXPECT_EQ(up->id,
+				  seen.header("ebonypier-expect-instance"));
+		}
+		EXPECT_EQ(c.method, seen.method);
+		EXPECT_EQ(c.path, seen.target);
+		EXPECT_EQ(id, seen.header("ebonypier-request-id"));
+		/* The service beside which the request began. */
+		EXPECT_EQ("near", seen.header("ebonypier-caller-service"));
+		EXPECT_LE(atoll(seen.header("ebonypier-deadline-ms").c_str()),
+			  5000);
+	}
+	EXPECT_TRUE(site.send(0, "GET", "/nowhere/a", "x").complete(404));
+}
+
+/* Guards against a caller that names its own service. */
+TEST_F(SiteTest, TheCallersServiceIsSetWhateverWasSent)
+{
+	RawSocket s(site.listen_port(), 0, site.ip(2));
+
+	s.send(site.head("GET", "/near/a", "liar",
+			 "Ebonypier-Caller-Service: near\r\n"
+			 "Ebonypier-Expect-Instance: i-9\r\n"));
+	EXPECT_EQ(200, raw_status(s.receive_answer()));
+	for (auto &up : site.upstreams)
+		if (up->runs("liar")) {
+			EXPECT_EQ("far", up->last().header(
+						 "ebonypier-caller-service"));
+		}
+}
+
+/* Guards against a changed state that is not in force, or goes back. */
+TEST_F(SiteTest, StatesOfTheOperatorComeIntoForce)
+{
+	site.wait_status(1, "/extra/a", 404);
+	site.publish(2, site.route("extra", "/extra/", "safe", "near"));
+	for (size_t i = 0; i < 4; i++)
+		site.wait_status(i, "/extra/a", 200);
+	site.publish(5, site.route("extra", "/extra/", "safe", "far"));
+	for (size_t i = 0; i < 4; i++)
+		wait_until("the route to move", [&] {
+			return site.send(i, "GET", "/extra/b", "moved")
+				       .body.find("i-2 ") == 0 ||
+			       site.send(i, "GET", "/extra/b", "moved")
+				       .body.find("i-3 ") == 0;
+		});
+	site.publish(9);
+	for (size_t i = 0; i < 4; i++)
+		site.wait_status(i, "/extra/a", 404);
+	/* The history is gone, and stays known. */
+	site.store->forget_history();
+	site.publish(10, site.route("extra", "/extra/", "safe", "near"));
+	for (size_t i = 0; i < 4; i++)
+		site.wait_status(i, "/extra/a", 200);
+}
+
+/* Guards against new work for an upstream that leaves. */
+TEST_F(SiteTest, LeavingUpstreamsGetNoNewWork)
+{
+	const struct {
+		const char *how;
+		std::function<void(SiteUpstream &)> leave;
+	} cases[] = {
+		{ "draining",
+		  [&](SiteUpstream &up) {
+			  site.store->put(up.key(), up.entry("draining"));
+		  } },
+		{ "removed",
+		  [&](SiteUpstream &up) { site.store->remove(up.key()); } },
+	};
+
+	for (const auto &c : cases) {
+		SiteUpstream &up = *site.upstreams[3];
+		int before, quiet = 0;
+
+		c.leave(up);
+		/* In force once it gets none of many requests in a row. */
+		wait_until(c.how, [&] {
+			before = up.runs();
+			for (int i = 0; i < 20; i++)
+				EXPECT_TRUE(site.send((size_t)i % 4, "GET",
+						      "/far/x", "leave")
+						    .complete(200));
+			quiet = up.runs() == before ? quiet + 1 : 0;
+			return quiet == 3;
+		});
+		site.store->put(up.key(), up.entry());
+		wait_until("the upstream to get work again", [&] {
+			before = up.runs();
+			for (int i = 0; i < 20; i++)
+				site.send((size_t)i % 4, "GET", "/far/x",
+					  "back");
+			return up.runs() > before;
+		});
+	}
+}
+
+/* Guards against entries that name no upstream and spoil the others. */
+TEST_F(SiteTest, MalformedEntriesAreLeftOut)
+{
+	const std::string cases[] = {
+		"",
+		"not json",
+		"[]",
+		"{\"service\":\"near\"}",
+		"{\"service\":\"near\",\"address\":7,\"zone\":\"a\","
+		"\"slots\":6,\"state\":\"ready\"}",
+		"{\"service\":\"other\",\"address\":\"127.0.0.1:1\","
+		"\"zone\":\"a\",\"slots\":6,\"state\":\"ready\"}",
+		"{\"service\":\"near\",\"address\":\"127.0.0.1:1\","
+		"\"zone\":\"a\",\"slots\":6,\"state\":\"asleep\"}",
+	};
+	int n = 0;
+
+	for (const std::string &value : cases)
+		site.store->put("servers/bad-" + std::to_string(n++), value);
+	site.publish(3, site.route("extra", "/extra/", "safe", "near"));
+	site.wait_status(0, "/extra/a", 200);
+	for (int i = 0; i < 20; i++)
+		EXPECT_TRUE(
+			site.send(0, "GET", "/near/x", "good").complete(200));
+}
+
+/*
+ * Guards against answers that belong to another request: one that comes late
+ * where the next answer is due, or twice.
+ */
+TEST_F(SiteTest, ForeignAnswersReachNobody)
+{
+	on("/twice", [this](SiteConnection &cn, const SiteRequest &rq) {
+		cn.write(answer(rq, "first") + answer(rq, "again"));
+	});
+	/* Before the answer proper, one of a request before it. */
+	on("/late", [this](SiteConnection &cn, const SiteRequest &rq) {
+		SiteRequest other = rq;
+
+		other.headers["ebonypier-request-id"] = "somebody-else";
+		cn.write(answer(other, "foreign") + answer(rq, "own"));
+	});
+	on("/nameless", [](SiteConnection &cn, const SiteRequest &) {
+		cn.write("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign");
+	});
+	for (int i = 0; i < 10; i++) {
+		std::string id = "own-" + std::to_string(i);
+
+		EXPECT_EQ("first",
+			  site.send(0, "GET", "/near/twice", id + "t").body);
+		for (const char *path : { "/near/late", "/near/nameless" }) {
+			HttpAnswer a = site.send(0, "GET", path, id + path);
+
+			EXPECT_EQ(std::string::npos, a.body.find("foreign"));
+			EXPECT_NE(200, a.status) << a.body;
+		}
+		EXPECT_EQ(id + "p",
+			  site.send(0, "GET", "/near/plain", id + "p")
+				  .header("Ebonypier-Request-Id"));
+	}
+}
+
+/* How an upstream spoils the answer to a request. */
+struct spoilt_case {
+	const char *name;
+	SiteUpstream::Run run;
+	bool complete; /* the caller may take it as a whole answer */
+};
+
+/* Guards against a part of an answer that looks complete. */
+TEST_F(SiteTest, SpoiltAnswersNeverLookComplete)
+{
+	const spoilt_case cases[] = {
+		{ "without a length",
+		  [this](SiteConnection &cn, const SiteRequest &rq) {
+			  std::string whole = answer(rq, "whole body");
+			  size_t at = whole.find("Content-Length");
+
+			  whole.erase(at, whole.find("\r\n", at) + 2 - at);
+			  cn.write(whole);
+			  shutdown(cn.fd(), SHUT_RDWR);
+		  },
+		  true },
+		{ "cut",
+		  [this](SiteConnection &cn, const SiteRequest &rq) {
+			  std::string whole = answer(rq, "whole body");
+
+			  cn.write(whole.substr(0, whole.size() - 3));
+			  shutdown(cn.fd(), SHUT_RDWR);
+		  },
+		  false },
+		{ "reset without a length",
+		  [](SiteConnection &cn, const SiteRequest &rq) {
+			  cn.write("HTTP/1.1 200 OK\r\nEbonypier-Request-Id: " +
+				   rq.header("ebonypier-request-id") +
+				   "\r\n\r\nwhole");
+			  cn.reset();
+		  },
+		  false },
+		{ "no HTTP",
+		  [](SiteConnection &cn, const SiteRequest &) {
+			  cn.write("whole body\r\n\r\n");
+			  shutdown(cn.fd(), SHUT_RDWR);
+		  },
+		  false },
+	};
+	int n = 0;
+
+	for (const spoilt_case &c : cases) {
+		std::string path = "/near/once/spoilt-" + std::to_string(n++);
+		HttpAnswer a;
+
+		on(path, c.run);
+		a = site.send(0, "POST", path, path);
+		if (c.complete) {
+			EXPECT_TRUE(a.complete(200)) << c.name << a.status;
+			EXPECT_EQ("whole body", a.body);
+		} else {
+			EXPECT_FALSE(a.complete(200)) << c.name;
+			/* It may have run: no promise that it has not. */
+			EXPECT_NE(503, a.status) << c.name;
+			EXPECT_NE(429, a.status) << c.name;
+		}
+		EXPECT_EQ(1, runs(path)) << c.name;
+	}
+}
+
+/* Guards against refusals that are not true, and against a second run. */
+TEST_F(SiteTest, WhatMayHaveRunIsNeverSentAgain)
+{
+	on("/lost", [](SiteConnection &cn, const SiteRequest &) {
+		shutdown(cn.fd(), SHUT_RDWR);
+	});
+	on("/shed", [](SiteConnection &cn, const SiteRequest &rq) {
+		cn.write("HTTP/1.1 503 Busy\r\nEbonypier-Request-Id: " +
+			 rq.header("ebonypier-request-id") +
+			 "\r\nEbonypier-Not-Executed: 1\r\n"
+			 "Content-Length: 0\r\n\r\n");
+	});
+	for (int i = 0; i < 5; i++) {
+		std::string id = "once-" + std::to_string(i);
+		HttpAnswer a = site.send(0, "POST", "/near/once/lost", id);
+
+		EXPECT_EQ(1, runs(id));
+		EXPECT_TRUE(a.status == 502 || a.status == 504) << a.status;
+		EXPECT_EQ("unknown", a.outcome());
+	}
+	HttpAnswer a = site.send(0, "POST", "/near/once/shed", "shed");
+	EXPECT_EQ(503, a.status);
+	EXPECT_EQ("not-run", a.outcome());
+	EXPECT_NE("", a.header("Retry-After"));
+	/* A safe request is tried again, within its two attempts. */
+	a = site.send(0, "GET", "/near/lost", "safe");
+	EXPECT_EQ(502, a.status);
+	EXPECT_EQ(2, runs("safe"));
+}
+
+/* Guards against work that goes on for callers that have left. */
+TEST_F(SiteTest, TheWorkOfCallersThatLeftIsCancelled)
+{
+	on("/slow", [this](SiteConnection &cn, const SiteRequest &rq) {
+		wait_until("the end of a slow run",
+			   [&] { return cn.closed(); });
+		cn.write(answer(rq, "late"));
+	});
+	for (const char *path : { "/near/slow", "/far/slow" }) {
+		auto s = std::make_unique<RawSocket>(site.listen_port(), 0,
+						     site.ip(0));
+
+		s->send(site.head("GET", path, path));
+		wait_until("the run", [&] { return runs(path) == 1; });
+		EXPECT_EQ(1, active());
+		s.reset();
+		wait_until("its end", [&] { return active() == 0; });
+		EXPECT_EQ(1, runs(path));
+	}
+}
+
+/* Guards against answers to pipelined requests that are out of order. */
+TEST_F(SiteTest, PipelinedRequestsAreAnsweredInOrder)
+{
+	RawSocket s(site.listen_port(), 0, site.ip(0));
+	std::atomic<bool> go{ false };
+
+	on("/first", [&](SiteConnection &cn, const SiteRequest &rq) {
+		wait_until("the second request", [&] { return go.load(); });
+		cn.write(answer(rq, "1"));
+	});
+	on("/second", [&](SiteConnection &cn, const SiteRequest &rq) {
+		go = true;
+		cn.write(answer(rq, "2"));
+	});
+	/* The first waits for the second: both are in work at once. */
+	s.send(site.head("GET", "/near/first", "p1") +
+	       site.head("GET", "/far/second", "p2") +
+	       site.head("GET", "/near/third", "p3"));
+	for (const char *id : { "p1", "p2", "p3" }) {
+		std::string a = s.receive_answer();
+
+		EXPECT_EQ(200, raw_status(a));
+		EXPECT_NE(std::string::npos,
+			  a.find("Ebonypier-Request-Id: " + std::string(id)))
+			<< a;
+	}
+}
+
+/* Guards against bytes of one body that are taken for the next request. */
+TEST_F(SiteTest, EarlyAnswersLeaveTheConnectionUsable)
+{
+	std::string body(400000, 'x');
+
+	on("/early", [](SiteConnection &cn, const SiteRequest &rq) {
+		SiteRequest copy = rq;
+
+		cn.write("HTTP/1.1 403 Forbidden\r\nEbonypier-Request-Id: " +
+			 rq.header("ebonypier-request-id") +
+			 "\r\nContent-Length: 2\r\n\r\nno");
+		cn.read_body(copy);
+	});
+	for (int i = 0; i < 5; i++) {
+		RawSocket s(site.listen_port(), 0, site.ip(0));
+		std::string id = "early-" + std::to_string(i), a;
+
+		s.send(site.head("POST", "/near/once/early", id,
+				 "Content-Length: " +
+					 std::to_string(body.size()) + "\r\n") +
+		       body);
+		EXPECT_EQ(403, raw_status(s.receive_answer()));
+		s.send(site.head("GET", "/near/next", id + "n"));
+		a = s.receive_answer();
+		EXPECT_EQ(200, raw_status(a)) << a;
+		EXPECT_NE(std::string::npos, a.find(id + "n"));
+	}
+}
+
+/* Guards against daemons that need the store to go on, or to start. */
+TEST_F(SiteTest, TheStoreMayBeAway)
+{
+	for (SiteStore::Mode mode : { SiteStore::SILENT, SiteStore::BUSY }) {
+		site.store->set_mode(mode);
+		site.daemons[1]->kill();
+		site.start_daemon(1);
+		site.wait_status(1, "/far/a", 200);
+		for (int i = 0; i < 20; i++)
+			EXPECT_TRUE(site.send((size_t)i % 4, "GET", "/near/a",
+					      "away")
+					    .complete(200));
+		site.store->set_mode(SiteStore::ANSWERS);
+		site.publish((int)mode + 20,
+			     site.route("extra", "/extra-" +
+							 std::to_string(mode) +
+							 "/",
+					"safe", "near"));
+		for (size_t i = 0; i < 4; i++)
+			site.wait_status(
+				i, "/extra-" + std::to_string(mode) + "/a",
+				200);
+	}
+}
+
+/* Guards against a shutdown that cuts requests, or says that it is ready. */
+TEST_F(SiteTest, SigtermCutsNothing)
+{
+	std::atomic<bool> go{ false };
+	HttpAnswer own, others;
+
+	EXPECT_EQ(200, site.ready(2));
+	on("/held", [&](SiteConnection &cn, const SiteRequest &rq) {
+		wait_until("the shutdown", [&] { return go.load(); });
+		cn.write(answer(rq, "whole"));
+	});
+	/* A request of its own callers, and what others have at its gate. */
+	std::thread a([&] {
+		own = site.send(2, "POST", "/near/once/held", "own");
+	});
+	std::thread b([&] {
+		others = site.send(0, "POST", "/far/once/held", "others");
+	});
+	wait_until("both runs", [&] { return active() == 2; });
+	site.daemons[2]->signal(SIGTERM);
+	site.daemons[3]->signal(SIGHUP);
+	wait_until("it not to be ready", [&] { return site.ready(2) == 503; });
+	/* Until callers know, it serves them. */
+	EXPECT_TRUE(site.send(2, "GET", "/near/b", "late").complete(200));
+	go = true;
+	a.join();
+	b.join();
+	EXPECT_TRUE(own.complete(200)) << own.status;
+	EXPECT_TRUE(others.complete(200)) << others.status;
+	EXPECT_EQ(0, site.daemons[2]->wait());
+	EXPECT_TRUE(site.daemons[3]->running());
+	EXPECT_EQ(200, site.ready(3));
+}
+
+/* Guards against a daemon that claims to be ready before it can serve. */
+TEST(SiteStart, ADaemonWithoutAStateIsNotReady)
+{
+	Site site({ "near" });
+	HttpAnswer a;
+
+	site.start_daemon(0);
+	wait_until("the daemon", [&] { return site.ready(0) == 503; });
+	a = site.send(0, "GET", "/near/a", "early");
+	EXPECT_EQ(503, a.status);
+	EXPECT_EQ("not-run", a.outcome());
+	site.store->put(site.upstreams[0]->key(), site.upstreams[0]->entry());
+	site.publish(1);
+	site.wait_status(0, "/near/a", 200);
+	EXPECT_EQ(200, site.ready(0));
+}
+
+} // namespace
