spread, gate: after a restart of all, one read each, and the upstream's own word

Change: only a fleet that starts for the first time reads stale items; any other start reads once and joins the choice of readers as soon as it knows others. A gate takes the start of its upstream from its probe while it is the one that this process was started beside.

--- a/src/eb_adapter.h
+++ b/src/eb_adapter.h
@@ -19,6 +19,8 @@
 	const char *request_id;
 	/* Names the start of the upstream that a request is meant for. */
 	const char *expect_instance;
+	/* On an answer to a probe: which start of the upstream it is. */
+	const char *instance;
 	/* On an answer: the upstream did not run the request. */
 	const char *not_run;
 	/* The service beside which a request began. */
@@ -37,6 +39,7 @@
 enum eb_source_mode {
 	EB_SOURCE_IDLE = 0, /* not at all: others pass changes on */
 	EB_SOURCE_GLANCE,   /* cheap reads, which may be a little old */
+	EB_SOURCE_READ,	    /* reads that are up to date */
 	EB_SOURCE_WATCH,    /* reads, and waits for changes */
 };
 
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -77,6 +77,7 @@
 	apr_hash_t *transfers;
 	CURL *probe; /* asks for the upstream's pace */
 	uint16_t probe_pace;
+	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probing;
 	CURL *spare[SPARE_HANDLES_MAX];
 	uint32_t spares;
@@ -550,26 +551,36 @@
 
 /* ---- Probes of the upstream's pace ---- */
 
+/* Copies the value of a header line; -1 when it is another header. */
+static int header_value(const char *line, size_t n, const char *name,
+			char *value, size_t bytes)
+{
+	size_t at = strlen(name), len;
+
+	if (n <= at || strncasecmp(line, name, at) != 0 || line[at] != ':')
+		return -1;
+	for (at++; at < n && line[at] == ' ';)
+		at++;
+	len = n - at < bytes ? n - at : bytes - 1;
+	memcpy(value, line + at, len);
+	value[len] = 0;
+	value[strcspn(value, "\r\n")] = 0;
+	return 0;
+}
+
 static size_t read_probe_header(char *buf, size_t size, size_t items,
 				void *data)
 {
 	struct eb_client *cl = data;
 	const struct eb_dialect *dl = cl->config.dialect;
-	size_t n = size * items, name = strlen(dl->load);
-	char value[64];
-	size_t i, len;
+	char value[EB_NAME_SPACE_BYTES];
+	size_t n = size * items;
 
-	if (n <= name || strncasecmp(buf, dl->load, name) != 0 ||
-	    buf[name] != ':')
-		return n;
-	i = name + 1;
-	while (i < n && buf[i] == ' ')
-		i++;
-	len = n - i < sizeof(value) ? n - i : sizeof(value) - 1;
-	memcpy(value, buf + i, len);
-	value[len] = 0;
-	value[strcspn(value, "\r\n")] = 0;
-	cl->probe_pace = dl->read_pace(value);
+	if (!header_value(buf, n, dl->load, value, sizeof(value)))
+		cl->probe_pace = dl->read_pace(value);
+	else if (dl->instance &&
+		 !header_value(buf, n, dl->instance, value, sizeof(value)))
+		memcpy(cl->probe_instance, value, sizeof(value));
 	return n;
 }
 
@@ -604,6 +615,7 @@
 	curl_easy_setopt(cl->probe, CURLOPT_WRITEFUNCTION, drop_body);
 	curl_easy_setopt(cl->probe, CURLOPT_PRIVATE, NULL);
 	cl->probe_pace = 0;
+	cl->probe_instance[0] = 0;
 	cl->probing = 1;
 	eb_metrics_add(cl->config.metrics, EB_METRIC_PROBES, 1);
 	curl_multi_add_handle(cl->multi, cl->probe);
@@ -621,6 +633,9 @@
 		return;
 	f->reply->status = rc ? 0 : (uint16_t)status;
 	f->reply->load.pace_percent = cl->probe_pace;
+	if (!rc && status == 200 && cl->probe_instance[0])
+		f->object = strdup(cl->probe_instance);
+	f->object_free = free;
 	if (eb_ring_push(cl->config.out, f))
 		eb_frame_unref(f);
 }
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -749,6 +749,7 @@
 	if (cf->adapter->source->decode) {
 		co->spread = eb_spread_new(
 			&spread_out, eb_spread_order(cf->settings->upstream),
+			cf->settings->first_start,
 			eb_clock_now_us());
 		if (!co->spread)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
@@ -764,6 +765,8 @@
 		co->gate = eb_gate_new(&gate, &gate_out, &fs);
 		co->origin = eb_origin_new(&origin, &origin_out, &fs);
 	}
+	if (co->gate)
+		eb_gate_set_service(co->gate, cf->settings->service);
 	eb_findings_print(&fs, stderr);
 	eb_findings_clear(&fs);
 	if (!co->gate || !co->origin)
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -94,6 +94,9 @@
 	int64_t pace_us;  /* when the pace was told; 0: never */
 	int64_t probe_us; /* when a probe was sent; 0: none is out */
 	uint32_t held;	  /* calls that wait for a probe */
+	char *instance;	  /* first start of the upstream that answered */
+	char *own_service; /* that this start belongs to; NULL: unknown */
+	uint8_t replaced; /* by another start, since then */
 	int draining;
 	int leaving; /* the upstream, while this daemon stays */
 	uint64_t release_index;
@@ -177,6 +180,8 @@
 	free(gt->address);
 	free(gt->service);
 	free(gt->probe);
+	free(gt->instance);
+	free(gt->own_service);
 	free(gt);
 }
 
@@ -324,6 +329,16 @@
 	eb_frame_unref(f);
 }
 
+/*
+ * Whether the upstream is still the start that this process was started
+ * beside: then its service is sure, even if origins know an earlier start.
+ */
+static int knows_instance(const struct eb_gate *gt)
+{
+	return gt->instance && !gt->replaced && gt->own_service &&
+	       !strcmp(gt->own_service, gt->service);
+}
+
 static void do_start(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
 		     int64_t now_us)
 {
@@ -338,6 +353,10 @@
 	eb_trace_new_span(&gt->rand, ca->upstream_span);
 	memcpy(head->head->trace.span, ca->upstream_span, 8);
 	head->head->remaining_us = ca->deadline_us - now_us;
+	if (head->head->instance && knows_instance(gt)) {
+		free(head->head->instance);
+		head->head->instance = strdup(gt->instance);
+	}
 	head->object = strdup(gt->address);
 	head->object_free = free;
 	gt->out.to_client(gt->out.ctx, head);
@@ -570,6 +589,24 @@
 	eb_admit_pace(gt->admit, r->load.pace_percent);
 }
 
+/* Notes which start of the upstream answers; NULL when none did. */
+static void note_instance(struct eb_gate *gt, const char *instance)
+{
+	if (!instance)
+		return;
+	if (!gt->instance)
+		gt->instance = strdup(instance);
+	else if (strcmp(gt->instance, instance) != 0)
+		gt->replaced = 1;
+}
+
+/* See the header. */
+void eb_gate_set_service(struct eb_gate *gt, const char *service)
+{
+	free(gt->own_service);
+	gt->own_service = service ? strdup(service) : NULL;
+}
+
 /* Carries out what admission decides by time; see the header. */
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us)
 {
@@ -775,8 +812,15 @@
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	note_pace(gt, f->reply, now_us);
+	/* It was another start of the upstream: the next call asks. */
+	if (f->type == EB_FRAME_REFUSE &&
+	    f->reply->reason == EB_REASON_NO_UPSTREAM) {
+		gt->replaced = gt->instance != NULL;
+		gt->pace_us = 0;
+	}
 	if (f->type == EB_FRAME_PROBE) {
 		gt->probe_us = 0;
+		note_instance(gt, f->object);
 		eb_frame_unref(f);
 		release_held(gt, now_us);
 		return;
@@ -823,5 +867,7 @@
 			     sizeof(og->incarnation), NULL);
 		free(og);
 	}
+	if (gt->probe && !gt->instance)
+		send_probe(gt, now_us);
 	run_admission(gt, now_us);
 }
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -44,6 +44,12 @@
 		       const struct eb_rule *rule);
 void eb_gate_drain(struct eb_gate *gt);
 void eb_gate_resumed(struct eb_gate *gt, int resumed);
+/*
+ * Names the service of the upstream as this process was started with it: the
+ * first start of the upstream that answers belongs to it, whether or not the
+ * configuration knows that start yet.
+ */
+void eb_gate_set_service(struct eb_gate *gt, const char *service);
 /* The upstream leaves, while this daemon stays. */
 void eb_gate_leave(struct eb_gate *gt, int leaving);
 /*
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -77,6 +77,8 @@
 	  "PEM certificate for callers; needs --tls-key" },
 	{ "tls-key", SETTING_FILE, 0, AT(tls_key), NULL, "FILE",
 	  "PEM private key of the certificate" },
+	{ "first-start", SETTING_SWITCH, 0, AT(first_start), NULL, NULL,
+	  "the whole fleet starts for the first time" },
 	{ "admin-remote", SETTING_SWITCH, 0, AT(admin_remote), NULL, NULL,
 	  "allow an admin address that other machines reach" },
 	{ "drain-timeout-ms", SETTING_DRAIN, 0, AT(drain_timeout_ms), "600000",
--- a/src/eb_spread.c
+++ b/src/eb_spread.c
@@ -41,12 +41,14 @@
 	int64_t failing_us; /* since when reads fail; 0: they don't */
 	int64_t lacking_us; /* since when too few readers are known; 0: not */
 	uint8_t last_failed;
+	uint8_t first_start; /* of the whole fleet */
 	enum eb_source_mode mode;
 };
 
 /* Creates an empty copy. Returns NULL without memory. */
 struct eb_spread *eb_spread_new(const struct eb_spread_outlets *out,
-				uint64_t own_order, int64_t now_us)
+				uint64_t own_order, int first_start,
+				int64_t now_us)
 {
 	struct eb_spread *sp = calloc(1, sizeof(*sp));
 
@@ -54,6 +56,7 @@
 		return NULL;
 	sp->out = *out;
 	sp->own_order = own_order;
+	sp->first_start = first_start != 0;
 	sp->started_us = now_us;
 	sp->feed = eb_feed_new();
 	if (!sp->feed) {
@@ -228,7 +231,7 @@
 /* Notes whether reads succeed; a change matters to those who rely on it. */
 static void note_result(struct eb_spread *sp, int failed, int64_t now_us)
 {
-	int news = sp->mode == EB_SOURCE_WATCH &&
+	int news = sp->mode == EB_SOURCE_WATCH && sp->count &&
 		   (sp->last_failed != failed || !sp->read_us);
 
 	sp->last_failed = (uint8_t)failed;
@@ -386,6 +389,18 @@
 	return now_us - sp->lacking_us >= patience_us(sp);
 }
 
+/*
+ * Tells whether this daemon still learns who the others are. When the whole
+ * fleet starts for the first time, all of them read while the items come in;
+ * later, those of before are there at the first read.
+ */
+static int is_starting(const struct eb_spread *sp, int64_t now_us)
+{
+	if (now_us - sp->started_us >= EB_SPREAD_START_MS * 1000LL)
+		return 0;
+	return sp->first_start || !sp->count;
+}
+
 /* Chooses how to use the source, and lets held items go that did not return. */
 void eb_spread_tick(struct eb_spread *sp, int64_t now_us)
 {
@@ -393,8 +408,8 @@
 
 	if (eb_feed_settle(sp->feed, now_us))
 		sp->out.changed(sp->out.ctx);
-	if (now_us - sp->started_us < EB_SPREAD_START_MS * 1000LL)
-		mode = EB_SOURCE_GLANCE;
+	if (is_starting(sp, now_us))
+		mode = sp->first_start ? EB_SOURCE_GLANCE : EB_SOURCE_READ;
 	else if (should_read(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	sp->mode = mode;
--- a/src/eb_spread.h
+++ b/src/eb_spread.h
@@ -32,7 +32,8 @@
 };
 
 struct eb_spread *eb_spread_new(const struct eb_spread_outlets *out,
-				uint64_t own_order, int64_t now_us);
+				uint64_t own_order, int first_start,
+				int64_t now_us);
 void eb_spread_free(struct eb_spread *sp);
 const struct eb_feed *eb_spread_feed(const struct eb_spread *sp);
 /* A daemon's place in the order, by its name. */
--- a/tests/test_eb_spread.cc
+++ b/tests/test_eb_spread.cc
@@ -51,7 +51,7 @@
 
 			dm->fleet = this;
 			dm->id = i;
-			dm->sp = eb_spread_new(&out, order(i), now);
+			dm->sp = eb_spread_new(&out, order(i), 1, now);
 			daemons.push_back(std::move(dm));
 		}
 		for (auto &dm : daemons)
