gate: work is handed back only when other machines are faster

Cause: after all upstreams restarted, each was cold (pace 200) and handed every call back until its fourth attempt. Change: origins keep the usual pace of a service and send it along; a gate hands back at twice that.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -24,10 +24,11 @@
  */
 #define WAIT_US 2000
 /*
- * Work on a machine this much slower than usual goes to another one: the
- * pace changes within a few hundred milliseconds.
+ * Work on a machine this many times slower than the others goes to another
+ * one: the pace changes within a few hundred milliseconds.
  */
-#define PACE_SLOW_PERCENT 200
+#define PACE_SLOW_TIMES 2
+#define PACE_USUAL_PERCENT 100U
 /*
  * Many servers slow down when nearly all of their slots are in use: with one
  * fifth left free, more is served, and sooner. Few slots are all used.
@@ -230,6 +231,19 @@
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
 }
 
+/*
+ * Whether the machine is slow compared to those of the other upstreams: when
+ * all of them are, after a restart of all, there is nowhere better to go.
+ */
+static int is_slow(const struct eb_admit *ad, const struct eb_admit_request *rq)
+{
+	uint32_t usual = rq->usual_pace_percent;
+
+	if (usual < PACE_USUAL_PERCENT)
+		usual = PACE_USUAL_PERCENT;
+	return ad->pace_percent >= PACE_SLOW_TIMES * usual;
+}
+
 /* Decides on a request that has just arrived. */
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act)
@@ -243,8 +257,7 @@
 		refuse(act, EB_REASON_DRAINING, 0);
 	} else if (rq->deadline_us <= now_us) {
 		refuse(act, EB_REASON_DEADLINE, 0);
-	} else if (ad->pace_percent >= PACE_SLOW_PERCENT &&
-		   rq->attempt < ATTEMPT_LAST) {
+	} else if (is_slow(ad, rq) && rq->attempt < ATTEMPT_LAST) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -34,6 +34,7 @@
 	uint8_t idempotent;
 	uint8_t attempt; /* 0 for the first; later ones may wait longer */
 	uint8_t priority; /* 0 is the most urgent */
+	uint16_t usual_pace_percent; /* elsewhere; 0: unknown */
 };
 
 enum eb_admit_verdict {
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -526,6 +526,7 @@
 	rq.idempotent = ca->head->head->idempotent;
 	rq.attempt = ca->head->head->attempt;
 	rq.priority = ca->head->head->priority;
+	rq.usual_pace_percent = ca->head->head->usual_pace_percent;
 	eb_admit_offer(gt->admit, &rq, now_us, &ca->verdict);
 	if (ca->verdict.verdict == EB_ADMIT_WAIT)
 		eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_QUEUED, 1);
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -433,6 +433,7 @@
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
+	f->head->usual_pace_percent = eb_route_usual_pace(ca->service->route);
 	f->head->hops = ca->hops;
 	f->head->trace = ca->parent;
 	eb_trace_new_span(&og->rand, ca->attempt_span);
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -44,6 +44,9 @@
 #define FAR_HOLD_US 250000
 #define SERVICE_FIRST_US 1000
 #define PACE_AGE_US 150000
+/* The usual pace is that of the last 16 reports or so. */
+#define PACE_SHIFT 4
+#define PACE_MAX_PERCENT 10000U
 /* Keeps nine tenths of the requests within the failure domain. */
 #define LEAVE_US 3000
 #define EJECT_PERMILLE 500
@@ -89,6 +92,7 @@
 	int64_t expiry_us;
 	int64_t service_us;	    /* smoothed over all upstreams */
 	uint32_t load_permille;	    /* reported load by slot, smoothed */
+	uint32_t pace_percent;	    /* smoothed over all reports */
 	uint32_t pressure_permille; /* refusals at home, smoothed */
 	uint32_t far_in_flight;
 	uint32_t far_window;
@@ -564,6 +568,25 @@
 	}
 }
 
+/* Learns the usual pace; one machine alone moves it little. */
+static void learn_pace(struct eb_route *rt, uint32_t pace_percent)
+{
+	uint32_t usual = rt->pace_percent ? rt->pace_percent : 100;
+
+	if (!pace_percent)
+		return;
+	if (pace_percent > PACE_MAX_PERCENT)
+		pace_percent = PACE_MAX_PERCENT;
+	rt->pace_percent = (usual * ((1 << PACE_SHIFT) - 1) + pace_percent) >>
+			   PACE_SHIFT;
+}
+
+/* Returns the usual pace, or 0 while none is known. */
+uint16_t eb_route_usual_pace(const struct eb_route *rt)
+{
+	return (uint16_t)rt->pace_percent;
+}
+
 /* Takes in a load that rode on an answer; one without slots is empty. */
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us)
@@ -578,6 +601,7 @@
 	up->sent = 0;
 	up->service_us = ld->service_us;
 	up->pace_percent = ld->pace_percent;
+	learn_pace(rt, ld->pace_percent);
 	load = up->reported * 1000 / ld->slots;
 	if (load > 2000)
 		load = 2000;
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -85,6 +85,8 @@
 		   int64_t now_us);
 /* The upstream's daemon has a new incarnation: traffic is ramped up. */
 void eb_route_restarted(struct eb_route *rt, uint32_t id, int64_t now_us);
+/* The pace of the upstreams' machines, smoothed over their reports. */
+uint16_t eb_route_usual_pace(const struct eb_route *rt);
 void eb_route_read_stats(const struct eb_route *rt, struct eb_route_stats *out);
 
 #endif
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -265,20 +265,32 @@
 {
 	const struct {
 		uint16_t pace_percent;
+		uint16_t usual_percent;
 		uint8_t attempt;
 		eb_admit_verdict verdict;
 	} cases[] = {
-		{ 0, 0, EB_ADMIT_RUN },	     { 100, 0, EB_ADMIT_RUN },
-		{ 150, 0, EB_ADMIT_RUN },    { 400, 0, EB_ADMIT_REFUSE },
-		{ 400, 2, EB_ADMIT_REFUSE }, { 400, 3, EB_ADMIT_RUN },
+		{ 0, 0, 0, EB_ADMIT_RUN },
+		{ 100, 100, 0, EB_ADMIT_RUN },
+		{ 150, 100, 0, EB_ADMIT_RUN },
+		{ 400, 100, 0, EB_ADMIT_REFUSE },
+		{ 400, 0, 2, EB_ADMIT_REFUSE },
+		{ 400, 100, 3, EB_ADMIT_RUN },
+		/* All machines are slow: after a restart, or under load. */
+		{ 200, 200, 0, EB_ADMIT_RUN },
+		{ 400, 350, 0, EB_ADMIT_RUN },
+		{ 800, 350, 0, EB_ADMIT_REFUSE },
 	};
 
 	for (const auto &c : cases) {
-		gate g(4);
+		eb_admit_request rq = {};
 		eb_admit_action act;
+		gate g(4);
 
 		eb_admit_pace(g.ad, c.pace_percent);
-		act = g.offer(1, c.attempt);
+		rq.attempt = c.attempt;
+		rq.deadline_us = FAR_US;
+		rq.usual_pace_percent = c.usual_percent;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
 		EXPECT_EQ(c.verdict, act.verdict)
 			<< c.pace_percent << " attempt " << (int)c.attempt;
 		if (c.verdict == EB_ADMIT_REFUSE) {
