front: idle connections end while there is time to send again

What was read before is served. Result: it_site SigtermCutsNothing fails before (the idle connection stays while requests are in work) and passes now.

--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -870,6 +870,23 @@
 	}
 }
 
+/*
+ * Ends the connections that have no request. One that comes now crosses the
+ * end and was not read, so its caller sends it elsewhere.
+ */
+static void close_idle(struct eb_front *ft, int64_t now_us)
+{
+	struct connection *cn, *next;
+
+	for (cn = ft->connections; cn; cn = next) {
+		next = cn->next;
+		if (!cn->linger_until_us)
+			read_in(cn, now_us);
+		cn->closing |= !cn->first && !cn->in_bytes;
+		settle(cn, now_us);
+	}
+}
+
 /*
  * Takes no new connections any more. Those that wait are taken first: closing
  * the socket would reset them, although their callers may have sent a request.
@@ -883,6 +900,7 @@
 	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, ft->listen_fd, NULL);
 	close(ft->listen_fd);
 	ft->listen_fd = -1;
+	close_idle(ft, now_us);
 }
 
 /* Ends connections that have been idle, or have lingered, for too long. */
--- a/src/eb_front.h
+++ b/src/eb_front.h
@@ -28,7 +28,7 @@
 				struct eb_error *err);
 /* Closes each connection after its answer. */
 void eb_front_drain(struct eb_front *ft);
-/* Takes no new connections. */
+/* Takes no new connections, and ends the idle ones. */
 void eb_front_close_listener(struct eb_front *ft);
 /* Returns the number of requests without a complete answer. */
 uint32_t eb_front_active(const struct eb_front *ft);
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -455,12 +455,19 @@
 	std::thread b([&] {
 		others = site.send(0, "POST", "/far/once/held", "others");
 	});
+	RawSocket idle(site.listen_port(), 0, site.ip(2));
+	idle.send(site.head("GET", "/near/a", "idle"));
+	EXPECT_EQ(200, raw_status(idle.receive_answer()));
 	wait_until("both runs", [&] { return active() == 2; });
 	site.daemons[2]->signal(SIGTERM);
 	site.daemons[3]->signal(SIGHUP);
 	wait_until("it not to be ready", [&] { return site.ready(2) == 503; });
 	/* Until callers know, it serves them. */
+	ASSERT_TRUE(idle.connected());
 	EXPECT_TRUE(site.send(2, "GET", "/near/b", "late").complete(200));
+	/* A kept connection ends while there is time to send again. */
+	EXPECT_TRUE(idle.at_end());
+	EXPECT_EQ(2, active());
 	go = true;
 	a.join();
 	b.join();
