--- a/src/eb_admin.c
+++ b/src/eb_admin.c
@@ -141,9 +141,8 @@
 		    !eb_metrics_get(am->metrics, EB_METRIC_DRAINING);
 
 	(void)argument;
-	return send_json(
-		c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
-		json_pack("{sb}", "ready", ready));
+	return send_json(c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+			 NULL, json_pack("{sb}", "ready", ready));
 }
 
 static enum MHD_Result answer_drain(struct eb_admin *am,
--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -153,8 +153,8 @@
 }
 
 /* Whether an answer can still be on time if the request ran now. */
-static int is_late(const struct eb_admit *ad,
-		   const struct eb_admit_request *rq, int64_t now_us)
+static int is_late(const struct eb_admit *ad, const struct eb_admit_request *rq,
+		   int64_t now_us)
 {
 	return rq->goal_us && now_us + ad->service_us > rq->goal_us;
 }
@@ -264,8 +264,7 @@
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (ad->in_flight < slots && !ad->queued) {
 		run(ad, now_us, act);
-	} else if (!may_wait(ad, rq, now_us) ||
-		   append(ad, rq, now_us)) {
+	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
 		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
@@ -345,8 +344,7 @@
 
 /* Refuses a waiting request that has to go; returns 0 when it may stay. */
 static int turn_away(const struct eb_admit *ad, const struct waiter *w,
-		     int hand_back, int64_t now_us,
-		     struct eb_admit_action *act)
+		     int hand_back, int64_t now_us, struct eb_admit_action *act)
 {
 	int64_t wait_us = expected_wait_us(ad, ad->queued);
 
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -32,7 +32,7 @@
 	int64_t deadline_us; /* monotonic time of this daemon */
 	int64_t goal_us;     /* until then an answer is on time; 0: no goal */
 	uint8_t idempotent;
-	uint8_t attempt; /* 0 for the first; later ones may wait longer */
+	uint8_t attempt;  /* 0 for the first; later ones may wait longer */
 	uint8_t priority; /* 0 is the most urgent */
 	uint16_t usual_pace_percent; /* elsewhere; 0: unknown */
 };
--- a/src/eb_answer.c
+++ b/src/eb_answer.c
@@ -96,7 +96,8 @@
 	va_end(ap);
 	if (n < 0 || n >= (int)sizeof(line) - 2)
 		return EB_EFULL;
-	memcpy(line + n, "\r\n", 2);
+	line[n] = '\r';
+	line[n + 1] = '\n';
 	return eb_answer_append(ob, line, (size_t)n + 2);
 }
 
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -284,7 +284,8 @@
  * longest prefix that begins the target. NULL when there is none.
  */
 const struct eb_match *eb_config_find_match(const struct eb_config *cf,
-					  const char *host, const char *target)
+					    const char *host,
+					    const char *target)
 {
 	size_t n = host ? host_length(host) : 0, len = strcspn(target, "?#");
 	const struct eb_match *pt, *best = NULL;
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -56,8 +56,8 @@
 	char *daemon;  /* IP:port of the daemon beside it */
 	char *region;
 	char *failure_domain;
-	char key[41]; /* CURVE public key of the daemon, Z85; or "" */
-	char *instance; /* identity of this start of it, or NULL */
+	char key[41];	  /* CURVE public key of the daemon, Z85; or "" */
+	char *instance;	  /* identity of this start of it, or NULL */
 	char *probe_path; /* that tells its load at once, or NULL */
 	uint32_t slots;
 	uint32_t connections;
@@ -133,7 +133,8 @@
 
 /* The path of a request, or NULL; the longest prefix of the host wins. */
 const struct eb_match *eb_config_find_match(const struct eb_config *cf,
-					  const char *host, const char *target);
+					    const char *host,
+					    const char *target);
 /* Sorts the upstreams by service and name, and groups them. */
 enum eb_status eb_config_group_upstreams(struct eb_config *cf);
 
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -414,8 +414,7 @@
 	if (eb_nodes_configure(co->nodes, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "keys of the peers could not be stored", NULL);
-	if (co->claims &&
-	    eb_claims_configure(co->claims, cf, co->turn_us))
+	if (co->claims && eb_claims_configure(co->claims, cf, co->turn_us))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "out of memory for the holders of claims", NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
@@ -460,10 +459,9 @@
 	struct eb_config *cf;
 
 	co->items_changed = 0;
-	cf = co->config.adapter->source->decode(co->config.adapter,
-						co->config.settings,
-						eb_spread_feed(co->spread),
-						co->turn_us, co->config.log);
+	cf = co->config.adapter->source->decode(
+		co->config.adapter, co->config.settings,
+		eb_spread_feed(co->spread), co->turn_us, co->config.log);
 	if (!cf)
 		return;
 	apply_config(co, cf);
@@ -735,9 +733,11 @@
 	struct eb_origin_outlets origin_out = { out_front, out_gate, co };
 	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
 				       cf->metrics, cf->tracer };
-	struct eb_origin_config origin = { co->incarnation, NULL, cf->metrics,
-					   cf->tracer, NULL, cf->log,
-					   cf->adapter->dialect };
+	struct eb_origin_config origin = {
+		co->incarnation,     NULL, cf->metrics,
+		cf->tracer,	     NULL, cf->log,
+		cf->adapter->dialect
+	};
 	struct eb_spread_outlets spread_out = { out_spread, out_changed,
 						out_want, co };
 	struct eb_findings fs = { 0 };
@@ -749,15 +749,14 @@
 	if (cf->adapter->source->decode) {
 		co->spread = eb_spread_new(
 			&spread_out, eb_spread_order(cf->settings->upstream),
-			cf->settings->first_start,
-			eb_clock_now_us());
+			cf->settings->first_start, eb_clock_now_us());
 		if (!co->spread)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
 	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
 	if (!co->spread)
-		co->claims = eb_claims_new(cf->settings->upstream,
-					   co->incarnation);
+		co->claims =
+			eb_claims_new(cf->settings->upstream, co->incarnation);
 	origin.nodes = co->nodes;
 	if (co->nodes && (co->claims || co->spread)) {
 		if (co->claims)
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -99,7 +99,9 @@
 {
 	struct eb_client_config client = { dm->rings[RING_CLIENT_IN],
 					   dm->rings[RING_CLIENT_OUT],
-					   dm->metrics, dm->log, 200,
+					   dm->metrics,
+					   dm->log,
+					   200,
 					   dm->adapter->dialect };
 	struct eb_core_config core = {
 		&dm->settings,
@@ -115,8 +117,10 @@
 	};
 	struct eb_front_config front = { &dm->settings,
 					 dm->rings[RING_FRONT_IN],
-					 dm->rings[RING_FRONT_OUT], dm->metrics,
-					 dm->log, dm->adapter->dialect };
+					 dm->rings[RING_FRONT_OUT],
+					 dm->metrics,
+					 dm->log,
+					 dm->adapter->dialect };
 	struct eb_source_config source = { dm->adapter, &dm->settings, NULL,
 					   dm->metrics, dm->log };
 	static const struct eb_admin_ops ops = { admin_status, admin_drain,
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -88,8 +88,8 @@
 	char *service;
 	char *upstream; /* name of the upstream that the origin chose */
 	char *method;
-	char *target; /* path and query, as the caller sent them */
-	char *key;    /* idempotency key or NULL */
+	char *target;	/* path and query, as the caller sent them */
+	char *key;	/* idempotency key or NULL */
 	char *instance; /* start of the upstream it is meant for, or NULL */
 	struct eb_headers headers;
 	uint64_t caller;     /* hash of the caller's address */
@@ -101,7 +101,8 @@
 	uint8_t attempt; /* 0 for the first */
 	uint8_t idempotent;
 	uint8_t priority; /* 0 is the most urgent */
-	uint16_t usual_pace_percent; /* of the service's upstreams; 0: unknown */
+	uint16_t
+		usual_pace_percent; /* of the service's upstreams; 0: unknown */
 	struct eb_trace_id trace;
 };
 
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -160,7 +160,8 @@
 /* Tells whether this system sets a header, whatever the caller said. */
 static int is_ours(const struct eb_dialect *dl, const char *name)
 {
-	return (dl->expect_instance && !strcasecmp(name, dl->expect_instance)) ||
+	return (dl->expect_instance &&
+		!strcasecmp(name, dl->expect_instance)) ||
 	       (dl->caller_service && !strcasecmp(name, dl->caller_service));
 }
 
@@ -615,9 +616,9 @@
 	while ((rq = cn->first) && !cn->dead && !cn->closing) {
 		if (rq->expects && rq->phase == PHASE_BODY && !rq->answer) {
 			rq->expects = 0;
-			if (eb_answer_append(
-				    &cn->out,
-				    "HTTP/1.1 100 Continue\r\n\r\n", 25))
+			if (eb_answer_append(&cn->out,
+					     "HTTP/1.1 100 Continue\r\n\r\n",
+					     25))
 				cn->dead = 1;
 		}
 		if (rq->answer)
@@ -642,16 +643,16 @@
 
 	if (!cn->caller_closed)
 		ev.events |= EPOLLRDHUP;
-	if (!cn->caller_closed && (cn->linger_until_us ||
-				   cn->in_bytes < READ_BYTES))
+	if (!cn->caller_closed &&
+	    (cn->linger_until_us || cn->in_bytes < READ_BYTES))
 		ev.events |= EPOLLIN;
 	if (eb_answer_pending(&cn->out))
 		ev.events |= cn->write_wants_read ? EPOLLIN : EPOLLOUT;
 	if (ev.events == cn->events)
 		return;
 	cn->events = ev.events;
-	epoll_ctl(cn->front->epoll_fd, EPOLL_CTL_MOD,
-		  eb_stream_fd(cn->stream), &ev);
+	epoll_ctl(cn->front->epoll_fd, EPOLL_CTL_MOD, eb_stream_fd(cn->stream),
+		  &ev);
 }
 
 static void free_connection(struct connection *cn)
@@ -793,8 +794,8 @@
 		write_out(cn);
 	}
 	linger(cn, now_us);
-	if (cn->dead || (cn->closing && cn->caller_closed &&
-			 !eb_answer_pending(&cn->out)))
+	if (cn->dead ||
+	    (cn->closing && cn->caller_closed && !eb_answer_pending(&cn->out)))
 		free_connection(cn);
 	else
 		watch(cn);
@@ -914,10 +915,9 @@
 	ft->swept_us = now_us;
 	for (cn = ft->connections; cn; cn = next) {
 		next = cn->next;
-		if (cn->linger_until_us ? now_us >= cn->linger_until_us
-					: !cn->first &&
-						  now_us - cn->active_us >
-							  idle_us)
+		if (cn->linger_until_us
+			    ? now_us >= cn->linger_until_us
+			    : !cn->first && now_us - cn->active_us > idle_us)
 			free_connection(cn);
 	}
 }
@@ -1078,8 +1078,8 @@
 
 	return epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, ft->listen_fd,
 			 &listener) ||
-	       epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD,
-			 eb_ring_fd(ft->config.in), &ring);
+	       epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, eb_ring_fd(ft->config.in),
+			 &ring);
 }
 
 /*
@@ -1146,6 +1146,7 @@
 /* Stops the thread and closes all connections. */
 void eb_front_stop(struct eb_front *ft)
 {
+	struct connection *cn, *next;
 	apr_status_t status;
 
 	if (!ft)
@@ -1153,8 +1154,10 @@
 	__atomic_store_n(&ft->stopping, 1, __ATOMIC_RELEASE);
 	if (ft->thread)
 		apr_thread_join(&status, ft->thread);
-	while (ft->connections)
-		free_connection(ft->connections);
+	for (cn = ft->connections; cn; cn = next) {
+		next = cn->next;
+		free_connection(cn);
+	}
 	if (ft->listen_fd >= 0)
 		close(ft->listen_fd);
 	eb_tls_free(ft->tls);
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -38,7 +38,7 @@
 	int64_t asked_us;   /* first heartbeat without an answer; 0: none */
 	int64_t busy_us;    /* last frame that was no heartbeat */
 	uint32_t idle_heartbeat_ms;
-	uint32_t user;	    /* for the core: number of the node */
+	uint32_t user; /* for the core: number of the node */
 	uint8_t up;
 	uint8_t dirty;
 };
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -164,8 +164,9 @@
 	n = id == EB_NONE ? add_node(nd, up->name) : nd->nodes[id];
 	if (!n)
 		return;
-	n->replaced = n->present_before &&
-		      strcmp(n->instance, up->instance ? up->instance : "") != 0;
+	n->replaced =
+		n->present_before &&
+		strcmp(n->instance, up->instance ? up->instance : "") != 0;
 	snprintf(n->instance, sizeof(n->instance), "%s",
 		 up->instance ? up->instance : "");
 	if (nd->config->has_matches)
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -56,14 +56,22 @@
 
 /* The HTTP status of a call that failed, by reason. */
 static const uint16_t reason_status[EB_REASON_MAX + 1] = {
-	[EB_REASON_NONE] = 502,		[EB_REASON_NO_ROUTE] = 404,
-	[EB_REASON_NO_UPSTREAM] = 503,	[EB_REASON_QUEUE_FULL] = 503,
-	[EB_REASON_DEADLINE] = 504,	[EB_REASON_DRAINING] = 503,
-	[EB_REASON_CONNECT] = 503,	[EB_REASON_HANDED_BACK] = 503,
-	[EB_REASON_CALLER_LIMIT] = 429, [EB_REASON_CRASHES] = 422,
-	[EB_REASON_CLAIM] = 409,	[EB_REASON_HOPS] = 508,
-	[EB_REASON_LOST_PEER] = 502,	[EB_REASON_UPSTREAM_CLOSED] = 502,
-	[EB_REASON_STALLED] = 504,	[EB_REASON_INTERNAL] = 500,
+	[EB_REASON_NONE] = 502,
+	[EB_REASON_NO_ROUTE] = 404,
+	[EB_REASON_NO_UPSTREAM] = 503,
+	[EB_REASON_QUEUE_FULL] = 503,
+	[EB_REASON_DEADLINE] = 504,
+	[EB_REASON_DRAINING] = 503,
+	[EB_REASON_CONNECT] = 503,
+	[EB_REASON_HANDED_BACK] = 503,
+	[EB_REASON_CALLER_LIMIT] = 429,
+	[EB_REASON_CRASHES] = 422,
+	[EB_REASON_CLAIM] = 409,
+	[EB_REASON_HOPS] = 508,
+	[EB_REASON_LOST_PEER] = 502,
+	[EB_REASON_UPSTREAM_CLOSED] = 502,
+	[EB_REASON_STALLED] = 504,
+	[EB_REASON_INTERNAL] = 500,
 	[EB_REASON_UPSTREAM_REFUSED] = 503,
 };
 
@@ -493,8 +501,7 @@
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
-	q.handed_back =
-		ca->attempts && ca->reason == EB_REASON_HANDED_BACK;
+	q.handed_back = ca->attempts && ca->reason == EB_REASON_HANDED_BACK;
 	while (ca->tried_count < EB_TRIED_MAX) {
 		q.tried_count = ca->tried_count;
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
@@ -772,12 +779,11 @@
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
-	eb_log_write(og->config.log, EB_LOG_WARN, "origin", "call refused",
-		     "id=%s target=\"%s\" reason=%s release=%llu",
-		     request_id(og, f), f->head->target,
-		     eb_reason_name(reason),
-		     (unsigned long long)eb_nodes_config(og->config.nodes)
-			     ->release);
+	eb_log_write(
+		og->config.log, EB_LOG_WARN, "origin", "call refused",
+		"id=%s target=\"%s\" reason=%s release=%llu", request_id(og, f),
+		f->head->target, eb_reason_name(reason),
+		(unsigned long long)eb_nodes_config(og->config.nodes)->release);
 	eb_frame_unref(f);
 	if (!out)
 		return;
@@ -800,8 +806,8 @@
 	h->priority = pt->priority;
 	if (pt->attempts)
 		ca->runs_max = pt->attempts;
-	if (pt->timeout_ms && (!ca->strict_deadline ||
-			       ca->budget_us > pt->timeout_ms * 1000LL))
+	if (pt->timeout_ms &&
+	    (!ca->strict_deadline || ca->budget_us > pt->timeout_ms * 1000LL))
 		ca->budget_us = pt->timeout_ms * 1000LL;
 	/* An answer is due then, whether or not the body has come. */
 	ca->strict_deadline = 1;
--- a/src/eb_parse.c
+++ b/src/eb_parse.c
@@ -7,8 +7,8 @@
 #include "eb_tunables.h"
 
 /* Request line, header fields and the line ends between them. */
-#define HEAD_MAX_BYTES                                                         \
-	(EB_TARGET_MAX_BYTES + EB_HEADERS_MAX_BYTES +                          \
+#define HEAD_MAX_BYTES                                \
+	(EB_TARGET_MAX_BYTES + EB_HEADERS_MAX_BYTES + \
 	 4 * EB_HEADERS_MAX_COUNT + 64)
 
 enum stage { STAGE_HEAD, STAGE_BODY, STAGE_BAD };
@@ -140,7 +140,8 @@
 	.on_message_complete = on_message_complete,
 };
 
-/* Creates a parser at the start of a connection. Returns NULL without memory. */
+/* Creates a parser at the start of a connection. Returns NULL without memory.
+ */
 struct eb_parse *eb_parse_new(eb_parse_body_fn *body, void *ctx)
 {
 	struct eb_parse *ps = calloc(1, sizeof(*ps));
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -91,8 +91,7 @@
 }
 
 /* Applies one entry of the log; a note that is not accepted is skipped. */
-static void apply_note(struct eb_source *pl, uint64_t index,
-		       const json_t *note)
+static void apply_note(struct eb_source *pl, uint64_t index, const json_t *note)
 {
 	struct eb_findings fs = { 0 };
 	struct eb_config *next = NULL;
@@ -279,7 +278,7 @@
 
 /* Starts the thread. Returns NULL and sets `err` on failure. */
 static struct eb_source *start(const struct eb_source_config *cf,
-				      struct eb_error *err)
+			       struct eb_error *err)
 {
 	struct eb_source *pl = calloc(1, sizeof(*pl));
 
@@ -302,4 +301,5 @@
 	return pl;
 }
 
-const struct eb_source_ops eb_platform_source = { .start = start, .stop = stop };
+const struct eb_source_ops eb_platform_source = { .start = start,
+						  .stop = stop };
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -72,9 +72,9 @@
 	uint32_t sent;	    /* of these, sent after the last report */
 	uint32_t service_us;
 	uint32_t pace_percent; /* of its machine at the last report */
-	uint32_t latency_us; /* smoothed, without the network */
-	uint32_t reported;   /* in flight and queued at the gate */
-	int64_t started_us;  /* sum of the send times of those in flight */
+	uint32_t latency_us;   /* smoothed, without the network */
+	uint32_t reported;     /* in flight and queued at the gate */
+	int64_t started_us;    /* sum of the send times of those in flight */
 	int64_t report_at_us;
 	int64_t latency_at_us;
 	int64_t failed_at_us;
@@ -301,8 +301,8 @@
 
 	if (extra <= 0 || age_us > rt->expiry_us)
 		return service_us;
-	return service_us + service_us * extra / 100 * PACE_AGE_US /
-				    (PACE_AGE_US + age_us);
+	return service_us +
+	       service_us * extra / 100 * PACE_AGE_US / (PACE_AGE_US + age_us);
 }
 
 static int64_t score_us(const struct eb_route *rt, const struct upstream *up,
@@ -577,8 +577,8 @@
 		return;
 	if (pace_percent > PACE_MAX_PERCENT)
 		pace_percent = PACE_MAX_PERCENT;
-	rt->pace_percent = (usual * ((1 << PACE_SHIFT) - 1) + pace_percent) >>
-			   PACE_SHIFT;
+	rt->pace_percent =
+		(usual * ((1 << PACE_SHIFT) - 1) + pace_percent) >> PACE_SHIFT;
 }
 
 /* Returns the usual pace, or 0 while none is known. */
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -64,7 +64,8 @@
 	{ "service", SETTING_NAME, 0, AT(service), NULL, "NAME",
 	  "service of the upstream, where callers are told apart by it" },
 	{ "ready", SETTING_ADDRESS, 0, AT(ready_address), NULL, "IP:PORT",
-	  "address that answers GET /ready with 200 while requests are served" },
+	  "address that answers GET /ready with 200 while requests are "
+	  "served" },
 	{ "peers", SETTING_ADDRESSES, 0, AT(peers), "", "IP:PORT,...",
 	  "other daemons to ask when the platform is down" },
 	{ "curve-public-key", SETTING_KEY, 0, AT(curve_public), NULL, "KEY",
--- a/src/eb_spread.c
+++ b/src/eb_spread.c
@@ -279,9 +279,8 @@
 
 	mb->revision = revision;
 	mb->heard_us = now_us;
-	mb->read_us = read_age_ms == UINT32_MAX
-			      ? 0
-			      : now_us - read_age_ms * 1000LL;
+	mb->read_us =
+		read_age_ms == UINT32_MAX ? 0 : now_us - read_age_ms * 1000LL;
 	if (revision > own &&
 	    now_us - mb->asked_us >= EB_SPREAD_ASK_MS * 1000LL)
 		request(sp, mb, now_us);
@@ -300,8 +299,7 @@
 		hear(sp, mb, revision, read_age_ms, now_us);
 }
 
-static void take_word(struct eb_spread *sp, const uint8_t *data,
-		      int64_t now_us)
+static void take_word(struct eb_spread *sp, const uint8_t *data, int64_t now_us)
 {
 	struct word wd;
 	uint32_t i;
@@ -334,8 +332,7 @@
 	if (p[0] == PAYLOAD_REQUEST && bytes == REQUEST_BYTES) {
 		memcpy(&revision, p + 1, sizeof(revision));
 		if (revision < eb_feed_revision(sp->feed))
-			*reply_bytes =
-				make_change(sp, revision, now_us, reply);
+			*reply_bytes = make_change(sp, revision, now_us, reply);
 		return EB_OK;
 	}
 	if (p[0] == PAYLOAD_WORD && bytes == 1 + sizeof(struct word)) {
--- a/src/eb_tls.c
+++ b/src/eb_tls.c
@@ -231,8 +231,8 @@
 {
 	gnutls_session_t session;
 
-	if (gnutls_init(&session, GNUTLS_SERVER | GNUTLS_NONBLOCK |
-					  GNUTLS_NO_SIGNAL))
+	if (gnutls_init(&session,
+			GNUTLS_SERVER | GNUTLS_NONBLOCK | GNUTLS_NO_SIGNAL))
 		return NULL;
 	gnutls_session_set_ptr(session, tls);
 	if (gnutls_set_default_priority(session) ||
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -122,9 +122,9 @@
 	for (size_t i = 0; i < 4; i++)
 		wait_until("the route to move", [&] {
 			return site.send(i, "GET", "/extra/b", "moved")
-				       .body.find("i-2 ") == 0 ||
+					       .body.find("i-2 ") == 0 ||
 			       site.send(i, "GET", "/extra/b", "moved")
-				       .body.find("i-3 ") == 0;
+					       .body.find("i-3 ") == 0;
 		});
 	site.publish(9);
 	for (size_t i = 0; i < 4; i++)
@@ -148,7 +148,9 @@
 			  site.store->put(up.key(), up.entry("draining"));
 		  } },
 		{ "removed",
-		  [&](SiteUpstream &up) { site.store->remove(up.key()); } },
+		  [&](SiteUpstream &up) {
+			  site.store->remove(up.key());
+		  } },
 	};
 
 	for (const auto &c : cases) {
@@ -233,9 +235,8 @@
 			EXPECT_EQ(std::string::npos, a.body.find("foreign"));
 			EXPECT_NE(200, a.status) << a.body;
 		}
-		EXPECT_EQ(id + "p",
-			  site.send(0, "GET", "/near/plain", id + "p")
-				  .header("Ebonypier-Request-Id"));
+		EXPECT_EQ(id + "p", site.send(0, "GET", "/near/plain", id + "p")
+					    .header("Ebonypier-Request-Id"));
 	}
 }
 
@@ -426,9 +427,8 @@
 					    .complete(200));
 		site.store->set_mode(SiteStore::ANSWERS);
 		site.publish((int)mode + 20,
-			     site.route("extra", "/extra-" +
-							 std::to_string(mode) +
-							 "/",
+			     site.route("extra",
+					"/extra-" + std::to_string(mode) + "/",
 					"safe", "near"));
 		for (size_t i = 0; i < 4; i++)
 			site.wait_status(
@@ -449,9 +449,8 @@
 		cn.write(answer(rq, "whole"));
 	});
 	/* A request of its own callers, and what others have at its gate. */
-	std::thread a([&] {
-		own = site.send(2, "POST", "/near/once/held", "own");
-	});
+	std::thread a(
+		[&] { own = site.send(2, "POST", "/near/once/held", "own"); });
 	std::thread b([&] {
 		others = site.send(0, "POST", "/far/once/held", "others");
 	});
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -335,10 +335,8 @@
 				list += (list.empty() ? "" : ",") +
 					item_json(pair.first, pair.second);
 		if (!list.empty() ||
-		    changed_.wait_until(hold, until) ==
-			    std::cv_status::timeout)
-			return "{\"events\":[" + list +
-			       "],\"storeRevision\":" +
+		    changed_.wait_until(hold, until) == std::cv_status::timeout)
+			return "{\"events\":[" + list + "],\"storeRevision\":" +
 			       std::to_string(revision_) + "}";
 	}
 }
@@ -478,7 +476,9 @@
 
 void Site::write_settings(size_t i)
 {
-	auto port = [](uint16_t n) { return ":" + std::to_string(n) + "\""; };
+	auto port = [](uint16_t n) {
+		return ":" + std::to_string(n) + "\"";
+	};
 	std::ofstream out(dir_ + "/settings-" + std::to_string(net_) + "-" +
 			  std::to_string(i));
 
@@ -498,9 +498,9 @@
 	write_settings(i);
 	daemons[i] = std::make_unique<Process>(
 		std::vector<std::string>{ build_dir() + "/ebonypier-site" },
-		std::vector<std::string>{
-			"EBONYPIER_BOOT=" + dir_ + "/settings-" +
-			std::to_string(net_) + "-" + std::to_string(i) });
+		std::vector<std::string>{ "EBONYPIER_BOOT=" + dir_ +
+					  "/settings-" + std::to_string(net_) +
+					  "-" + std::to_string(i) });
 }
 
 void Site::start_all()
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -246,8 +246,8 @@
 	const struct {
 		uint32_t slots;
 		uint16_t used;
-	} cases[] = { { 1, 1 }, { 4, 4 }, { 5, 4 }, { 6, 4 }, { 9, 7 },
-		      { 10, 8 } };
+	} cases[] = { { 1, 1 }, { 4, 4 }, { 5, 4 },
+		      { 6, 4 }, { 9, 7 }, { 10, 8 } };
 
 	for (const auto &c : cases) {
 		gate g(c.slots);
--- a/tests/test_eb_config.cc
+++ b/tests/test_eb_config.cc
@@ -210,8 +210,7 @@
 		mt->prefix = strdup(m.prefix);
 	}
 	for (const auto &c : cases) {
-		const eb_match *mt =
-			eb_config_find_match(cf, c.host, c.target);
+		const eb_match *mt = eb_config_find_match(cf, c.host, c.target);
 
 		EXPECT_STREQ(c.want, mt ? mt->name : nullptr)
 			<< (c.host ? c.host : "-") << " " << c.target;
--- a/tests/test_eb_parse.cc
+++ b/tests/test_eb_parse.cc
@@ -23,13 +23,13 @@
 	size_t at = 0, used;
 
 	for (;;) {
-		eb_parse_event ev = eb_parse_run(ps, waiting.data(),
-						 waiting.size(), &used);
+		eb_parse_event ev =
+			eb_parse_run(ps, waiting.data(), waiting.size(), &used);
 
 		waiting.erase(0, used);
 		if (ev == EB_PARSE_BAD) {
-			out += "!" + std::to_string(
-					     eb_parse_problem(ps)->status);
+			out += "!" +
+			       std::to_string(eb_parse_problem(ps)->status);
 			break;
 		}
 		if (ev == EB_PARSE_HEAD) {
@@ -76,7 +76,8 @@
 		  "POST /a [hello] " },
 		{ "three in a row",
 		  "GET /a HTTP/1.1\r\n" + host + "\r\nPOST /b HTTP/1.1\r\n" +
-			  host + "Content-Length: 1\r\n\r\nxGET /c HTTP/1.1\r\n" +
+			  host +
+			  "Content-Length: 1\r\n\r\nxGET /c HTTP/1.1\r\n" +
 			  host + "Connection: close\r\n\r\n",
 		  "GET /a [] POST /b [x] GET /c close [] " },
 		{ "an offer to upgrade is ignored",
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -323,8 +323,8 @@
 TEST(Route, SlowMachinesArePassedOver)
 {
 	router r;
-	eb_load slow = { 0, 0, 6, 0, 4000, 400 }, usual = { 0, 0, 6, 0, 4000,
-							    100 };
+	eb_load slow = { 0, 0, 6, 0, 4000, 400 },
+		usual = { 0, 0, 6, 0, 4000, 100 };
 
 	r.add(1, EB_DISTANCE_DOMAIN);
 	r.add(2, EB_DISTANCE_DOMAIN);
--- a/tests/test_eb_spread.cc
+++ b/tests/test_eb_spread.cc
@@ -64,7 +64,8 @@
 	}
 	static uint64_t order(uint32_t id)
 	{
-		return eb_spread_order(("10.0.0." + std::to_string(id)).c_str());
+		return eb_spread_order(
+			("10.0.0." + std::to_string(id)).c_str());
 	}
 	/* Daemons in the order in which they are to read. */
 	std::vector<daemon *> by_order()
@@ -215,11 +216,10 @@
 		for (auto &a : daemons)
 			for (auto &b : daemons)
 				if (a != b && a->up && b->up)
-					eb_spread_heard(
-						a->sp, b->id, have(*b),
-						eb_spread_read_age_ms(b->sp,
-								      now),
-						now);
+					eb_spread_heard(a->sp, b->id, have(*b),
+							eb_spread_read_age_ms(
+								b->sp, now),
+							now);
 	}
 	void step()
 	{
@@ -333,7 +333,8 @@
 	EXPECT_LT(fl.time_to_all(10 * BOUND_US), BOUND_US);
 }
 
-/* Guards against a daemon that starts while the source is down and stays empty. */
+/* Guards against a daemon that starts while the source is down and stays empty.
+ */
 TEST(Spread, AStartingDaemonLearnsFromOthers)
 {
 	Fleet fl(6);
@@ -352,17 +353,17 @@
 TEST(Spread, BadPayloadsAreRefused)
 {
 	Fleet fl(2);
-	const std::string cases[] = { "", "\x01", "\x02", "\x03", "\x07xyz",
-				      std::string(400, '\x01') };
+	const std::string cases[] = { "",	 "\x01",
+				      "\x02",	 "\x03",
+				      "\x07xyz", std::string(400, '\x01') };
 
 	for (const std::string &c : cases) {
 		uint8_t *reply = nullptr;
 		uint32_t bytes = 0;
 
-		EXPECT_NE(EB_OK,
-			  eb_spread_receive(fl.daemons[0]->sp, c.data(),
-					    (uint32_t)c.size(), fl.now, &reply,
-					    &bytes));
+		EXPECT_NE(EB_OK, eb_spread_receive(fl.daemons[0]->sp, c.data(),
+						   (uint32_t)c.size(), fl.now,
+						   &reply, &bytes));
 		EXPECT_EQ(nullptr, reply);
 	}
 }
