route, tool, gate: spill when nobody at home takes a call; explain; gate log lines

Cause: ebonypier explain showed calls refused after four attempts at the same upstream, 14 ms apart, while other regions were never asked. Change: a call that each upstream at home has refused may be offered to another region, within the window that spill-over has. Gates log what decided a verdict. 'ebonypier explain ID' tells a request's story from several logs. Conclusion: kept for a region that loses its machines; the test fails without.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -764,8 +764,11 @@
 		co->gate = eb_gate_new(&gate, &gate_out, &fs);
 		co->origin = eb_origin_new(&origin, &origin_out, &fs);
 	}
-	if (co->gate)
+	if (co->gate) {
+		eb_gate_set_log(co->gate, cf->log,
+				cf->adapter->dialect->request_id);
 		eb_gate_set_service(co->gate, cf->settings->service);
+	}
 	eb_findings_print(&fs, stderr);
 	eb_findings_clear(&fs);
 	if (!co->gate || !co->origin)
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -95,6 +95,8 @@
 	int64_t probe_us;  /* when a probe was sent; 0: none is out */
 	uint32_t held;	   /* calls that wait for a probe */
 	char *instance;	   /* first start of the upstream that answered */
+	struct eb_log *log; /* NULL: nothing is logged */
+	const char *request_id; /* header with a request's number, or NULL */
 	char *own_service; /* that this start belongs to; NULL: unknown */
 	uint8_t replaced;  /* by another start, since then */
 	int draining;
@@ -309,6 +311,43 @@
 		 ca->arrived_us, now_us);
 }
 
+/* See the header. */
+void eb_gate_set_log(struct eb_gate *gt, struct eb_log *lg,
+		     const char *request_id)
+{
+	gt->log = lg;
+	gt->request_id = request_id;
+}
+
+/*
+ * Logs that a call got the slot or was refused, with what decided it. The
+ * pace is that of `pace_age_ms` ago; -1 when it was never told.
+ */
+static void log_verdict(const struct eb_gate *gt, const struct eb_head *h,
+			const char *verdict, unsigned reason, int64_t waited_us,
+			int64_t now_us)
+{
+	const char *id = NULL;
+	struct eb_load ld;
+
+	if (!gt->log)
+		return;
+	if (gt->request_id)
+		id = eb_headers_find(&h->headers, gt->request_id);
+	eb_admit_load(gt->admit, &ld);
+	eb_log_write(gt->log, EB_LOG_INFO, "gate", verdict,
+		     "id=%s reason=%s attempt=%u wait_ms=%lld in_flight=%u "
+		     "queued=%u slots=%u pace=%u pace_age_ms=%lld usual=%u "
+		     "left_ms=%lld leaving=%d",
+		     id ? id : "-", eb_reason_name(reason), h->attempt,
+		     (long long)waited_us / 1000, ld.in_flight, ld.queued,
+		     ld.slots, ld.pace_percent,
+		     gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000
+				 : -1LL,
+		     h->usual_pace_percent, (long long)h->remaining_us / 1000,
+		     gt->draining || gt->leaving);
+}
+
 /* ---- Actions of the chart ---- */
 
 static void do_none(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
@@ -347,6 +386,8 @@
 	eb_frame_unref(f);
 	ca->head = NULL;
 	ca->started_us = now_us;
+	log_verdict(gt, head->head, "call runs", EB_REASON_NONE,
+		    now_us - ca->arrived_us, now_us);
 	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_ADMITTED, 1);
 	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_QUEUE_US,
 			   now_us - ca->arrived_us);
@@ -368,6 +409,8 @@
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, ca->key.call);
 
 	eb_frame_unref(f);
+	log_verdict(gt, ca->head->head, "call refused", ca->verdict.reason,
+		    now_us - ca->arrived_us, now_us);
 	ca->outcome = EB_OUTCOME_NOT_RUN;
 	ca->reason = ca->verdict.reason;
 	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED, 1);
@@ -657,6 +700,7 @@
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
+	log_verdict(gt, f->head, "call refused", reason, 0, now_us);
 	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED, 1);
 	if (!out)
 		return;
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -8,6 +8,7 @@
 #include "eb_config.h"
 #include "eb_findings.h"
 #include "eb_frame.h"
+#include "eb_log.h"
 #include "eb_mesh.h"
 #include "eb_metrics.h"
 #include "eb_trace.h"
@@ -44,6 +45,9 @@
 		       const struct eb_rule *rule);
 void eb_gate_drain(struct eb_gate *gt);
 void eb_gate_resumed(struct eb_gate *gt, int resumed);
+/* Where decisions are logged, and the header with a request's number. */
+void eb_gate_set_log(struct eb_gate *gt, struct eb_log *lg,
+		     const char *request_id);
 /*
  * Names the service of the upstream as this process was started with it: the
  * first start of the upstream that answers belongs to it, whether or not the
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -347,6 +347,21 @@
 	return 0;
 }
 
+/*
+ * Tells whether a request that nobody took at home may be offered elsewhere.
+ * The window keeps a region that is full from filling the others as well.
+ */
+static int may_spill(const struct eb_route *rt, const struct eb_route_query *q,
+		     int64_t now_us)
+{
+	if (!q->tried_count || untried_near(rt, q))
+		return 0;
+	if (q->handed_back)
+		return 1;
+	return q->refused && rt->far_in_flight < rt->far_window &&
+	       now_us >= rt->far_hold_until_us;
+}
+
 struct best {
 	struct upstream *up;
 	int64_t score_us;
@@ -442,7 +457,7 @@
 	       rt->pressure_permille > rt->tune.full_permille &&
 	       rt->far_in_flight < rt->far_window &&
 	       now_us >= rt->far_hold_until_us;
-	if (!best.up || full || (q->handed_back && !untried_near(rt, q)))
+	if (!best.up || full || may_spill(rt, q, now_us))
 		sample(rt, first[EB_DISTANCE_FAR], first[TIERS],
 		       rt->tune.choices, q, now_us, &best);
 	if (!best.up)
--- a/src/eb_tool.c
+++ b/src/eb_tool.c
@@ -59,6 +59,14 @@
 	  "Example:\n  ebonypier trace 4bf92f3577b34da6a3ce929d0e0e4736 "
 	  "127.0.0.1:26001\n",
 	  eb_tool_trace, 1, 1, ITEMS_MAX, 1, 0 },
+	{ "explain", "ID [FILE...]", "tell one request's story from logs",
+	  "Reads the logs of daemons, or standard input without a FILE, and "
+	  "prints the lines\nabout a request and the calls that its run made, "
+	  "in the order of time, with what\neach daemon believed before. ID is "
+	  "the request's number as its caller sent it.\nExits with 1 if there "
+	  "is no such line or a FILE cannot be read.\n\nExample:\n  ebonypier "
+	  "explain 9c41d07be2a35f68 machine-1.log machine-2.log\n",
+	  eb_tool_explain, 1, 0, ITEMS_MAX, 0, 0 },
 	{ "metrics", "[ADDRESS]", "print a daemon's metrics",
 	  "Prints the metrics in Prometheus text form.\n" ADDRESS_HELP
 	  "\nExample:\n  ebonypier metrics 127.0.0.1:26001\n",
--- a/src/eb_tool.h
+++ b/src/eb_tool.h
@@ -19,6 +19,7 @@
 int eb_tool_keygen(const struct eb_tool_args *ar);
 int eb_tool_status(const struct eb_tool_args *ar);
 int eb_tool_trace(const struct eb_tool_args *ar);
+int eb_tool_explain(const struct eb_tool_args *ar);
 int eb_tool_metrics(const struct eb_tool_args *ar);
 int eb_tool_drain(const struct eb_tool_args *ar);
 int eb_tool_open_claims(const struct eb_tool_args *ar);
--- a/tests/test_eb_admin.cc
+++ b/tests/test_eb_admin.cc
@@ -32,7 +32,7 @@
 	opens++;
 }
 
-const eb_admin_ops ops = { status, drain, open_claims };
+const eb_admin_ops ops = { status, drain, open_claims, nullptr };
 
 class Admin : public testing::Test
 {
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -341,33 +341,51 @@
 	EXPECT_GT(r.picks(200)[1], 20);
 }
 
-/* Guards against hand-backs that go round at home while others are free. */
-TEST(Route, HandedBackEverywhereGoesToAnotherRegion)
+struct taken_nowhere_case {
+	int reason;
+	uint8_t handed_back;
+	uint8_t refused;
+};
+
+/*
+ * Guards against requests that go round at home, where each upstream has
+ * refused them, while another region has room: a failure domain that has lost
+ * its machines, or a burst in one region.
+ */
+TEST(Route, TakenNowhereAtHomeGoesToAnotherRegion)
 {
-	router r;
-	uint32_t tried[] = { 1, 2 }, id = 0;
-	eb_route_query q = {};
+	const taken_nowhere_case cases[] = {
+		{ EB_REASON_HANDED_BACK, 1, 1 },
+		{ EB_REASON_QUEUE_FULL, 0, 1 },
+	};
 
-	r.add(1, EB_DISTANCE_DOMAIN);
-	r.add(2, EB_DISTANCE_REGION);
-	r.add(3, EB_DISTANCE_FAR);
-	r.set();
-	for (int i = 0; i < 20; i++) {
-		r.good(1, 100000);
-		r.good(2, 100000);
-		r.good(3, 120000);
+	for (const taken_nowhere_case &c : cases) {
+		router r;
+		uint32_t tried[] = { 1, 2 }, id = 0;
+		eb_route_query q = {};
+
+		r.add(1, EB_DISTANCE_DOMAIN);
+		r.add(2, EB_DISTANCE_REGION);
+		r.add(3, EB_DISTANCE_FAR);
+		r.set();
+		for (int i = 0; i < 20; i++) {
+			r.good(1, 100000);
+			r.good(2, 100000);
+			r.good(3, 120000);
+		}
+		r.refuse(1, c.reason);
+		q.remaining_us = 1000000;
+		q.handed_back = c.handed_back;
+		q.refused = c.refused;
+		q.tried = tried;
+		q.tried_count = 1;
+		ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
+		EXPECT_EQ(2u, id) << "home first";
+		r.refuse(2, c.reason);
+		q.tried_count = 2;
+		ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
+		EXPECT_EQ(3u, id) << c.reason;
 	}
-	r.refuse(1, EB_REASON_HANDED_BACK);
-	q.remaining_us = 1000000;
-	q.handed_back = 1;
-	q.tried = tried;
-	q.tried_count = 1;
-	ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
-	EXPECT_EQ(2u, id) << "home first";
-	r.refuse(2, EB_REASON_HANDED_BACK);
-	q.tried_count = 2;
-	ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
-	EXPECT_EQ(3u, id);
 }
 
 } // namespace
--- a/tests/test_eb_tool.cc
+++ b/tests/test_eb_tool.cc
@@ -144,7 +144,7 @@
 	*(int *)ctx = 2;
 }
 
-const eb_admin_ops ops = { status, drain, open_claims };
+const eb_admin_ops ops = { status, drain, open_claims, nullptr };
 
 /* Two daemons as far as the tool sees them. */
 class ToolAdmin : public testing::Test
