--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	bench/*.h platform/*.c platform/*.h)
 CC_FILES := $(wildcard tests/*.cc tests/*.h)
 
-.PHONY: all deps demo check bench soak format format-check lint unit clean \
+.PHONY: all deps site demo check bench soak soak-pairs format format-check lint unit clean \
 	charts
 .SECONDARY:
 
@@ -50,6 +50,9 @@
 deps:
 	@scripts/deps.sh
 
+site: deps
+	@$(MAKE) --no-print-directory -j $(SITE)
+
 demo: deps
 	@$(MAKE) --no-print-directory -j all
 	@scripts/demo.sh $(B)
@@ -66,8 +69,14 @@
 	@$(MAKE) --no-print-directory -j all
 	@scripts/bench.sh $(B)
 
-# SEED and DURATION (seconds) choose the run.
+# SEED, SEEDS, DURATION (seconds) and MACHINES choose the run.
 soak: deps
+	@$(MAKE) --no-print-directory -j all $(B)/tests/it_soak
+	@EBONYPIER_BUILD=$(B) SEED=$${SEED:-1} SEEDS=$${SEEDS:-1} \
+		DURATION=$${DURATION:-20} $(B)/tests/it_soak
+
+# Pairs of faults on the product's own platform; SEED and DURATION.
+soak-pairs: deps
 	@$(MAKE) --no-print-directory -j all $(B)/tests/it_pairs
 	@scripts/soak.sh $(B)
 
@@ -83,6 +92,7 @@
 	@mkdir -p $(B)
 	scripts/embed_charts.sh charts $(B)/charts.c
 	cmp $(B)/charts.c src/eb_charts_data.c
+	scripts/check_names.sh
 	clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
 
 lint: $(patsubst %,$(B)/lint/%.ok,$(filter %.c,$(C_FILES)))
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -311,12 +311,6 @@
 	on("/lost", [](SiteConnection &cn, const SiteRequest &) {
 		shutdown(cn.fd(), SHUT_RDWR);
 	});
-	on("/shed", [](SiteConnection &cn, const SiteRequest &rq) {
-		cn.write("HTTP/1.1 503 Busy\r\nEbonypier-Request-Id: " +
-			 rq.header("ebonypier-request-id") +
-			 "\r\nEbonypier-Not-Executed: 1\r\n"
-			 "Content-Length: 0\r\n\r\n");
-	});
 	for (int i = 0; i < 5; i++) {
 		std::string id = "once-" + std::to_string(i);
 		HttpAnswer a = site.send(0, "POST", "/near/once/lost", id);
@@ -327,6 +321,7 @@
 	}
 	HttpAnswer a = site.send(0, "POST", "/near/once/shed", "shed");
 	EXPECT_EQ(503, a.status);
+	EXPECT_EQ(0, runs("shed"));
 	EXPECT_EQ("not-run", a.outcome());
 	EXPECT_NE("", a.header("Retry-After"));
 	/* A safe request is tried again, within its two attempts. */
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -390,6 +390,13 @@
 	       "\r\n\r\n" + body;
 }
 
+std::string SiteUpstream::refusal(const SiteRequest &rq) const
+{
+	return "HTTP/1.1 503 Busy\r\nEbonypier-Request-Id: " +
+	       rq.header("ebonypier-request-id") +
+	       "\r\nEbonypier-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 std::string SiteUpstream::entry(const std::string &state) const
 {
 	return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" +
@@ -421,6 +428,11 @@
 				 "\r\nContent-Length: 0\r\n\r\n");
 			continue;
 		}
+		if (rq.target.find("/shed") != std::string::npos) {
+			cn.read_body(rq);
+			cn.write(refusal(rq));
+			continue;
+		}
 		{
 			std::lock_guard<std::mutex> hold(lock_);
 
@@ -456,6 +468,7 @@
 	daemon_port_ = free_port();
 	upstream_port_ = free_port();
 	store = std::make_unique<SiteStore>("127.0.0.1");
+	store_address = store->address;
 	for (size_t i = 0; i < services.size(); i++)
 		upstreams.push_back(std::make_unique<SiteUpstream>(
 			ip(i), upstream_port_, "i-" + std::to_string(i),
@@ -489,7 +502,7 @@
 	    << port(listen_port_) << ",\"ready\":\"" << ip(i)
 	    << port(ready_port_) << "},\"portRange\":[" << daemon_port_ << ","
 	    << daemon_port_ << "],\"zones\":{\"a\":\"r\"},"
-	    << "\"platform\":{\"address\":\"" << store->address
+	    << "\"platform\":{\"address\":\"" << store_address
 	    << "\"},\"bounds\":{\"graceS\":6}}";
 }
 
--- a/tests/site.h
+++ b/tests/site.h
@@ -133,7 +133,10 @@
 	std::unique_ptr<SiteServer> server_;
 };
 
-/* An upstream of the platform; its faults are set by path. */
+/*
+ * An upstream of the platform; its faults are set by path. Requests for a path
+ * with /shed in it are refused as not run.
+ */
 class SiteUpstream
 {
 public:
@@ -157,6 +160,8 @@
 	/* The usual answer to a request. */
 	std::string answer(const SiteRequest &rq, const std::string &body,
 			   const std::string &status = "200 OK") const;
+	/* The answer to a request that was not run; see /shed. */
+	std::string refusal(const SiteRequest &rq) const;
 	std::string entry(const std::string &state = "ready") const;
 	std::string key() const
 	{
@@ -212,6 +217,8 @@
 	void wait_status(size_t i, const std::string &path, long status);
 
 	std::unique_ptr<SiteStore> store;
+	/* Where daemons find the store; a relay may stand before it. */
+	std::string store_address;
 	std::vector<std::unique_ptr<SiteUpstream>> upstreams;
 	std::vector<std::unique_ptr<Process>> daemons;
 	std::vector<std::string> services;
--- a/tests/test_docs.cc
+++ b/tests/test_docs.cc
@@ -19,7 +19,7 @@
 {
 	std::stringstream out;
 
-	out << std::ifstream("docs/operating.md").rdbuf();
+	out << std::ifstream("docs/OPERATIONS.md").rdbuf();
 	return out.str();
 }
 
