soak: stops do not hold up other faults; the checker follows each daemon

The checker took the newest published version for one in force: a fault of the check, not of the daemons. A waiting SIGTERM also held up all other faults. Change: the checker goes on one version at a time, from what each daemon has served; daemons are stopped and started again beside the other faults.

--- a/tests/it_soak.cc
+++ b/tests/it_soak.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -45,7 +46,8 @@
 public:
 	Soak(uint32_t seed, size_t machines)
 		: site_(services(machines)), random_(seed), seed_(seed),
-		  away_(machines), starts_(machines), seen_starts_(machines),
+		  away_(machines), stopped_(machines), starts_(machines),
+		  seen_starts_(machines),
 		  relay_((uint16_t)atoi(
 			  site_.store->address.substr(10).c_str()))
 	{
@@ -63,6 +65,7 @@
 		for (size_t i = 0; i < site_.services.size(); i++)
 			callers.emplace_back([this, i] { call(i); });
 		while (now_us() < end) {
+			revive();
 			fault();
 			sleep_ms(pick(400) + 50);
 		}
@@ -164,20 +167,25 @@
 	 */
 	int check_version(size_t i, int newest)
 	{
-		int starts = starts_[i], want = newest;
-		HttpAnswer a;
-
-		if (!want)
-			want = version_;
-		a = site_.send(i, "GET", "/v" + std::to_string(want) + "/plain",
-			       "probe");
-		if (newest && a.complete(404) && starts == starts_[i] &&
+		int starts = starts_[i];
+
+		if (newest && probe(i, newest) == 404 && starts == starts_[i] &&
 		    starts == seen_starts_[i])
 			violation("machine " + std::to_string(i) +
 				  " went back behind version " +
 				  std::to_string(newest));
 		seen_starts_[i] = starts;
-		return a.complete(200) ? (int)version_ : newest;
+		if (newest < version_ && probe(i, newest + 1) == 200)
+			newest++;
+		return newest;
+	}
+	long probe(size_t i, int version)
+	{
+		return site_
+			.send(i, "GET",
+			      "/v" + std::to_string(version) + "/plain",
+			      "probe")
+			.status;
 	}
 	void publish()
 	{
@@ -202,6 +210,9 @@
 			"busy",	  "cut",    "forget", "answers"
 		};
 
+		/* One that is being stopped gets no further signal. */
+		if (what < 4 && stopped_[i])
+			return;
 		faults += std::string(faults.empty() ? "" : " ") + names[what];
 		switch (what) {
 		case 0:
@@ -256,9 +267,19 @@
 	void stop(size_t i, int sig)
 	{
 		site_.daemons[i]->signal(sig);
-		site_.daemons[i]->wait();
-		starts_[i]++;
-		site_.start_daemon(i);
+		stopped_[i] = true;
+	}
+	/* Starts the daemons that have ended, as the platform does. */
+	void revive()
+	{
+		for (size_t i = 0; i < stopped_.size(); i++) {
+			if (!stopped_[i] || site_.daemons[i]->running())
+				continue;
+			site_.daemons[i]->wait();
+			starts_[i]++;
+			stopped_[i] = false;
+			site_.start_daemon(i);
+		}
 	}
 	/* At least one upstream of each service stays. */
 	void leave(size_t i, const std::function<void()> &act)
@@ -283,6 +304,11 @@
 	{
 		size_t gone = away_.size();
 
+		wait_until("the daemons that were stopped", [this] {
+			revive();
+			return std::find(stopped_.begin(), stopped_.end(),
+					 true) == stopped_.end();
+		});
 		site_.store->set_mode(SiteStore::ANSWERS);
 		for (size_t i = 0; i < away_.size(); i++) {
 			if (away_[i] && gone == away_.size())
@@ -338,7 +364,7 @@
 	std::mutex lock_;
 	std::mt19937 random_;
 	uint32_t seed_;
-	std::vector<bool> away_;
+	std::vector<bool> away_, stopped_;
 	std::vector<std::atomic<int>> starts_, seen_starts_;
 	Relay relay_; /* before the store */
 	std::atomic<int> version_{ 0 };
