route: each upstream at home is asked once, then other regions; the last attempt waits

Change: a tried upstream is picked again only where nobody else is left, or for the last attempt, which may wait. Ejections are logged with their cause.

--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -285,6 +285,26 @@
 	eb_tracer_add(og->config.tracer, &sp);
 }
 
+/* Tells the router how the attempt ended; an ejection is logged. */
+static void note_result(struct eb_origin *og, const struct call *ca,
+			const struct eb_route_result *rs, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	struct eb_route_stats before, after;
+
+	eb_route_read_stats(ca->service->route, &before);
+	eb_route_done(ca->service->route, ca->node, rs, now_us);
+	eb_route_read_stats(ca->service->route, &after);
+	if (after.ejections != before.ejections)
+		eb_log_write(og->config.log, EB_LOG_INFO, "origin",
+			     "upstream ejected",
+			     "upstream=%s service=%s outcome=%s reason=%s "
+			     "status=%u out=%u",
+			     n ? n->name : "-", ca->service->name,
+			     eb_outcome_name(rs->outcome),
+			     eb_reason_name(rs->reason), rs->status, after.out);
+}
+
 /* Tells the router and the trace how the attempt ended. */
 static void end_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
@@ -303,7 +323,7 @@
 	if (ca->outcome != EB_OUTCOME_NOT_RUN ||
 	    ca->reason == EB_REASON_UPSTREAM_REFUSED)
 		ca->runs++;
-	eb_route_done(ca->service->route, ca->node, &rs, now_us);
+	note_result(og, ca, &rs, now_us);
 	add_span(og, ca, EB_SPAN_ATTEMPT, ca->attempt_span, ca->call_span,
 		 ca->attempt_us, now_us);
 }
@@ -501,7 +521,8 @@
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
-	q.handed_back = ca->attempts && ca->reason == EB_REASON_HANDED_BACK;
+	q.last = eb_retry_mark(&ca->service->retry, ca->attempts) >=
+		 EB_ATTEMPTS_MAX - 1;
 	while (ca->tried_count < EB_TRIED_MAX) {
 		q.tried_count = ca->tried_count;
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -335,33 +335,6 @@
 	return 1;
 }
 
-/* Tells whether an upstream at home has not been offered the request yet. */
-static int untried_near(const struct eb_route *rt,
-			const struct eb_route_query *q)
-{
-	uint32_t i;
-
-	for (i = 0; i < rt->first[EB_DISTANCE_FAR]; i++)
-		if (usable(&rt->ups[i], q))
-			return 1;
-	return 0;
-}
-
-/*
- * Tells whether a request that nobody took at home may be offered elsewhere.
- * The window keeps a region that is full from filling the others as well.
- */
-static int may_spill(const struct eb_route *rt, const struct eb_route_query *q,
-		     int64_t now_us)
-{
-	if (!q->tried_count || untried_near(rt, q))
-		return 0;
-	if (q->handed_back)
-		return 1;
-	return q->refused && rt->far_in_flight < rt->far_window &&
-	       now_us >= rt->far_hold_until_us;
-}
-
 struct best {
 	struct upstream *up;
 	int64_t score_us;
@@ -426,9 +399,9 @@
 
 /*
  * Picks the upstream with the least expected time among a few random ones of
- * each near tier. Other regions are looked at only when there is nothing at
- * home, or when home refuses and has been refusing. Returns EB_ENOTFOUND when
- * none may be used.
+ * each near tier. Other regions are looked at only when nobody is left to ask
+ * at home, or when home refuses and has been refusing. Returns EB_ENOTFOUND
+ * when none may be used.
  */
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
@@ -449,17 +422,20 @@
 	if (!best.up || best.score_us > enough)
 		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
 		       2 * rt->tune.choices, q, now_us, &best);
-	/* A refusal for load is no reason to leave a region that has room. */
-	if (q->tried_count && (!best.up || best.score_us > enough))
-		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
-		       rt->tune.choices, &again, now_us, &best);
 	full = q->tried_count &&
 	       rt->pressure_permille > rt->tune.full_permille &&
 	       rt->far_in_flight < rt->far_window &&
 	       now_us >= rt->far_hold_until_us;
-	if (!best.up || full || may_spill(rt, q, now_us))
+	if (!best.up || full)
 		sample(rt, first[EB_DISTANCE_FAR], first[TIERS],
 		       rt->tune.choices, q, now_us, &best);
+	/*
+	 * The last attempt may wait, also where there was no slot before. An
+	 * earlier one would only be refused again.
+	 */
+	if (q->tried_count && (!best.up || (q->last && best.score_us > enough)))
+		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
+		       rt->tune.choices, &again, now_us, &best);
 	if (!best.up)
 		best.up = last_resort(rt, q);
 	/* Where all have refused for load, the request waits at one of them. */
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -55,7 +55,7 @@
 	int64_t remaining_us;
 	uint8_t idempotent;
 	uint8_t refused;       /* the last attempt was refused for load */
-	uint8_t handed_back;   /* since the upstream's machine is slow now */
+	uint8_t last;	       /* it may wait where it is offered now */
 	const uint32_t *tried; /* ids that are not picked again */
 	uint32_t tried_count;
 };
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -341,12 +341,6 @@
 	EXPECT_GT(r.picks(200)[1], 20);
 }
 
-struct taken_nowhere_case {
-	int reason;
-	uint8_t handed_back;
-	uint8_t refused;
-};
-
 /*
  * Guards against requests that go round at home, where each upstream has
  * refused them, while another region has room: a failure domain that has lost
@@ -354,12 +348,7 @@
  */
 TEST(Route, TakenNowhereAtHomeGoesToAnotherRegion)
 {
-	const taken_nowhere_case cases[] = {
-		{ EB_REASON_HANDED_BACK, 1, 1 },
-		{ EB_REASON_QUEUE_FULL, 0, 1 },
-	};
-
-	for (const taken_nowhere_case &c : cases) {
+	for (int reason : { EB_REASON_HANDED_BACK, EB_REASON_QUEUE_FULL }) {
 		router r;
 		uint32_t tried[] = { 1, 2 }, id = 0;
 		eb_route_query q = {};
@@ -373,18 +362,17 @@
 			r.good(2, 100000);
 			r.good(3, 120000);
 		}
-		r.refuse(1, c.reason);
+		r.refuse(1, reason);
 		q.remaining_us = 1000000;
-		q.handed_back = c.handed_back;
-		q.refused = c.refused;
+		q.refused = 1;
 		q.tried = tried;
 		q.tried_count = 1;
 		ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
 		EXPECT_EQ(2u, id) << "home first";
-		r.refuse(2, c.reason);
+		r.refuse(2, reason);
 		q.tried_count = 2;
 		ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
-		EXPECT_EQ(3u, id) << c.reason;
+		EXPECT_EQ(3u, id) << reason;
 	}
 }
 
