--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -44,8 +44,9 @@
 #define FAR_HOLD_US 250000
 #define SERVICE_FIRST_US 1000
 #define PACE_AGE_US 150000
-/* The usual pace is that of the last 16 reports or so. */
-#define PACE_SHIFT 4
+/* With a quarter of the machines four times slower, it stays below 110. */
+#define PACE_FALL_SHIFT 2
+#define PACE_RISE_SHIFT 6
 #define PACE_MAX_PERCENT 10000U
 /* Keeps nine tenths of the requests within the failure domain. */
 #define LEAVE_US 3000
@@ -92,7 +93,7 @@
 	int64_t expiry_us;
 	int64_t service_us;	    /* smoothed over all upstreams */
 	uint32_t load_permille;	    /* reported load by slot, smoothed */
-	uint32_t pace_percent;	    /* smoothed over all reports */
+	uint32_t pace_percent;	    /* usual one; 0: none reported yet */
 	uint32_t pressure_permille; /* refusals at home, smoothed */
 	uint32_t far_in_flight;
 	uint32_t far_window;
@@ -559,17 +560,24 @@
 	}
 }
 
-/* Learns the usual pace; one machine alone moves it little. */
+/*
+ * Learns the usual pace, which is that of the machines that are not slowed
+ * down: it falls fast and rises slowly.
+ */
 static void learn_pace(struct eb_route *rt, uint32_t pace_percent)
 {
-	uint32_t usual = rt->pace_percent ? rt->pace_percent : 100;
+	uint32_t usual = rt->pace_percent;
 
 	if (!pace_percent)
 		return;
 	if (pace_percent > PACE_MAX_PERCENT)
 		pace_percent = PACE_MAX_PERCENT;
-	rt->pace_percent =
-		(usual * ((1 << PACE_SHIFT) - 1) + pace_percent) >> PACE_SHIFT;
+	if (!usual)
+		rt->pace_percent = pace_percent;
+	else if (pace_percent < usual)
+		rt->pace_percent -= (usual - pace_percent) >> PACE_FALL_SHIFT;
+	else
+		rt->pace_percent += (pace_percent - usual) >> PACE_RISE_SHIFT;
 }
 
 /* Returns the usual pace, or 0 while none is known. */
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -376,4 +376,46 @@
 	}
 }
 
+/*
+ * Guards against a usual pace that takes in the machines which are slow now:
+ * then work would not be handed back from them.
+ */
+TEST(Route, UsualPaceIsThatOfTheMachinesThatAreNotSlowed)
+{
+	const struct {
+		const char *name;
+		std::vector<uint16_t> reports; /* in turn, again and again */
+		uint16_t least, most;
+	} cases[] = {
+		{ "all as usual", { 100 }, 100, 100 },
+		{ "a quarter slow", { 400, 100, 100, 100 }, 100, 150 },
+		{ "half slow", { 400, 100 }, 100, 190 },
+		{ "all cold", { 200 }, 200, 200 },
+		{ "all cold, a quarter slow",
+		  { 800, 200, 200, 200 },
+		  200,
+		  300 },
+	};
+
+	for (const auto &c : cases) {
+		router r;
+
+		r.add(1, EB_DISTANCE_DOMAIN);
+		r.set();
+		EXPECT_EQ(0, eb_route_usual_pace(r.rt));
+		for (size_t i = 0; i < 400; i++) {
+			eb_load ld = {
+				0, 0,	 6,
+				0, 4000, c.reports[i % c.reports.size()]
+			};
+
+			eb_route_load(r.rt, 1, &ld, r.now);
+			if (i < 40)
+				continue;
+			EXPECT_GE(eb_route_usual_pace(r.rt), c.least) << c.name;
+			EXPECT_LE(eb_route_usual_pace(r.rt), c.most) << c.name;
+		}
+	}
+}
+
 } // namespace
