--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -90,15 +90,15 @@
 	struct eb_admit *admit;
 	char *address; /* of the upstream; NULL: not configured */
 	char *service;
-	char *probe;	   /* address and path to ask for the pace, or NULL */
-	int64_t pace_us;   /* when the pace was told; 0: never */
-	int64_t probe_us;  /* when a probe was sent; 0: none is out */
-	uint32_t held;	   /* calls that wait for a probe */
-	char *instance;	   /* first start of the upstream that answered */
+	char *probe;	    /* address and path to ask for the pace, or NULL */
+	int64_t pace_us;    /* when the pace was told; 0: never */
+	int64_t probe_us;   /* when a probe was sent; 0: none is out */
+	uint32_t held;	    /* calls that wait for a probe */
+	char *instance;	    /* first start of the upstream that answered */
 	struct eb_log *log; /* NULL: nothing is logged */
 	const char *request_id; /* header with a request's number, or NULL */
-	char *own_service; /* that this start belongs to; NULL: unknown */
-	uint8_t replaced;  /* by another start, since then */
+	char *own_service;	/* that this start belongs to; NULL: unknown */
+	uint8_t replaced;	/* by another start, since then */
 	int draining;
 	int leaving; /* the upstream, while this daemon stays */
 	uint64_t release_index;
--- /dev/null
+++ b/tests/test_pf_decode.cc
@@ -0,0 +1,169 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "pf_adapter.h"
+#include "pf_decode.h"
+}
+
+namespace
+{
+
+struct item {
+	std::string key;
+	std::string value;
+};
+
+const item state = {
+	"op/config",
+	"{\"version\":7,\"routes\":{"
+	"\"r-1\":{\"host\":\"a.example\",\"prefix\":\"/x/\",\"kind\":\"safe\","
+	"\"timeoutMs\":1000,\"sloMs\":300,\"priority\":2,\"attempts\":2,"
+	"\"split\":[{\"service\":\"near\",\"weight\":90},"
+	"{\"service\":\"far\",\"weight\":10}]},"
+	"\"r-2\":{\"host\":\"a.example\",\"prefix\":\"/y/\","
+	"\"kind\":\"upload\",\"timeoutMs\":2500,\"sloMs\":400,"
+	"\"priority\":1,\"attempts\":1,\"service\":\"far\"}},"
+	"\"services\":{\"near\":{\"healthPath\":\"/health\"},"
+	"\"far\":{\"healthPath\":\"/up\"}}}"
+};
+
+item entry(const std::string &id, const std::string &address,
+	   const std::string &more = "", const std::string &service = "near",
+	   const std::string &status = "ready")
+{
+	return { "servers/" + id, "{\"service\":\"" + service +
+					  "\",\"address\":\"" + address +
+					  "\",\"zone\":\"z1\",\"slots\":6,"
+					  "\"state\":\"" +
+					  status + "\"" + more + "}" };
+}
+
+/* Decodes items; the caller drops the configuration. */
+eb_config *decode(const std::vector<item> &items)
+{
+	pf_domain domains[] = { { (char *)"z1", (char *)"region-1" } };
+	eb_feed_change ch = {};
+	eb_settings se = {};
+	pf_adapter ad = {};
+	eb_config *cf;
+	int changed;
+	eb_feed *fd = eb_feed_new();
+
+	ad.settings.domains = domains;
+	ad.settings.domain_count = 1;
+	se.daemon_address = (char *)"10.0.0.9:7000";
+	ch.full = 1;
+	ch.revision = 40;
+	for (const item &it : items)
+		eb_feed_change_add(&ch, it.key.c_str(), it.value.data(),
+				   (uint32_t)it.value.size(), 5, 0);
+	eb_feed_apply(fd, &ch, 0, &changed);
+	cf = pf_decode(&ad.base, &se, fd, 0, nullptr);
+	eb_feed_change_clear(&ch);
+	eb_feed_free(fd);
+	return cf;
+}
+
+/* Guards against fields of the operator's state that get another meaning. */
+TEST(PfDecode, StateOfTheOperator)
+{
+	eb_config *cf = decode({ state });
+	const eb_match *x, *y;
+
+	ASSERT_NE(nullptr, cf);
+	EXPECT_EQ(7u, cf->release);
+	x = eb_config_find_match(cf, "a.example", "/x/1");
+	y = eb_config_find_match(cf, "a.example", "/y/1");
+	ASSERT_TRUE(x && y);
+	EXPECT_EQ(1, x->idempotent);
+	EXPECT_EQ(0, y->idempotent) << "uploads run once";
+	EXPECT_EQ(1000u, x->timeout_ms);
+	EXPECT_EQ(300u, x->objective_ms);
+	EXPECT_EQ(2, x->priority);
+	EXPECT_EQ(2, x->attempts);
+	ASSERT_EQ(2u, x->share_count);
+	EXPECT_STREQ("near", cf->services[x->shares[0].service]->name);
+	EXPECT_EQ(90u, x->shares[0].weight);
+	ASSERT_EQ(1u, y->share_count);
+	EXPECT_STREQ("far", cf->services[y->shares[0].service]->name);
+	eb_config_unref(cf);
+	EXPECT_EQ(nullptr, decode({ entry("i-1", "10.0.0.1:80") }));
+	EXPECT_EQ(nullptr, decode({ { "op/config", "[" } }));
+}
+
+/* Guards against entries that name no upstream, or the wrong one. */
+TEST(PfDecode, Entries)
+{
+	const struct {
+		const char *name;
+		std::vector<item> entries;
+		const char *want; /* "NAME INSTANCE DAEMON leaving ..." */
+	} cases[] = {
+		{ "a whole one",
+		  { entry("i-1", "10.0.0.1:80", ",\"born\":1000") },
+		  "10.0.0.1-80 i-1 10.0.0.1:7000 stays " },
+		{ "draining",
+		  { entry("i-1", "10.0.0.1:80", "", "near", "draining") },
+		  "10.0.0.1-80 i-1 10.0.0.1:7000 leaves " },
+		{ "two starts at one address: the later one",
+		  { entry("i-1", "10.0.0.1:80", ",\"born\":2000"),
+		    entry("i-2", "10.0.0.1:80", ",\"born\":1000") },
+		  "10.0.0.1-80 i-1 10.0.0.1:7000 stays " },
+		{ "an unknown state",
+		  { entry("i-1", "10.0.0.1:80", "", "near", "asleep") },
+		  "" },
+		{ "an unknown service",
+		  { entry("i-1", "10.0.0.1:80", "", "other") },
+		  "" },
+		{ "an address that is none", { entry("i-1", "10.0.0.1") }, "" },
+		{ "a start that is no whole number",
+		  { entry("i-1", "10.0.0.1:80", ",\"born\":\"soon\"") },
+		  "" },
+		{ "no JSON beside a good one",
+		  { { "servers/i-0", "\x01" }, entry("i-1", "10.0.0.1:80") },
+		  "10.0.0.1-80 i-1 10.0.0.1:7000 stays " },
+	};
+
+	for (const auto &c : cases) {
+		std::vector<item> all = c.entries;
+		std::string got;
+
+		all.push_back(state);
+		eb_config *cf = decode(all);
+		ASSERT_NE(nullptr, cf) << c.name;
+		for (uint32_t i = 0; i < cf->upstream_total; i++) {
+			const eb_upstream *up = cf->upstreams[i];
+
+			got += std::string(up->name) + " " + up->instance +
+			       " " + up->daemon +
+			       (up->leaving ? " leaves " : " stays ");
+			EXPECT_STREQ("region-1", up->region);
+			EXPECT_STREQ("/health", up->probe_path);
+			EXPECT_EQ(6u, up->slots);
+		}
+		EXPECT_EQ(c.want, got) << c.name;
+		eb_config_unref(cf);
+	}
+}
+
+/* Guards against a load header that is taken for something else. */
+TEST(PfDecode, Pace)
+{
+	const struct {
+		const char *value;
+		uint16_t pace;
+	} cases[] = {
+		{ "3,0,8,100", 100 }, { "3,0,8,400", 400 },
+		{ "3,0,8", 0 },	      { "", 0 },
+		{ "3,0,8,x", 0 },     { "3,0,8,999999", 0 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(c.pace, pf_read_pace(c.value)) << c.value;
+}
+
+} // namespace
