retry: daemons share the burst of retries that the platform allows

Cause: each daemon may retry three times at once; from 70 daemons on, a fault at all of them at the same time could exceed the 206 or 158 retries that the grown sites allow beyond the share of requests. Change: the burst of a daemon is its part of that figure, between one and three.

--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -30,6 +30,7 @@
 	int32_t refs;
 	char *name;
 	uint32_t retry_permille;    /* retries allowed for 1000 requests */
+	uint32_t retry_burst;	    /* of one daemon; 0: the usual one */
 	uint32_t queue;		    /* requests that wait at a gate */
 	uint32_t watch_bytes_per_s; /* budget of watching load, a daemon */
 	uint32_t caller_rate_per_s; /* 0: no limit */
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -284,6 +284,7 @@
 	const char *name = nd->config->services[index]->name;
 	struct eb_service_state *sv;
 	struct eb_limit_config limit;
+	const struct eb_rule *rule;
 
 	sv = apr_hash_get(nd->services, name, APR_HASH_KEY_STRING);
 	if (!sv)
@@ -293,7 +294,9 @@
 	sv->index = index;
 	limit = limit_config(eb_nodes_rule(nd, sv));
 	sv->limit = eb_limit_new(&limit);
-	eb_retry_init(&sv->retry, eb_nodes_rule(nd, sv)->retry_permille);
+	rule = eb_nodes_rule(nd, sv);
+	eb_retry_init(&sv->retry, rule->retry_permille);
+	eb_retry_limit(&sv->retry, rule->retry_permille, rule->retry_burst);
 	dial(nd, sv, now_us);
 	refresh(nd, sv, now_us);
 	return sv;
@@ -303,6 +306,7 @@
 static void update_services(struct eb_nodes *nd, int64_t now_us)
 {
 	struct eb_limit_config limit;
+	const struct eb_rule *rule;
 	struct eb_service_state *sv;
 	apr_hash_index_t *hi;
 	void *value;
@@ -313,8 +317,9 @@
 		sv = value;
 		sv->index = eb_config_find_service(nd->config, sv->name);
 		if (sv->index != EB_NONE) {
-			sv->retry.retry_permille =
-				eb_nodes_rule(nd, sv)->retry_permille;
+			rule = eb_nodes_rule(nd, sv);
+			eb_retry_limit(&sv->retry, rule->retry_permille,
+				       rule->retry_burst);
 			limit = limit_config(eb_nodes_rule(nd, sv));
 			eb_limit_configure(sv->limit, &limit);
 			dial(nd, sv, now_us);
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -20,6 +20,7 @@
 	rb->retry_permille = retry_permille;
 	rb->reroute_permille = REROUTE_PERMILLE;
 	rb->tokens = TOKENS_MAX;
+	rb->tokens_max = TOKENS_MAX;
 	rb->reroute_tokens = REROUTE_TOKENS_MAX;
 }
 
@@ -35,8 +36,20 @@
 void eb_retry_success(struct eb_retry *rb)
 {
 	rb->tokens += rb->retry_permille;
-	if (rb->tokens > TOKENS_MAX)
-		rb->tokens = TOKENS_MAX;
+	if (rb->tokens > rb->tokens_max)
+		rb->tokens = rb->tokens_max;
+}
+
+/* Sets the share and the burst, of which 0 is the usual one. */
+void eb_retry_limit(struct eb_retry *rb, uint32_t retry_permille,
+		    uint32_t burst)
+{
+	rb->retry_permille = retry_permille;
+	rb->tokens_max = TOKENS_MAX;
+	if (burst && burst * TOKENS_PER_RETRY < TOKENS_MAX)
+		rb->tokens_max = burst * TOKENS_PER_RETRY;
+	if (rb->tokens > rb->tokens_max)
+		rb->tokens = rb->tokens_max;
 }
 
 /*
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -13,6 +13,7 @@
 	uint32_t retry_permille;
 	uint32_t reroute_permille;
 	int64_t tokens;		/* thousandths of a retry */
+	int64_t tokens_max;
 	int64_t reroute_tokens; /* thousandths of a re-route */
 };
 
@@ -29,6 +30,9 @@
 void eb_retry_init(struct eb_retry *rb, uint32_t retry_permille);
 void eb_retry_request(struct eb_retry *rb);
 void eb_retry_success(struct eb_retry *rb);
+/* Bounds the retries of a moment: all daemons together share a budget. */
+void eb_retry_limit(struct eb_retry *rb, uint32_t retry_permille,
+		    uint32_t burst);
 uint8_t eb_retry_mark(const struct eb_retry *rb, uint8_t attempts);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
 
--- a/tests/test_eb_retry.cc
+++ b/tests/test_eb_retry.cc
@@ -152,4 +152,34 @@
 	EXPECT_EQ(EB_ATTEMPTS_MAX - 1, eb_retry_mark(&rb, 0));
 }
 
+/* Guards against a large fleet that spends more than its shared budget. */
+TEST(Retry, BurstIsSharedAmongDaemons)
+{
+	const struct {
+		uint32_t burst;
+		int retries;
+	} cases[] = { { 0, 3 }, { 1, 1 }, { 2, 2 }, { 3, 3 }, { 50, 3 } };
+
+	for (const auto &c : cases) {
+		eb_retry_attempt at = {};
+		eb_retry rb;
+		int n = 0;
+
+		eb_retry_init(&rb, 100);
+		eb_retry_limit(&rb, 100, c.burst);
+		at.outcome = EB_OUTCOME_UNKNOWN;
+		at.idempotent = 1;
+		at.attempts = 1;
+		at.remaining_us = 1000000;
+		while (eb_retry_allow(&rb, &at))
+			n++;
+		EXPECT_EQ(c.retries, n) << c.burst;
+		for (int i = 0; i < 1000; i++)
+			eb_retry_success(&rb);
+		for (n = 0; eb_retry_allow(&rb, &at);)
+			n++;
+		EXPECT_EQ(c.retries, n) << c.burst;
+	}
+}
+
 } // namespace
