--- /dev/null
+++ b/src/eb_body.h
@@ -0,0 +1,15 @@
+#ifndef EB_BODY_H
+#define EB_BODY_H
+
+#include <stddef.h>
+
+/* The body of an answer that is collected whole. */
+struct eb_body {
+	char *text; /* ends with a NUL byte, or NULL */
+	size_t bytes;
+};
+
+int eb_body_append(struct eb_body *bd, const void *data, size_t bytes,
+		   size_t max_bytes);
+
+#endif
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_body.h"
 #include "eb_clock.h"
 #include "eb_core.h"
 #include "eb_release.h"
@@ -23,8 +24,7 @@
 struct fetch {
 	struct eb_source *platform;
 	CURL *easy;
-	char *body;
-	size_t used_bytes;
+	struct eb_body body;
 	int busy;
 	int64_t due_us;
 };
@@ -45,19 +45,10 @@
 static size_t collect(char *buf, size_t size, size_t items, void *data)
 {
 	struct fetch *ft = data;
-	size_t n = size * items;
-	char *p;
 
-	if (ft->used_bytes + n > ANSWER_MAX_BYTES)
-		return 0;
-	p = realloc(ft->body, ft->used_bytes + n + 1);
-	if (!p)
-		return 0;
-	ft->body = p;
-	memcpy(p + ft->used_bytes, buf, n);
-	ft->used_bytes += n;
-	p[ft->used_bytes] = 0;
-	return n;
+	return eb_body_append(&ft->body, buf, size * items, ANSWER_MAX_BYTES)
+		       ? 0
+		       : size * items;
 }
 
 static void start_fetch(struct fetch *ft, const char *path, long timeout_ms)
@@ -69,7 +60,7 @@
 		 path);
 	curl_easy_setopt(ft->easy, CURLOPT_URL, url);
 	curl_easy_setopt(ft->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-	ft->used_bytes = 0;
+	ft->body.bytes = 0;
 	ft->busy = 1;
 	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_CALLS, 1);
 	curl_multi_add_handle(pl->multi, ft->easy);
@@ -197,8 +188,8 @@
 	curl_multi_remove_handle(pl->multi, ft->easy);
 	ft->busy = 0;
 	if (!rc && status == 200)
-		root = json_loadb(ft->body ? ft->body : "", ft->used_bytes,
-				  JSON_REJECT_DUPLICATES, NULL);
+		root = json_loadb(ft->body.text ? ft->body.text : "",
+				  ft->body.bytes, JSON_REJECT_DUPLICATES, NULL);
 	if (root)
 		bad = is_notes ? take_notes(pl, root) : take_vms(pl, root);
 	json_decref(root);
@@ -254,7 +245,7 @@
 	if (ft->busy)
 		curl_multi_remove_handle(ft->platform->multi, ft->easy);
 	curl_easy_cleanup(ft->easy);
-	free(ft->body);
+	free(ft->body.text);
 }
 
 /* Stops the thread; a watch that waits is given up at once. */
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -12,7 +12,7 @@
 struct eb_retry {
 	uint32_t retry_permille;
 	uint32_t reroute_permille;
-	int64_t tokens;		/* thousandths of a retry */
+	int64_t tokens; /* thousandths of a retry */
 	int64_t tokens_max;
 	int64_t reroute_tokens; /* thousandths of a re-route */
 };
--- a/src/eb_tool_admin.c
+++ b/src/eb_tool_admin.c
@@ -60,7 +60,8 @@
 
 	if (cl->status != 200)
 		return NULL;
-	js = json_loadb(cl->body ? cl->body : "", cl->bytes, 0, NULL);
+	js = json_loadb(cl->body.text ? cl->body.text : "", cl->body.bytes, 0,
+			NULL);
 	if (json_is_object(js))
 		return js;
 	json_decref(js);
@@ -143,7 +144,7 @@
 	if (!answered)
 		fprintf(stderr, "ebonypier: %s: %s\n", cl->address, cl->error);
 	else if (show)
-		fwrite(cl->body, 1, cl->bytes, stdout);
+		fwrite(cl->body.text, 1, cl->body.bytes, stdout);
 	else
 		printf("%s: draining\n", cl->address);
 	eb_tool_http_clear(cl, 1);
--- a/src/eb_tool_http.c
+++ b/src/eb_tool_http.c
@@ -15,19 +15,10 @@
 static size_t take_bytes(char *data, size_t size, size_t n, void *ctx)
 {
 	struct eb_tool_call *cl = ctx;
-	size_t more = size * n;
-	char *body;
 
-	if (cl->bytes + more > ANSWER_MAX_BYTES)
-		return 0;
-	body = realloc(cl->body, cl->bytes + more + 1);
-	if (!body)
-		return 0;
-	memcpy(body + cl->bytes, data, more);
-	cl->body = body;
-	cl->bytes += more;
-	body[cl->bytes] = 0;
-	return more;
+	return eb_body_append(&cl->body, data, size * n, ANSWER_MAX_BYTES)
+		       ? 0
+		       : size * n;
 }
 
 static CURL *make_request(struct eb_tool_call *cl, const char *method,
@@ -143,6 +134,6 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		free(calls[i].body);
+		free(calls[i].body.text);
 	free(calls);
 }
--- a/src/eb_tool_http.h
+++ b/src/eb_tool_http.h
@@ -1,14 +1,14 @@
 #ifndef EB_TOOL_HTTP_H
 #define EB_TOOL_HTTP_H
 
-#include <stddef.h>
 #include <stdint.h>
 
+#include "eb_body.h"
+
 /* One request to an admin port and its answer. */
 struct eb_tool_call {
 	const char *address; /* IP:port */
-	char *body;	     /* ends with a NUL byte, or NULL */
-	size_t bytes;
+	struct eb_body body;
 	int32_t status; /* HTTP status, or 0 without an answer */
 	char error[256];
 };
--- a/src/eb_tool_trace.c
+++ b/src/eb_tool_trace.c
@@ -54,7 +54,8 @@
 /* Takes the spans of one daemon's answer. Returns -1 if it is no list. */
 static int add_spans(struct trace *tc, const struct eb_tool_call *cl)
 {
-	json_t *js = json_loadb(cl->body ? cl->body : "", cl->bytes, 0, NULL);
+	json_t *js = json_loadb(cl->body.text ? cl->body.text : "",
+				cl->body.bytes, 0, NULL);
 	const json_t *one;
 	struct span *sp;
 	size_t i;
