--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -46,6 +46,16 @@
 	.wait_us = WAIT_US,
 };
 
+/* Kinds of requests whose service times are kept. */
+#define KINDS_MAX 32
+/* Gain of a kind's service time. */
+#define KIND_SHIFT 3
+
+struct kind {
+	uint32_t kind; /* 0: free */
+	int64_t service_us;
+};
+
 struct waiter {
 	struct eb_admit_request rq;
 	int64_t since_us;
@@ -59,6 +69,8 @@
 	uint32_t space;
 	uint32_t in_flight;
 	int64_t service_us;
+	struct kind kinds[KINDS_MAX];
+	uint32_t kind_next; /* the place that is given to another one next */
 	int64_t owed_us;    /* slot time since the last completion */
 	int64_t owed_at_us; /* time up to which owed_us counts */
 	int64_t done_us;    /* last completion */
@@ -152,11 +164,45 @@
 	act->verdict = EB_ADMIT_RUN;
 }
 
+static struct kind *find_kind(const struct eb_admit *ad, uint32_t kind)
+{
+	uint32_t i;
+
+	for (i = 0; kind && i < KINDS_MAX; i++)
+		if (ad->kinds[i].kind == kind)
+			return (struct kind *)&ad->kinds[i];
+	return NULL;
+}
+
+/* Learns how long requests of a kind take; zero and less teach nothing. */
+void eb_admit_learn(struct eb_admit *ad, uint32_t kind, int64_t service_us)
+{
+	struct kind *kn = find_kind(ad, kind);
+
+	if (!kind || service_us <= 0)
+		return;
+	if (!kn) {
+		kn = &ad->kinds[ad->kind_next++ % KINDS_MAX];
+		kn->kind = kind;
+		kn->service_us = service_us;
+	}
+	kn->service_us += (service_us - kn->service_us) / (1 << KIND_SHIFT);
+}
+
+/* How long a request is expected to run. */
+static int64_t run_us(const struct eb_admit *ad,
+		      const struct eb_admit_request *rq)
+{
+	const struct kind *kn = find_kind(ad, rq->kind);
+
+	return kn ? kn->service_us : ad->service_us;
+}
+
 /* Whether an answer can still be on time if the request ran now. */
 static int is_late(const struct eb_admit *ad, const struct eb_admit_request *rq,
 		   int64_t now_us)
 {
-	return rq->goal_us && now_us + ad->service_us > rq->goal_us;
+	return rq->goal_us && now_us + run_us(ad, rq) > rq->goal_us;
 }
 
 /*
@@ -225,7 +271,7 @@
 	if (ad->queued >= ad->config.queue ||
 	    now_us + wait_us > rq->deadline_us)
 		return 0;
-	if (rq->goal_us && now_us + wait_us + ad->service_us > rq->goal_us)
+	if (rq->goal_us && now_us + wait_us + run_us(ad, rq) > rq->goal_us)
 		return 0;
 	return rq->attempt >= ATTEMPT_LAST || !ahead ||
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
@@ -398,7 +444,8 @@
 	for (i = 0; i < ad->queued; i++) {
 		if (ad->queue[i].rq.deadline_us < wake_us)
 			wake_us = ad->queue[i].rq.deadline_us;
-		late_us = ad->queue[i].rq.goal_us - ad->service_us + 1;
+		late_us = ad->queue[i].rq.goal_us -
+			  run_us(ad, &ad->queue[i].rq) + 1;
 		if (ad->queue[i].rq.goal_us && ad->queued > 1 &&
 		    late_us < wake_us)
 			wake_us = late_us;
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -31,6 +31,7 @@
 	uint64_t caller;
 	int64_t deadline_us; /* monotonic time of this daemon */
 	int64_t goal_us;     /* until then an answer is on time; 0: no goal */
+	uint32_t kind;	     /* whose service time is learnt; 0: unknown */
 	uint8_t idempotent;
 	uint8_t attempt;  /* 0 for the first; later ones may wait longer */
 	uint8_t priority; /* 0 is the most urgent */
@@ -66,6 +67,8 @@
  */
 void eb_admit_done(struct eb_admit *ad, uint64_t id, int64_t service_us,
 		   int64_t now_us);
+/* Learns how long requests of a kind take; see eb_admit_done(). */
+void eb_admit_learn(struct eb_admit *ad, uint32_t kind, int64_t service_us);
 /* A waiting request was cancelled; returns 1 if it was waiting. */
 int eb_admit_cancel(struct eb_admit *ad, uint64_t id);
 /*
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 /* The first members of each kind of item. */
 struct item {
@@ -273,6 +275,14 @@
 	return best;
 }
 
+/* Returns the kind of requests that a match of this name has; never 0. */
+uint32_t eb_config_kind(const char *name)
+{
+	uint32_t kind = (uint32_t)XXH64(name, strlen(name), 0);
+
+	return kind ? kind : 1;
+}
+
 /* Tells whether a host without its port is the given one. */
 static int same_host(const char *want, const char *host, size_t n)
 {
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -81,8 +81,9 @@
  */
 struct eb_match {
 	char *name;
-	char *host;   /* without a port */
-	char *prefix; /* begins and ends with a slash */
+	uint32_t kind; /* of its requests: a hash of the name, not 0 */
+	char *host;    /* without a port */
+	char *prefix;  /* begins and ends with a slash */
 	struct eb_share shares[EB_SHARES_MAX];
 	uint32_t share_count;
 	uint32_t timeout_ms;   /* longest time to an answer; 0: none */
@@ -132,6 +133,8 @@
 uint32_t eb_config_match(const struct eb_config *cf, const char *host,
 			 const char *path);
 
+/* The kind of the requests of a match, by its name; the same everywhere. */
+uint32_t eb_config_kind(const char *name);
 /* The path of a request, or NULL; the longest prefix of the host wins. */
 const struct eb_match *eb_config_find_match(const struct eb_config *cf,
 					    const char *host,
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -101,6 +101,7 @@
 	uint8_t attempt; /* 0 for the first */
 	uint8_t idempotent;
 	uint8_t priority; /* 0 is the most urgent */
+	uint32_t kind;	  /* requests of one kind take alike long; 0: unknown */
 	uint16_t
 		usual_pace_percent; /* of the service's upstreams; 0: unknown */
 	struct eb_trace_id trace;
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -74,6 +74,7 @@
 	int64_t budget_us;
 	int64_t deadline_us;
 	int64_t goal_us; /* until then an answer is on time; 0: no goal */
+	uint32_t kind;
 	int64_t arrived_us;
 	int64_t started_us; /* 0: has no slot */
 	int64_t arrived_wall_us;
@@ -474,6 +475,7 @@
 	}
 	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_UPSTREAM_US,
 			   now_us - ca->started_us);
+	eb_admit_learn(gt->admit, ca->kind, service_sample_us(ca, now_us));
 	eb_admit_done(gt->admit, ca->id, service_sample_us(ca, now_us), now_us);
 	eb_frame_unref(f);
 }
@@ -566,6 +568,7 @@
 	rq.caller = ca->head->head->caller;
 	rq.deadline_us = ca->deadline_us;
 	rq.goal_us = ca->goal_us;
+	rq.kind = ca->kind;
 	rq.idempotent = ca->head->head->idempotent;
 	rq.attempt = ca->head->head->attempt;
 	rq.priority = ca->head->head->priority;
@@ -749,6 +752,7 @@
 	ca->deadline_us = now_us + f->head->remaining_us;
 	if (f->head->goal_us && f->head->goal_us != INT64_MAX)
 		ca->goal_us = now_us + f->head->goal_us;
+	ca->kind = f->head->kind;
 	ca->arrived_us = now_us;
 	ca->arrived_wall_us = eb_clock_wall_us();
 	ca->parent = f->head->trace;
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -825,6 +825,7 @@
 	ca->idempotent = pt->idempotent;
 	h->idempotent = pt->idempotent;
 	h->priority = pt->priority;
+	h->kind = pt->kind;
 	if (pt->attempts)
 		ca->runs_max = pt->attempts;
 	if (pt->timeout_ms &&
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -405,4 +405,41 @@
 	}
 }
 
+/*
+ * Guards against short calls between services that are refused as late,
+ * because most requests of their gate take longer than they may.
+ */
+TEST(Admit, ShortKindsAreJudgedByTheirOwnTime)
+{
+	const uint32_t SHORT = 7, LONG = 8;
+	const struct {
+		const char *name;
+		uint32_t kind;
+		int64_t goal_us;
+		eb_admit_verdict verdict;
+	} cases[] = {
+		{ "short, in time", SHORT, 3 * SERVICE_US, EB_ADMIT_WAIT },
+		{ "short, too late", SHORT, SERVICE_US / 4, EB_ADMIT_REFUSE },
+		{ "long, too late", LONG, 2 * SERVICE_US, EB_ADMIT_REFUSE },
+		{ "long, in time", LONG, 9 * SERVICE_US, EB_ADMIT_WAIT },
+		{ "unknown: as the others", 9, SERVICE_US, EB_ADMIT_REFUSE },
+	};
+
+	for (const auto &c : cases) {
+		eb_admit_request rq = {};
+		eb_admit_action act;
+		gate g(1);
+
+		eb_admit_learn(g.ad, SHORT, SERVICE_US / 4);
+		eb_admit_learn(g.ad, LONG, 4 * SERVICE_US);
+		g.fill(1);
+		rq.attempt = 3;
+		rq.deadline_us = FAR_US;
+		rq.goal_us = g.now + c.goal_us;
+		rq.kind = c.kind;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		EXPECT_EQ(c.verdict, act.verdict) << c.name;
+	}
+}
+
 } // namespace
