gate, front: origins learn at once that an upstream leaves; idle callers keep theirs

Change: a gate that begins to leave tells every origin at once. Idle connections are closed only 2.5 s before the time for a shutdown ends.

--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -27,6 +27,11 @@
  * "Connection: close"; the daemon stays for this long after the last answer.
  */
 #define STOP_LINGER_MS 500
+/*
+ * Before the time for a shutdown ends, idle connections are closed this much
+ * earlier: a request that came later could be cut.
+ */
+#define LAST_CALL_MS 2500
 
 struct daemon {
 	struct eb_settings settings;
@@ -212,6 +217,8 @@
 			if (now_us - idle_us >= STOP_LINGER_MS * 1000)
 				break;
 		}
+		if (now_us - begun_us > limit_us - LAST_CALL_MS * 1000)
+			eb_front_close_idle(dm->front);
 		if (now_us - begun_us > limit_us) {
 			eb_log_write(dm->log, EB_LOG_ERROR, "daemon",
 				     "requests were cut at the drain timeout",
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -111,6 +111,7 @@
 	int stopping;
 	int draining;
 	int closing_listener;
+	int closing_idle;
 	uint32_t active;
 };
 
@@ -879,6 +880,8 @@
 {
 	struct connection *cn, *next;
 
+	if (!__atomic_load_n(&ft->closing_idle, __ATOMIC_RELAXED))
+		return;
 	for (cn = ft->connections; cn; cn = next) {
 		next = cn->next;
 		if (!cn->linger_until_us)
@@ -901,7 +904,6 @@
 	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, ft->listen_fd, NULL);
 	close(ft->listen_fd);
 	ft->listen_fd = -1;
-	close_idle(ft, now_us);
 }
 
 /* Ends connections that have been idle, or have lingered, for too long. */
@@ -1036,6 +1038,7 @@
 		/* Last, since it may free connections that have events. */
 		take_frames(ft, now_us);
 		close_listener(ft, now_us);
+		close_idle(ft, now_us);
 		sweep(ft, now_us);
 		if (ft->tls)
 			eb_tls_tick(ft->tls, now_us);
@@ -1137,6 +1140,12 @@
 	__atomic_store_n(&ft->closing_listener, 1, __ATOMIC_RELEASE);
 }
 
+/* Ends idle connections from now on. From any thread. */
+void eb_front_close_idle(struct eb_front *ft)
+{
+	__atomic_store_n(&ft->closing_idle, 1, __ATOMIC_RELEASE);
+}
+
 /* Counts the requests in flight; from any thread. */
 uint32_t eb_front_active(const struct eb_front *ft)
 {
--- a/src/eb_front.h
+++ b/src/eb_front.h
@@ -28,8 +28,10 @@
 				struct eb_error *err);
 /* Closes each connection after its answer. */
 void eb_front_drain(struct eb_front *ft);
-/* Takes no new connections, and ends the idle ones. */
+/* Takes no new connections. */
 void eb_front_close_listener(struct eb_front *ft);
+/* Ends the connections without a request. */
+void eb_front_close_idle(struct eb_front *ft);
 /* Returns the number of requests without a complete answer. */
 uint32_t eb_front_active(const struct eb_front *ft);
 void eb_front_stop(struct eb_front *ft);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -54,6 +54,7 @@
 	int64_t heard_us;
 	uint32_t calls;
 	uint8_t local;
+	struct eb_back_route back; /* the last one it used */
 };
 
 struct call {
@@ -219,11 +220,50 @@
 	gt->read_age_ms = read_age_ms;
 }
 
+/* Tells an origin the load, and whether the upstream leaves. */
+static void tell_origin(struct eb_gate *gt, uint64_t incarnation,
+			const struct eb_back_route *back)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_HELLO, 0);
+
+	if (!out)
+		return;
+	out->target = incarnation;
+	out->sender = gt->config.incarnation;
+	eb_gate_load(gt, &out->reply->load);
+	out->reply->body_bytes = gt->release_index;
+	out->reply->retry_after_ms = gt->read_age_ms;
+	gt->out.to_origin(gt->out.ctx, back, out);
+}
+
+/*
+ * Tells all origins at once that the upstream leaves: an idle one would learn
+ * of it by its next heartbeat, which may be seconds away, and could send a
+ * call to a daemon that is just ending.
+ */
+static void tell_all(struct eb_gate *gt)
+{
+	apr_hash_index_t *hi;
+	struct origin *og;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, gt->origins); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		og = value;
+		if (!og->local)
+			tell_origin(gt, og->incarnation, &og->back);
+	}
+}
+
 /* Takes new calls or refuses them, as the upstream stays or leaves. */
 void eb_gate_leave(struct eb_gate *gt, int leaving)
 {
+	if (gt->leaving == (leaving != 0))
+		return;
 	gt->leaving = leaving != 0;
 	eb_admit_drain(gt->admit, gt->leaving || gt->draining);
+	tell_all(gt);
 }
 
 /* Refuses new calls from now on; those that are here are finished. */
@@ -231,6 +271,7 @@
 {
 	gt->draining = 1;
 	eb_admit_drain(gt->admit, 1);
+	tell_all(gt);
 }
 
 /*
@@ -676,7 +717,8 @@
 /* ---- Frames ---- */
 
 static struct origin *find_origin(struct eb_gate *gt, uint64_t incarnation,
-				  int local, int64_t now_us)
+				  const struct eb_back_route *back,
+				  int64_t now_us)
 {
 	struct origin *og;
 
@@ -688,11 +730,13 @@
 		if (!og)
 			return NULL;
 		og->incarnation = incarnation;
-		og->local = (uint8_t)local;
+		og->local = back == NULL;
 		apr_hash_set(gt->origins, &og->incarnation,
 			     sizeof(og->incarnation), og);
 	}
 	og->heard_us = now_us;
+	if (back)
+		og->back = *back;
 	return og;
 }
 
@@ -789,33 +833,18 @@
 	eb_frame_unref(f);
 }
 
-static void answer_hello(struct eb_gate *gt, const struct eb_frame *f,
-			 const struct eb_back_route *back)
-{
-	struct eb_frame *out = eb_frame_new(EB_FRAME_HELLO, 0);
-
-	if (!out)
-		return;
-	out->target = f->sender;
-	out->sender = gt->config.incarnation;
-	eb_gate_load(gt, &out->reply->load);
-	out->reply->body_bytes = gt->release_index;
-	out->reply->retry_after_ms = gt->read_age_ms;
-	gt->out.to_origin(gt->out.ctx, back, out);
-}
-
 /* Takes a frame of an origin; see the header. */
 void eb_gate_from_origin(struct eb_gate *gt, struct eb_frame *f,
 			 const struct eb_back_route *back, int64_t now_us)
 {
 	struct key key = { f->sender, f->call };
-	struct origin *og = find_origin(gt, f->sender, !back, now_us);
+	struct origin *og = find_origin(gt, f->sender, back, now_us);
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	if (f->type == EB_FRAME_HELLO) {
 		/* The table of origins owns it. */
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-		answer_hello(gt, f, back);
+		tell_origin(gt, f->sender, back);
 		eb_frame_unref(f);
 	} else if (f->type == EB_FRAME_HEAD && !ca) {
 		if (og) {
