nodes, gate: calls of an upstream are answered after its entry is gone

Cause: SiteTest.LeavingUpstreamsGetNoNewWork failed once beside other work, then in 3 of 6 runs side by side: when an entry went, origins closed the socket to its daemon with calls in flight, which then hung until their deadline. Change: that socket stays for a minute, the gate whose own entry is gone drains instead of forgetting its upstream, and a call for a service without any upstream is refused at once instead of waiting 2 s for one. Only readers push changes to all, a daemon that is behind asks one other at a time, and one that knows nobody is told by three.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -372,6 +372,9 @@
 				  eb_nodes_rule(co->nodes, sv));
 		if (cf->has_matches)
 			eb_gate_leave(co->gate, n->info->leaving);
+	} else if (cf->has_matches) {
+		/* Its entry is gone: what it has is finished. */
+		eb_gate_leave(co->gate, 1);
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
@@ -665,6 +668,7 @@
 	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->turn_us;
 		eb_mesh_tick(co->mesh, sink, co->turn_us);
+		eb_nodes_tick(co->nodes, co->turn_us);
 		tick_spread(co);
 		start_serving(co);
 		eb_gate_tick(co->gate, co->turn_us);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -141,14 +141,19 @@
 	return n;
 }
 
-/* Closes a socket that no longer leads to the node's daemon. */
-static void check_peer(struct eb_nodes *nd, struct eb_node *n)
+/*
+ * Closes a socket that no longer leads to the node's daemon. One to a daemon
+ * that has left stays for a while: calls that it has are still answered.
+ */
+static void check_peer(struct eb_nodes *nd, struct eb_node *n, int64_t now_us)
 {
 	struct eb_peer *pr = n->peer;
 
-	if (!pr)
+	if (!n->present && n->present_before)
+		n->gone_us = now_us;
+	if (!pr || !n->present)
 		return;
-	if (n->present && !strcmp(pr->address, n->info->daemon) &&
+	if (!strcmp(pr->address, n->info->daemon) &&
 	    !strcmp(pr->key, n->info->key))
 		return;
 	n->peer = NULL;
@@ -349,7 +354,7 @@
 	for (i = 0; i < cf->upstream_total; i++)
 		update_node(nd, i);
 	for (i = 0; i < nd->count; i++) {
-		check_peer(nd, nd->nodes[i]);
+		check_peer(nd, nd->nodes[i], now_us);
 		if (!nd->nodes[i]->present)
 			nd->nodes[i]->info = NULL;
 	}
@@ -391,6 +396,38 @@
 	return n->peer;
 }
 
+/* Tells whether there is an upstream whose daemon is still being dialled. */
+int eb_nodes_may_come_up(const struct eb_nodes *nd,
+			 const struct eb_service_state *sv)
+{
+	const struct eb_node *n;
+	uint32_t i;
+
+	for (i = 0; i < nd->count; i++) {
+		n = nd->nodes[i];
+		if (n->present && n->service == sv->index && !n->leaving &&
+		    !n->draining)
+			return 1;
+	}
+	return 0;
+}
+
+/* Closes the sockets to daemons that left some time ago; see the header. */
+void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us)
+{
+	struct eb_node *n;
+	uint32_t i;
+
+	for (i = 0; i < nd->count; i++) {
+		n = nd->nodes[i];
+		if (n->present || !n->peer ||
+		    now_us - n->gone_us < EB_PEER_GONE_MS * 1000LL)
+			continue;
+		eb_mesh_close(nd->mesh, n->peer);
+		n->peer = NULL;
+	}
+}
+
 /* Makes a daemon one that is heard of often; see the header. */
 void eb_nodes_listen(struct eb_nodes *nd, uint32_t id, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -33,6 +33,7 @@
 	/* The way to a daemon that sent claims here, without a socket to it. */
 	struct eb_back_route back;
 	int64_t back_us;
+	int64_t gone_us; /* since when it is not in the configuration */
 	char instance[EB_NAME_SPACE_BYTES]; /* its start, or "" */
 };
 
@@ -59,6 +60,11 @@
 					  int64_t now_us);
 /* The socket to a node's daemon; dials it when there is none. */
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+/* Whether an upstream of the service may come up by itself soon. */
+int eb_nodes_may_come_up(const struct eb_nodes *nd,
+			 const struct eb_service_state *sv);
+/* Closes sockets to daemons that have been gone for a while. */
+void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us);
 /* Dials a daemon that must be heard of often, however far it is. */
 void eb_nodes_listen(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* To be called when a node has come up, gone, or is leaving. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -494,9 +494,11 @@
 }
 
 /* A request may wait while the daemons of its service are being dialled. */
-static int may_park(const struct call *ca, int64_t now_us)
+static int may_park(const struct eb_origin *og, const struct call *ca,
+		    int64_t now_us)
 {
 	return !ca->attempts && now_us < ca->deadline_us &&
+	       eb_nodes_may_come_up(og->config.nodes, ca->service) &&
 	       now_us - ca->started_us < EB_PARK_MS * 1000LL;
 }
 
@@ -533,7 +535,7 @@
 			return;
 		}
 	}
-	if (may_park(ca, now_us)) {
+	if (may_park(og, ca, now_us)) {
 		ca->tried_count = 0;
 		park(og, ca, 1);
 		step(og, ca, EVENT_PARKED, NULL, now_us);
@@ -1181,7 +1183,7 @@
 	     hi = apr_hash_next(hi)) {
 		apr_hash_this(hi, NULL, NULL, &value);
 		ca = value;
-		if (ca->parked && !may_park(ca, now_us))
+		if (ca->parked && !may_park(og, ca, now_us))
 			route(og, ca, now_us);
 		else if (ca->body_done &&
 			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
--- a/src/eb_spread.c
+++ b/src/eb_spread.c
@@ -25,8 +25,8 @@
 	uint64_t revision;
 	int64_t heard_us; /* 0: never */
 	int64_t read_us;  /* its last read by this daemon's clock; 0: none */
-	int64_t asked_us; /* last request sent to it */
 	int64_t pushed_us;
+	int64_t behind_us; /* since when it lacks something; 0: it does not */
 };
 
 struct eb_spread {
@@ -39,6 +39,7 @@
 	int64_t started_us;
 	int64_t read_us;    /* last read that succeeded; 0: none */
 	int64_t failing_us; /* since when reads fail; 0: they don't */
+	int64_t asked_us;   /* last request to any member */
 	int64_t lacking_us; /* since when too few readers are known; 0: not */
 	uint8_t last_failed;
 	uint8_t first_start; /* of the whole fleet */
@@ -202,12 +203,13 @@
 }
 
 /* Asks a member for what this copy lacks. */
-static void request(struct eb_spread *sp, struct member *mb, int64_t now_us)
+static void request(struct eb_spread *sp, const struct member *mb,
+		    int64_t now_us)
 {
 	uint64_t revision = eb_feed_revision(sp->feed);
 	uint8_t data[REQUEST_BYTES];
 
-	mb->asked_us = now_us;
+	sp->asked_us = now_us;
 	data[0] = PAYLOAD_REQUEST;
 	memcpy(data + 1, &revision, sizeof(revision));
 	sp->out.send(sp->out.ctx, mb->info.node, data, sizeof(data));
@@ -268,7 +270,26 @@
 		return;
 	if (changed)
 		sp->out.changed(sp->out.ctx);
-	push_all(sp, before, now_us);
+	/* In a first start everyone reads, and nobody has to be told. */
+	if (sp->mode == EB_SOURCE_WATCH)
+		push_all(sp, before, now_us);
+}
+
+/*
+ * Tells whether this daemon is to bring a member up to date. It asks by itself
+ * as a rule; one that knows nobody yet is told by the few before it in the
+ * order, and by anyone when these do not.
+ */
+static int should_push(const struct eb_spread *sp, const struct member *mb,
+		       int64_t now_us)
+{
+	uint32_t place = (uint32_t)(mb - sp->members);
+	uint32_t steps = (place + sp->count - sp->ahead) % sp->count;
+
+	if (now_us - mb->pushed_us < EB_SPREAD_ASK_MS * 1000LL)
+		return 0;
+	return sp->mode == EB_SOURCE_WATCH || steps < EB_SPREAD_TELLERS ||
+	       now_us - mb->behind_us >= EB_SPREAD_BEHIND_MS * 1000LL;
 }
 
 /* Takes in a member's word; one that is behind is told, one ahead asked. */
@@ -281,11 +302,14 @@
 	mb->heard_us = now_us;
 	mb->read_us =
 		read_age_ms == UINT32_MAX ? 0 : now_us - read_age_ms * 1000LL;
+	if (revision >= own)
+		mb->behind_us = 0;
+	else if (!mb->behind_us)
+		mb->behind_us = now_us;
 	if (revision > own &&
-	    now_us - mb->asked_us >= EB_SPREAD_ASK_MS * 1000LL)
+	    now_us - sp->asked_us >= EB_SPREAD_ASK_MS * 1000LL)
 		request(sp, mb, now_us);
-	else if (revision < own &&
-		 now_us - mb->pushed_us >= EB_SPREAD_ASK_MS * 1000LL)
+	else if (revision < own && should_push(sp, mb, now_us))
 		push(sp, mb, revision, now_us);
 }
 
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -60,6 +60,8 @@
 #define EB_PEER_SILENT_MS 4000
 /* Idle time after which the socket to a peer is closed. */
 #define EB_PEER_IDLE_MS 60000
+/* The socket to a daemon that has left stays open for its last answers. */
+#define EB_PEER_GONE_MS 60000
 #define EB_PEERS_MAX 1024
 #define EB_PEER_HIGH_WATER_MESSAGES 8192
 
@@ -111,8 +113,11 @@
 /* Each place further back in the order waits this much longer. */
 #define EB_SPREAD_STEP_MS 150
 #define EB_SPREAD_STEPS_MAX 20
-/* The same daemon is not asked or told again within this time. */
+/* Nobody is asked, and nobody told again, within this time. */
 #define EB_SPREAD_ASK_MS 200
+/* Daemons that tell one that knows nobody; others follow after a time. */
+#define EB_SPREAD_TELLERS 3
+#define EB_SPREAD_BEHIND_MS 1500
 /* Failures of reads for this long count as an outage of the source. */
 #define EB_SPREAD_OUTAGE_MS 1000
 
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -179,6 +179,34 @@
 	}
 }
 
+/* Guards against calls that are lost with the entry of their upstream. */
+TEST_F(SiteTest, WhatAnUpstreamHasIsAnsweredAfterItsEntryIsGone)
+{
+	std::atomic<bool> go{ false };
+	std::vector<std::thread> callers;
+	std::vector<HttpAnswer> answers(4);
+
+	on("/held", [&](SiteConnection &cn, const SiteRequest &rq) {
+		wait_until("the entry to go", [&] { return go.load(); });
+		cn.write(answer(rq, "whole"));
+	});
+	for (size_t i = 0; i < 4; i++)
+		callers.emplace_back([&, i] {
+			answers[i] = site.send(i, "POST", "/far/once/held",
+					       "held-" + std::to_string(i));
+		});
+	wait_until("all runs", [&] { return active() == 4; });
+	for (size_t i = 2; i < 4; i++)
+		site.store->remove(site.upstreams[i]->key());
+	for (size_t i = 0; i < 4; i++)
+		site.wait_status(i, "/far/x", 503);
+	go = true;
+	for (std::thread &t : callers)
+		t.join();
+	for (const HttpAnswer &a : answers)
+		EXPECT_TRUE(a.complete(200)) << a.status;
+}
+
 /* Guards against entries that name no upstream and spoil the others. */
 TEST_F(SiteTest, MalformedEntriesAreLeftOut)
 {
