--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -46,8 +46,11 @@
 #define EB_UPSTREAM_CONNECT_TIMEOUT_MS 2000
 
 #define EB_PEER_HEARTBEAT_MS 1000
-/* To an idle peer in another region: bytes between regions are billed. */
-#define EB_PEER_HEARTBEAT_FAR_MS 4000
+/*
+ * To an idle peer in another region: bytes between regions are billed. Shorter
+ * than the silence after which a gate gives up the calls of an origin.
+ */
+#define EB_PEER_HEARTBEAT_FAR_MS 3000
 /* A peer counts as idle when nothing else was sent for this long. */
 #define EB_PEER_BUSY_MS 3000
 /* Pause between heartbeats to a peer that has not answered yet. */
--- a/tests/it_pairs.cc
+++ b/tests/it_pairs.cc
@@ -31,8 +31,11 @@
 	int64_t until_us = now_us() + number("DURATION", 0) * 1000000;
 	int64_t count = number("PAIRS", 4);
 	std::mt19937 random(seed);
+	/* FIRST plays a schedule of a longer run again: its pair, and SEED. */
 	size_t first = random() % pairs;
 
+	first = (size_t)number("FIRST", (int64_t)first);
+
 	/* With a duration all pairs in turn, else a few. */
 	for (int64_t n = 0; n < count || now_us() < until_us; n++) {
 		std::vector<const Fault *> list =
