relay stand-in: refuse from the answer on

The control thread closes the listening socket while the relay's thread polls it; poll keeps the socket, so the kernel accepts more connections until that thread runs, and resets them then.

Change: shutdown before close, which ends listening at once. A test turns refusal on and off 200 times and calls after each answer.

Ruled out: the product; only the stand-in and the test's client take part.

--- a/standins/relay.c
+++ b/standins/relay.c
@@ -352,6 +352,8 @@
 	pthread_mutex_lock(&re->lock);
 	re->fault = ft;
 	if (ft.refuse && re->listen_fd >= 0) {
+		/* close alone leaves it open until the other thread's poll ends */
+		shutdown(re->listen_fd, SHUT_RDWR);
 		close(re->listen_fd);
 		re->listen_fd = -1;
 	} else if (!ft.refuse && re->listen_fd < 0) {
--- a/tests/it_standins.cc
+++ b/tests/it_standins.cc
@@ -219,6 +219,22 @@
 	EXPECT_EQ(0, relay.process->stop());
 }
 
+/* Guards against a relay that still accepts after it said that it refuses. */
+TEST_F(Standin, RelayRefusesFromItsAnswerOn)
+{
+	fleet.start_upstream(0);
+	Relay relay(up().upstream_port);
+	std::string url = "http://" + loopback(relay.port) + "/x?bytes=1";
+
+	for (int i = 0; i < 200; i++) {
+		relay.fault("{\"refuse\":true}");
+		ASSERT_EQ(7, http_get(url).code) << "round " << i;
+		relay.fault("{}");
+		ASSERT_EQ(0, http_get(url).code) << "round " << i;
+	}
+	EXPECT_EQ(0, relay.process->stop());
+}
+
 /* Guards against silence that closes a connection or leaks bytes. */
 TEST_F(Standin, RelaySilencesOneWayAndOpenLinksOnly)
 {
