--- a/standins/relay.c
+++ b/standins/relay.c
@@ -352,7 +352,7 @@
 	pthread_mutex_lock(&re->lock);
 	re->fault = ft;
 	if (ft.refuse && re->listen_fd >= 0) {
-		/* close alone leaves it open until the other thread's poll ends */
+		/* after close alone it stays open while polled */
 		shutdown(re->listen_fd, SHUT_RDWR);
 		close(re->listen_fd);
 		re->listen_fd = -1;
