dist: one function reports the release in force

Change: act_in_force serves both; what is sent and when stays as it was. Conclusion: no change of behaviour.

--- a/src/eb_dist.c
+++ b/src/eb_dist.c
@@ -392,10 +392,19 @@
 	       ds->held.index >= ds->platform_index;
 }
 
+/* Tells the sink `type` with the place of the release in force. */
+static void act_in_force(struct eb_dist *ds, enum eb_action_type type)
+{
+	struct eb_action act = { .type = type };
+
+	act.index = ds->force.index;
+	act.digest = ds->force.digest;
+	ds->sink->act(ds->sink, &act);
+}
+
 /* Decides whether an older release than one in force can be ruled out. */
 static void check_ready(struct eb_dist *ds)
 {
-	struct eb_action act = { .type = EB_ACTION_READY };
 	uint32_t i, answered = 0, ready = 0, need = 0;
 
 	if (ds->ready || !roster(ds) || self(ds) == EB_NONE || !ds->held.index)
@@ -417,9 +426,7 @@
 			return;
 	}
 	ds->ready = 1;
-	act.index = ds->force.index;
-	act.digest = ds->force.digest;
-	ds->sink->act(ds->sink, &act);
+	act_in_force(ds, EB_ACTION_READY);
 }
 
 static void send_pull(struct eb_dist *ds, const struct eb_dist_source *from,
@@ -557,14 +564,10 @@
 
 static void want_snapshot(struct eb_dist *ds, int64_t now_us)
 {
-	struct eb_action act = { .type = EB_ACTION_SNAPSHOT_WANTED };
-
 	if (now_us < ds->snapshot_want_us || !ds->force.index)
 		return;
 	ds->snapshot_want_us = now_us + EB_DIST_SNAPSHOT_WANT_US;
-	act.index = ds->force.index;
-	act.digest = ds->force.digest;
-	ds->sink->act(ds->sink, &act);
+	act_in_force(ds, EB_ACTION_SNAPSHOT_WANTED);
 }
 
 /* Offers the snapshot to a daemon whose place is before the notes kept. */
