upstream stand-in: notice each connection's end

The call had ended at both daemons (upstream_cancelled 1, call ended); the stand-in held the connection in CLOSE-WAIT and never recorded the cut. It serves with libmicrohttpd's epoll mode, which is edge-triggered and loses the end of a connection that arrives together with body bytes.

Change: the stand-in polls, which reports an end until it is read. Standin.UpstreamNoticesEachCutUpload plays 200 cut uploads.

Ruled out: a lost CANCEL between the daemons, a transfer that curl kept (both daemons' counters and sockets at the time of the hang).

Conclusion: a fault of the stand-in, not of the product.

--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -828,7 +828,7 @@
 	if (threads < 2)
 		threads = 0;
 	return MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0,
+		MHD_USE_POLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0,
 		NULL, NULL, handle, up, MHD_OPTION_SOCK_ADDR, sa,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
 		MHD_OPTION_CONNECTION_LIMIT, connections,
--- a/tests/it_standins.cc
+++ b/tests/it_standins.cc
@@ -106,6 +106,29 @@
 	}
 }
 
+/*
+ * Guards against a run that never ends in the record because the stand-in
+ * missed the end of the connection: its caller left in the middle of a body.
+ */
+TEST_F(Standin, UpstreamNoticesEachCutUpload)
+{
+	const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\n"
+				 "Content-Length: 10000000\r\n\r\n";
+	const std::string part(100000, 'x');
+
+	fleet.start_upstream(0);
+	for (int64_t cut = 1; cut <= 200; cut++) {
+		RawSocket s(up().upstream_port);
+
+		s.send(head);
+		s.send(part);
+		s.close();
+		wait_until("cut " + std::to_string(cut),
+			   [&] { return up().runs_count("cut") == cut; });
+	}
+	EXPECT_EQ(0, up().runs_count("executed"));
+}
+
 /* Guards against a crash or hang-up that leaves no trace in the record. */
 TEST_F(Standin, UpstreamCrashAndHangUp)
 {
