gate: tell an origin whose call was given up for its silence

Cause: a gate that hears nothing of an origin for 4 s stops its calls and says nothing, since the origin seems to be dead. An origin that was only paused resumes, finds its peers well, and waits: in the middle of an answer no deadline ends the call, so its caller waits without end and calls_active never returns to 0. Before the answer, the call ended only at its deadline.

Change: the gate reports the call as unknown, lost-peer, in the chart's action report_lost.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -38,9 +38,9 @@
 	"origin_lost", "expire",      NULL
 };
 static const char *const action_names[] = {
-	"none",		  "start",     "refuse", "leave_queue",
-	"to_client",	  "to_origin", "finish", "stop",
-	"report_expired", "release",   "drop",	 NULL
+	"none",	     "start",  "refuse", "leave_queue",	   "to_client",
+	"to_origin", "finish", "stop",	 "report_expired", "report_lost",
+	"release",   "drop",   NULL
 };
 
 struct key {
@@ -541,8 +541,10 @@
 	gt->out.to_client(gt->out.ctx, out);
 }
 
-static void do_report_expired(struct eb_gate *gt, struct call *ca,
-			      struct eb_frame *f, int64_t now_us)
+/* Stops a run and tells its origin, which can't know how it ended. */
+static void stop_and_report(struct eb_gate *gt, struct call *ca,
+			    struct eb_frame *f, enum eb_reason reason,
+			    int64_t now_us)
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_ABORT, ca->key.call);
 
@@ -550,15 +552,31 @@
 	if (!out)
 		return;
 	out->reply->outcome = EB_OUTCOME_UNKNOWN;
-	out->reply->reason = EB_REASON_DEADLINE;
+	out->reply->reason = (uint8_t)reason;
 	to_origin(gt, ca, out, now_us);
 }
 
+static void do_report_expired(struct eb_gate *gt, struct call *ca,
+			      struct eb_frame *f, int64_t now_us)
+{
+	stop_and_report(gt, ca, f, EB_REASON_DEADLINE, now_us);
+}
+
+/*
+ * The origin may only have been paused. It would wait without end for the
+ * rest of an answer that this gate has given up.
+ */
+static void do_report_lost(struct eb_gate *gt, struct call *ca,
+			   struct eb_frame *f, int64_t now_us)
+{
+	stop_and_report(gt, ca, f, EB_REASON_LOST_PEER, now_us);
+}
+
 /* In the order of action_names. */
 static action_fn *const actions[] = {
-	do_none,	   do_start,	 do_refuse, do_leave_queue,
-	do_to_client,	   do_to_origin, do_finish, do_stop,
-	do_report_expired, do_release,	 do_drop,
+	do_none,	   do_start,	   do_refuse,  do_leave_queue,
+	do_to_client,	   do_to_origin,   do_finish,  do_stop,
+	do_report_expired, do_report_lost, do_release, do_drop,
 };
 
 /* Takes an event through the chart; the call may be freed by it. */
--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -348,6 +348,27 @@
 	wait_served("/far/x");
 }
 
+/*
+ * Guards against a caller who waits without end: the gate gave up an answer
+ * in the middle while the origin was paused, and the origin resumes.
+ */
+TEST_F(Hazard, PausedOriginEndsAnAnswerThatWasGivenUp)
+{
+	wait_served("/far/x");
+	RawSocket s(near().listen_port);
+
+	s.send("GET /far/x?bytes=1000000000&trickle=1 HTTP/1.1\r\n"
+	       "Host: a\r\n\r\n");
+	wait_until("the answer's head", [&] { return s.readable(); });
+	near().daemon->signal(SIGSTOP);
+	wait_until("the end of the run",
+		   [this] { return far().runs_count("cut") == 1; });
+	near().daemon->signal(SIGCONT);
+	wait_until("the end of the call",
+		   [this] { return !near().metric("calls_active"); });
+	wait_served("/far/x");
+}
+
 /* Guards against an upstream that accepts and never answers. */
 TEST_F(Hazard, SilentUpstreamEndsAtTheDeadline)
 {
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -115,7 +115,10 @@
 		} else if (w == "resumed") {
 			eb_gate_resumed(gt, atoi(what));
 		} else {
-			eb_frame *f = make(t, (uint64_t)n);
+			eb_frame *f =
+				make(t == "part" ? "rhead" : t, (uint64_t)n);
+			if (t == "part")
+				f->reply->body_kind = EB_BODY_CHUNKED;
 			f->sender = ORIGIN;
 			f->target = ORIGIN;
 			if (w == "origin")
@@ -194,7 +197,12 @@
 	  { "origin refuse 1 not-run deadline", "client head 2" } },
 	{ "the work of a silent origin is cancelled",
 	  { "origin head 1", "wait 50", "client credit 1", "wait 3960" },
-	  { "client head 1", "origin credit 1", "client cancel 1" } },
+	  { "client head 1", "origin credit 1", "client cancel 1",
+	    "origin abort 1 unknown lost-peer" } },
+	{ "an origin that was only paused learns that its answer was cut",
+	  { "origin head 1", "client part 1", "wait 4010" },
+	  { "client head 1", "origin rhead 1", "client cancel 1",
+	    "origin abort 1 unknown lost-peer" } },
 	{ "an answer after the request was given up is dropped",
 	  { "origin head 1", "origin cancel 1", "client rhead 1",
 	    "client rhead 1" },
