heartbeats list old calls, so that neither side keeps a lost one

Cause: a frame that is lost with a connection leaves its call open. The slot stays taken. The mirror image, an answer whose last frame is lost, leaves the origin and its caller waiting.

Change: a heartbeat names the calls that have been at the gate for 2 s or longer, its answer those that the gate has had as long (eb_overdue). Each side ends what the other one no longer has. What was sent before on the same way has arrived by then, so a call that is on its way is never taken for lost. Shorter calls add no bytes.

Conclusion: calls end on both sides within one heartbeat of the link's return.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -357,6 +357,13 @@
 	eb_origin_up(co->origin, co->turn_us);
 }
 
+static void on_hello(void *ctx, const struct eb_peer *pr, struct eb_frame *f)
+{
+	struct eb_core *co = ctx;
+
+	eb_origin_list_overdue(co->origin, pr->user, f, co->turn_us);
+}
+
 /* ---- Frames of other threads ---- */
 
 /* Puts the newest release known into force at the gate and the origin. */
@@ -700,7 +707,7 @@
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
 	struct eb_core *co = data;
-	struct eb_mesh_sink sink = { on_frame, on_lost, on_up, co };
+	struct eb_mesh_sink sink = { on_frame, on_lost, on_up, on_hello, co };
 	struct epoll_event ev[8];
 
 	(void)thread;
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -9,6 +9,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_overdue.h"
 #include "eb_tunables.h"
 
 /* States, events and actions in the order of the names below. */
@@ -220,19 +221,79 @@
 	gt->read_age_ms = read_age_ms;
 }
 
-/* Tells an origin the load, and whether the upstream leaves. */
-static void tell_origin(struct eb_gate *gt, uint64_t incarnation,
-			const struct eb_back_route *back)
+/* Adds the calls of an origin that have lasted for long. */
+static void list_overdue(const struct eb_gate *gt, uint64_t incarnation,
+			 struct eb_frame *f, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	const struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (ca->key.origin == incarnation && ca->state != STOPPING &&
+		    eb_overdue(ca->arrived_us, now_us) &&
+		    eb_overdue_add(f, ca->key.call))
+			return;
+	}
+}
+
+/* Makes a frame that tells an origin the load, and whether this side leaves. */
+static struct eb_frame *make_hello(struct eb_gate *gt, uint64_t incarnation)
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_HELLO, 0);
 
 	if (!out)
-		return;
+		return NULL;
 	out->target = incarnation;
 	out->sender = gt->config.incarnation;
 	eb_gate_load(gt, &out->reply->load);
 	out->reply->body_bytes = gt->release_index;
 	out->reply->retry_after_ms = gt->read_age_ms;
+	return out;
+}
+
+/* Tells an origin of a call that it lists and this gate does not have. */
+static void abort_forgotten(struct eb_gate *gt, const struct eb_frame *f,
+			    const struct eb_back_route *back)
+{
+	struct key key = { f->sender, 0 };
+	uint32_t i, n = eb_overdue_count(f);
+	struct eb_frame *out;
+
+	for (i = 0; i < n; i++) {
+		key.call = eb_overdue_at(f, i);
+		if (apr_hash_get(gt->calls, &key, sizeof(key)))
+			continue;
+		out = eb_frame_new(EB_FRAME_ABORT, key.call);
+		if (!out)
+			return;
+		out->target = f->sender;
+		out->sender = gt->config.incarnation;
+		out->reply->outcome = EB_OUTCOME_UNKNOWN;
+		out->reply->reason = EB_REASON_LOST_PEER;
+		eb_log_write(gt->log, EB_LOG_WARN, "gate",
+			     "call of an origin is not known here, aborted",
+			     "call=%llu", (unsigned long long)key.call);
+		/* One that is lost is listed again by the next heartbeat. */
+		gt->out.to_origin(gt->out.ctx, back, out);
+	}
+}
+
+/*
+ * Answers a heartbeat. What was sent before on this way has arrived, so that
+ * each side can tell which calls the other one has lost.
+ */
+static void answer_hello(struct eb_gate *gt, const struct eb_frame *f,
+			 const struct eb_back_route *back, int64_t now_us)
+{
+	struct eb_frame *out = make_hello(gt, f->sender);
+
+	abort_forgotten(gt, f, back);
+	if (!out)
+		return;
+	list_overdue(gt, f->sender, out, now_us);
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
 
@@ -244,6 +305,7 @@
 static void tell_all(struct eb_gate *gt)
 {
 	apr_hash_index_t *hi;
+	struct eb_frame *out;
 	struct origin *og;
 	void *value;
 
@@ -251,8 +313,9 @@
 	     hi = apr_hash_next(hi)) {
 		apr_hash_this(hi, NULL, NULL, &value);
 		og = value;
-		if (!og->local)
-			tell_origin(gt, og->incarnation, &og->back);
+		out = og->local ? NULL : make_hello(gt, og->incarnation);
+		if (out)
+			gt->out.to_origin(gt->out.ctx, &og->back, out);
 	}
 }
 
@@ -862,7 +925,7 @@
 	if (f->type == EB_FRAME_HELLO) {
 		/* The table of origins owns it. */
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-		tell_origin(gt, f->sender, back);
+		answer_hello(gt, f, back, now_us);
 		eb_frame_unref(f);
 	} else if (f->type == EB_FRAME_HEAD && !ca) {
 		if (og) {
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -552,7 +552,8 @@
 	return more || ms->router_dirty;
 }
 
-static void send_hello(struct eb_mesh *ms, struct eb_peer *pr, int64_t now_us)
+static void send_hello(struct eb_mesh *ms, struct eb_peer *pr,
+		       const struct eb_mesh_sink *sink, int64_t now_us)
 {
 	struct eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
 
@@ -561,6 +562,7 @@
 	pr->last_hello_us = now_us;
 	if (!pr->asked_us)
 		pr->asked_us = now_us;
+	sink->hello(sink->ctx, pr, f);
 	eb_mesh_send(ms, pr, f, now_us);
 	eb_frame_unref(f);
 }
@@ -627,6 +629,6 @@
 		    now_us - pr->dialled_us >= EB_PEER_REDIAL_MS * 1000)
 			reconnect(pr, now_us);
 		if (hello_due(pr, now_us))
-			send_hello(ms, pr, now_us);
+			send_hello(ms, pr, sink, now_us);
 	}
 }
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -52,6 +52,8 @@
 	void (*lost)(void *ctx, struct eb_peer *pr, int restarted);
 	/* The peer answers; it may be used from now on. */
 	void (*up)(void *ctx, struct eb_peer *pr);
+	/* A heartbeat is about to be sent: adds what it carries. */
+	void (*hello)(void *ctx, const struct eb_peer *pr, struct eb_frame *f);
 	void *ctx;
 };
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -10,6 +10,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_overdue.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
 
@@ -1109,6 +1110,48 @@
 		eb_route_load(sv->route, node, ld, now_us);
 }
 
+/* Adds the calls that have been at a gate for long to a heartbeat to it. */
+void eb_origin_list_overdue(const struct eb_origin *og, uint32_t node,
+			    struct eb_frame *f, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	const struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, og->by_number); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (ca->node == node && eb_overdue(ca->attempt_us, now_us) &&
+		    eb_overdue_add(f, ca->number))
+			return;
+	}
+}
+
+/* Cancels the calls that a gate lists and this origin no longer has. */
+static void cancel_forgotten(struct eb_origin *og, uint32_t node,
+			     const struct eb_frame *f)
+{
+	uint32_t i, n = eb_overdue_count(f);
+	struct eb_frame *out;
+	uint64_t number;
+
+	for (i = 0; i < n; i++) {
+		number = eb_overdue_at(f, i);
+		if (apr_hash_get(og->by_number, &number, sizeof(number)))
+			continue;
+		out = eb_frame_new(EB_FRAME_CANCEL, number);
+		if (!out)
+			return;
+		out->sender = og->config.incarnation;
+		eb_log_write(og->config.log, EB_LOG_WARN, "origin",
+			     "call at a gate is not known here, cancelled",
+			     "call=%llu", (unsigned long long)number);
+		/* One that is lost is listed again by the next heartbeat. */
+		og->out.to_gate(og->out.ctx, node, out);
+	}
+}
+
 /* Takes a frame of the gate of a node; see the header. */
 void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
 			 struct eb_frame *f, int64_t now_us)
@@ -1117,6 +1160,7 @@
 
 	if (f->type == EB_FRAME_HELLO) {
 		note_load(og, node, NULL, &f->reply->load, now_us);
+		cancel_forgotten(og, node, f);
 		eb_frame_unref(f);
 		return;
 	}
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -51,6 +51,9 @@
 /* A frame of the gate of a node. */
 void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
 			 struct eb_frame *f, int64_t now_us);
+/* Lists the calls that have been at the gate of a node for long. */
+void eb_origin_list_overdue(const struct eb_origin *og, uint32_t node,
+			    struct eb_frame *f, int64_t now_us);
 /* The gate of a node is lost, and with it what was sent there. */
 void eb_origin_lost(struct eb_origin *og, uint32_t node, int64_t now_us);
 /* Carries out what the claimant has decided for a call. */
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -7,6 +7,11 @@
 #define EB_CHUNK_BYTES 65536
 /* Bytes of a body in flight for each call and direction. */
 #define EB_CREDIT_WINDOW_BYTES 262144
+/*
+ * A call that has lasted this long is listed in heartbeats. Longer than most
+ * calls, and than a frame is on its way.
+ */
+#define EB_CALL_OVERDUE_MS 2000
 /* Largest message that is accepted from a peer. */
 #define EB_MESSAGE_MAX_BYTES 262144
 /* Largest sum of the header names and values of a request or answer. */
--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -241,6 +241,36 @@
 	check_told(b, "after");
 }
 
+/*
+ * Guards against a slot that a call holds for ever: the word that its caller
+ * has left was lost with the link, and the body that it waits for never comes.
+ */
+TEST_P(Silence, LeavesNoCallAtTheGate)
+{
+	wait_served("/far/x");
+	int64_t before = far().runs_count("started");
+	RawSocket s(near().listen_port);
+
+	s.send("PUT /far/x HTTP/1.1\r\nHost: a\r\n"
+	       "Content-Length: 10000000\r\n\r\n");
+	s.send(std::string(100000, 'x'));
+	wait_until("the run",
+		   [&] { return far().runs_count("started") > before; });
+	if (GetParam().fault)
+		relay->fault(GetParam().fault);
+	else
+		relay->silence_open();
+	s.close();
+	wait_until("the end at the origin",
+		   [this] { return !near().metric("calls_active"); });
+	/* What the silent link still held is lost with it. */
+	relay->cut();
+	relay->fault("{}");
+	wait_until("the end at the gate",
+		   [this] { return !far().metric("calls_active"); });
+	wait_served("/far/x");
+}
+
 /* Guards against messages that are lost or doubled when a link is cut. */
 TEST_F(Hazard, CutLinkRunsNothingTwice)
 {
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "eb_gate.h"
+#include "eb_overdue.h"
 }
 
 namespace
@@ -70,6 +71,9 @@
 				   eb_frame_type_name(f->type) + " " +
 				   std::to_string(f->call);
 
+		for (uint32_t i = 0;
+		     f->type == EB_FRAME_HELLO && i < eb_overdue_count(f); i++)
+			line += " has " + std::to_string(eb_overdue_at(f, i));
 		if (f->reply && f->type != EB_FRAME_RHEAD)
 			line += std::string(" ") +
 				eb_outcome_name(f->reply->outcome) + " " +
@@ -114,6 +118,11 @@
 			eb_gate_poll(gt, now_us);
 		} else if (w == "resumed") {
 			eb_gate_resumed(gt, atoi(what));
+		} else if (t == "lists") {
+			eb_frame *f = make("hello", 0);
+			f->sender = ORIGIN;
+			eb_overdue_add(f, (uint64_t)n);
+			eb_gate_from_origin(gt, f, &back, now_us);
 		} else {
 			eb_frame *f =
 				make(t == "part" ? "rhead" : t, (uint64_t)n);
@@ -207,6 +216,15 @@
 	  { "origin head 1", "origin cancel 1", "client rhead 1",
 	    "client rhead 1" },
 	  { "client head 1", "client cancel 1" } },
+	{ "an origin is told of a call that it has and the gate has not",
+	  { "origin head 1", "client rhead 1", "origin lists 1" },
+	  { "client head 1", "origin rhead 1",
+	    "origin abort 1 unknown lost-peer",
+	    "origin hello 0 unknown none" } },
+	{ "a call that both sides have goes on",
+	  { "origin head 1", "client part 1", "wait 2000", "origin lists 1" },
+	  { "client head 1", "origin rhead 1",
+	    "origin hello 0 has 1 unknown none" } },
 	{ "heartbeats are answered",
 	  { "origin hello 0" },
 	  { "origin hello 0 unknown none" } },
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "eb_origin.h"
+#include "eb_overdue.h"
 #include "eb_release.h"
 }
 
@@ -194,7 +195,21 @@
 		else if (ev.rfind("credit", 0) == 0)
 			gate(EB_FRAME_CREDIT, n, EB_OUTCOME_RAN, EB_REASON_NONE,
 			     0);
-		else if (ev.rfind("lost", 0) == 0)
+		else if (ev.rfind("listed", 0) == 0) {
+			eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
+
+			eb_overdue_add(f, numbers.at((size_t)n - 1));
+			eb_origin_from_gate(og, nodes.at((size_t)n - 1), f,
+					    now_us);
+		} else if (ev.rfind("lists", 0) == 0) {
+			eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
+
+			eb_origin_list_overdue(og, nodes.at((size_t)n - 1), f,
+					       now_us);
+			out.push_back("lists " +
+				      std::to_string(eb_overdue_count(f)));
+			eb_frame_unref(f);
+		} else if (ev.rfind("lost", 0) == 0)
 			eb_origin_lost(og, nodes.at((size_t)n - 1), now_us);
 		else if (ev.rfind("wait", 0) == 0) {
 			now_us += atoi(ev.c_str() + 4) * MS;
@@ -247,6 +262,15 @@
 	{ "a request past its deadline has an unknown outcome",
 	  { "post", "wait 200" },
 	  { "gate head", "gate cancel", "front abort 504 unknown deadline" } },
+	{ "a call whose cancel was lost is cancelled again",
+	  { "post", "gone", "listed 1" },
+	  { "gate head", "gate cancel", "gate cancel" } },
+	{ "a call that both sides have goes on",
+	  { "post", "listed 1", "whole 1" },
+	  { "gate head", "front rhead" } },
+	{ "only calls that have lasted for long are listed",
+	  { "post", "begin 1", "lists 1", "wait 2000", "lists 1" },
+	  { "gate head", "front rhead", "lists 0", "lists 1" } },
 	{ "the work of a caller that hung up is cancelled",
 	  { "post", "gone" },
 	  { "gate head", "gate cancel" } },
