soak: a leaving VM counts from when the list of VMs shows it

Cause: the pair LaggingVmList+VmLeaving counted runs later than 3 s after the mark was set, while the fault delayed the platform's list by 60 s.

Change: the 3 s count from the moment at which the list shows the mark, for any lag; the bound of 3 s and the check stay as they are. Without a lag nothing changes.

Conclusion: the fault was the check's, which asked for knowledge that the platform does not give.

--- a/tests/world.cc
+++ b/tests/world.cc
@@ -84,12 +84,12 @@
 	history_.calls.push_back(c);
 }
 
-void World::leaves(size_t i)
+void World::leaves(size_t i, int64_t hidden_us)
 {
 	LeaveRecord l;
 
 	l.upstream = fleet[i].name;
-	l.at_us = now_us();
+	l.at_us = now_us() + hidden_us;
 	std::lock_guard<std::mutex> hold(lock_);
 	history_.leaves.push_back(l);
 }
@@ -354,6 +354,7 @@
 	(void)i;
 	w.fleet.platform_fault("{}");
 	w.platform_hidden = false;
+	w.vms_lag_us = 0;
 }
 
 static void start_daemon(World &w, size_t i)
@@ -434,6 +435,7 @@
 	  platform_back },
 	{ "LaggingVmList", 1000,
 	  [](World &w, size_t i) {
+		  w.vms_lag_us = 60000000;
 		  w.fleet.platform_fault("{\"vms_lag_ms\":60000}");
 		  w.fleet.vm(i, "leaving");
 		  w.fleet[i].upstream->kill();
@@ -445,7 +447,7 @@
 	{ "VmLeaving", leave_hold_ms,
 	  [](World &w, size_t i) {
 		  if (!w.platform_hidden)
-			  w.leaves(i);
+			  w.leaves(i, w.vms_lag_us);
 		  w.fleet.vm(i, "leaving");
 	  },
 	  vm_live },
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,7 +41,8 @@
 	bool in_force(size_t i, int64_t release);
 	/* Starts what has ended and waits until each daemon serves. */
 	void repair();
-	void leaves(size_t i);
+	/* The upstream leaves, and daemons can know it after `hidden_us`. */
+	void leaves(size_t i, int64_t hidden_us = 0);
 	void returned(size_t i);
 	/* One call that its caller may resend; see CallRecord. */
 	CallRecord call(HttpClient &client, std::mt19937 &random, size_t daemon,
@@ -55,6 +56,8 @@
 	std::vector<std::unique_ptr<Relay>> relays;
 	std::atomic<int64_t> release{ 1 };
 	std::atomic<bool> platform_hidden{ false };
+	/* How late the platform's list of VMs shows a change. */
+	std::atomic<int64_t> vms_lag_us{ 0 };
 
 private:
 	void caller_loop(uint32_t seed);
