mark requests that crash upstreams, and refuse them at every gate

Cause: eb_crash was built and measured as a module, but no daemon used it. A request that crashes what runs it went on to the next upstream with each resend, against the users' rule on such requests.

Change: eb_marks at the gate suspects a run that ends with its connection, and 20 ms later checks whether the upstream takes connections; if not, what it ran is marked. The core tells the daemons of the service, later ones too (frame type marks). A gate refuses a request that two crashes are known of as not run, with 503 and the time that the mark still lasts: 422 would invite a caller of this platform to send it again at once. An origin stops after two runs that ended so. A request is the same one only with the same caller, and an answer clears its mark, so that an innocent request is not held up.

Measured: it_crashes, a caller who resends through five daemons: at most three upstreams crash, then 10 of 10 are refused, for GET and POST; it failed before, as nothing was marked. test_eb_marks, rows of test_eb_crash. Ruled out: a mark on any cut run, since a sound upstream may reset connections.

Conclusion: the limit of three crashes holds over real processes. The answer is not held back for the mark to spread, so a caller that resends within 0.1 s may crash one more upstream.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -15,6 +15,7 @@
 
 #include "eb_clock.h"
 #include "eb_http.h"
+#include "eb_marks.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
 
@@ -26,6 +27,8 @@
 #define UNACKNOWLEDGED_MAX_MS 5000
 /* A probe that takes longer tells nothing of the pace now. */
 #define PROBE_TIMEOUT_MS 300
+/* An upstream that runs takes a connection from its own VM within this. */
+#define CHECK_TIMEOUT_MS 300
 
 /* Calls are told apart by the origin's incarnation and its number. */
 struct call_key {
@@ -79,6 +82,7 @@
 	uint16_t probe_pace;
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probing;
+	CURL *check; /* whether the upstream takes connections, or NULL */
 	CURL *spare[SPARE_HANDLES_MAX];
 	uint32_t spares;
 	int stopping;
@@ -640,6 +644,41 @@
 		eb_frame_unref(f);
 }
 
+/* ---- Checks whether the upstream takes connections ---- */
+
+static void start_check(struct eb_client *cl, const struct eb_frame *f)
+{
+	char url[256];
+
+	cl->check = curl_easy_init();
+	if (!cl->check)
+		return;
+	snprintf(url, sizeof(url), "http://%s/", (const char *)f->object);
+	curl_easy_setopt(cl->check, CURLOPT_URL, url);
+	curl_easy_setopt(cl->check, CURLOPT_PROXY, "");
+	curl_easy_setopt(cl->check, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(cl->check, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(cl->check, CURLOPT_CONNECT_ONLY, 1L);
+	curl_easy_setopt(cl->check, CURLOPT_TIMEOUT_MS, (long)CHECK_TIMEOUT_MS);
+	curl_multi_add_handle(cl->multi, cl->check);
+}
+
+static void finish_check(struct eb_client *cl, CURLcode rc)
+{
+	struct eb_frame *f = eb_frame_new(EB_FRAME_PROBE, EB_PROBE_CHECK);
+	/* With all connections in use, the check itself has to wait for one. */
+	int crowded = apr_hash_count(cl->transfers) >= cl->config.connections;
+
+	curl_multi_remove_handle(cl->multi, cl->check);
+	curl_easy_cleanup(cl->check);
+	cl->check = NULL;
+	if (!f)
+		return;
+	f->reply->reason = rc && !crowded ? EB_REASON_CONNECT : EB_REASON_NONE;
+	if (eb_ring_push(cl->config.out, f))
+		eb_frame_unref(f);
+}
+
 static void handle_frame(struct eb_client *cl, struct eb_frame *f)
 {
 	struct call_key key = { f->sender, f->call };
@@ -650,7 +689,10 @@
 		return;
 	}
 	if (f->type == EB_FRAME_PROBE) {
-		start_probe(cl, f);
+		if (f->call == EB_PROBE_CHECK)
+			start_check(cl, f);
+		else
+			start_probe(cl, f);
 		eb_frame_unref(f);
 		return;
 	}
@@ -694,6 +736,21 @@
 	       tf->head->head->instance && !tf->foreign;
 }
 
+/* Names the request of a run without an answer: its upstream may have died. */
+static void add_fingerprint(struct eb_frame *f, const struct transfer *tf)
+{
+	uint64_t *fingerprint;
+
+	if (!f || tf->answer_head)
+		return;
+	fingerprint = malloc(sizeof(*fingerprint));
+	if (!fingerprint)
+		return;
+	*fingerprint = eb_marks_fingerprint(tf->head);
+	f->object = fingerprint;
+	f->object_free = free;
+}
+
 /* Sends the last frame of a request that curl has finished with. */
 static void finish(struct transfer *tf, CURLcode rc)
 {
@@ -714,6 +771,7 @@
 	} else if (rc || !tf->answer_head) {
 		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
 				EB_REASON_UPSTREAM_CLOSED);
+		add_fingerprint(f, tf);
 	} else if (tf->refused_by_upstream && !tf->answer_sent) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_UPSTREAM_REFUSED);
@@ -747,6 +805,10 @@
 			finish_probe(cl, msg->data.result);
 			continue;
 		}
+		if (msg->easy_handle == cl->check) {
+			finish_check(cl, msg->data.result);
+			continue;
+		}
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tf);
 		finish(tf, msg->data.result);
 	}
@@ -860,6 +922,9 @@
 	}
 	if (cl->probing)
 		curl_multi_remove_handle(cl->multi, cl->probe);
+	if (cl->check)
+		curl_multi_remove_handle(cl->multi, cl->check);
+	curl_easy_cleanup(cl->check);
 	curl_easy_cleanup(cl->probe);
 	while (cl->spares)
 		curl_easy_cleanup(cl->spare[--cl->spares]);
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -21,6 +21,8 @@
 #include "eb_tunables.h"
 
 #define STATUS_TIMEOUT_S 2
+/* Daemons that miss marks are looked for this often; marks are rare. */
+#define MARKS_TELL_US 100000
 /* A gap between two turns that says that the process was stopped. */
 #define PAUSE_US 1000000
 #define IDLE_WAIT_MS 100
@@ -71,6 +73,7 @@
 	int64_t configured_us; /* when the first release came; 0: not yet */
 	int64_t turn_us;
 	int64_t tick_us;
+	int64_t marks_us; /* when daemons that miss marks were looked for */
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 };
@@ -248,6 +251,62 @@
 	co->heard |= co->configured_us != 0;
 }
 
+/* ---- Marks of requests that crash upstreams ---- */
+
+static void send_marks(struct eb_core *co, struct eb_peer *pr)
+{
+	msgpack_sbuffer sb;
+	struct eb_frame *f;
+	uint32_t from = 0;
+
+	do {
+		msgpack_sbuffer_init(&sb);
+		eb_gate_marks_encode(co->gate, &from, co->turn_us, &sb);
+		f = sb.size ? eb_frame_new_data(EB_FRAME_MARKS, 0, sb.data,
+						(uint32_t)sb.size)
+			    : NULL;
+		if (f) {
+			eb_mesh_send(co->mesh, pr, f, co->turn_us);
+			eb_frame_unref(f);
+		}
+		msgpack_sbuffer_destroy(&sb);
+	} while (from);
+}
+
+/*
+ * Tells the other daemons of this service, whose upstreams the request may
+ * reach. One that is not up yet, or comes up anew, is told once it is.
+ */
+static void tell_marks(struct eb_core *co)
+{
+	uint32_t i, generation = eb_gate_marks_generation(co->gate);
+	const struct eb_node *self = eb_nodes_get(co->nodes, co->self);
+	struct eb_node *n;
+	struct eb_peer *pr;
+
+	if (!generation || !self || co->turn_us - co->marks_us < MARKS_TELL_US)
+		return;
+	co->marks_us = co->turn_us;
+	for (i = 0; i < eb_nodes_count(co->nodes); i++) {
+		n = eb_nodes_get(co->nodes, i);
+		if (!n->present || n->self || n->service != self->service ||
+		    n->marks_generation == generation)
+			continue;
+		pr = eb_nodes_peer(co->nodes, i, co->turn_us);
+		if (!pr || !pr->up)
+			continue;
+		send_marks(co, pr);
+		n->marks_generation = generation;
+	}
+}
+
+static void on_marks(struct eb_core *co, struct eb_frame *f)
+{
+	if (eb_gate_marks_receive(co->gate, f, co->turn_us))
+		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
+	eb_frame_unref(f);
+}
+
 /* ---- The copy of what the source publishes ---- */
 
 static void out_spread(void *ctx, uint32_t node, const void *data,
@@ -329,6 +388,8 @@
 		on_gossip(co, f, back);
 	else if (f->type == EB_FRAME_CLAIM)
 		on_claim(co, f, back);
+	else if (f->type == EB_FRAME_MARKS)
+		on_marks(co, f);
 	else if (pr)
 		eb_origin_from_gate(co->origin, pr->user, f, co->turn_us);
 	else
@@ -344,6 +405,7 @@
 		     "upstream=%s address=%s restarted=%d", n->name,
 		     pr->address, restarted);
 	n->draining = 0;
+	n->marks_generation = 0;
 	eb_origin_lost(co->origin, pr->user, co->turn_us);
 	if (restarted)
 		eb_nodes_restarted(co->nodes, pr->user, co->turn_us);
@@ -680,6 +742,7 @@
 		start_serving(co);
 		eb_gate_tick(co->gate, co->turn_us);
 		eb_origin_tick(co->origin, co->turn_us);
+		tell_marks(co);
 		if (co->claims)
 			eb_claims_tick(co->claims, co->turn_us);
 		run_claims(co);
--- a/src/eb_crash.c
+++ b/src/eb_crash.c
@@ -38,13 +38,20 @@
 /* Returns the fingerprint of a request, from a cryptographic digest. */
 uint64_t eb_crash_fingerprint(const struct eb_crash_request *rq)
 {
-	uint8_t digest[EB_CLAIM_KEY_BYTES], whole[EB_CLAIM_KEY_BYTES];
+	struct {
+		uint8_t digest[EB_CLAIM_KEY_BYTES];
+		uint64_t caller;
+	} parts;
+	uint8_t whole[EB_CLAIM_KEY_BYTES];
 	uint64_t fingerprint;
 
-	eb_claim_digest(rq->method, rq->target, rq->body_bytes, rq->body,
-			rq->body_bytes, digest);
-	eb_claim_digest("", rq->key ? rq->key : "", rq->key != NULL, digest,
-			sizeof(digest), whole);
+	memset(&parts, 0, sizeof(parts));
+	eb_claim_digest(rq->method, rq->target,
+			rq->whole_bytes ? rq->whole_bytes : rq->body_bytes,
+			rq->body, rq->body_bytes, parts.digest);
+	parts.caller = rq->caller;
+	eb_claim_digest("", rq->key ? rq->key : "", rq->key != NULL, &parts,
+			sizeof(parts), whole);
 	memcpy(&fingerprint, whole, sizeof(fingerprint));
 	return fingerprint;
 }
@@ -122,6 +129,27 @@
 	return 1;
 }
 
+/* See the header. */
+uint32_t eb_crash_wait_ms(struct eb_crash *cr, uint64_t fingerprint,
+			  int64_t now_us)
+{
+	const struct mark *mk = find(cr, fingerprint, now_us);
+
+	if (!mk || mk->count < EB_CRASH_REFUSE_AT)
+		return 0;
+	return EB_CRASH_EXPIRE_MS - (uint32_t)((now_us - mk->last_us) / 1000);
+}
+
+/* See the header. */
+void eb_crash_clear(struct eb_crash *cr, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	for (i = 0; i < cr->used; i++)
+		if (cr->marks[i].fingerprint == fingerprint)
+			cr->marks[i].count = 0;
+}
+
 /* A request that was let through has ended without a crash. */
 void eb_crash_done(struct eb_crash *cr, uint64_t fingerprint)
 {
--- a/src/eb_crash.h
+++ b/src/eb_crash.h
@@ -38,6 +38,8 @@
 	const char *key; /* idempotency key or NULL */
 	const void *body;
 	size_t body_bytes;
+	uint64_t whole_bytes; /* of the body, if not all of it is known */
+	uint64_t caller;      /* hash of the caller's address */
 };
 
 struct eb_crash_counters {
@@ -54,6 +56,11 @@
 void eb_crash_free(struct eb_crash *cr);
 uint64_t eb_crash_fingerprint(const struct eb_crash_request *rq);
 int eb_crash_check(struct eb_crash *cr, uint64_t fingerprint, int64_t now_us);
+/* Time in ms until a refused request may run again; 0: it is not refused. */
+uint32_t eb_crash_wait_ms(struct eb_crash *cr, uint64_t fingerprint,
+			  int64_t now_us);
+/* The request was answered: it does not crash what runs it. */
+void eb_crash_clear(struct eb_crash *cr, uint64_t fingerprint);
 void eb_crash_done(struct eb_crash *cr, uint64_t fingerprint);
 void eb_crash_report(struct eb_crash *cr, uint64_t fingerprint,
 		     const char *upstream, int64_t now_us);
--- a/src/eb_frame.c
+++ b/src/eb_frame.c
@@ -14,7 +14,7 @@
 	[EB_FRAME_GOSSIP] = "gossip",	[EB_FRAME_CLAIM] = "claim",
 	[EB_FRAME_CONFIG] = "config",	[EB_FRAME_VMS] = "vms",
 	[EB_FRAME_QUERY] = "query",	[EB_FRAME_REPORT] = "report",
-	[EB_FRAME_PROBE] = "probe",
+	[EB_FRAME_PROBE] = "probe",	[EB_FRAME_MARKS] = "marks",
 };
 
 static const char *const outcome_names[] = { "unknown", "ran", "not-run" };
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -22,14 +22,21 @@
 	EB_FRAME_HELLO,	   /* heartbeat between two daemons */
 	EB_FRAME_GOSSIP,   /* membership and releases */
 	EB_FRAME_CLAIM,	   /* claims of idempotency keys */
+	EB_FRAME_MARKS,	   /* requests that crash upstreams */
 	EB_FRAME_CONFIG,   /* within a daemon: a new configuration */
 	EB_FRAME_VMS,	   /* within a daemon: the list of VMs */
 	EB_FRAME_QUERY,	   /* within a daemon: a query of the admin port */
 	EB_FRAME_REPORT,   /* within a daemon: what the source has brought */
-	EB_FRAME_PROBE,	   /* within a daemon: asks the upstream for its pace */
+	/*
+	 * Within a daemon: asks the upstream for its pace, or, as call
+	 * EB_PROBE_CHECK, whether it takes connections.
+	 */
+	EB_FRAME_PROBE,
 	EB_FRAME_TYPE_MAX = EB_FRAME_PROBE,
 };
 
+#define EB_PROBE_CHECK 1
+
 /* What is known of a request when its call ends. */
 enum eb_outcome {
 	EB_OUTCOME_UNKNOWN = 0,
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -9,6 +9,8 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_crash.h"
+#include "eb_marks.h"
 #include "eb_overdue.h"
 #include "eb_tunables.h"
 
@@ -77,6 +79,7 @@
 	int64_t deadline_us;
 	int64_t goal_us; /* until then an answer is on time; 0: no goal */
 	uint32_t kind;
+	uint64_t fingerprint; /* for marks; 0: nothing is marked */
 	int64_t arrived_us;
 	int64_t started_us; /* 0: has no slot */
 	int64_t arrived_wall_us;
@@ -91,6 +94,7 @@
 	struct eb_chart *chart;
 	struct eb_rand rand; /* for span numbers */
 	struct eb_admit *admit;
+	struct eb_marks *marks;
 	char *address; /* of the upstream; NULL: not configured */
 	char *service;
 	char *probe;	    /* address and path to ask for the pace, or NULL */
@@ -137,7 +141,8 @@
 	eb_rand_seed(&gt->rand, cf->incarnation ^ 1);
 	gt->chart = eb_chart_load("gate", &names, fs);
 	gt->admit = eb_admit_new(&none);
-	if (!gt->chart || !gt->admit ||
+	gt->marks = eb_marks_new(cf->upstream);
+	if (!gt->chart || !gt->admit || !gt->marks ||
 	    apr_pool_create(&gt->pool, NULL) != APR_SUCCESS) {
 		eb_gate_free(gt);
 		return NULL;
@@ -154,6 +159,9 @@
 	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
 	ca->origin->calls--;
 	gt->held -= ca->held;
+	if (ca->fingerprint)
+		eb_marks_ended(gt->marks, ca->fingerprint,
+			       ca->outcome == EB_OUTCOME_RAN);
 	eb_frame_unref(ca->head);
 	free(ca);
 	eb_metrics_add(gt->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
@@ -182,6 +190,7 @@
 	}
 	eb_chart_free(gt->chart);
 	eb_admit_free(gt->admit);
+	eb_marks_free(gt->marks);
 	free(gt->address);
 	free(gt->service);
 	free(gt->probe);
@@ -824,7 +833,7 @@
 /* Answers HEAD without keeping a call. */
 static void refuse_head(struct eb_gate *gt, const struct eb_frame *f,
 			const struct eb_back_route *back, enum eb_reason reason,
-			int64_t now_us)
+			uint32_t retry_after_ms, int64_t now_us)
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
 
@@ -836,6 +845,7 @@
 	out->sender = gt->config.incarnation;
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = (uint8_t)reason;
+	out->reply->retry_after_ms = retry_after_ms;
 	add_report(gt, out->reply, now_us);
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
@@ -894,11 +904,19 @@
 		  int64_t now_us)
 {
 	enum eb_reason reason = check_head(gt, f);
+	uint64_t fingerprint = 0;
+	uint32_t wait_ms = 0;
 	struct call *ca;
 
+	if (reason == EB_REASON_NONE) {
+		wait_ms = eb_marks_refuse(gt->marks, f, now_us, &fingerprint);
+		if (wait_ms)
+			reason = EB_REASON_CRASHES;
+	}
 	if (reason == EB_REASON_NONE) {
 		ca = new_call(gt, f, back, og, now_us);
 		if (ca) {
+			ca->fingerprint = fingerprint;
 			if (wants_probe(gt, now_us)) {
 				ca->held = 1;
 				gt->held++;
@@ -910,7 +928,7 @@
 		}
 		reason = EB_REASON_INTERNAL;
 	}
-	refuse_head(gt, f, back, reason, now_us);
+	refuse_head(gt, f, back, reason, wait_ms, now_us);
 	eb_frame_unref(f);
 }
 
@@ -932,7 +950,7 @@
 			offer(gt, f, back, og, now_us);
 			return;
 		}
-		refuse_head(gt, f, back, EB_REASON_QUEUE_FULL, now_us);
+		refuse_head(gt, f, back, EB_REASON_QUEUE_FULL, 0, now_us);
 		eb_frame_unref(f);
 	} else if (!ca || f->type == EB_FRAME_HEAD) {
 		/* Late, or HEAD for a second time. */
@@ -964,6 +982,70 @@
 	}
 }
 
+/* ---- Requests that crash upstreams ---- */
+
+/* Asks whether the upstream takes connections, while runs are suspected. */
+static void check_upstream(struct eb_gate *gt, int64_t now_us)
+{
+	struct eb_frame *f;
+
+	if (!gt->address || !eb_marks_check_due(gt->marks, now_us))
+		return;
+	f = eb_frame_new(EB_FRAME_PROBE, EB_PROBE_CHECK);
+	if (!f) {
+		eb_marks_checked(gt->marks, 0, now_us);
+		return;
+	}
+	f->object = strdup(gt->address);
+	f->object_free = free;
+	gt->out.to_client(gt->out.ctx, f);
+}
+
+static void count_marks(struct eb_gate *gt)
+{
+	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKS,
+		       eb_marks_count(gt->marks));
+}
+
+static void note_check(struct eb_gate *gt, const struct eb_frame *f,
+		       int64_t now_us)
+{
+	uint32_t n = eb_marks_checked(
+		gt->marks, f->reply->reason == EB_REASON_CONNECT, now_us);
+
+	if (!n)
+		return;
+	eb_metrics_add(gt->config.metrics, EB_METRIC_CRASHES, 1);
+	count_marks(gt);
+	eb_log_write(gt->log, EB_LOG_WARN, "gate",
+		     "upstream has crashed, what it ran is marked",
+		     "upstream=%s requests=%u", gt->config.upstream, n);
+}
+
+/* See the header. */
+uint32_t eb_gate_marks_generation(const struct eb_gate *gt)
+{
+	return eb_marks_generation(gt->marks);
+}
+
+/* See the header. */
+void eb_gate_marks_encode(struct eb_gate *gt, uint32_t *from, int64_t now_us,
+			  msgpack_sbuffer *out)
+{
+	eb_marks_encode(gt->marks, from, now_us, out);
+}
+
+/* See the header. */
+enum eb_status eb_gate_marks_receive(struct eb_gate *gt,
+				     const struct eb_frame *f, int64_t now_us)
+{
+	enum eb_status st =
+		eb_marks_receive(gt->marks, f->data, f->data_bytes, now_us);
+
+	count_marks(gt);
+	return st;
+}
+
 /* Takes a frame of the client thread. */
 void eb_gate_from_client(struct eb_gate *gt, struct eb_frame *f, int64_t now_us)
 {
@@ -977,6 +1059,13 @@
 		gt->replaced = gt->instance != NULL;
 		gt->pace_us = 0;
 	}
+	if (f->type == EB_FRAME_PROBE && f->call == EB_PROBE_CHECK) {
+		note_check(gt, f, now_us);
+		eb_frame_unref(f);
+		return;
+	}
+	if (f->type == EB_FRAME_ABORT && f->object)
+		eb_marks_closed(gt->marks, *(uint64_t *)f->object, now_us);
 	if (f->type == EB_FRAME_PROBE) {
 		gt->probe_us = 0;
 		note_instance(gt, f->object);
@@ -1028,5 +1117,6 @@
 	}
 	if (gt->probe && !gt->instance)
 		send_probe(gt, now_us);
+	check_upstream(gt, now_us);
 	run_admission(gt, now_us);
 }
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -2,6 +2,7 @@
 #define EB_GATE_H
 
 #include <jansson.h>
+#include <msgpack.h>
 #include <stdint.h>
 
 #include "eb_admit.h"
@@ -71,6 +72,12 @@
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us);
 /* When eb_gate_poll() must be called at the latest, or INT64_MAX. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us);
+/* Marks of requests that crash upstreams; see eb_marks.h. */
+uint32_t eb_gate_marks_generation(const struct eb_gate *gt);
+void eb_gate_marks_encode(struct eb_gate *gt, uint32_t *from, int64_t now_us,
+			  msgpack_sbuffer *out);
+enum eb_status eb_gate_marks_receive(struct eb_gate *gt,
+				     const struct eb_frame *f, int64_t now_us);
 void eb_gate_tick(struct eb_gate *gt, int64_t now_us);
 void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld);
 uint32_t eb_gate_active(const struct eb_gate *gt);
--- /dev/null
+++ b/src/eb_marks.c
@@ -0,0 +1,168 @@
+#include "eb_marks.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eb_crash.h"
+
+struct suspect {
+	uint64_t fingerprint;
+	int64_t closed_us;
+};
+
+struct eb_marks {
+	struct eb_crash *crash;
+	char *upstream;
+	struct suspect suspects[EB_MARKS_SUSPECTS_MAX];
+	uint32_t suspect_count;
+	uint32_t crashes; /* of this upstream */
+	uint32_t generation;
+	int64_t checked_us; /* when the check was sent; 0: none is out */
+};
+
+/* Returns NULL without memory. */
+struct eb_marks *eb_marks_new(const char *upstream)
+{
+	struct eb_marks *mk = calloc(1, sizeof(*mk));
+
+	if (!mk)
+		return NULL;
+	mk->crash = eb_crash_new();
+	mk->upstream = strdup(upstream);
+	if (mk->crash && mk->upstream)
+		return mk;
+	eb_marks_free(mk);
+	return NULL;
+}
+
+/* Frees the marks; NULL is allowed. */
+void eb_marks_free(struct eb_marks *mk)
+{
+	if (!mk)
+		return;
+	eb_crash_free(mk->crash);
+	free(mk->upstream);
+	free(mk);
+}
+
+/* See the header. Of a body that follows HEAD only the length counts. */
+uint64_t eb_marks_fingerprint(const struct eb_frame *head)
+{
+	const struct eb_head *h = head->head;
+	struct eb_crash_request rq = { 0 };
+
+	rq.method = h->method;
+	rq.target = h->target;
+	rq.key = h->key;
+	rq.caller = h->caller;
+	rq.body = head->data;
+	rq.body_bytes = head->data_bytes;
+	rq.whole_bytes = h->body_bytes;
+	return eb_crash_fingerprint(&rq);
+}
+
+/* See the header. */
+uint32_t eb_marks_refuse(struct eb_marks *mk, const struct eb_frame *head,
+			 int64_t now_us, uint64_t *fingerprint)
+{
+	uint32_t wait_ms;
+
+	*fingerprint = 0;
+	if (!eb_marks_count(mk))
+		return 0;
+	*fingerprint = eb_marks_fingerprint(head);
+	if (eb_crash_check(mk->crash, *fingerprint, now_us))
+		return 0;
+	wait_ms = eb_crash_wait_ms(mk->crash, *fingerprint, now_us);
+	return wait_ms ? wait_ms : EB_MARKS_TRIAL_WAIT_MS;
+}
+
+/* An answer shows that the request does not crash what runs it. */
+void eb_marks_ended(struct eb_marks *mk, uint64_t fingerprint, int answered)
+{
+	if (answered)
+		eb_crash_clear(mk->crash, fingerprint);
+	else
+		eb_crash_done(mk->crash, fingerprint);
+}
+
+/* Past the bound the oldest suspect is forgotten. */
+void eb_marks_closed(struct eb_marks *mk, uint64_t fingerprint, int64_t now_us)
+{
+	if (mk->suspect_count == EB_MARKS_SUSPECTS_MAX) {
+		mk->suspect_count--;
+		memmove(mk->suspects, mk->suspects + 1,
+			mk->suspect_count * sizeof(mk->suspects[0]));
+	}
+	mk->suspects[mk->suspect_count].fingerprint = fingerprint;
+	mk->suspects[mk->suspect_count++].closed_us = now_us;
+}
+
+/* See the header. */
+int eb_marks_check_due(struct eb_marks *mk, int64_t now_us)
+{
+	if (!mk->suspect_count || mk->checked_us ||
+	    now_us - mk->suspects[0].closed_us < EB_MARKS_CHECK_AFTER_MS * 1000)
+		return 0;
+	mk->checked_us = now_us;
+	return 1;
+}
+
+/*
+ * With the upstream down, all that it ran are marked, once for this crash.
+ * With the upstream up, those whose connections were closed some time before
+ * the check was sent are cleared; later ones wait for the next check.
+ */
+uint32_t eb_marks_checked(struct eb_marks *mk, int down, int64_t now_us)
+{
+	int64_t before_us = mk->checked_us - EB_MARKS_CHECK_AFTER_MS * 1000;
+	uint32_t i, kept = 0, marked = 0;
+	char crash[128];
+
+	mk->checked_us = 0;
+	if (down)
+		snprintf(crash, sizeof(crash), "%.100s %u", mk->upstream,
+			 ++mk->crashes);
+	for (i = 0; i < mk->suspect_count; i++) {
+		if (down) {
+			eb_crash_report(mk->crash, mk->suspects[i].fingerprint,
+					crash, now_us);
+			marked++;
+		} else if (mk->suspects[i].closed_us > before_us) {
+			mk->suspects[kept++] = mk->suspects[i];
+		}
+	}
+	mk->suspect_count = kept;
+	mk->generation += marked > 0;
+	return marked;
+}
+
+/* See the header. */
+uint32_t eb_marks_count(const struct eb_marks *mk)
+{
+	struct eb_crash_counters ct;
+
+	eb_crash_read_counters(mk->crash, &ct);
+	return (uint32_t)ct.marks;
+}
+
+/* See the header. */
+uint32_t eb_marks_generation(const struct eb_marks *mk)
+{
+	return mk->generation;
+}
+
+/* See the header. */
+void eb_marks_encode(struct eb_marks *mk, uint32_t *from, int64_t now_us,
+		     msgpack_sbuffer *out)
+{
+	eb_crash_encode(mk->crash, from, 1, now_us, out);
+}
+
+/* Takes over the marks of another daemon; errors as eb_crash_recv(). */
+enum eb_status eb_marks_receive(struct eb_marks *mk, const void *payload,
+				size_t n, int64_t now_us)
+{
+	return eb_crash_recv(mk->crash, payload, n, now_us);
+}
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -275,7 +275,7 @@
 	eb_metrics_add(ms->metrics, EB_METRIC_FRAMES_OUT, 1);
 	eb_metrics_add(ms->metrics, EB_METRIC_BYTES_OUT, (int64_t)ms->out.size);
 	if (f->type == EB_FRAME_HELLO || f->type == EB_FRAME_GOSSIP ||
-	    f->type == EB_FRAME_CLAIM)
+	    f->type == EB_FRAME_CLAIM || f->type == EB_FRAME_MARKS)
 		eb_metrics_add(ms->metrics, EB_METRIC_CONTROL_BYTES,
 			       (int64_t)ms->out.size);
 }
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -31,6 +31,9 @@
 	X(GATE_REFUSED, "gate_refused_total",                                \
 	  "Calls this gate refused as not run")                              \
 	X(GATE_QUEUED, "gate_queued_total", "Calls that waited for a slot")  \
+	X(CRASHES, "upstream_crashes_total",                                 \
+	  "Crashes of the upstream that runs met")                           \
+	X(MARKS, "marked_requests", "Requests known to crash upstreams")     \
 	X(RETRIES, "retries_total", "Further attempts of a call")            \
 	X(RETRY_DENIED, "retries_denied_total",                              \
 	  "Retries that the budget turned away")                             \
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -35,6 +35,7 @@
 	int64_t back_us;
 	int64_t gone_us; /* since when it is not in the configuration */
 	char instance[EB_NAME_SPACE_BYTES]; /* its start, or "" */
+	uint32_t marks_generation; /* of the marks that its daemon was sent */
 };
 
 /* What an origin keeps for a service. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -10,6 +10,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_crash.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -66,7 +67,7 @@
 	[EB_REASON_CONNECT] = 503,
 	[EB_REASON_HANDED_BACK] = 503,
 	[EB_REASON_CALLER_LIMIT] = 429,
-	[EB_REASON_CRASHES] = 422,
+	[EB_REASON_CRASHES] = 503,
 	[EB_REASON_CLAIM] = 409,
 	[EB_REASON_HOPS] = 508,
 	[EB_REASON_LOST_PEER] = 502,
@@ -95,6 +96,7 @@
 	uint8_t at_gate;   /* the router counts an attempt in flight */
 	uint8_t maybe_ran; /* an attempt ended without a word on it */
 	uint8_t claimed;   /* holds the grant of its key and must settle it */
+	uint8_t closed;	   /* runs that ended with the upstream's connection */
 	uint8_t runs;	   /* attempts that may have run */
 	uint8_t runs_max;  /* as the path allows */
 	/* How the last attempt failed; the answer when there is no other. */
@@ -321,6 +323,7 @@
 		return;
 	ca->at_gate = 0;
 	ca->maybe_ran |= ca->outcome != EB_OUTCOME_NOT_RUN;
+	ca->closed += ca->reason == EB_REASON_UPSTREAM_CLOSED;
 	if (ca->outcome != EB_OUTCOME_NOT_RUN ||
 	    ca->reason == EB_REASON_UPSTREAM_REFUSED)
 		ca->runs++;
@@ -653,6 +656,13 @@
 	og->out.to_gate(og->out.ctx, ca->node, f);
 }
 
+/* A request that crashes what runs it is not offered any further. */
+static int seems_to_crash(const struct call *ca)
+{
+	return ca->closed >= EB_CRASH_REFUSE_AT ||
+	       ca->reason == EB_REASON_CRASHES;
+}
+
 static void do_retry(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		     int64_t now_us)
 {
@@ -669,7 +679,7 @@
 	at.attempts = ca->attempts;
 	at.mark = ca->mark;
 	at.remaining_us = ca->deadline_us - now_us;
-	if (ca->runs < ca->runs_max &&
+	if (ca->runs < ca->runs_max && !seems_to_crash(ca) &&
 	    eb_retry_allow(&ca->service->retry, &at)) {
 		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
 		route(og, ca, now_us);
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -254,7 +254,7 @@
 	rd.count = o->via.array.size;
 	if (read_uint(&rd, UINT8_MAX) != EB_WIRE_VERSION)
 		return EB_EPARSE;
-	type = read_uint(&rd, EB_FRAME_CLAIM);
+	type = read_uint(&rd, EB_FRAME_CONFIG - 1);
 	call = read_uint(&rd, UINT64_MAX);
 	if (rd.bad || !type)
 		return EB_EPARSE;
--- /dev/null
+++ b/tests/it_crashes.cc
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include "harness.h"
+
+namespace
+{
+
+struct resend_case {
+	const char *name;
+	const char *method;
+};
+
+/* Five upstreams of one service. */
+struct Crashes : testing::TestWithParam<resend_case> {
+	Fleet fleet;
+
+	Crashes() : fleet(options())
+	{
+	}
+	static FleetOptions options()
+	{
+		FleetOptions op;
+
+		op.services = { { "agenda", 5 } };
+		return op;
+	}
+	/* Starts what has died; returns how many upstreams that were. */
+	int restart()
+	{
+		int n = 0;
+
+		for (size_t i = 0; i < fleet.size(); i++) {
+			if (fleet[i].upstream->running())
+				continue;
+			wait_until("the crash to be noticed", [&] {
+				return fleet[i].metric(
+					       "upstream_crashes_total") > 0;
+			});
+			fleet.start_upstream(i);
+			n++;
+		}
+		return n;
+	}
+};
+
+INSTANTIATE_TEST_SUITE_P(Methods, Crashes,
+			 testing::Values(resend_case{ "Idempotent", "GET" },
+					 resend_case{ "OnceOnly", "POST" }),
+			 [](const testing::TestParamInfo<resend_case> &info) {
+				 return std::string(info.param.name);
+			 });
+
+/*
+ * Guards against a request that goes on crashing upstreams: its caller sends
+ * it again and again, through another daemon each time.
+ */
+TEST_P(Crashes, ResentRequestStopsEverywhere)
+{
+	int crashed = 0, refused = 0;
+
+	fleet.start();
+	for (size_t n = 0; refused < 10; n++) {
+		HttpRequest rq;
+		HttpAnswer a;
+		int now;
+
+		rq.method = GetParam().method;
+		rq.url = fleet[n % fleet.size()].url("/agenda/bad");
+		rq.headers = { "X-Crash: 1" };
+		a = http(rq);
+		if (a.json("error") == "crashes-upstreams") {
+			EXPECT_EQ(503, a.status);
+			EXPECT_EQ("not-run", a.outcome());
+			EXPECT_LT(60, atoi(a.header("Retry-After").c_str()));
+			refused++;
+			continue;
+		}
+		EXPECT_EQ("unknown", a.outcome()) << a.status << a.body;
+		now = restart();
+		EXPECT_LT(0, now);
+		crashed += now;
+		ASSERT_GE(3, crashed);
+		for (size_t i = 0; i < fleet.size(); i++)
+			wait_until("the mark at all daemons", [&] {
+				return fleet[i].metric("marked_requests") > 0;
+			});
+	}
+	/* Others are served meanwhile. */
+	for (size_t i = 0; i < fleet.size(); i++)
+		EXPECT_TRUE(
+			http_get(fleet[i].url("/agenda/good")).complete(200));
+}
+
+} // namespace
--- a/tests/test_eb_crash.cc
+++ b/tests/test_eb_crash.cc
@@ -30,14 +30,16 @@
 /* Guards against fingerprints that mix up different requests. */
 TEST(Crash, FingerprintsTellRequestsApart)
 {
-	const eb_crash_request base = { "POST", "/a", "k", "body", 4 };
+	const eb_crash_request base = { "POST", "/a", "k", "body", 4, 0, 0 };
 	const eb_crash_request others[] = {
-		{ "PUT", "/a", "k", "body", 4 },
-		{ "POST", "/b", "k", "body", 4 },
-		{ "POST", "/a", "l", "body", 4 },
-		{ "POST", "/a", NULL, "body", 4 },
-		{ "POST", "/a", "k", "bodz", 4 },
-		{ "POST", "/a", "k", "body", 3 },
+		{ "PUT", "/a", "k", "body", 4, 0, 0 },
+		{ "POST", "/b", "k", "body", 4, 0, 0 },
+		{ "POST", "/a", "l", "body", 4, 0, 0 },
+		{ "POST", "/a", NULL, "body", 4, 0, 0 },
+		{ "POST", "/a", "k", "bodz", 4, 0, 0 },
+		{ "POST", "/a", "k", "body", 3, 0, 0 },
+		{ "POST", "/a", "k", "body", 4, 9, 0 },
+		{ "POST", "/a", "k", "body", 4, 0, 1 },
 	};
 
 	EXPECT_EQ(eb_crash_fingerprint(&base), eb_crash_fingerprint(&base));
--- /dev/null
+++ b/tests/test_eb_marks.cc
@@ -0,0 +1,154 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "eb_crash.h"
+#include "eb_marks.h"
+}
+
+namespace
+{
+
+const int64_t MS = 1000;
+
+eb_frame *request(const std::string &target, uint64_t caller)
+{
+	eb_frame *f = eb_frame_new(EB_FRAME_HEAD, 1);
+
+	f->head->method = strdup("GET");
+	f->head->target = strdup(target.c_str());
+	f->head->caller = caller;
+	return f;
+}
+
+struct marks_case {
+	const char *guards;
+	/* "closed", "up", "down", "wait MS", "again", "answered" */
+	std::vector<std::string> events;
+	bool refused;
+};
+
+const marks_case cases[] = {
+	{ "a run that was cut counts as a crash", { "closed" }, false },
+	{ "a reset of a sound upstream counts as a crash",
+	  { "closed", "wait 20", "up", "closed", "wait 20", "up" },
+	  false },
+	{ "one crash, which may be a coincidence, is enough",
+	  { "closed", "wait 20", "down" },
+	  false },
+	{ "a request that crashed two upstreams runs again",
+	  { "closed", "wait 20", "down", "closed", "wait 20", "down" },
+	  true },
+	{ "an answered request stays suspected",
+	  { "closed", "wait 20", "down", "closed", "wait 20", "down",
+	    "answered" },
+	  false },
+	{ "a mark lasts for ever",
+	  { "closed", "wait 20", "down", "closed", "wait 20", "down",
+	    "wait 600000" },
+	  false },
+	{ "a second run goes on beside the first one of a marked request",
+	  { "closed", "wait 20", "down", "again" },
+	  true },
+};
+
+/* Guards against what the name of each case says. */
+TEST(Marks, Decisions)
+{
+	for (const marks_case &c : cases) {
+		eb_marks *mk = eb_marks_new("agenda-1");
+		eb_frame *f = request("/x", 1);
+		uint64_t fingerprint = eb_marks_fingerprint(f), got = 0;
+		int64_t now_us = 1000 * MS;
+
+		SCOPED_TRACE(c.guards);
+		for (const std::string &ev : c.events) {
+			if (ev == "closed") {
+				eb_marks_closed(mk, fingerprint, now_us);
+			} else if (ev == "answered") {
+				eb_marks_ended(mk, fingerprint, 1);
+			} else if (ev == "again") {
+				EXPECT_EQ(0u,
+					  eb_marks_refuse(mk, f, now_us, &got));
+			} else if (ev.rfind("wait", 0) == 0) {
+				now_us += atoll(ev.c_str() + 5) * MS;
+			} else {
+				EXPECT_TRUE(eb_marks_check_due(mk, now_us));
+				eb_marks_checked(mk, ev == "down", now_us);
+			}
+		}
+		EXPECT_EQ(c.refused, eb_marks_refuse(mk, f, now_us, &got) > 0);
+		eb_frame_unref(f);
+		eb_marks_free(mk);
+	}
+}
+
+/* Guards against a check too early, twice at once, or without a suspect. */
+TEST(Marks, ChecksOnceAndNotBeforeTheListenerIsClosed)
+{
+	eb_marks *mk = eb_marks_new("agenda-1");
+
+	EXPECT_FALSE(eb_marks_check_due(mk, 100 * MS));
+	eb_marks_closed(mk, 7, 100 * MS);
+	EXPECT_FALSE(eb_marks_check_due(mk, 119 * MS));
+	EXPECT_TRUE(eb_marks_check_due(mk, 120 * MS));
+	EXPECT_FALSE(eb_marks_check_due(mk, 130 * MS));
+	/* Closed after the check was sent: it says nothing of this one. */
+	eb_marks_closed(mk, 8, 121 * MS);
+	EXPECT_EQ(0u, eb_marks_checked(mk, 0, 122 * MS));
+	EXPECT_TRUE(eb_marks_check_due(mk, 141 * MS));
+	EXPECT_EQ(1u, eb_marks_checked(mk, 1, 142 * MS));
+	EXPECT_FALSE(eb_marks_check_due(mk, 200 * MS));
+	EXPECT_EQ(1u, eb_marks_generation(mk));
+	eb_marks_free(mk);
+}
+
+/* Guards against a mark that also refuses what others send. */
+TEST(Marks, OthersAreNotRefused)
+{
+	eb_marks *mk = eb_marks_new("agenda-1");
+	eb_frame *bad = request("/x", 1);
+	std::vector<eb_frame *> others = { request("/x", 2), request("/y", 1) };
+	uint64_t got = 0;
+
+	for (int n = 0; n < 2; n++) {
+		eb_marks_closed(mk, eb_marks_fingerprint(bad), n * 100 * MS);
+		ASSERT_TRUE(eb_marks_check_due(mk, (n * 100 + 20) * MS));
+		eb_marks_checked(mk, 1, (n * 100 + 20) * MS);
+	}
+	EXPECT_LT(0u, eb_marks_refuse(mk, bad, 200 * MS, &got));
+	for (eb_frame *f : others) {
+		EXPECT_EQ(0u, eb_marks_refuse(mk, f, 200 * MS, &got));
+		eb_frame_unref(f);
+	}
+	eb_frame_unref(bad);
+	eb_marks_free(mk);
+}
+
+/* Guards against suspects without a bound, and marks that do not travel. */
+TEST(Marks, ManySuspectsAndAnotherDaemon)
+{
+	eb_marks *mk = eb_marks_new("agenda-1");
+	eb_marks *other = eb_marks_new("agenda-2");
+	msgpack_sbuffer sb;
+	uint32_t from = 0;
+
+	for (uint64_t n = 0; n < 2 * EB_MARKS_SUSPECTS_MAX; n++)
+		eb_marks_closed(mk, n + 1, 0);
+	ASSERT_TRUE(eb_marks_check_due(mk, 20 * MS));
+	EXPECT_EQ((uint32_t)EB_MARKS_SUSPECTS_MAX,
+		  eb_marks_checked(mk, 1, 20 * MS));
+	msgpack_sbuffer_init(&sb);
+	eb_marks_encode(mk, &from, 20 * MS, &sb);
+	EXPECT_EQ(EB_OK, eb_marks_receive(other, sb.data, sb.size, 20 * MS));
+	EXPECT_EQ(eb_marks_count(mk), eb_marks_count(other));
+	EXPECT_EQ(0u, eb_marks_generation(other));
+	msgpack_sbuffer_destroy(&sb);
+	eb_marks_free(other);
+	eb_marks_free(mk);
+}
+
+} // namespace
