metrics: calls by route, ages of beliefs, budgets left

Cause: an on-call engineer could not see which route fails, for what reason, how far its calls go, how old a daemon's picture is, or whether a retry budget is empty; totals hid it.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -367,6 +367,9 @@
 
 static void on_report(struct eb_core *co, const struct eb_source_report *rp)
 {
+	if (!rp->failed)
+		eb_metrics_stamp(co->config.metrics, EB_AGE_SOURCE_READ,
+				 co->turn_us);
 	if (co->spread)
 		eb_spread_report(co->spread, rp, co->turn_us);
 }
@@ -376,6 +379,7 @@
 {
 	struct eb_core *co = ctx;
 
+	eb_metrics_stamp(co->config.metrics, EB_AGE_PEER, co->turn_us);
 	if (f->type == EB_FRAME_HELLO && pr) {
 		if (co->spread)
 			eb_spread_heard(co->spread, pr->user,
@@ -490,6 +494,7 @@
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
 			     "out of memory for the holders of claims", NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
+	eb_metrics_stamp(co->config.metrics, EB_AGE_CONFIG, co->turn_us);
 	if (!co->spread)
 		eb_gate_note_index(co->gate, cf->index, 0);
 	if (!co->configured_us)
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -764,6 +764,7 @@
 	if (!r || !r->load.pace_percent)
 		return;
 	gt->pace_us = now_us;
+	eb_metrics_stamp(gt->config.metrics, EB_AGE_PACE, now_us);
 	eb_admit_pace(gt->admit, r->load.pace_percent);
 }
 
--- a/src/eb_metrics.c
+++ b/src/eb_metrics.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_clock.h"
+#include "eb_tally.h"
+
 #define BUCKETS 18
 
 struct histogram {
@@ -12,7 +15,9 @@
 
 struct eb_metrics {
 	int64_t values[EB_METRIC_COUNT];
+	int64_t stamps_us[EB_AGE_COUNT]; /* 0: never */
 	struct histogram histograms[EB_HISTOGRAM_COUNT];
+	struct eb_tally *tally;
 };
 
 struct metric_info {
@@ -23,9 +28,11 @@
 static const struct metric_info metric_infos[] = {
 #define INFO(id, name, help) { name, help },
 	EB_METRIC_TABLE(INFO)
-#undef INFO
 };
 
+static const struct metric_info age_infos[] = { EB_AGE_TABLE(INFO) };
+#undef INFO
+
 static const struct metric_info histogram_infos[EB_HISTOGRAM_COUNT] = {
 	[EB_HISTOGRAM_CALL_US] = { "call_us", "Time from the request to its "
 					      "whole answer" },
@@ -44,15 +51,37 @@
 /* Creates counters that all start at 0. Returns NULL without memory. */
 struct eb_metrics *eb_metrics_new(void)
 {
-	return calloc(1, sizeof(struct eb_metrics));
+	struct eb_metrics *mt = calloc(1, sizeof(*mt));
+
+	if (!mt)
+		return NULL;
+	mt->tally = eb_tally_new();
+	if (mt->tally)
+		return mt;
+	free(mt);
+	return NULL;
 }
 
 /* Frees the counters. */
 void eb_metrics_free(struct eb_metrics *mt)
 {
+	if (mt)
+		eb_tally_free(mt->tally);
 	free(mt);
 }
 
+/* See the header. */
+struct eb_tally *eb_metrics_tally(struct eb_metrics *mt)
+{
+	return mt->tally;
+}
+
+/* See the header. */
+void eb_metrics_stamp(struct eb_metrics *mt, enum eb_age a, int64_t now_us)
+{
+	__atomic_store_n(&mt->stamps_us[a], now_us, __ATOMIC_RELAXED);
+}
+
 /* Adds to a counter or gauge; from any thread. */
 void eb_metrics_add(struct eb_metrics *mt, enum eb_metric m, int64_t by)
 {
@@ -146,6 +175,20 @@
 		(unsigned long long)seen);
 }
 
+/* Prints how old each belief is; -1 for what never happened. */
+static void print_ages(const struct eb_metrics *mt, FILE *out)
+{
+	int64_t now_us = eb_clock_now_us(), at_us;
+	int i;
+
+	for (i = 0; i < EB_AGE_COUNT; i++) {
+		at_us = __atomic_load_n(&mt->stamps_us[i], __ATOMIC_RELAXED);
+		print_help(out, &age_infos[i], NULL);
+		fprintf(out, "ebonypier_%s %lld\n", age_infos[i].name,
+			at_us ? (long long)(now_us - at_us) / 1000 : -1LL);
+	}
+}
+
 /* Prints everything in Prometheus text form. */
 void eb_metrics_print(const struct eb_metrics *mt, FILE *out)
 {
@@ -160,4 +203,6 @@
 	}
 	for (i = 0; i < EB_HISTOGRAM_COUNT; i++)
 		print_histogram(out, &histogram_infos[i], &mt->histograms[i]);
+	print_ages(mt, out);
+	eb_tally_print(mt->tally, out);
 }
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -74,6 +74,22 @@
 	  "Release notes that were not accepted")                            \
 	X(DRAINING, "draining", "1 while this daemon or its upstream leaves")
 
+/* Moments whose age is shown: identifier, name, help. */
+#define EB_AGE_TABLE(X)                                                  \
+	X(SOURCE_READ, "source_read_age_ms",                             \
+	  "Since this daemon's last successful read of the source")      \
+	X(CONFIG, "configuration_age_ms",                                \
+	  "Since the configuration in force last changed")               \
+	X(PEER, "peer_heard_age_ms", "Since the last frame of any peer") \
+	X(PACE, "pace_age_ms", "Since the upstream's VM last told its pace")
+
+enum eb_age {
+#define EB_AGE_ENUM(id, name, help) EB_AGE_##id,
+	EB_AGE_TABLE(EB_AGE_ENUM)
+#undef EB_AGE_ENUM
+		EB_AGE_COUNT
+};
+
 enum eb_metric {
 #define EB_METRIC_ENUM(id, name, help) EB_METRIC_##id,
 	EB_METRIC_TABLE(EB_METRIC_ENUM)
@@ -89,12 +105,17 @@
 };
 
 struct eb_metrics;
+struct eb_tally;
 
 struct eb_metrics *eb_metrics_new(void);
 void eb_metrics_free(struct eb_metrics *mt);
 void eb_metrics_add(struct eb_metrics *mt, enum eb_metric m, int64_t by);
 void eb_metrics_set(struct eb_metrics *mt, enum eb_metric m, int64_t value);
 int64_t eb_metrics_get(const struct eb_metrics *mt, enum eb_metric m);
+/* Notes that something happened now, for its age; from any thread. */
+void eb_metrics_stamp(struct eb_metrics *mt, enum eb_age a, int64_t now_us);
+/* The counts by route, which one thread may change. */
+struct eb_tally *eb_metrics_tally(struct eb_metrics *mt);
 void eb_metrics_observe(struct eb_metrics *mt, enum eb_histogram h, int64_t us);
 int64_t eb_metrics_quantile_us(const struct eb_metrics *mt, enum eb_histogram h,
 			       uint32_t permille);
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -12,11 +12,14 @@
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_overdue.h"
+#include "eb_tally.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* How much longer than its deadline an origin waits for the gate's word. */
 #define EXPIRE_GRACE_US 50000
+/* In the counts by route: requests that were refused before they had one. */
+#define NO_ROUTE_NAME "(none)"
 /* The golden ratio of 2^32. */
 #define GOLDEN_STEP 2654435769U
 
@@ -105,6 +108,7 @@
 	uint16_t status;
 	uint32_t retry_after_ms;
 	uint8_t hops;
+	uint32_t route; /* place in the tally */
 	int64_t budget_us;
 	int64_t deadline_us;
 	int64_t goal_us; /* until then an answer is on time; 0: no goal */
@@ -267,6 +271,23 @@
 		     (unsigned long long)cf->release);
 }
 
+/* Counts a call that has ended, by its route. */
+static void tally_call(struct eb_origin *og, const struct call *ca,
+		       int64_t now_us)
+{
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_retry *rb = &ca->service->retry;
+	struct eb_tally_call tc = { 0 };
+
+	tc.outcome = ca->outcome;
+	tc.reason = ca->reason;
+	tc.distance = n ? n->distance : EB_TALLY_NOWHERE;
+	tc.us = now_us - ca->started_us;
+	tc.retries_left = eb_retry_left(rb);
+	tc.reroutes_left = eb_retry_reroutes_left(rb);
+	eb_tally_add(eb_metrics_tally(og->config.metrics), ca->route, &tc);
+}
+
 static void add_span(struct eb_origin *og, const struct call *ca,
 		     enum eb_span_kind kind, const uint8_t *id,
 		     const uint8_t *parent, int64_t from_us, int64_t now_us)
@@ -785,6 +806,7 @@
 		return;
 	end_attempt(og, ca, now_us);
 	log_call(og, ca, now_us);
+	tally_call(og, ca, now_us);
 	settle_claim(og, ca, NULL, now_us);
 	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
 		 ca->started_us, now_us);
@@ -809,9 +831,17 @@
 
 /* Answers a request for which no call is kept. */
 static void refuse_head(struct eb_origin *og, struct eb_frame *f,
-			enum eb_reason reason, uint32_t retry_after_ms)
+			const struct eb_match *pt, enum eb_reason reason,
+			uint32_t retry_after_ms)
 {
+	struct eb_tally *tl = eb_metrics_tally(og->config.metrics);
 	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
+	struct eb_tally_call tc = {
+		EB_OUTCOME_NOT_RUN, (uint8_t)reason, EB_TALLY_NOWHERE, 0, 0, 0
+	};
+
+	eb_tally_add(tl, eb_tally_route(tl, pt ? pt->name : NO_ROUTE_NAME),
+		     &tc);
 
 	eb_log_write(
 		og->config.log, EB_LOG_WARN, "origin", "call refused",
@@ -899,6 +929,8 @@
 	ca->runs_max = EB_ATTEMPTS_MAX;
 	if (pt)
 		apply_match(ca, pt);
+	ca->route = eb_tally_route(eb_metrics_tally(og->config.metrics),
+				   pt ? pt->name : ca->service->name);
 	ca->started_us = now_us;
 	ca->deadline_us = now_us + ca->budget_us;
 	if (pt)
@@ -994,7 +1026,7 @@
 		}
 	}
 	if (!ca) {
-		refuse_head(og, f, reason, wait_ms);
+		refuse_head(og, f, pt, reason, wait_ms);
 		return;
 	}
 	ca->head = f;
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -64,6 +64,18 @@
 	return attempts;
 }
 
+/* See the header. */
+int64_t eb_retry_left(const struct eb_retry *rb)
+{
+	return rb->tokens / TOKENS_PER_RETRY;
+}
+
+/* See the header. */
+int64_t eb_retry_reroutes_left(const struct eb_retry *rb)
+{
+	return rb->reroute_tokens / TOKENS_PER_RETRY;
+}
+
 static int pay(int64_t *tokens)
 {
 	if (*tokens < TOKENS_PER_RETRY)
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -34,6 +34,9 @@
 void eb_retry_limit(struct eb_retry *rb, uint32_t retry_permille,
 		    uint32_t burst);
 uint8_t eb_retry_mark(const struct eb_retry *rb, uint8_t attempts);
+/* Whole retries, and re-routes of refusals, that are left now. */
+int64_t eb_retry_left(const struct eb_retry *rb);
+int64_t eb_retry_reroutes_left(const struct eb_retry *rb);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
 
 #endif
--- /dev/null
+++ b/src/eb_tally.h
@@ -0,0 +1,39 @@
+#ifndef EB_TALLY_H
+#define EB_TALLY_H
+
+#include <stdint.h>
+#include <stdio.h>
+
+/*
+ * Counts of calls by route: how they ended, why, how far they went and how
+ * long they took, and what is left of the budgets for retries. One thread
+ * counts; any thread prints.
+ */
+struct eb_tally;
+
+/* Routes that are told apart; calls of further ones share the last place. */
+#define EB_TALLY_ROUTES_MAX 128
+
+/* One call that has ended. */
+struct eb_tally_call {
+	uint8_t outcome;  /* enum eb_outcome */
+	uint8_t reason;	  /* enum eb_reason */
+	uint8_t distance; /* enum eb_distance, or EB_TALLY_NOWHERE */
+	int64_t us;	  /* from the request to its last answer frame */
+	/* Retries and re-routes left to the route's service. */
+	int64_t retries_left;
+	int64_t reroutes_left;
+};
+
+/* The call was not sent anywhere. */
+#define EB_TALLY_NOWHERE 4
+
+struct eb_tally *eb_tally_new(void);
+void eb_tally_free(struct eb_tally *tl);
+/* The place of a route, which stays the same. */
+uint32_t eb_tally_route(struct eb_tally *tl, const char *name);
+void eb_tally_add(struct eb_tally *tl, uint32_t route,
+		  const struct eb_tally_call *ca);
+void eb_tally_print(const struct eb_tally *tl, FILE *out);
+
+#endif
--- a/tests/test_eb_metrics.cc
+++ b/tests/test_eb_metrics.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 extern "C" {
+#include "eb_clock.h"
 #include "eb_metrics.h"
 }
 
@@ -118,4 +119,18 @@
 	eb_metrics_free(mt);
 }
 
+/* Guards against an age of 0, which looks fresh, for what never happened. */
+TEST(Metrics, AgesOfBeliefs)
+{
+	eb_metrics *mt = eb_metrics_new();
+
+	eb_metrics_stamp(mt, EB_AGE_PEER, eb_clock_now_us() - 5000000);
+	std::string s = print(mt);
+	EXPECT_NE(std::string::npos, s.find("ebonypier_pace_age_ms -1\n"));
+	size_t at = s.find("\nebonypier_peer_heard_age_ms ");
+	ASSERT_NE(std::string::npos, at);
+	EXPECT_LE(5000, atoll(s.c_str() + at + 29));
+	eb_metrics_free(mt);
+}
+
 } // namespace
