soak: show that its checkers fail with a mechanism off

Cause: the soak on the users' platform had never shown that its checks can fail there; only the product's own platform had such runs.

Change: ebonypier-site-test, the daemon with switches, and a test that plays seeds until the check finds what is switched off: retries of requests that may run once, and refusals of what has run.

Conclusion: at most once and true refusals are really checked. The checks for own answers, versions and leaving are not shown so yet.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 # The adapter to the users' platform, and the daemon with it.
 SITE := $(B)/ebonypier-site
 SITE_OBJ := $(patsubst platform/%.c,$(B)/platform/%.o,$(wildcard platform/*.c))
+TEST_SITE := $(B)/ebonypier-site-test
 STANDINS := $(patsubst standins/%.c,$(B)/standins/%,$(wildcard standins/*.c))
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
 TEST_HELP := $(B)/tests/harness.o $(B)/tests/history.o $(B)/tests/world.o \
@@ -60,7 +61,7 @@
 check: deps
 	@$(MAKE) --no-print-directory format-check
 	@$(MAKE) --no-print-directory -j10 lint
-	@$(MAKE) --no-print-directory -j10 all $(TESTS) $(TEST_DAEMON)
+	@$(MAKE) --no-print-directory -j10 all $(TESTS) $(TEST_DAEMON) $(TEST_SITE)
 	@$(MAKE) --no-print-directory unit
 	@scripts/check_model.sh $(B) >$(B)/log/model.log 2>&1 || \
 		{ cat $(B)/log/model.log; exit 1; }
@@ -80,7 +81,7 @@
 	@$(MAKE) --no-print-directory -j all $(B)/tests/it_pairs
 	@scripts/soak.sh $(B)
 
-unit: all $(TESTS) $(TEST_DAEMON)
+unit: all $(TESTS) $(TEST_DAEMON) $(TEST_SITE)
 	@scripts/run_tests.sh $(B) $(TESTS)
 
 format:
@@ -131,6 +132,9 @@
 $(TEST_DAEMON): $(TEST_DAEMON_OBJ)
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
+$(TEST_SITE): $(SITE_OBJ) $(LIB_SRC:src/%.c=$(B)/test-src/%.o)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
 	ar rcs $@ $^
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -634,8 +634,10 @@
 	/* One attempt that may have run outweighs a later refusal. */
 	if (ca->maybe_ran)
 		ca->outcome = EB_OUTCOME_UNKNOWN;
-	if (eb_test_off("not-run-rule"))
+	if (eb_test_off("not-run-rule")) {
 		ca->outcome = EB_OUTCOME_NOT_RUN;
+		ca->reason = EB_REASON_NO_UPSTREAM;
+	}
 	if (ca->outcome == EB_OUTCOME_NOT_RUN)
 		type = EB_FRAME_REFUSE;
 	out = eb_frame_new(type, ca->front_id);
--- a/tests/it_soak.cc
+++ b/tests/it_soak.cc
@@ -44,7 +44,7 @@
 class Soak
 {
 public:
-	Soak(uint32_t seed, size_t machines)
+	Soak(uint32_t seed, size_t machines, const std::string &off = "")
 		: site_(services(machines)), random_(seed), seed_(seed),
 		  away_(machines), stopped_(machines), starts_(machines),
 		  seen_starts_(machines),
@@ -52,6 +52,7 @@
 			  site_.store->address.substr(10).c_str()))
 	{
 		site_.store_address = loopback(relay_.port);
+		site_.test_off = off;
 		site_.start_all();
 		for (auto &up : site_.upstreams)
 			spoil(*up);
@@ -407,4 +408,31 @@
 	}
 }
 
+struct off_case {
+	const char *off;
+	const char *found; /* in the text of a violation */
+};
+
+/* Guards against a checker of the soak that never fails. */
+TEST(SiteSoak, CheckersCatchWhatIsSwitchedOff)
+{
+	const off_case cases[] = {
+		{ "retry-rule", " ran 2 times" },
+		{ "not-run-rule", " was refused and ran" },
+	};
+
+	for (const off_case &c : cases) {
+		bool found = false;
+
+		for (uint32_t seed = 1; seed <= 10 && !found; seed++) {
+			Soak soak(seed, 4, c.off);
+
+			for (const std::string &text : soak.run(2))
+				found |=
+					text.find(c.found) != std::string::npos;
+		}
+		EXPECT_TRUE(found) << c.off;
+	}
+}
+
 } // namespace
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -508,12 +508,19 @@
 
 void Site::start_daemon(size_t i)
 {
+	std::vector<std::string> env = { "EBONYPIER_BOOT=" + dir_ +
+					 "/settings-" + std::to_string(net_) +
+					 "-" + std::to_string(i) };
+
 	write_settings(i);
+	if (!test_off.empty())
+		env.push_back("EBONYPIER_TEST_OFF=" + test_off);
 	daemons[i] = std::make_unique<Process>(
-		std::vector<std::string>{ build_dir() + "/ebonypier-site" },
-		std::vector<std::string>{ "EBONYPIER_BOOT=" + dir_ +
-					  "/settings-" + std::to_string(net_) +
-					  "-" + std::to_string(i) });
+		std::vector<std::string>{ build_dir() +
+					  (test_off.empty()
+						   ? "/ebonypier-site"
+						   : "/ebonypier-site-test") },
+		env);
 }
 
 void Site::start_all()
--- a/tests/site.h
+++ b/tests/site.h
@@ -219,6 +219,8 @@
 	std::unique_ptr<SiteStore> store;
 	/* Where daemons find the store; a relay may stand before it. */
 	std::string store_address;
+	/* A mechanism of the daemons that is switched off, or "". */
+	std::string test_off;
 	std::vector<std::unique_ptr<SiteUpstream>> upstreams;
 	std::vector<std::unique_ptr<Process>> daemons;
 	std::vector<std::string> services;
