admit: look a kind up by its place, without casting const away

Cause: find_kind returned a writable pointer into a const struct. Change: it returns the place; callers index the table they hold. Measured: test_eb_admit 16 passed before and after; no decision changes.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -164,25 +164,27 @@
 	act->verdict = EB_ADMIT_RUN;
 }
 
-static struct kind *find_kind(const struct eb_admit *ad, uint32_t kind)
+/* Returns the place of a kind, or KINDS_MAX when it has none. */
+static uint32_t find_kind(const struct eb_admit *ad, uint32_t kind)
 {
 	uint32_t i;
 
 	for (i = 0; kind && i < KINDS_MAX; i++)
 		if (ad->kinds[i].kind == kind)
-			return (struct kind *)&ad->kinds[i];
-	return NULL;
+			return i;
+	return KINDS_MAX;
 }
 
 /* Learns how long requests of a kind take; zero and less teach nothing. */
 void eb_admit_learn(struct eb_admit *ad, uint32_t kind, int64_t service_us)
 {
-	struct kind *kn = find_kind(ad, kind);
+	uint32_t i = find_kind(ad, kind);
+	struct kind *kn;
 
 	if (!kind || service_us <= 0)
 		return;
-	if (!kn) {
-		kn = &ad->kinds[ad->kind_next++ % KINDS_MAX];
+	kn = &ad->kinds[i < KINDS_MAX ? i : ad->kind_next++ % KINDS_MAX];
+	if (i == KINDS_MAX) {
 		kn->kind = kind;
 		kn->service_us = service_us;
 	}
@@ -193,9 +195,9 @@
 static int64_t run_us(const struct eb_admit *ad,
 		      const struct eb_admit_request *rq)
 {
-	const struct kind *kn = find_kind(ad, rq->kind);
+	uint32_t i = find_kind(ad, rq->kind);
 
-	return kn ? kn->service_us : ad->service_us;
+	return i < KINDS_MAX ? ad->kinds[i].service_us : ad->service_us;
 }
 
 /* Whether an answer can still be on time if the request ran now. */
