--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -267,6 +267,16 @@
 	return EBONYPIER_EXIT_OK;
 }
 
+/* See the header. */
+void eb_daemon_hold_signals(sigset_t *held)
+{
+	sigemptyset(held);
+	sigaddset(held, SIGTERM);
+	sigaddset(held, SIGINT);
+	sigaddset(held, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, held, NULL);
+}
+
 /*
  * Runs the daemon with an adapter until the first SIGTERM or SIGINT has been
  * carried out; further ones change nothing. Returns the exit status.
@@ -278,11 +288,7 @@
 	sigset_t signals;
 	int status = EBONYPIER_EXIT_OK;
 
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	eb_daemon_hold_signals(&signals);
 	signal(SIGPIPE, SIG_IGN);
 	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0 ||
 	    curl_global_init(CURL_GLOBAL_DEFAULT))
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -282,6 +282,35 @@
 	return status_;
 }
 
+/* The signals that the status of a process shows as held back. */
+static uint64_t held_signals(const std::string &line)
+{
+	return std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+}
+
+/*
+ * A thread that waits for signals shows them as free; by then the process has
+ * further threads.
+ */
+void Process::wait_holds(int sig)
+{
+	const std::string path = "/proc/" + std::to_string(pid_) + "/status";
+
+	wait_until("signal " + std::to_string(sig) + " to be held", [&] {
+		std::ifstream in(path);
+
+		for (std::string line; std::getline(in, line);) {
+			if (line.rfind("Threads:", 0) == 0 &&
+			    std::stoi(line.substr(8)) > 1)
+				return true;
+			if (line.rfind("SigBlk:", 0) == 0 &&
+			    (held_signals(line) >> (sig - 1) & 1))
+				return true;
+		}
+		return false;
+	});
+}
+
 int Process::stop()
 {
 	signal(SIGTERM);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -58,6 +58,8 @@
 		return pid_;
 	}
 	bool running();
+	/* Waits until the process holds a signal back, to act on it itself. */
+	void wait_holds(int sig);
 	void signal(int sig);
 	/* Waits for its end; the exit status, or 256 plus the signal. */
 	int wait();
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 
 #include <thread>
 
@@ -517,4 +518,21 @@
 	EXPECT_EQ(200, site.ready(0));
 }
 
+/*
+ * Guards against a daemon that SIGHUP ends because it comes while the settings
+ * are read: a pipe without a writer holds the reading up.
+ */
+TEST(SiteStart, HangUpWhileTheSettingsAreRead)
+{
+	std::string pipe = temp_dir() + "/settings-pipe";
+
+	ASSERT_EQ(0, mkfifo(pipe.c_str(), 0600));
+	Process daemon({ build_dir() + "/ebonypier-site" },
+		       { "EBONYPIER_BOOT=" + pipe });
+	daemon.wait_holds(SIGHUP);
+	daemon.signal(SIGHUP);
+	EXPECT_TRUE(daemon.running());
+	daemon.kill();
+}
+
 } // namespace
--- a/tests/it_soak.cc
+++ b/tests/it_soak.cc
@@ -228,6 +228,8 @@
 			stop(i, SIGTERM);
 			break;
 		case 3:
+			/* It would end a process that is still being loaded. */
+			site_.daemons[i]->wait_holds(SIGHUP);
 			site_.daemons[i]->signal(SIGHUP);
 			break;
 		case 4:
