--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -162,10 +162,14 @@
 		/* In force once it gets none of many requests in a row. */
 		wait_until(c.how, [&] {
 			before = up.runs();
-			for (int i = 0; i < 20; i++)
-				EXPECT_TRUE(site.send((size_t)i % 4, "GET",
-						      "/far/x", "leave")
-						    .complete(200));
+			for (int i = 0; i < 20; i++) {
+				HttpAnswer a = site.send((size_t)i % 4, "GET",
+							 "/far/x", "leave");
+
+				EXPECT_TRUE(a.complete(200))
+					<< c.how << " " << i << " " << a.code
+					<< " " << a.status << " " << a.body;
+			}
 			quiet = up.runs() == before ? quiet + 1 : 0;
 			return quiet == 3;
 		});
