--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -595,6 +595,15 @@
 	return size * items;
 }
 
+/* What every request of the client's own to the upstream has set. */
+static void set_own_request(CURL *e, const char *url, long timeout_ms)
+{
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
+}
+
 /* Asks the upstream; the frame names its address, a space and the path. */
 static void start_probe(struct eb_client *cl, struct eb_frame *f)
 {
@@ -610,10 +619,7 @@
 		return;
 	snprintf(url, sizeof(url), "http://%.*s%s", (int)n, where,
 		 where + n + 1);
-	curl_easy_setopt(cl->probe, CURLOPT_URL, url);
-	curl_easy_setopt(cl->probe, CURLOPT_PROXY, "");
-	curl_easy_setopt(cl->probe, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(cl->probe, CURLOPT_TIMEOUT_MS, (long)PROBE_TIMEOUT_MS);
+	set_own_request(cl->probe, url, PROBE_TIMEOUT_MS);
 	curl_easy_setopt(cl->probe, CURLOPT_HEADERFUNCTION, read_probe_header);
 	curl_easy_setopt(cl->probe, CURLOPT_HEADERDATA, cl);
 	curl_easy_setopt(cl->probe, CURLOPT_WRITEFUNCTION, drop_body);
@@ -673,12 +679,9 @@
 		return;
 	}
 	snprintf(url, sizeof(url), "http://%s/", (const char *)f->object);
-	curl_easy_setopt(cl->check, CURLOPT_URL, url);
-	curl_easy_setopt(cl->check, CURLOPT_PROXY, "");
-	curl_easy_setopt(cl->check, CURLOPT_NOSIGNAL, 1L);
+	set_own_request(cl->check, url, CHECK_TIMEOUT_MS);
 	curl_easy_setopt(cl->check, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(cl->check, CURLOPT_CONNECT_ONLY, 1L);
-	curl_easy_setopt(cl->check, CURLOPT_TIMEOUT_MS, (long)CHECK_TIMEOUT_MS);
 	curl_multi_add_handle(cl->multi, cl->check);
 }
 
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -263,7 +263,8 @@
 
 	do {
 		msgpack_sbuffer_init(&sb);
-		eb_gate_marks_encode(co->gate, &from, co->turn_us, &sb);
+		eb_marks_encode(eb_gate_marks(co->gate), &from, co->turn_us,
+				&sb);
 		f = sb.size ? eb_frame_new_data(EB_FRAME_MARKS, 0, sb.data,
 						(uint32_t)sb.size)
 			    : NULL;
@@ -285,7 +286,7 @@
  */
 static void tell_marks(struct eb_core *co)
 {
-	uint32_t i, generation = eb_gate_marks_generation(co->gate);
+	uint32_t i, generation = eb_marks_generation(eb_gate_marks(co->gate));
 	const struct eb_node *self = eb_nodes_get(co->nodes, co->self);
 	struct eb_node *n;
 	struct eb_peer *pr;
@@ -306,7 +307,8 @@
 
 static void on_marks(struct eb_core *co, struct eb_frame *f)
 {
-	if (eb_gate_marks_receive(co->gate, f, co->turn_us))
+	if (eb_marks_receive(eb_gate_marks(co->gate), f->data, f->data_bytes,
+			     co->turn_us))
 		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
 	eb_frame_unref(f);
 }
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -9,7 +9,6 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
-#include "eb_marks.h"
 #include "eb_overdue.h"
 #include "eb_tunables.h"
 
@@ -1016,23 +1015,9 @@
 }
 
 /* See the header. */
-uint32_t eb_gate_marks_generation(const struct eb_gate *gt)
+struct eb_marks *eb_gate_marks(struct eb_gate *gt)
 {
-	return eb_marks_generation(gt->marks);
-}
-
-/* See the header. */
-void eb_gate_marks_encode(struct eb_gate *gt, uint32_t *from, int64_t now_us,
-			  msgpack_sbuffer *out)
-{
-	eb_marks_encode(gt->marks, from, now_us, out);
-}
-
-/* See the header. */
-enum eb_status eb_gate_marks_receive(struct eb_gate *gt,
-				     const struct eb_frame *f, int64_t now_us)
-{
-	return eb_marks_receive(gt->marks, f->data, f->data_bytes, now_us);
+	return gt->marks;
 }
 
 /* Takes a frame of the client thread. */
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -2,7 +2,6 @@
 #define EB_GATE_H
 
 #include <jansson.h>
-#include <msgpack.h>
 #include <stdint.h>
 
 #include "eb_admit.h"
@@ -10,6 +9,7 @@
 #include "eb_findings.h"
 #include "eb_frame.h"
 #include "eb_log.h"
+#include "eb_marks.h"
 #include "eb_mesh.h"
 #include "eb_metrics.h"
 #include "eb_trace.h"
@@ -72,12 +72,8 @@
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us);
 /* When eb_gate_poll() must be called at the latest, or INT64_MAX. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us);
-/* Marks of requests that crash upstreams; see eb_marks.h. */
-uint32_t eb_gate_marks_generation(const struct eb_gate *gt);
-void eb_gate_marks_encode(struct eb_gate *gt, uint32_t *from, int64_t now_us,
-			  msgpack_sbuffer *out);
-enum eb_status eb_gate_marks_receive(struct eb_gate *gt,
-				     const struct eb_frame *f, int64_t now_us);
+/* The marks of requests that crash upstreams, which the gate owns. */
+struct eb_marks *eb_gate_marks(struct eb_gate *gt);
 void eb_gate_tick(struct eb_gate *gt, int64_t now_us);
 void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld);
 uint32_t eb_gate_active(const struct eb_gate *gt);
--- a/src/eb_tally.c
+++ b/src/eb_tally.c
@@ -181,20 +181,22 @@
 	fprintf(out, "} %llu\n", (unsigned long long)seen);
 }
 
-static void print_retries(FILE *out, const struct route *rt)
+static void print_gauge(FILE *out, const char *name, const struct route *rt,
+			const int64_t *value)
 {
-	print_name(out, "route_retries_left", rt);
+	print_name(out, name, rt);
 	fprintf(out, "} %lld\n",
-		(long long)__atomic_load_n(&rt->retries_left,
-					   __ATOMIC_RELAXED));
+		(long long)__atomic_load_n(value, __ATOMIC_RELAXED));
+}
+
+static void print_retries(FILE *out, const struct route *rt)
+{
+	print_gauge(out, "route_retries_left", rt, &rt->retries_left);
 }
 
 static void print_reroutes(FILE *out, const struct route *rt)
 {
-	print_name(out, "route_reroutes_left", rt);
-	fprintf(out, "} %lld\n",
-		(long long)__atomic_load_n(&rt->reroutes_left,
-					   __ATOMIC_RELAXED));
+	print_gauge(out, "route_reroutes_left", rt, &rt->reroutes_left);
 }
 
 static const struct family {
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -129,26 +129,31 @@
 	return dir.path;
 }
 
+bool is_free(const std::string &ip, uint16_t port)
+{
+	int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in sa = {};
+	bool ok;
+
+	sa.sin_family = AF_INET;
+	sa.sin_port = htons(port);
+	inet_pton(AF_INET, ip.c_str(), &sa.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ok = !bind(fd, (sockaddr *)&sa, sizeof(sa)) && !listen(fd, 1);
+	close(fd);
+	return ok;
+}
+
 uint16_t free_port()
 {
 	static uint32_t next = (uint32_t)getpid() * 97;
 	static const int first = 10000, count = 22000;
+	uint16_t port;
 
-	for (;;) {
-		uint16_t port = (uint16_t)(first + next++ % count);
-		int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
-		sockaddr_in sa = {};
-		bool ok;
-
-		sa.sin_family = AF_INET;
-		sa.sin_port = htons(port);
-		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-		ok = !bind(fd, (sockaddr *)&sa, sizeof(sa)) && !listen(fd, 1);
-		close(fd);
-		if (ok)
-			return port;
-	}
+	do {
+		port = (uint16_t)(first + next++ % count);
+	} while (!is_free("127.0.0.1", port));
+	return port;
 }
 
 std::string loopback(uint16_t port)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -24,6 +24,8 @@
 /* A directory for files of this test program, removed at its end. */
 std::string temp_dir();
 
+/* Whether a port of this machine can be listened on. */
+bool is_free(const std::string &ip, uint16_t port);
 /* A loopback port outside the range of outgoing connections. */
 uint16_t free_port();
 std::string loopback(uint16_t port);
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -460,21 +460,6 @@
 /* Where a daemon serves its admin port unless it is told otherwise. */
 const uint16_t ADMIN_PORT = 9464;
 
-static bool is_free(const std::string &ip, uint16_t port)
-{
-	int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
-	sockaddr_in sa = {};
-	bool ok;
-
-	sa.sin_family = AF_INET;
-	sa.sin_port = htons(port);
-	inet_pton(AF_INET, ip.c_str(), &sa.sin_addr);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	ok = !bind(fd, (sockaddr *)&sa, sizeof(sa)) && !listen(fd, 1);
-	close(fd);
-	return ok;
-}
-
 Site::Site(const std::vector<std::string> &list) : services(list)
 {
 	static std::atomic<uint32_t> sites{ 0 };
--- a/tests/test_eb_findings.cc
+++ b/tests/test_eb_findings.cc
@@ -3,6 +3,8 @@
 #include <cstdlib>
 #include <string>
 
+#include "printed.h"
+
 extern "C" {
 #include "eb_findings.h"
 }
@@ -12,15 +14,7 @@
 
 std::string print(const eb_findings &fs)
 {
-	char *text = nullptr;
-	size_t bytes = 0;
-	FILE *out = open_memstream(&text, &bytes);
-
-	eb_findings_print(&fs, out);
-	fclose(out);
-	std::string s(text, bytes);
-	free(text);
-	return s;
+	return printed([&fs](FILE *out) { eb_findings_print(&fs, out); });
 }
 
 /* Guards against findings that an editor cannot jump to. */
--- a/tests/test_eb_metrics.cc
+++ b/tests/test_eb_metrics.cc
@@ -7,6 +7,8 @@
 #include <thread>
 #include <vector>
 
+#include "printed.h"
+
 extern "C" {
 #include "eb_clock.h"
 #include "eb_metrics.h"
@@ -17,15 +19,7 @@
 
 std::string print(const eb_metrics *mt)
 {
-	char *text = nullptr;
-	size_t bytes = 0;
-	FILE *out = open_memstream(&text, &bytes);
-
-	eb_metrics_print(mt, out);
-	fclose(out);
-	std::string s(text, bytes);
-	free(text);
-	return s;
+	return printed([mt](FILE *out) { eb_metrics_print(mt, out); });
 }
 
 /* Guards against updates from several threads that are lost. */
--- a/tests/test_eb_tally.cc
+++ b/tests/test_eb_tally.cc
@@ -3,6 +3,8 @@
 #include <cstdio>
 #include <string>
 
+#include "printed.h"
+
 extern "C" {
 #include "eb_frame.h"
 #include "eb_tally.h"
@@ -13,15 +15,7 @@
 
 std::string print(const eb_tally *tl)
 {
-	char *text = nullptr;
-	size_t n = 0;
-	FILE *out = open_memstream(&text, &n);
-
-	eb_tally_print(tl, out);
-	fclose(out);
-	std::string s(text, n);
-	free(text);
-	return s;
+	return printed([tl](FILE *out) { eb_tally_print(tl, out); });
 }
 
 struct line_case {
