origin: a call that a leaving upstream refuses waits for a peer being dialled

An origin that knows only the leaving upstream, because the other daemon of the service has not answered its first heartbeat yet, refused the call with "draining" after 2 ms; the log of such a run shows the next call served 10 ms later. Once, the store's stand-in lost a change: a watch that timed out took the lock after the change, listed nothing and returned the new revision, so the test hung. Change: a call refused as draining waits, within the 2 s and the deadline of before, while a daemon of its service has never been heard; refusals for load, and peers that went silent, are not waited for. The stand-in looks once more after its timeout. A failing test over the site prints the logs.

--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -412,6 +412,26 @@
 	return 0;
 }
 
+/*
+ * Tells whether a daemon of the service has never been reached yet; one that
+ * went silent says nothing on when it is back.
+ */
+int eb_nodes_awaits_first(const struct eb_nodes *nd,
+			  const struct eb_service_state *sv)
+{
+	const struct eb_node *n;
+	uint32_t i;
+
+	for (i = 0; i < nd->count; i++) {
+		n = nd->nodes[i];
+		if (n->present && n->service == sv->index && !n->leaving &&
+		    !n->draining && n->peer && !n->peer->up &&
+		    !n->peer->incarnation)
+			return 1;
+	}
+	return 0;
+}
+
 /* Closes the sockets to daemons that left some time ago; see the header. */
 void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -64,6 +64,9 @@
 /* Whether an upstream of the service may come up by itself soon. */
 int eb_nodes_may_come_up(const struct eb_nodes *nd,
 			 const struct eb_service_state *sv);
+/* Whether the first word of a daemon of the service is still awaited. */
+int eb_nodes_awaits_first(const struct eb_nodes *nd,
+			  const struct eb_service_state *sv);
 /* Closes sockets to daemons that have been gone for a while. */
 void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us);
 /* Dials a daemon that must be heard of often, however far it is. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -518,13 +518,22 @@
 	return 0;
 }
 
-/* A request may wait while the daemons of its service are being dialled. */
+/*
+ * A request may wait while the daemons of its service are being dialled. One
+ * that was refused waits only where the upstream leaves and others are not
+ * known yet: what is refused for load is refused at once.
+ */
 static int may_park(const struct eb_origin *og, const struct call *ca,
 		    int64_t now_us)
 {
-	return !ca->attempts && now_us < ca->deadline_us &&
-	       eb_nodes_may_come_up(og->config.nodes, ca->service) &&
-	       now_us - ca->started_us < EB_PARK_MS * 1000LL;
+	if (now_us >= ca->deadline_us ||
+	    now_us - ca->started_us >= EB_PARK_MS * 1000LL)
+		return 0;
+	if (!ca->attempts)
+		return eb_nodes_may_come_up(og->config.nodes, ca->service);
+	return ca->outcome == EB_OUTCOME_NOT_RUN &&
+	       ca->reason == EB_REASON_DRAINING &&
+	       eb_nodes_awaits_first(og->config.nodes, ca->service);
 }
 
 static void park(struct eb_origin *og, struct call *ca, int parked)
@@ -561,7 +570,8 @@
 		}
 	}
 	if (may_park(og, ca, now_us)) {
-		ca->tried_count = 0;
+		if (!ca->attempts)
+			ca->tried_count = 0;
 		park(og, ca, 1);
 		step(og, ca, EVENT_PARKED, NULL, now_us);
 		return;
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <sys/stat.h>
 
+#include <iostream>
 #include <thread>
 
 #include "site.h"
@@ -22,6 +23,12 @@
 	{
 		site.start_all();
 	}
+	void TearDown() override
+	{
+		for (size_t i = 0; HasFailure() && i < site.daemons.size(); i++)
+			std::cout << "--- machine " << i << "\n"
+				  << site.daemons[i]->log();
+	}
 	int runs(const std::string &id)
 	{
 		int n = 0;
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -322,7 +322,7 @@
 	auto until = std::chrono::steady_clock::now() +
 		     std::chrono::milliseconds(wait_ms);
 
-	for (;;) {
+	for (bool last = false;;) {
 		std::string list;
 
 		if (mode_ == SILENT)
@@ -334,10 +334,12 @@
 			    pair.first.find(prefix) == 0)
 				list += (list.empty() ? "" : ",") +
 					item_json(pair.first, pair.second);
-		if (!list.empty() ||
-		    changed_.wait_until(hold, until) == std::cv_status::timeout)
+		if (!list.empty() || last)
 			return "{\"events\":[" + list + "],\"storeRevision\":" +
 			       std::to_string(revision_) + "}";
+		/* A change may come between the timeout and the lock. */
+		last = changed_.wait_until(hold, until) ==
+		       std::cv_status::timeout;
 	}
 }
 
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -159,6 +159,18 @@
 		eb_origin_from_gate(og, nodes.at((size_t)n - 1), f, now_us);
 	}
 
+	/* Whether the second peer is up; an incarnation: it has been up. */
+	void set_second(int up, uint64_t incarnation)
+	{
+		eb_node *n = eb_nodes_get(nd, 1);
+
+		n->peer->up = (uint8_t)up;
+		n->peer->incarnation = incarnation;
+		eb_nodes_changed(nd, 1, now_us);
+		if (up)
+			eb_origin_up(og, now_us);
+	}
+
 	void run(const std::string &ev)
 	{
 		int n = atoi(ev.c_str() + ev.size() - 1);
@@ -180,6 +192,18 @@
 				og,
 				eb_frame_new_data(EB_FRAME_DATA, 40, "x", 1),
 				now_us);
+		else if (ev == "undialled")
+			set_second(0, 0);
+		else if (ev == "silent")
+			set_second(0, 7);
+		else if (ev == "reached")
+			set_second(1, 7);
+		else if (ev.rfind("leaves", 0) == 0)
+			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
+			     EB_REASON_DRAINING, 0);
+		else if (ev.rfind("full", 0) == 0)
+			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
+			     EB_REASON_QUEUE_FULL, 0);
 		else if (ev.rfind("refuse", 0) == 0)
 			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
 			     EB_REASON_CONNECT, 0);
@@ -271,6 +295,15 @@
 	{ "only calls that have lasted for long are listed",
 	  { "post", "begin 1", "lists 1", "wait 2000", "lists 1" },
 	  { "gate head", "front rhead", "lists 0", "lists 1" } },
+	{ "a leaving upstream is replaced by one that is being dialled",
+	  { "undialled", "post", "leaves 1", "reached", "whole 2" },
+	  { "gate head", "gate head", "front rhead" } },
+	{ "a call does not wait for that past its deadline",
+	  { "undialled", "post", "leaves 1", "wait 50", "wait 50" },
+	  { "gate head", "front refuse 503 not-run draining" } },
+	{ "a call does not wait for a peer that went silent",
+	  { "silent", "post", "leaves 1" },
+	  { "gate head", "front refuse 503 not-run draining" } },
 	{ "the work of a caller that hung up is cancelled",
 	  { "post", "gone" },
 	  { "gate head", "gate cancel" } },
