gate: name the upstream's start only to calls of its own service

The call reached the gate while the address belonged to vitrina, and waited for a probe. Meanwhile the entry of the agenda upstream that had taken the address over came into force. The gate compared the service of its settings with the one in force, found both to be agenda, and replaced the start that the origin had named by that of the new upstream, which then ran the call. Change: the call's own service must be the same too; otherwise the origin's word stands, and the upstream answers that it did not run the call. Result: Gate.NamesTheStartOfTheRequestsService failed in that one case of four before, passes after. Ruled out: an entry of another writer, a HEAD without the name of a start.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -482,12 +482,14 @@
 
 /*
  * Whether the upstream is still the start that this process was started
- * beside: then its service is sure, even if origins know an earlier start.
+ * beside: then its service is sure, even if origins know an earlier start. A
+ * call may have waited while its address went to another service.
  */
-static int knows_instance(const struct eb_gate *gt)
+static int knows_instance(const struct eb_gate *gt, const struct eb_head *h)
 {
 	return gt->instance && !gt->replaced && gt->own_service &&
-	       !strcmp(gt->own_service, gt->service);
+	       !strcmp(gt->own_service, gt->service) &&
+	       !strcmp(gt->own_service, h->service);
 }
 
 static void do_start(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
@@ -506,7 +508,7 @@
 	eb_trace_new_span(&gt->rand, ca->upstream_span);
 	memcpy(head->head->trace.span, ca->upstream_span, 8);
 	head->head->remaining_us = ca->deadline_us - now_us;
-	if (head->head->instance && knows_instance(gt)) {
+	if (head->head->instance && knows_instance(gt, head->head)) {
 		free(head->head->instance);
 		head->head->instance = strdup(gt->instance);
 	}
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -30,6 +30,7 @@
 	eb_tracer *tr = eb_tracer_new("test", 64);
 	eb_gate *gt = nullptr;
 	std::vector<std::string> out;
+	std::string named; /* start of the upstream that a request is for */
 	int64_t now_us = 1000000;
 
 	void SetUp() override
@@ -50,14 +51,15 @@
 		eb_metrics_free(mt);
 	}
 
-	void configure(const char *probe_path = nullptr)
+	void configure(const char *probe_path = nullptr,
+		       const char *service = "agenda")
 	{
 		eb_upstream up = {};
 		eb_rule rule = {};
 
 		up.probe_path = (char *)probe_path;
 		up.address = strdup("127.0.0.1:1");
-		up.service_name = strdup("agenda");
+		up.service_name = strdup(service);
 		up.slots = 1;
 		rule.queue = 1;
 		eb_gate_configure(gt, &up, &rule);
@@ -84,6 +86,8 @@
 
 	static void to_client(void *ctx, eb_frame *f)
 	{
+		if (f->head && f->head->instance)
+			static_cast<Gate *>(ctx)->named = f->head->instance;
 		note(ctx, "client", f);
 	}
 
@@ -290,6 +294,47 @@
 	}
 }
 
+/*
+ * Guards against a request that runs at another service: its address was given
+ * to that one while the request waited.
+ */
+TEST_F(Gate, NamesTheStartOfTheRequestsService)
+{
+	const struct {
+		const char *own;   /* service that this process began beside */
+		const char *later; /* whose address it is when the call runs */
+		const char *named;
+	} cases[] = {
+		{ "agenda", "agenda", "new" },
+		{ "taller", "agenda", "old" },
+		{ "agenda", "taller", "old" },
+		{ "taller", "taller", "old" },
+	};
+
+	for (const auto &c : cases) {
+		eb_back_route back = { { 1 }, 1 };
+		eb_frame *f, *probe;
+
+		SCOPED_TRACE(std::string(c.own) + ", " + c.later);
+		TearDown();
+		mt = eb_metrics_new();
+		tr = eb_tracer_new("test", 64);
+		SetUp();
+		configure("/health");
+		eb_gate_set_service(gt, c.own);
+		f = make("head", 1);
+		f->head->instance = strdup("old");
+		f->sender = ORIGIN;
+		eb_gate_from_origin(gt, f, &back, now_us);
+		configure("/health", c.later);
+		probe = make("probe", 0);
+		probe->object = strdup("new");
+		probe->object_free = free;
+		eb_gate_from_client(gt, probe, now_us);
+		EXPECT_EQ(c.named, named);
+	}
+}
+
 /* Guards against a request for another upstream running at this one. */
 TEST_F(Gate, RefusesOtherUpstreams)
 {
