--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -818,11 +818,14 @@
 	struct eb_origin_outlets origin_out = { out_front, out_gate, co };
 	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
 				       cf->metrics, cf->tracer };
-	struct eb_origin_config origin = {
-		co->incarnation,     NULL, cf->metrics,
-		cf->tracer,	     NULL, cf->log,
-		cf->adapter->dialect
-	};
+	struct eb_origin_config origin = { co->incarnation,
+					   NULL,
+					   cf->metrics,
+					   cf->tracer,
+					   NULL,
+					   cf->log,
+					   cf->adapter->dialect,
+					   cf->settings->uploads_leave };
 	struct eb_spread_outlets spread_out = { out_spread, out_changed,
 						out_want, co };
 	struct eb_findings fs = { 0 };
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -554,6 +554,7 @@
 	q.caller = ca->head->head->caller;
 	q.idempotent = ca->idempotent;
 	q.remaining_us = ca->deadline_us - now_us;
+	q.stays_home = ca->streamed && !og->config.uploads_leave_region;
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -38,6 +38,7 @@
 	struct eb_claim *claims; /* NULL: keys are passed on only */
 	struct eb_log *log;	 /* NULL: nothing is logged */
 	const struct eb_dialect *dialect;
+	uint8_t uploads_leave_region; /* when home refuses them for load */
 };
 
 struct eb_origin *eb_origin_new(const struct eb_origin_config *cf,
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -324,11 +324,18 @@
 	       penalty_us(rt, up, now_us);
 }
 
+/* A large body leaves its region when what it met at home was no full queue. */
+static int stays_home(const struct eb_route_query *q)
+{
+	return q->stays_home && (!q->tried_count || q->refused);
+}
+
 static int usable(const struct upstream *up, const struct eb_route_query *q)
 {
 	uint32_t i;
 
-	if (up->info.leaving)
+	if (up->info.leaving ||
+	    (stays_home(q) && up->info.distance == EB_DISTANCE_FAR))
 		return 0;
 	for (i = 0; i < q->tried_count; i++)
 		if (q->tried[i] == up->info.id)
@@ -409,7 +416,8 @@
 			     uint32_t *id)
 {
 	const uint32_t *first = rt->first;
-	struct eb_route_query again = { 0 }; /* none is excluded */
+	/* None that was tried is excluded. */
+	struct eb_route_query again = { .stays_home = stays_home(q) };
 	struct best best = { NULL, 0 };
 	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
 	int full;
@@ -442,6 +450,12 @@
 	/* Where all have refused for load, the request waits at one of them. */
 	if (!best.up && q->refused)
 		best.up = last_resort(rt, &again);
+	/* With nobody at home, a large body leaves the region all the same. */
+	if (!best.up && q->stays_home) {
+		again = *q;
+		again.stays_home = 0;
+		best.up = last_resort(rt, &again);
+	}
 	if (!best.up)
 		return EB_ENOTFOUND;
 	rt->stats.picks++;
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -56,6 +56,7 @@
 	uint8_t idempotent;
 	uint8_t refused;       /* the last attempt was refused for load */
 	uint8_t last;	       /* it may wait where it is offered now */
+	uint8_t stays_home;    /* its body costs too much between regions */
 	const uint32_t *tried; /* ids that are not picked again */
 	uint32_t tried_count;
 };
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -80,6 +80,10 @@
 	  "PEM private key of the certificate" },
 	{ "first-start", SETTING_SWITCH, 0, AT(first_start), NULL, NULL,
 	  "the whole fleet starts for the first time" },
+	{ "uploads-leave-region", SETTING_SWITCH, 0, AT(uploads_leave), NULL,
+	  NULL,
+	  "send large bodies to other regions when home refuses them for "
+	  "load" },
 	{ "admin-remote", SETTING_SWITCH, 0, AT(admin_remote), NULL, NULL,
 	  "allow an admin address that other machines reach" },
 	{ "drain-timeout-ms", SETTING_DRAIN, 0, AT(drain_timeout_ms), "600000",
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -29,6 +29,7 @@
 	char *tls_certificate; /* --tls-certificate: PEM file */
 	char *tls_key;	       /* --tls-key: PEM file */
 	uint8_t first_start;   /* --first-start: of the whole fleet */
+	uint8_t uploads_leave; /* --uploads-leave-region: while home is busy */
 	uint8_t admin_remote;  /* --admin-remote: admin port may be remote */
 	uint32_t drain_timeout_ms;   /* --drain-timeout-ms, default 600000 */
 	uint32_t drain_announce_ms;  /* --drain-announce-ms, default 1500 */
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -376,6 +376,50 @@
 	}
 }
 
+/*
+ * Guards against large bodies that cross regions, where each byte is billed,
+ * because their home is busy, and against losing them when home is gone.
+ */
+TEST(Route, LargeBodiesLeaveTheirRegionOnlyWhenNobodyIsThere)
+{
+	const struct {
+		const char *name;
+		int home; /* upstreams in the region */
+		int leaving;
+		std::vector<uint32_t> tried;
+		int refused; /* by those, for load */
+		uint32_t picked;
+	} cases[] = {
+		{ "home is there", 1, 0, {}, 0, 1 },
+		{ "home is full", 1, 0, { 1 }, 1, 1 },
+		{ "home is lost", 1, 0, { 1 }, 0, 3 },
+		{ "home leaves", 1, 1, {}, 0, 3 },
+		{ "home is full and has left since", 1, 1, { 1 }, 1, 3 },
+		{ "no home", 0, 0, {}, 0, 3 },
+	};
+
+	for (const auto &c : cases) {
+		router r;
+		eb_route_query q = {};
+		uint32_t id = 0;
+
+		for (int i = 0; i < c.home; i++)
+			r.add(1, EB_DISTANCE_REGION, c.leaving);
+		r.add(3, EB_DISTANCE_FAR);
+		r.set();
+		for (int i = 0; i < 20; i++)
+			r.refuse(1, EB_REASON_QUEUE_FULL);
+		q.remaining_us = 1000000;
+		q.stays_home = 1;
+		q.tried = c.tried.data();
+		q.tried_count = (uint32_t)c.tried.size();
+		q.refused = (uint8_t)c.refused;
+		q.last = q.refused;
+		ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id)) << c.name;
+		EXPECT_EQ(c.picked, id) << c.name;
+	}
+}
+
 /*
  * Guards against a usual pace that takes in the machines which are slow now:
  * then work would not be handed back from them.
