mesh: peers that owe an answer for 250 ms get no new work

A peer counted as lost after 4 s of silence; until then origins kept picking it, each with too little traffic to eject it. Change: eb_silence tells suspicion from loss. A peer that owes the answer to a heartbeat for 250 ms is picked only when nobody else is left; a call without any word for 200 ms asks for one out of turn. Its idempotent calls are cancelled and moved while the retry budget and the attempts of the match allow it; the others stay. A daemon whose peers are all silent is cut off and refuses at once. A stall of the daemon itself suspects nobody. Calls wait for peers only before their first word.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -50,6 +50,7 @@
 	struct eb_core_config config;
 	uint64_t incarnation;
 	struct eb_mesh *mesh;
+	struct eb_mesh_sink sink;
 	struct eb_nodes *nodes;
 	struct eb_gate *gate;
 	struct eb_origin *origin;
@@ -140,6 +141,15 @@
 	return st;
 }
 
+static void out_ask(void *ctx, uint32_t node)
+{
+	struct eb_core *co = ctx;
+	struct eb_node *n = eb_nodes_get(co->nodes, node);
+
+	if (n && n->peer)
+		eb_mesh_ask(co->mesh, n->peer, &co->sink, co->turn_us);
+}
+
 static void out_origin(void *ctx, const struct eb_back_route *back,
 		       struct eb_frame *f)
 {
@@ -169,7 +179,7 @@
 	    co->turn_us - n->back_us >= BACK_ROUTE_MAX_US)
 		return 0;
 	return !n->peer || !n->peer->up ||
-	       n->back_us > n->peer->last_received_us;
+	       n->back_us > n->peer->silence.heard_us;
 }
 
 static void send_claim(struct eb_core *co, uint32_t id, struct eb_frame *f)
@@ -425,10 +435,23 @@
 {
 	struct eb_core *co = ctx;
 
-	eb_nodes_changed(co->nodes, pr->user, co->turn_us);
+	eb_nodes_suspicion(co->nodes, pr->user, co->turn_us);
 	eb_origin_up(co->origin, co->turn_us);
 }
 
+static void on_suspected(void *ctx, struct eb_peer *pr)
+{
+	struct eb_core *co = ctx;
+
+	eb_nodes_suspicion(co->nodes, pr->user, co->turn_us);
+	eb_log_write(co->config.log, EB_LOG_INFO, "core", "peer suspected",
+		     "upstream=%s owes_ms=%lld cut_off=%d",
+		     eb_nodes_get(co->nodes, pr->user)->name,
+		     (long long)(co->turn_us - pr->silence.asked_us) / 1000,
+		     eb_nodes_cut_off(co->nodes));
+	eb_origin_suspect(co->origin, pr->user, co->turn_us);
+}
+
 static void on_hello(void *ctx, const struct eb_peer *pr, struct eb_frame *f)
 {
 	struct eb_core *co = ctx;
@@ -724,7 +747,7 @@
 }
 
 /* One turn: everything that waits, then the timers. */
-static void turn(struct eb_core *co, const struct eb_mesh_sink *sink)
+static void turn(struct eb_core *co)
 {
 	int64_t now_us = eb_clock_now_us(), before_us = co->turn_us;
 	int more;
@@ -734,7 +757,7 @@
 		eb_gate_resumed(co->gate, 1);
 	do {
 		more = take_frames(co);
-		more |= eb_mesh_receive(co->mesh, sink, co->turn_us);
+		more |= eb_mesh_receive(co->mesh, &co->sink, co->turn_us);
 		run_local(co);
 		run_claims(co);
 		run_local(co);
@@ -747,7 +770,7 @@
 	eb_gate_poll(co->gate, co->turn_us);
 	if (co->turn_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->turn_us;
-		eb_mesh_tick(co->mesh, sink, co->turn_us);
+		eb_mesh_tick(co->mesh, &co->sink, co->turn_us);
 		eb_nodes_tick(co->nodes, co->turn_us);
 		tick_spread(co);
 		start_serving(co);
@@ -781,13 +804,15 @@
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
 	struct eb_core *co = data;
-	struct eb_mesh_sink sink = { on_frame, on_lost, on_up, on_hello, co };
+	const struct eb_mesh_sink sink = { on_frame,	 on_lost,  on_up,
+					   on_suspected, on_hello, co };
 	struct epoll_event ev[8];
 
 	(void)thread;
 	pthread_setname_np(pthread_self(), "eb-core");
+	co->sink = sink;
 	while (!__atomic_load_n(&co->stopping, __ATOMIC_ACQUIRE)) {
-		turn(co, &sink);
+		turn(co);
 		epoll_wait(co->epoll_fd, ev, 8, wait_ms(co));
 	}
 	return NULL;
@@ -815,7 +840,8 @@
 {
 	const struct eb_core_config *cf = &co->config;
 	struct eb_gate_outlets gate_out = { out_client, out_origin, co };
-	struct eb_origin_outlets origin_out = { out_front, out_gate, co };
+	struct eb_origin_outlets origin_out = { out_front, out_gate, out_ask,
+						co };
 	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
 				       cf->metrics, cf->tracer };
 	struct eb_origin_config origin = { co->incarnation,
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -30,7 +30,7 @@
 	int epoll_fd;
 	struct eb_peer *peers[EB_PEERS_MAX];
 	uint32_t peer_count;
-	int64_t last_tick_us;
+	struct eb_silence_clock clock;
 	uint8_t router_dirty;
 	uint8_t zap_dirty;
 	apr_pool_t *pool;
@@ -228,7 +228,7 @@
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
 	pr->user = user;
 	pr->last_used_us = now_us;
-	pr->last_received_us = now_us;
+	eb_silence_heard(&pr->silence, now_us);
 	pr->dialled_us = now_us;
 	pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_MS;
 	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
@@ -351,10 +351,13 @@
 			     const struct eb_frame *f,
 			     const struct eb_mesh_sink *sink, int64_t now_us)
 {
-	pr->last_received_us = now_us;
-	pr->asked_us = 0;
-	if (pr->up && pr->incarnation == f->sender)
+	int suspected = eb_silence_heard(&pr->silence, now_us);
+
+	if (pr->up && pr->incarnation == f->sender) {
+		if (suspected)
+			sink->up(sink->ctx, pr);
 		return;
+	}
 	if (pr->incarnation && pr->incarnation != f->sender) {
 		eb_metrics_add(ms->metrics, EB_METRIC_PEERS_LOST, 1);
 		sink->lost(sink->ctx, pr, 1);
@@ -560,8 +563,7 @@
 	if (!f)
 		return;
 	pr->last_hello_us = now_us;
-	if (!pr->asked_us)
-		pr->asked_us = now_us;
+	eb_silence_asked(&pr->silence, now_us);
 	sink->hello(sink->ctx, pr, f);
 	eb_mesh_send(ms, pr, f, now_us);
 	eb_frame_unref(f);
@@ -592,8 +594,50 @@
 	zmq_connect(pr->socket, endpoint);
 	pr->dirty = 1;
 	pr->dialled_us = now_us;
-	pr->last_received_us = now_us;
-	pr->asked_us = 0;
+	eb_silence_forgive(&pr->silence);
+	pr->silence.heard_us = now_us;
+}
+
+/* Starts over with a peer after a pause of this process. */
+static void forgive(struct eb_peer *pr, const struct eb_mesh_sink *sink)
+{
+	int suspected = pr->silence.suspected;
+
+	eb_silence_forgive(&pr->silence);
+	if (suspected)
+		sink->up(sink->ctx, pr);
+}
+
+/* Tells what the silence of a peer means, the first time that it does. */
+static void check_silence(struct eb_mesh *ms, struct eb_peer *pr,
+			  const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	switch (eb_silence_judge(&pr->silence, &ms->clock, now_us)) {
+	case EB_SILENCE_NONE:
+		return;
+	case EB_SILENCE_SUSPECTED:
+		if (!pr->up || pr->silence.suspected)
+			return;
+		pr->silence.suspected = 1;
+		eb_metrics_add(ms->metrics, EB_METRIC_PEERS_SUSPECTED, 1);
+		sink->suspected(sink->ctx, pr);
+		return;
+	case EB_SILENCE_LOST:
+		if (pr->up) {
+			pr->up = 0;
+			eb_metrics_add(ms->metrics, EB_METRIC_PEERS_LOST, 1);
+			sink->lost(sink->ctx, pr, 0);
+		}
+		reconnect(pr, now_us);
+	}
+}
+
+/* See the header. */
+void eb_mesh_ask(struct eb_mesh *ms, struct eb_peer *pr,
+		 const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	if (pr->up && !pr->silence.asked_us)
+		send_hello(ms, pr, sink, now_us);
 }
 
 /*
@@ -603,27 +647,15 @@
 void eb_mesh_tick(struct eb_mesh *ms, const struct eb_mesh_sink *sink,
 		  int64_t now_us)
 {
-	int paused = ms->last_tick_us &&
-		     now_us - ms->last_tick_us > EB_PEER_HEARTBEAT_MS * 1000;
+	int paused = eb_silence_turn(&ms->clock, now_us);
 	struct eb_peer *pr;
 	uint32_t i;
 
-	ms->last_tick_us = now_us;
 	for (i = 0; i < ms->peer_count; i++) {
 		pr = ms->peers[i];
-		/* After a pause of this process, silence says nothing. */
 		if (paused)
-			pr->asked_us = 0;
-		if (pr->asked_us &&
-		    now_us - pr->asked_us >= EB_PEER_SILENT_MS * 1000) {
-			if (pr->up) {
-				pr->up = 0;
-				eb_metrics_add(ms->metrics,
-					       EB_METRIC_PEERS_LOST, 1);
-				sink->lost(sink->ctx, pr, 0);
-			}
-			reconnect(pr, now_us);
-		}
+			forgive(pr, sink);
+		check_silence(ms, pr, sink, now_us);
 		/* ZeroMQ gives a dial up for good when its key is refused. */
 		if (!pr->up &&
 		    now_us - pr->dialled_us >= EB_PEER_REDIAL_MS * 1000)
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -8,6 +8,7 @@
 #include "eb_log.h"
 #include "eb_metrics.h"
 #include "eb_settings.h"
+#include "eb_silence.h"
 #include "eb_status.h"
 
 /*
@@ -30,12 +31,11 @@
 	char key[41];
 	void *socket;
 	uint64_t incarnation; /* 0: not heard of yet */
-	int64_t last_received_us;
+	struct eb_silence silence;
 	int64_t last_sent_us;
 	int64_t last_used_us;
 	int64_t last_hello_us;
 	int64_t dialled_us; /* last attempt to connect */
-	int64_t asked_us;   /* first heartbeat without an answer; 0: none */
 	int64_t busy_us;    /* last frame that was no heartbeat */
 	uint32_t idle_heartbeat_ms;
 	uint32_t user; /* for the core: number of the node */
@@ -50,8 +50,10 @@
 		      const struct eb_back_route *back);
 	/* The peer is silent or was restarted: calls there are lost. */
 	void (*lost)(void *ctx, struct eb_peer *pr, int restarted);
-	/* The peer answers; it may be used from now on. */
+	/* The peer answers; it may be used from now on, or again. */
 	void (*up)(void *ctx, struct eb_peer *pr);
+	/* The peer owes an answer: others should get its work for now. */
+	void (*suspected)(void *ctx, struct eb_peer *pr);
 	/* A heartbeat is about to be sent: adds what it carries. */
 	void (*hello)(void *ctx, const struct eb_peer *pr, struct eb_frame *f);
 	void *ctx;
@@ -76,5 +78,8 @@
 		    int64_t now_us);
 void eb_mesh_tick(struct eb_mesh *ms, const struct eb_mesh_sink *sink,
 		  int64_t now_us);
+/* Sends a heartbeat out of turn, unless one has no answer yet. */
+void eb_mesh_ask(struct eb_mesh *ms, struct eb_peer *pr,
+		 const struct eb_mesh_sink *sink, int64_t now_us);
 
 #endif
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -55,6 +55,8 @@
 	X(CONTROL_BYTES, "control_bytes_total",                              \
 	  "Bytes spent on heartbeats, membership, releases and claims")      \
 	X(PEERS_ACTIVE, "peers_active", "Peers with an open socket")         \
+	X(PEERS_SUSPECTED, "peers_suspected_total",                          \
+	  "Peers passed over because they owed an answer")                   \
 	X(PEERS_LOST, "peers_lost_total",                                    \
 	  "Peers found silent or in a new incarnation")                      \
 	X(PEER_SEND_FAILED, "peer_send_failed_total",                        \
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -8,6 +8,9 @@
 
 #include "eb_tunables.h"
 
+/* Fewer silent peers may all have failed by themselves. */
+#define CUT_OFF_PEERS_MIN 3
+
 struct eb_nodes {
 	const struct eb_settings *settings;
 	struct eb_mesh *mesh;
@@ -20,6 +23,7 @@
 	apr_hash_t *by_name;	/* name -> node number + 1 */
 	apr_hash_t *by_address; /* daemon's IP:port -> node number + 1 */
 	apr_hash_t *services;	/* name -> struct eb_service_state */
+	uint8_t cut_off;	/* every peer that was up is suspected */
 };
 
 /* Creates an empty registry. Returns NULL without memory. */
@@ -184,11 +188,22 @@
 		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
 }
 
-static int usable(const struct eb_node *n)
+static int is_suspected(const struct eb_node *n)
+{
+	return n->peer && n->peer->up && n->peer->silence.suspected;
+}
+
+/*
+ * Whether an upstream may be picked. When all peers have gone silent at once,
+ * it is this daemon that is cut off: none of them would get a request.
+ */
+static int usable(const struct eb_nodes *nd, const struct eb_node *n)
 {
 	if (!n->present || n->leaving || n->draining)
 		return 0;
-	return n->self || (n->peer && n->peer->up);
+	if (n->self)
+		return 1;
+	return n->peer && n->peer->up && !(nd->cut_off && is_suspected(n));
 }
 
 /* Tells the router of a service about its upstreams. */
@@ -214,7 +229,8 @@
 		ups[i].id = id;
 		ups[i].slots = (uint16_t)n->info->slots;
 		ups[i].distance = n->distance;
-		ups[i].leaving = !usable(n);
+		ups[i].leaving = !usable(nd, n);
+		ups[i].suspected = (uint8_t)is_suspected(n);
 	}
 	eb_route_set_upstreams(sv->route, ups, count, now_us);
 	free(ups);
@@ -396,22 +412,6 @@
 	return n->peer;
 }
 
-/* Tells whether there is an upstream whose daemon is still being dialled. */
-int eb_nodes_may_come_up(const struct eb_nodes *nd,
-			 const struct eb_service_state *sv)
-{
-	const struct eb_node *n;
-	uint32_t i;
-
-	for (i = 0; i < nd->count; i++) {
-		n = nd->nodes[i];
-		if (n->present && n->service == sv->index && !n->leaving &&
-		    !n->draining)
-			return 1;
-	}
-	return 0;
-}
-
 /*
  * Tells whether a daemon of the service has never been reached yet; one that
  * went silent says nothing on when it is back.
@@ -466,6 +466,45 @@
 		refresh(nd, sv, now_us);
 }
 
+/* Whether all peers that are up are suspected, and there are several. */
+static int is_cut_off(const struct eb_nodes *nd)
+{
+	uint32_t i, up = 0, suspected = 0;
+
+	for (i = 0; i < nd->count; i++) {
+		if (!nd->nodes[i]->peer || !nd->nodes[i]->peer->up)
+			continue;
+		up++;
+		suspected += (uint32_t)is_suspected(nd->nodes[i]);
+	}
+	return up >= CUT_OFF_PEERS_MIN && suspected == up;
+}
+
+/* Takes in that a peer is suspected, or no longer; see the header. */
+void eb_nodes_suspicion(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	int cut_off = is_cut_off(nd);
+	apr_hash_index_t *hi;
+	void *value;
+
+	if (cut_off == nd->cut_off) {
+		eb_nodes_changed(nd, id, now_us);
+		return;
+	}
+	nd->cut_off = (uint8_t)cut_off;
+	for (hi = apr_hash_first(NULL, nd->services); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		refresh(nd, value, now_us);
+	}
+}
+
+/* See the header. */
+int eb_nodes_cut_off(const struct eb_nodes *nd)
+{
+	return nd->cut_off;
+}
+
 /* Makes the router forget what it knew of a node, which starts cold. */
 void eb_nodes_restarted(struct eb_nodes *nd, uint32_t id, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -61,9 +61,6 @@
 					  int64_t now_us);
 /* The socket to a node's daemon; dials it when there is none. */
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
-/* Whether an upstream of the service may come up by itself soon. */
-int eb_nodes_may_come_up(const struct eb_nodes *nd,
-			 const struct eb_service_state *sv);
 /* Whether the first word of a daemon of the service is still awaited. */
 int eb_nodes_awaits_first(const struct eb_nodes *nd,
 			  const struct eb_service_state *sv);
@@ -73,6 +70,10 @@
 void eb_nodes_listen(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 /* To be called when a node has come up, gone, or is leaving. */
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+/* To be called when a node's peer is suspected, and when it is heard again. */
+void eb_nodes_suspicion(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+/* Whether this daemon seems to be the one that is cut off. */
+int eb_nodes_cut_off(const struct eb_nodes *nd);
 /* The daemon of a node has started anew. */
 void eb_nodes_restarted(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 void eb_nodes_note_vm(struct eb_nodes *nd, const char *address, int leaving,
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -529,11 +529,10 @@
 	if (now_us >= ca->deadline_us ||
 	    now_us - ca->started_us >= EB_PARK_MS * 1000LL)
 		return 0;
-	if (!ca->attempts)
-		return eb_nodes_may_come_up(og->config.nodes, ca->service);
-	return ca->outcome == EB_OUTCOME_NOT_RUN &&
-	       ca->reason == EB_REASON_DRAINING &&
-	       eb_nodes_awaits_first(og->config.nodes, ca->service);
+	if (ca->attempts && (ca->outcome != EB_OUTCOME_NOT_RUN ||
+			     ca->reason != EB_REASON_DRAINING))
+		return 0;
+	return eb_nodes_awaits_first(og->config.nodes, ca->service);
 }
 
 static void park(struct eb_origin *og, struct call *ca, int parked)
@@ -1253,6 +1252,40 @@
 	eb_nodes_changed(og->config.nodes, node, now_us);
 }
 
+/* Whether a call that a silent gate has should be sent to another one. */
+static int should_move(const struct call *ca, uint32_t node)
+{
+	struct eb_route_query q = { 0 };
+
+	if (!ca->at_gate || ca->node != node || ca->state != WAITING ||
+	    !ca->idempotent || ca->attempts >= EB_ATTEMPTS_MAX ||
+	    ca->runs + 1 >= ca->runs_max || !eb_retry_left(&ca->service->retry))
+		return 0;
+	q.tried = ca->tried;
+	q.tried_count = ca->tried_count;
+	return eb_route_has_other(ca->service->route, &q);
+}
+
+/* Moves the idempotent calls of a silent gate elsewhere; see the header. */
+void eb_origin_suspect(struct eb_origin *og, uint32_t node, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+	void *value;
+
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		apr_hash_this(hi, NULL, NULL, &value);
+		ca = value;
+		if (!should_move(ca, node))
+			continue;
+		do_cancel(og, ca, NULL, now_us);
+		ca->reason = EB_REASON_LOST_PEER;
+		ca->status = 0;
+		step(og, ca, EVENT_LOST, NULL, now_us);
+	}
+}
+
 /* Tries the waiting requests again. */
 void eb_origin_up(struct eb_origin *og, int64_t now_us)
 {
@@ -1271,7 +1304,24 @@
 	}
 }
 
-/* Ends calls whose time is over, and those that waited for too long. */
+/* Asks a gate for a sign of life when a call there has had no word. */
+static void ask_gate(struct eb_origin *og, const struct call *ca,
+		     int64_t now_us)
+{
+	const struct eb_node *n;
+
+	if (!ca->at_gate)
+		return;
+	n = eb_nodes_get(og->config.nodes, ca->node);
+	if (n->peer &&
+	    eb_silence_doubtful(&n->peer->silence, ca->attempt_us, now_us))
+		og->out.ask(og->out.ctx, ca->node);
+}
+
+/*
+ * Ends calls whose time is over, and those that waited for too long, and asks
+ * about those that nothing was heard of.
+ */
 void eb_origin_tick(struct eb_origin *og, int64_t now_us)
 {
 	apr_hash_index_t *hi;
@@ -1287,5 +1337,7 @@
 		else if (ca->body_done &&
 			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
 			step(og, ca, EVENT_EXPIRE, NULL, now_us);
+		else
+			ask_gate(og, ca, now_us);
 	}
 }
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -27,6 +27,8 @@
 	 * left this daemon and never will.
 	 */
 	enum eb_status (*to_gate)(void *ctx, uint32_t node, struct eb_frame *f);
+	/* Asks the daemon of a node for a sign of life. */
+	void (*ask)(void *ctx, uint32_t node);
 	void *ctx;
 };
 
@@ -57,6 +59,8 @@
 			    struct eb_frame *f, int64_t now_us);
 /* The gate of a node is lost, and with it what was sent there. */
 void eb_origin_lost(struct eb_origin *og, uint32_t node, int64_t now_us);
+/* The gate of a node owes a sign of life: calls are moved where they may be. */
+void eb_origin_suspect(struct eb_origin *og, uint32_t node, int64_t now_us);
 /* Carries out what the claimant has decided for a call. */
 void eb_origin_claim_action(struct eb_origin *og,
 			    const struct eb_claim_action *act, int64_t now_us);
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -334,7 +334,7 @@
 {
 	uint32_t i;
 
-	if (up->info.leaving ||
+	if (up->info.leaving || (up->info.suspected && !q->suspects) ||
 	    (stays_home(q) && up->info.distance == EB_DISTANCE_FAR))
 		return 0;
 	for (i = 0; i < q->tried_count; i++)
@@ -456,6 +456,11 @@
 		again.stays_home = 0;
 		best.up = last_resort(rt, &again);
 	}
+	if (!best.up) {
+		again = *q;
+		again.suspects = 1;
+		best.up = last_resort(rt, &again);
+	}
 	if (!best.up)
 		return EB_ENOTFOUND;
 	rt->stats.picks++;
@@ -464,6 +469,18 @@
 	return EB_OK;
 }
 
+/* Tells whether a request could go to an upstream that is not suspected. */
+int eb_route_has_other(const struct eb_route *rt,
+		       const struct eb_route_query *q)
+{
+	uint32_t i;
+
+	for (i = 0; i < rt->count; i++)
+		if (usable(&rt->ups[i], q))
+			return 1;
+	return 0;
+}
+
 /* Notes that a request was handed to the upstream. */
 void eb_route_sent(struct eb_route *rt, uint32_t id, int64_t now_us)
 {
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -24,8 +24,9 @@
 struct eb_route_upstream {
 	uint32_t id;
 	uint16_t slots;
-	uint8_t distance; /* enum eb_distance */
-	uint8_t leaving;  /* gets no new requests */
+	uint8_t distance;  /* enum eb_distance */
+	uint8_t leaving;   /* gets no new requests */
+	uint8_t suspected; /* silent: picked when there is nobody else */
 };
 
 /* The constants of the policy; the bench varies them. */
@@ -56,6 +57,7 @@
 	uint8_t idempotent;
 	uint8_t refused;       /* the last attempt was refused for load */
 	uint8_t last;	       /* it may wait where it is offered now */
+	uint8_t suspects;      /* those that are suspected may be picked */
 	uint8_t stays_home;    /* its body costs too much between regions */
 	const uint32_t *tried; /* ids that are not picked again */
 	uint32_t tried_count;
@@ -79,6 +81,9 @@
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
 			     uint32_t *id);
+/* Whether an upstream is left that was not tried and is not suspected. */
+int eb_route_has_other(const struct eb_route *rt,
+		       const struct eb_route_query *q);
 void eb_route_sent(struct eb_route *rt, uint32_t id, int64_t now_us);
 void eb_route_done(struct eb_route *rt, uint32_t id,
 		   const struct eb_route_result *rs, int64_t now_us);
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -64,6 +64,16 @@
 #define EB_PEER_REDIAL_MS 700
 #define EB_PEER_RECONNECT_MS 20
 #define EB_PEER_RECONNECT_MAX_MS 500
+/*
+ * A peer that owes the answer to a heartbeat for this long gets no new work
+ * while others can have it: ten round trips between regions, and the tenth of
+ * a second for which a machine may get no processor time.
+ */
+#define EB_PEER_SUSPECT_MS 250
+/* A call without any word from its gate is asked about: most take less. */
+#define EB_PEER_ASK_MS 200
+/* A pause of this process that is longer than its idle wait. */
+#define EB_PEER_STALL_MS 150
 /* A peer that owes the answer to a heartbeat for this long is silent. */
 #define EB_PEER_SILENT_MS 4000
 /* Idle time after which the socket to a peer is closed. */
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -53,7 +53,7 @@
 
 	void start()
 	{
-		eb_origin_outlets outlets = { to_front, to_gate, this };
+		eb_origin_outlets outlets = { to_front, to_gate, ask, this };
 		eb_findings fs = {};
 		eb_error err = {};
 
@@ -132,6 +132,11 @@
 		return EB_OK;
 	}
 
+	static void ask(void *ctx, uint32_t)
+	{
+		static_cast<Origin *>(ctx)->out.push_back("ask");
+	}
+
 	eb_frame *head(const char *method, int kind)
 	{
 		eb_frame *f = eb_frame_new(EB_FRAME_HEAD, 40);
@@ -170,6 +175,13 @@
 			eb_origin_up(og, now_us);
 	}
 
+	void suspect(uint32_t node)
+	{
+		eb_nodes_get(nd, node)->peer->silence.suspected = 1;
+		eb_nodes_suspicion(nd, node, now_us);
+		eb_origin_suspect(og, node, now_us);
+	}
+
 	void run(const std::string &ev)
 	{
 		int n = atoi(ev.c_str() + ev.size() - 1);
@@ -197,6 +209,8 @@
 			set_second(0, 7);
 		else if (ev == "reached")
 			set_second(1, 7);
+		else if (ev.rfind("suspect", 0) == 0)
+			suspect(nodes.at((size_t)n - 1));
 		else if (ev.rfind("leaves", 0) == 0)
 			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
 			     EB_REASON_DRAINING, 0);
@@ -303,6 +317,19 @@
 	{ "a call does not wait for a peer that went silent",
 	  { "silent", "post", "leaves 1" },
 	  { "gate head", "front refuse 503 not-run draining" } },
+	{ "an idempotent call at a silent gate goes to another one",
+	  { "get", "suspect 1", "whole 2", "whole 1" },
+	  { "gate head", "gate cancel", "gate head", "front rhead" } },
+	{ "a call that may not run twice stays where it may be running",
+	  { "post", "suspect 1", "whole 1" },
+	  { "gate head", "front rhead" } },
+	{ "an idempotent call stays when there is nobody else",
+	  { "silent", "get", "suspect 1", "whole 1" },
+	  { "gate head", "front rhead" } },
+	{ "a new call goes to a gate that is not suspected",
+	  { "get", "suspect 1", "whole 2", "get", "whole 3" },
+	  { "gate head", "gate cancel", "gate head", "front rhead", "gate head",
+	    "front rhead" } },
 	{ "the work of a caller that hung up is cancelled",
 	  { "post", "gone" },
 	  { "gate head", "gate cancel" } },
--- /dev/null
+++ b/tests/test_eb_silence.cc
@@ -0,0 +1,122 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "eb_silence.h"
+#include "eb_tunables.h"
+}
+
+namespace
+{
+
+const int64_t MS = 1000;
+
+struct scenario {
+	const char *guards;
+	/* "ask", "hear" or "stall", each at a time in milliseconds. */
+	std::vector<std::pair<const char *, int>> events;
+	int at_ms;
+	eb_silence_level expected;
+};
+
+const scenario scenarios[] = {
+	{ "a peer that owes nothing is never suspected",
+	  {},
+	  60000,
+	  EB_SILENCE_NONE },
+	{ "an answer may take a round trip and a short wait for a processor",
+	  { { "ask", 0 } },
+	  EB_PEER_SUSPECT_MS - 1,
+	  EB_SILENCE_NONE },
+	{ "a peer that is cut off keeps getting new work",
+	  { { "ask", 0 } },
+	  EB_PEER_SUSPECT_MS,
+	  EB_SILENCE_SUSPECTED },
+	{ "later heartbeats must not put the suspicion off",
+	  { { "ask", 0 }, { "ask", 200 } },
+	  EB_PEER_SUSPECT_MS,
+	  EB_SILENCE_SUSPECTED },
+	{ "a peer that answers late is used again",
+	  { { "ask", 0 }, { "hear", 900 } },
+	  1000,
+	  EB_SILENCE_NONE },
+	{ "the calls of a peer that stays silent are ended",
+	  { { "ask", 0 } },
+	  EB_PEER_SILENT_MS,
+	  EB_SILENCE_LOST },
+	{ "a stall of this process is not taken for silence of all others",
+	  { { "ask", 0 }, { "stall", 400 } },
+	  450,
+	  EB_SILENCE_NONE },
+	{ "silence that goes on after a stall counts",
+	  { { "ask", 0 }, { "stall", 400 } },
+	  400 + EB_PEER_SUSPECT_MS,
+	  EB_SILENCE_SUSPECTED },
+};
+
+TEST(Silence, Scenarios)
+{
+	for (const scenario &sc : scenarios) {
+		const int64_t start_us = 5000 * MS;
+		eb_silence_clock ck = {};
+		eb_silence si = {};
+
+		eb_silence_heard(&si, start_us);
+		eb_silence_turn(&ck, start_us);
+		for (const auto &ev : sc.events) {
+			int64_t at_us = start_us + ev.second * MS;
+
+			if (std::string(ev.first) == "ask")
+				eb_silence_asked(&si, at_us);
+			else if (std::string(ev.first) == "hear")
+				eb_silence_heard(&si, at_us);
+			else
+				eb_silence_turn(&ck, at_us);
+		}
+		EXPECT_EQ(sc.expected,
+			  eb_silence_judge(&si, &ck, start_us + sc.at_ms * MS))
+			<< sc.guards;
+	}
+}
+
+/* Guards against heartbeats for each call, and none for those in doubt. */
+TEST(Silence, OnlyCallsWithoutAnyWordAreAskedAbout)
+{
+	const struct {
+		const char *name;
+		int heard_ms, sent_ms, now_ms;
+		bool asked, doubtful;
+	} cases[] = {
+		{ "sent just now", 0, 100, 100 + EB_PEER_ASK_MS - 1, false,
+		  false },
+		{ "no word since", 0, 100, 100 + EB_PEER_ASK_MS, false, true },
+		{ "another call was answered", 150, 100, 100 + EB_PEER_ASK_MS,
+		  false, false },
+		{ "asked already", 0, 100, 100 + EB_PEER_ASK_MS, true, false },
+	};
+
+	for (const auto &c : cases) {
+		eb_silence si = {};
+
+		eb_silence_heard(&si, c.heard_ms * MS);
+		if (c.asked)
+			eb_silence_asked(&si, c.sent_ms * MS);
+		EXPECT_EQ(c.doubtful, eb_silence_doubtful(&si, c.sent_ms * MS,
+							  c.now_ms * MS) != 0)
+			<< c.name;
+	}
+}
+
+/* Guards against a pause that is missed: old silence would end all calls. */
+TEST(Silence, PausesAreNoticed)
+{
+	eb_silence_clock ck = {};
+
+	EXPECT_EQ(0, eb_silence_turn(&ck, 9000 * MS));
+	EXPECT_EQ(0, eb_silence_turn(&ck, 9100 * MS));
+	EXPECT_EQ(1, eb_silence_turn(&ck, 12000 * MS));
+}
+
+} // namespace
