admit: short kinds use the fifth of the slots that stays free

Change: a kind that takes at most half of the gate's mean time may use all slots: it is over before the others feel the knee, and calls between services are of such kinds. The gate's lines say how much time is left to be on time.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -35,6 +35,11 @@
  */
 #define SLOTS_USED_PERMILLE 800
 #define SLOTS_KNEE_MIN 5
+/*
+ * A kind that takes this many times less than the mean may use that fifth:
+ * it is soon over, and calls that others wait for are of such kinds.
+ */
+#define SHORT_TIMES 2
 /* From this attempt on a request is not handed back. */
 #define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
 /* Unused budget of load reports is kept for a tenth of a second. */
@@ -68,6 +73,7 @@
 	uint32_t queued;
 	uint32_t space;
 	uint32_t in_flight;
+	uint32_t slots_all; /* config.slots leaves some of them free */
 	int64_t service_us;
 	struct kind kinds[KINDS_MAX];
 	uint32_t kind_next; /* the place that is given to another one next */
@@ -105,6 +111,7 @@
 void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf)
 {
 	ad->config = *cf;
+	ad->slots_all = cf->slots;
 	if (cf->slots >= SLOTS_KNEE_MIN)
 		ad->config.slots = cf->slots * SLOTS_USED_PERMILLE / 1000;
 }
@@ -200,6 +207,18 @@
 	return i < KINDS_MAX ? ad->kinds[i].service_us : ad->service_us;
 }
 
+/* Whether a request has a slot now; short ones use those that stay free. */
+static int has_slot(const struct eb_admit *ad,
+		    const struct eb_admit_request *rq)
+{
+	uint32_t i = find_kind(ad, rq->kind);
+
+	if (ad->in_flight < ad->config.slots)
+		return 1;
+	return i < KINDS_MAX && ad->in_flight < ad->slots_all &&
+	       ad->kinds[i].service_us * SHORT_TIMES <= ad->service_us;
+}
+
 /* Whether an answer can still be on time if the request ran now. */
 static int is_late(const struct eb_admit *ad, const struct eb_admit_request *rq,
 		   int64_t now_us)
@@ -310,7 +329,8 @@
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (ad->in_flight < slots && !ad->queued) {
+	} else if (has_slot(ad, rq) &&
+		   (!ad->queued || ad->in_flight >= slots)) {
 		run(ad, now_us, act);
 	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
 		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
@@ -378,15 +398,19 @@
 	return 0;
 }
 
-/* Returns the place of the request that is to run first. */
+/* Returns the place of the request that runs next, or `queued` for none. */
 static uint32_t first_to_run(const struct eb_admit *ad, int64_t now_us)
 {
-	uint32_t i, best = 0;
+	uint32_t i, best = ad->queued;
 
-	for (i = 1; i < ad->queued; i++)
-		if (goes_before(ad, &ad->queue[i].rq, &ad->queue[best].rq,
+	for (i = 0; i < ad->queued; i++) {
+		if (!has_slot(ad, &ad->queue[i].rq))
+			continue;
+		if (best == ad->queued ||
+		    goes_before(ad, &ad->queue[i].rq, &ad->queue[best].rq,
 				now_us))
 			best = i;
+	}
 	return best;
 }
 
@@ -411,13 +435,12 @@
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act)
 {
-	int free_slot = ad->in_flight < ad->config.slots;
-	int hand_back = stalled(ad, now_us) && !free_slot;
-	uint32_t i, n = ad->queued;
+	int hand_back =
+		stalled(ad, now_us) && ad->in_flight >= ad->config.slots;
+	uint32_t i = first_to_run(ad, now_us), n = ad->queued;
 
 	memset(act, 0, sizeof(*act));
-	if (n && free_slot) {
-		i = first_to_run(ad, now_us);
+	if (i < n) {
 		if (ad->queue[i].rq.deadline_us <= now_us)
 			refuse(act, EB_REASON_DEADLINE, 0);
 		else
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -450,13 +450,15 @@
 	eb_log_write(gt->log, EB_LOG_INFO, "gate", verdict,
 		     "id=%s reason=%s attempt=%u wait_ms=%lld in_flight=%u "
 		     "queued=%u slots=%u pace=%u pace_age_ms=%lld usual=%u "
-		     "left_ms=%lld leaving=%d",
+		     "left_ms=%lld goal_ms=%lld leaving=%d",
 		     id ? id : "-", eb_reason_name(reason), h->attempt,
 		     (long long)waited_us / 1000, ld.in_flight, ld.queued,
 		     ld.slots, ld.pace_percent,
 		     gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000
 				 : -1LL,
 		     h->usual_pace_percent, (long long)h->remaining_us / 1000,
+		     h->goal_us == INT64_MAX ? -1LL
+					     : (long long)h->goal_us / 1000,
 		     gt->draining || gt->leaving);
 }
 
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -260,6 +260,93 @@
 	}
 }
 
+/*
+ * Guards against short calls, which other requests wait for in their slots
+ * elsewhere, that are refused while long ones fill the gate.
+ */
+TEST(Admit, ShortKindsUseTheSlotsThatStayFree)
+{
+	const uint32_t SHORT = 7, LONG = 8, MIDDLE = 9;
+	const struct {
+		uint32_t kind;
+		uint32_t slots;
+		uint32_t running; /* long ones */
+		uint32_t waiting; /* long ones */
+		int verdict;
+	} cases[] = {
+		{ SHORT, 6, 4, 0, EB_ADMIT_RUN },
+		{ SHORT, 6, 4, 3, EB_ADMIT_RUN },
+		{ LONG, 6, 4, 0, EB_ADMIT_WAIT },
+		{ MIDDLE, 6, 4, 0, EB_ADMIT_WAIT },
+		{ 0, 6, 4, 0, EB_ADMIT_WAIT },
+		{ SHORT, 4, 4, 0, EB_ADMIT_WAIT },
+	};
+
+	for (const auto &c : cases) {
+		gate g(c.slots);
+		eb_admit_request rq = {};
+		eb_admit_action act;
+		uint32_t i;
+
+		for (i = 0; i < 50; i++) {
+			eb_admit_learn(g.ad, SHORT, SERVICE_US / 4);
+			eb_admit_learn(g.ad, LONG, SERVICE_US * 3 / 2);
+			eb_admit_learn(g.ad, MIDDLE, SERVICE_US * 3 / 4);
+		}
+		rq.deadline_us = FAR_US;
+		rq.attempt = 3;
+		rq.kind = LONG;
+		for (i = 0; i < c.running + c.waiting; i++) {
+			rq.id = 100 + i;
+			eb_admit_offer(g.ad, &rq, g.now, &act);
+		}
+		rq.kind = c.kind;
+		rq.id = 1;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		EXPECT_EQ(c.verdict, act.verdict)
+			<< c.kind << " " << c.slots << " " << c.waiting;
+	}
+}
+
+/*
+ * Guards against more requests at the upstream than it has slots, and against
+ * a short one that waits behind long ones while there is a slot for it.
+ */
+TEST(Admit, WaitingShortKindsTakeWhatIsFree)
+{
+	const uint32_t SHORT = 7, LONG = 8;
+	gate g(6);
+	eb_admit_request rq = {};
+	eb_admit_action act;
+	std::vector<eb_admit_action> all;
+	uint32_t i;
+
+	for (i = 0; i < 50; i++) {
+		eb_admit_learn(g.ad, SHORT, SERVICE_US / 4);
+		eb_admit_learn(g.ad, LONG, SERVICE_US * 3 / 2);
+	}
+	rq.deadline_us = FAR_US;
+	rq.attempt = 3;
+	for (i = 0; i < 6; i++) {
+		rq.id = 100 + i;
+		rq.kind = LONG;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+	}
+	for (i = 0; i < 3; i++) {
+		rq.id = 200 + i;
+		rq.kind = SHORT;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		EXPECT_EQ(i < 2 ? EB_ADMIT_RUN : EB_ADMIT_WAIT, act.verdict);
+	}
+	EXPECT_EQ(0u, g.next().size());
+	g.now += SERVICE_US / 4;
+	eb_admit_done(g.ad, 200, SERVICE_US / 4, g.now);
+	all = g.next();
+	ASSERT_EQ(1u, all.size());
+	EXPECT_EQ(202u, all[0].id);
+	EXPECT_EQ(EB_ADMIT_RUN, all[0].verdict);
+}
+
 /* Guards against work on a machine that is slow now while others are not. */
 TEST(Admit, ASlowMachineHandsBackUntilTheLastAttempt)
 {
