origin: callers refused in a lasting overload come back later

Change: while more than 70% of the offers at home are refused, up to 0.9 s are added, in proportion. The smoothed share of refusals is rounded away from zero, so that it reaches both ends.

--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -659,6 +659,10 @@
 	if (ca->reason == EB_REASON_CLAIM && ca->status)
 		out->reply->status = ca->status;
 	out->reply->retry_after_ms = ca->retry_after_ms;
+	if (ca->reason == EB_REASON_QUEUE_FULL ||
+	    ca->reason == EB_REASON_HANDED_BACK)
+		out->reply->retry_after_ms +=
+			eb_route_come_back_ms(ca->service->route);
 	/* 503 invites to send again, which only holds for "not run". */
 	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
 		out->reply->status = 502;
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -37,6 +37,9 @@
 /* Pressure above which the home region counts as full. */
 #define FULL_PERMILLE 500
 #define PRESSURE_SHIFT 5
+/* Pressure above which an overload lasts, and the pause when all is refused. */
+#define LASTING_PERMILLE 700
+#define COME_BACK_MAX_MS 900U
 /* Calls to other regions before the first answer, and at most. */
 #define FAR_WINDOW_FIRST 2
 #define FAR_WINDOW_MAX 1024
@@ -529,6 +532,9 @@
 
 	if (!far) {
 		step = (refused ? 1000 : 0) - (int)rt->pressure_permille;
+		/* Rounded away from zero, so that it gets to both ends. */
+		step += step > 0 ? (1 << PRESSURE_SHIFT) - 1
+				 : -(1 << PRESSURE_SHIFT) + 1;
 		rt->pressure_permille =
 			(uint32_t)((int)rt->pressure_permille +
 				   step / (1 << PRESSURE_SHIFT));
@@ -617,6 +623,19 @@
 	return (uint16_t)rt->pace_percent;
 }
 
+/*
+ * Returns how much later than the expected wait a caller that was refused
+ * should come back. While home refuses nearly everything, one that comes back
+ * soon is refused again, and its few tries are over before the overload is.
+ */
+uint32_t eb_route_come_back_ms(const struct eb_route *rt)
+{
+	if (rt->pressure_permille <= LASTING_PERMILLE)
+		return 0;
+	return (rt->pressure_permille - LASTING_PERMILLE) * COME_BACK_MAX_MS /
+	       (1000 - LASTING_PERMILLE);
+}
+
 /* Takes in a load that rode on an answer; one without slots is empty. */
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us)
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -93,6 +93,8 @@
 void eb_route_restarted(struct eb_route *rt, uint32_t id, int64_t now_us);
 /* The pace of the upstreams' machines, smoothed over their reports. */
 uint16_t eb_route_usual_pace(const struct eb_route *rt);
+/* How much later than the expected wait a refused caller should come back. */
+uint32_t eb_route_come_back_ms(const struct eb_route *rt);
 void eb_route_read_stats(const struct eb_route *rt, struct eb_route_stats *out);
 
 #endif
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -420,6 +420,43 @@
 	}
 }
 
+/*
+ * Guards against callers that are sent back into a lasting overload at once,
+ * to be refused again, and against long pauses after a short one.
+ */
+TEST(Route, CallersComeBackLaterTheLongerHomeIsFull)
+{
+	const struct {
+		const char *name;
+		int refused, taken; /* of each hundred, in turn */
+		uint32_t least_ms, most_ms;
+	} cases[] = {
+		{ "home has room", 0, 100, 0, 0 },
+		{ "half is refused", 50, 50, 0, 0 },
+		{ "most is refused", 90, 10, 300, 850 },
+		{ "all is refused", 100, 0, 850, 900 },
+	};
+
+	for (const auto &c : cases) {
+		router r;
+
+		r.add(1, EB_DISTANCE_DOMAIN);
+		r.set();
+		for (int i = 0; i < 400; i++) {
+			if (i * c.taken / 100 != (i + 1) * c.taken / 100)
+				r.good(1);
+			else
+				r.refuse(1, EB_REASON_QUEUE_FULL);
+		}
+		EXPECT_GE(eb_route_come_back_ms(r.rt), c.least_ms) << c.name;
+		EXPECT_LE(eb_route_come_back_ms(r.rt), c.most_ms) << c.name;
+		/* It ends with the overload. */
+		for (int i = 0; i < 40; i++)
+			r.good(1);
+		EXPECT_EQ(0u, eb_route_come_back_ms(r.rt)) << c.name;
+	}
+}
+
 /*
  * Guards against a usual pace that takes in the machines which are slow now:
  * then work would not be handed back from them.
