metrics: calls to the platform by kind, log lines that were dropped

Change: platform_reads_total, platform_stale_reads_total, platform_watches_total and log_lines_dropped_total. Result: Admin.MetricsTellOfDroppedLines and SiteTest.CallsToTheStoreAreCounted- ByKind pass; neither metric was there before.

--- a/src/eb_admin.c
+++ b/src/eb_admin.c
@@ -87,6 +87,8 @@
 	(void)argument;
 	if (!out)
 		return MHD_NO;
+	eb_metrics_set(am->metrics, EB_METRIC_LOG_LINES_DROPPED,
+		       (int64_t)eb_log_dropped(am->log));
 	eb_metrics_print(am->metrics, out);
 	if (fclose(out)) {
 		free(body);
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -71,8 +71,16 @@
 	  "Requests cancelled at the upstream")                              \
 	X(PLATFORM_CALLS, "platform_calls_total",                            \
 	  "Calls to the configuration service and the list of VMs")          \
+	X(PLATFORM_READS, "platform_reads_total",                            \
+	  "Calls to the platform that read all items")                       \
+	X(PLATFORM_STALE_READS, "platform_stale_reads_total",                \
+	  "Calls to the platform that may be answered with older items")     \
+	X(PLATFORM_WATCHES, "platform_watches_total",                        \
+	  "Calls to the platform that wait for a change")                    \
 	X(PLATFORM_FAILED, "platform_failed_total",                          \
 	  "Platform calls that failed")                                      \
+	X(LOG_LINES_DROPPED, "log_lines_dropped_total",                      \
+	  "Log lines that the limit of lines a second turned away")          \
 	X(RELEASE, "release", "Number of the release in force")              \
 	X(RELEASES_REJECTED, "releases_rejected_total",                      \
 	  "Release notes that were not accepted")                            \
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -76,9 +76,13 @@
 			 EB_PLATFORM_WAIT_MS);
 		start_fetch(&pl->notes, path,
 			    EB_PLATFORM_WAIT_MS + WATCH_SLACK_MS);
+		eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_WATCHES,
+			       1);
 	}
-	if (!pl->vms.busy && now_us >= pl->vms.due_us)
+	if (!pl->vms.busy && now_us >= pl->vms.due_us) {
 		start_fetch(&pl->vms, "/v1/vms", VMS_TIMEOUT_MS);
+		eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_READS, 1);
+	}
 }
 
 /* Applies one entry of the log; a note that is not accepted is skipped. */
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -785,8 +785,12 @@
 
 double Member::metric(const std::string &name) const
 {
-	HttpAnswer a = admin("/metrics");
-	std::istringstream in(a.body);
+	return metric_of(admin("/metrics").body, name);
+}
+
+double metric_of(const std::string &page, const std::string &name)
+{
+	std::istringstream in(page);
 	std::string line, head = "ebonypier_" + name + " ";
 
 	while (std::getline(in, line))
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -81,6 +81,9 @@
 	std::string log_path_;
 };
 
+/* The value of a metric on the page of a daemon; -1 when it has none. */
+double metric_of(const std::string &page, const std::string &name);
+
 struct HttpRequest {
 	std::string method = "GET";
 	std::string url;
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -219,6 +219,29 @@
 		EXPECT_TRUE(a.complete(200)) << a.status;
 }
 
+/* Guards against calls to the store that no metric explains. */
+TEST_F(SiteTest, CallsToTheStoreAreCountedByKind)
+{
+	wait_until("watches", [&] {
+		return site.metric(0, "platform_watches_total") +
+			       site.metric(1, "platform_watches_total") +
+			       site.metric(2, "platform_watches_total") +
+			       site.metric(3, "platform_watches_total") >
+		       2;
+	});
+	for (size_t i = 0; i < 4; i++)
+		wait_until("the sum of the kinds", [&] {
+			double calls = site.metric(i, "platform_calls_total");
+
+			return calls >= 1 &&
+			       calls == site.metric(i, "platform_reads_total") +
+						site.metric(i, "platform_stale_"
+							       "reads_total") +
+						site.metric(i, "platform_"
+							       "watches_total");
+		});
+}
+
 /* Guards against entries that name no upstream and spoil the others. */
 TEST_F(SiteTest, MalformedEntriesAreLeftOut)
 {
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -489,6 +489,14 @@
 	daemons.clear();
 }
 
+double Site::metric(size_t i, const std::string &name)
+{
+	return metric_of(http_get("http://" + ip(i) + ":" +
+				  std::to_string(ADMIN_PORT) + "/metrics")
+				 .body,
+			 name);
+}
+
 std::string Site::ip(size_t i) const
 {
 	return "127.1." + std::to_string(net_ % 250) + "." +
--- a/tests/site.h
+++ b/tests/site.h
@@ -208,6 +208,7 @@
 	std::string head(const std::string &method, const std::string &path,
 			 const std::string &id, const std::string &more = "");
 	long ready(size_t i);
+	double metric(size_t i, const std::string &name);
 	uint16_t listen_port() const
 	{
 		return listen_port_;
--- a/tests/test_eb_admin.cc
+++ b/tests/test_eb_admin.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstring>
+#include <fcntl.h>
 #include <string>
 #include <unistd.h>
 
@@ -185,6 +186,27 @@
 	EXPECT_NE(std::string::npos, out.find("\"draining\"")) << out;
 }
 
+/* Guards against lines that are lost without a trace in the metrics. */
+TEST_F(Admin, MetricsTellOfDroppedLines)
+{
+	int null = open("/dev/null", O_WRONLY);
+	eb_error err = {};
+
+	eb_admin_stop(am);
+	eb_log_free(lg);
+	lg = eb_log_new(null, EB_LOG_INFO);
+	while (!eb_log_dropped(lg))
+		eb_log_write(lg, EB_LOG_INFO, "core", "flood", NULL);
+	am = eb_admin_start(&se, mt, tr, lg, &ops, nullptr, &err);
+	ASSERT_NE(nullptr, am) << err.message;
+	std::string out = request("GET /metrics", good_host);
+
+	EXPECT_NE(std::string::npos,
+		  out.find("ebonypier_log_lines_dropped_total 1\n"))
+		<< out;
+	close(null);
+}
+
 /* Guards against a start that fails without a reason. */
 TEST_F(Admin, PortInUse)
 {
