client: notice an upstream that closes while the request still comes in

Cause: the soak, taught to cut answers in chunks, hung. libcurl stops watching a socket at whose end it is, and a paused request body keeps the transfer alive; the progress timer leaves paused bodies out. The gate's slot, and the caller that had part of the answer, were held without end (two sockets in CLOSE-WAIT). Change: while a request body is awaited, the client looks at the socket of the transfer once a second; at its end the call ends, with the answer when that was whole. libcurl names the socket of a transfer only after it, so it is found by its local port. Connections that a probe has opened are set up like the others: they lacked the limit on unacknowledged bytes too. Result: SiteTest.AnswersCutBeforeTheRequestIsInEnd hung before, passes after; it_hazards, it_path, it_shutdown, it_smuggling and the early answers pass. Ruled out: CURLINFO_ACTIVESOCKET, which tells no socket during a transfer.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -5,6 +5,7 @@
 #include <apr_thread_proc.h>
 #include <assert.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -21,6 +22,8 @@
 
 #define POLL_MS 1000
 #define SPARE_HANDLES_MAX 64
+/* Descriptors that are looked at: twice what the largest VM may open. */
+#define SOCKETS_MAX 16384
 /* An idle connection older than this may have been forgotten on the way. */
 #define IDLE_CONNECTION_MAX_S 15
 /* Sent bytes that stay unacknowledged for this long end the connection. */
@@ -53,6 +56,7 @@
 	uint8_t body_ended;
 	uint8_t send_paused;
 	uint8_t window_granted;
+	int local_port;
 	uint8_t sends; /* times that curl was about to send the request */
 	/* Answer. */
 	uint8_t answer_head; /* final header block is complete */
@@ -65,6 +69,7 @@
 	uint16_t status;
 	uint16_t pace_percent;
 	uint64_t body_bytes;
+	uint64_t received_bytes; /* of the answer's body */
 	uint64_t credit_bytes;
 	struct eb_headers answer;
 	uint8_t *inline_body;
@@ -87,6 +92,8 @@
 	uint32_t spares;
 	int stopping;
 	int64_t swept_us;
+	/* Descriptors that were sockets of this client; some have closed. */
+	uint8_t sockets[SOCKETS_MAX / 8];
 };
 
 static void push(struct eb_client *cl, const struct transfer *tf,
@@ -306,6 +313,7 @@
 			return 0;
 		memcpy(tf->inline_body + tf->inline_used_bytes, buf, n);
 		tf->inline_used_bytes += (uint32_t)n;
+		tf->received_bytes += n;
 		return n;
 	}
 	if (tf->credit_bytes < n) {
@@ -313,6 +321,7 @@
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	tf->credit_bytes -= n;
+	tf->received_bytes += n;
 	push(tf->client, tf,
 	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, buf, (uint32_t)n));
 	return n;
@@ -331,7 +340,7 @@
 	(void)ip;
 	(void)local_ip;
 	(void)port;
-	(void)local_port;
+	tf->local_port = local_port;
 	if (tf->sends++ == 0)
 		return CURL_PREREQFUNC_OK;
 	eb_metrics_add(tf->client->config.metrics,
@@ -342,8 +351,10 @@
 static int set_socket(void *data, curl_socket_t fd, curlsocktype purpose)
 {
 	unsigned int ms = UNACKNOWLEDGED_MAX_MS;
+	struct eb_client *cl = data;
 
-	(void)data;
+	if (fd >= 0 && fd < SOCKETS_MAX)
+		cl->sockets[fd / 8] |= (uint8_t)(1 << fd % 8);
 	if (purpose == CURLSOCKTYPE_IPCXN)
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	return CURL_SOCKOPT_OK;
@@ -442,6 +453,7 @@
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_CONNECTION_MAX_S);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, set_socket);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, tf->client);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, before_send);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, tf);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, read_header);
@@ -595,9 +607,15 @@
 	return size * items;
 }
 
-/* What every request of the client's own to the upstream has set. */
-static void set_own_request(CURL *e, const char *url, long timeout_ms)
+/*
+ * What every request of the client's own to the upstream has set. Its
+ * connection may be used by a call later, so it is set up like theirs.
+ */
+static void set_own_request(struct eb_client *cl, CURL *e, const char *url,
+			    long timeout_ms)
 {
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, set_socket);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, cl);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
@@ -619,7 +637,7 @@
 		return;
 	snprintf(url, sizeof(url), "http://%.*s%s", (int)n, where,
 		 where + n + 1);
-	set_own_request(cl->probe, url, PROBE_TIMEOUT_MS);
+	set_own_request(cl, cl->probe, url, PROBE_TIMEOUT_MS);
 	curl_easy_setopt(cl->probe, CURLOPT_HEADERFUNCTION, read_probe_header);
 	curl_easy_setopt(cl->probe, CURLOPT_HEADERDATA, cl);
 	curl_easy_setopt(cl->probe, CURLOPT_WRITEFUNCTION, drop_body);
@@ -679,7 +697,7 @@
 		return;
 	}
 	snprintf(url, sizeof(url), "http://%s/", (const char *)f->object);
-	set_own_request(cl->check, url, CHECK_TIMEOUT_MS);
+	set_own_request(cl, cl->check, url, CHECK_TIMEOUT_MS);
 	curl_easy_setopt(cl->check, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(cl->check, CURLOPT_CONNECT_ONLY, 1L);
 	curl_multi_add_handle(cl->multi, cl->check);
@@ -831,7 +849,59 @@
 	}
 }
 
-/* Ends transfers whose upstream makes no progress with a body. */
+/* Whether an answer that tells its length is there. */
+static int is_whole(const struct transfer *tf)
+{
+	return tf->answer_head && tf->body_kind != EB_BODY_CHUNKED &&
+	       (tf->body_kind == EB_BODY_NONE ||
+		tf->received_bytes == tf->body_bytes);
+}
+
+/*
+ * Returns the socket of a transfer, or -1. libcurl tells which one it is only
+ * after the transfer; its local port is known from the start.
+ */
+static int find_socket(const struct transfer *tf)
+{
+	struct sockaddr_in sin;
+	socklen_t n;
+	int fd;
+
+	for (fd = 0; tf->local_port && fd < SOCKETS_MAX; fd++) {
+		if (!(tf->client->sockets[fd / 8] & 1 << fd % 8))
+			continue;
+		n = sizeof(sin);
+		if (!getsockname(fd, (struct sockaddr *)&sin, &n) &&
+		    sin.sin_family == AF_INET &&
+		    ntohs(sin.sin_port) == tf->local_port)
+			return fd;
+	}
+	return -1;
+}
+
+/*
+ * Ends a transfer whose upstream has closed the connection while the request
+ * still comes in. libcurl stops watching a socket that has reached its end, and
+ * waits for the rest of a paused request body for ever.
+ */
+static void check_closed(struct transfer *tf)
+{
+	int fd = find_socket(tf);
+	ssize_t n;
+	char byte;
+
+	if (fd < 0)
+		return;
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
+		return;
+	finish(tf, is_whole(tf) ? CURLE_OK : CURLE_RECV_ERROR);
+}
+
+/*
+ * Ends transfers whose upstream makes no progress with a body, or has gone
+ * while they waited for the caller.
+ */
 static void sweep(struct eb_client *cl, int64_t now_us)
 {
 	apr_hash_index_t *hi;
@@ -845,8 +915,12 @@
 	     hi = apr_hash_next(hi)) {
 		apr_hash_this(hi, NULL, NULL, &value);
 		tf = value;
+		if (tf->send_paused) {
+			check_closed(tf);
+			continue;
+		}
 		/* Before the answer begins, the deadline of the call rules. */
-		if (tf->send_paused || tf->receive_paused || !tf->answer_head)
+		if (tf->receive_paused || !tf->answer_head)
 			continue;
 		if (now_us - tf->progress_us > EB_PROGRESS_TIMEOUT_MS * 1000LL)
 			stop_transfer(tf, EB_REASON_STALLED);
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "site.h"
@@ -471,6 +472,44 @@
 	}
 }
 
+/*
+ * Guards against a call that holds its slot, and its caller, until it counts
+ * as stalled: the upstream has cut its answer while the request still came in.
+ */
+TEST_F(SiteTest, AnswersCutBeforeTheRequestIsInEnd)
+{
+	on("/short", [](SiteConnection &cn, const SiteRequest &rq) {
+		cn.write("HTTP/1.1 200 OK\r\nEbonypier-Request-Id: " +
+			 rq.header("ebonypier-request-id") +
+			 "\r\nTransfer-Encoding: chunked\r\n\r\n"
+			 "4\r\npart\r\n");
+		shutdown(cn.fd(), SHUT_RDWR);
+	});
+	for (int i = 0; i < 5; i++) {
+		RawSocket s(site.listen_port(), 0, site.ip(0));
+		std::string id = "short-" + std::to_string(i), line, a;
+
+		s.send(site.head("POST", "/near/once/short", id,
+				 "Content-Length: 40000\r\n") +
+		       std::string(20000, 'x'));
+		a = s.receive_all();
+		EXPECT_EQ(200, raw_status(a)) << a;
+		EXPECT_EQ(std::string::npos, a.find("\r\n0\r\n")) << a;
+		wait_until("the line of the call", [&] {
+			std::istringstream log(site.daemons[0]->log());
+
+			while (std::getline(log, line))
+				if (line.find("call ended\" id=" + id + " ") !=
+				    std::string::npos)
+					return true;
+			return false;
+		});
+		EXPECT_NE(std::string::npos,
+			  line.find("reason=upstream-closed"))
+			<< line;
+	}
+}
+
 /* Guards against daemons that need the store to go on, or to start. */
 TEST_F(SiteTest, TheStoreMayBeAway)
 {
