soak: addresses that go to another service, whole answers, callers' services

Change: a fault gives a machine's address to an upstream of the other service, with entries that come and go late; answers are compared with what was sent; each run is held against the service of its upstream and of its caller. The checks for whole answers and for the service are shown failing with the mechanism off.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -10,6 +10,7 @@
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_overdue.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* States, events and actions in the order of the names below. */
@@ -447,19 +448,18 @@
 	if (gt->request_id)
 		id = eb_headers_find(&h->headers, gt->request_id);
 	eb_admit_load(gt->admit, &ld);
-	eb_log_write(gt->log, EB_LOG_INFO, "gate", verdict,
-		     "id=%s reason=%s attempt=%u wait_ms=%lld in_flight=%u "
-		     "queued=%u slots=%u pace=%u pace_age_ms=%lld usual=%u "
-		     "left_ms=%lld goal_ms=%lld leaving=%d",
-		     id ? id : "-", eb_reason_name(reason), h->attempt,
-		     (long long)waited_us / 1000, ld.in_flight, ld.queued,
-		     ld.slots, ld.pace_percent,
-		     gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000
-				 : -1LL,
-		     h->usual_pace_percent, (long long)h->remaining_us / 1000,
-		     h->goal_us == INT64_MAX ? -1LL
-					     : (long long)h->goal_us / 1000,
-		     gt->draining || gt->leaving);
+	eb_log_write(
+		gt->log, EB_LOG_INFO, "gate", verdict,
+		"id=%s reason=%s attempt=%u wait_ms=%lld in_flight=%u "
+		"queued=%u slots=%u pace=%u pace_age_ms=%lld usual=%u "
+		"left_ms=%lld goal_ms=%lld leaving=%d",
+		id ? id : "-", eb_reason_name(reason), h->attempt,
+		(long long)waited_us / 1000, ld.in_flight, ld.queued, ld.slots,
+		ld.pace_percent,
+		gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000 : -1LL,
+		h->usual_pace_percent, (long long)h->remaining_us / 1000,
+		h->goal_us == INT64_MAX ? -1LL : (long long)h->goal_us / 1000,
+		gt->draining || gt->leaving);
 }
 
 /* ---- Actions of the chart ---- */
@@ -514,6 +514,10 @@
 		free(head->head->instance);
 		head->head->instance = strdup(gt->instance);
 	}
+	if (eb_test_off("expect-instance")) {
+		free(head->head->instance);
+		head->head->instance = NULL;
+	}
 	head->object = strdup(gt->address);
 	head->object_free = free;
 	gt->out.to_client(gt->out.ctx, head);
--- a/tests/it_soak.cc
+++ b/tests/it_soak.cc
@@ -21,6 +21,10 @@
 namespace
 {
 
+/* Kinds of faults, and the one that gives an address to another service. */
+const uint32_t FAULTS = 15, REASSIGN = 13;
+/* More than the daemons put into one frame. */
+const size_t LARGE_BODY_BYTES = 60000;
 /* An upstream that leaves gets no new work later than this. */
 const int64_t LEAVE_LIMIT_US = 5000000;
 
@@ -39,15 +43,26 @@
 	bool complete;
 	std::string answer_id;
 	std::string stamp;
+	std::string target;
+	std::string body;
+	std::string caller; /* service beside the caller; "": it changed */
+};
+
+/* A change of the store that comes later than what it tells of. */
+struct later {
+	int64_t at_us;
+	std::function<void()> act;
 };
 
 class Soak
 {
 public:
-	Soak(uint32_t seed, size_t machines, const std::string &off = "")
+	/* With a mechanism switched off, a fault may be drawn more often. */
+	Soak(uint32_t seed, size_t machines, const std::string &off = "",
+	     int often = -1)
 		: site_(services(machines)), random_(seed), seed_(seed),
-		  away_(machines), stopped_(machines), starts_(machines),
-		  seen_starts_(machines),
+		  often_(often), away_(machines), stopped_(machines),
+		  starts_(machines), seen_starts_(machines),
 		  relay_((uint16_t)atoi(
 			  site_.store->address.substr(10).c_str()))
 	{
@@ -66,6 +81,7 @@
 		for (size_t i = 0; i < site_.services.size(); i++)
 			callers.emplace_back([this, i] { call(i); });
 		while (now_us() < end) {
+			settle(now_us());
 			revive();
 			fault();
 			sleep_ms(pick(400) + 50);
@@ -105,6 +121,18 @@
 
 		violations_.push_back(text);
 	}
+	/* An answer in chunks, of which the first one is there. */
+	static std::string first_chunk(const SiteRequest &rq)
+	{
+		char size[32];
+
+		snprintf(size, sizeof(size), "%zx\r\n", LARGE_BODY_BYTES);
+		return "HTTP/1.1 200 OK\r\nEbonypier-Request-Id: " +
+		       rq.header("ebonypier-request-id") +
+		       "\r\nEbonypier-Response-Stamp: stamp\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n" +
+		       size + std::string(LARGE_BODY_BYTES, 'c') + "\r\n";
+	}
 	/* Some requests are answered badly, as their path says. */
 	void spoil(SiteUpstream &up)
 	{
@@ -114,6 +142,10 @@
 			cn.write(whole.substr(0, whole.size() - 2));
 			shutdown(cn.fd(), SHUT_RDWR);
 		});
+		up.on("/short", [](SiteConnection &cn, const SiteRequest &rq) {
+			cn.write(first_chunk(rq));
+			shutdown(cn.fd(), SHUT_RDWR);
+		});
 		up.on("/extra",
 		      [&up](SiteConnection &cn, const SiteRequest &rq) {
 			      cn.write(up.answer(rq, "whole") +
@@ -131,9 +163,10 @@
 	/* One caller beside each machine, request after request. */
 	void call(size_t i)
 	{
-		static const char *const kinds[] = { "plain", "plain", "plain",
-						     "slow",  "cut",   "extra",
-						     "lost",  "shed" };
+		static const char *const kinds[] = {
+			"plain", "plain", "plain", "slow", "cut",
+			"extra", "lost",  "shed",  "short"
+		};
 		int newest = 0;
 
 		for (int n = 0; !stopping_; n++) {
@@ -144,14 +177,18 @@
 			bool once = pick(2);
 			std::string path = "/" + service +
 					   (once ? "/once/" : "/") +
-					   kinds[pick(8)];
+					   kinds[pick(9)];
 			std::string body(once ? pick(3) * 30000 : 0, 'x');
+			std::string caller = service_of(i);
 			HttpAnswer a = site_.send(i, once ? "POST" : "GET",
 						  path, id, body, 4000);
 
+			if (caller != service_of(i))
+				caller = "";
 			note({ id, once, a.status, !a.code,
 			       a.header("Ebonypier-Request-Id"),
-			       a.header("Ebonypier-Response-Stamp") });
+			       a.header("Ebonypier-Response-Stamp"), path,
+			       a.body, caller });
 			if (n % 10 == 0)
 				newest = check_version(i, newest);
 		}
@@ -202,17 +239,19 @@
 	}
 	void fault()
 	{
-		uint32_t what = pick(14);
+		uint32_t what = pick(FAULTS);
 		size_t i = pick((uint32_t)site_.services.size());
 		SiteUpstream &up = *site_.upstreams[i];
 		static const char *const names[] = {
-			"kill",	  "pause",  "term",   "hup",	"leave",
-			"remove", "return", "change", "silent", "history",
-			"busy",	  "cut",    "forget", "answers"
+			"kill",	  "pause",  "term",   "hup",	  "leave",
+			"remove", "return", "change", "silent",	  "history",
+			"busy",	  "cut",    "forget", "reassign", "answers"
 		};
 
+		if (often_ >= 0 && pick(2))
+			what = (uint32_t)often_;
 		/* One that is being stopped gets no further signal. */
-		if (what < 4 && stopped_[i])
+		if ((what < 4 || what == REASSIGN) && stopped_[i])
 			return;
 		faults += std::string(faults.empty() ? "" : " ") + names[what];
 		switch (what) {
@@ -262,11 +301,74 @@
 		case 12:
 			relay_.silence_open();
 			break;
+		case REASSIGN:
+			reassign(i);
+			break;
 		default:
 			site_.store->set_mode(SiteStore::ANSWERS);
 			break;
 		}
 	}
+	std::string service_of(size_t i)
+	{
+		std::lock_guard<std::mutex> hold(lock_);
+
+		return site_.services[i];
+	}
+	/* Upstreams of a service that have not left. */
+	size_t present(const std::string &service) const
+	{
+		size_t n = 0;
+
+		for (size_t j = 0; j < away_.size(); j++)
+			n += !away_[j] && site_.services[j] == service;
+		return n;
+	}
+	/*
+	 * A machine goes, and its address to one of the other service. The
+	 * store learns of both later, in either order.
+	 */
+	void reassign(size_t i)
+	{
+		std::string old = site_.upstreams[i]->key();
+		std::string to = site_.services[i] == "near" ? "far" : "near";
+
+		if (away_[i] || present(site_.services[i]) < 2)
+			return;
+		stop(i, SIGKILL);
+		site_.daemons[i]->wait();
+		{
+			std::lock_guard<std::mutex> hold(lock_);
+
+			site_.replace_upstream(
+				i, "n-" + std::to_string(++replaced_), to);
+		}
+		spoil(*site_.upstreams[i]);
+		later_.push_back({ now_us() + pick(1500) * 1000, [this, old] {
+					  site_.store->remove(old);
+				  } });
+		later_.push_back({ now_us() + pick(1500) * 1000,
+				   [this, i, up = site_.upstreams[i].get()] {
+					   if (!away_[i] &&
+					       up == site_.upstreams[i].get())
+						   come_back(i);
+				   } });
+	}
+	/* Carries out the changes of the store that are due. */
+	void settle(int64_t until_us)
+	{
+		std::vector<later> due;
+
+		for (auto it = later_.begin(); it != later_.end();)
+			if (it->at_us <= until_us) {
+				due.push_back(*it);
+				it = later_.erase(it);
+			} else {
+				++it;
+			}
+		for (const later &lt : due)
+			lt.act();
+	}
 	void stop(size_t i, int sig)
 	{
 		site_.daemons[i]->signal(sig);
@@ -287,11 +389,7 @@
 	/* At least one upstream of each service stays. */
 	void leave(size_t i, const std::function<void()> &act)
 	{
-		size_t left = 0;
-
-		for (size_t j = i % 2; j < away_.size(); j += 2)
-			left += !away_[j];
-		if (away_[i] || left < 2)
+		if (away_[i] || present(site_.services[i]) < 2)
 			return;
 		away_[i] = true;
 		act();
@@ -313,6 +411,7 @@
 					 true) == stopped_.end();
 		});
 		site_.store->set_mode(SiteStore::ANSWERS);
+		settle(INT64_MAX);
 		for (size_t i = 0; i < away_.size(); i++) {
 			if (away_[i] && gone == away_.size())
 				gone = i;
@@ -342,13 +441,53 @@
 			violation("upstream " + std::to_string(i) +
 				  " gets work though it left");
 	}
+	/* The runs of all upstreams, those that have ended too. */
+	std::map<std::string, int> collect_runs()
+	{
+		std::map<std::string, std::string> callers;
+		std::map<std::string, int> runs;
+
+		for (const told &t : told_)
+			callers[t.id] = t.caller;
+		for (auto *list : { &site_.upstreams, &site_.ended_upstreams })
+			for (auto &up : *list)
+				for (const auto &run : up->all_runs()) {
+					runs[run.first] += run.second.count;
+					check_run(run.first, run.second, *up,
+						  callers[run.first]);
+				}
+		return runs;
+	}
+	void check_run(const std::string &id, const SiteRun &run,
+		       const SiteUpstream &up, const std::string &caller)
+	{
+		std::string wanted = up.service == "near" ? "/far/" : "/near/";
+
+		if (!run.target.compare(0, wanted.size(), wanted))
+			violation(id + " ran at another service");
+		if (!caller.empty() && run.caller != caller)
+			violation(id + " came from " + caller +
+				  " and was sent as from " + run.caller);
+	}
+	static bool is_whole(const told &t)
+	{
+		std::string end = " " + t.target;
+
+		if (t.body == "whole")
+			return true;
+		return t.body.size() >= end.size() &&
+		       !t.body.compare(t.body.size() - end.size(), end.size(),
+				       end);
+	}
 	void check()
 	{
+		std::map<std::string, int> all = collect_runs();
+
 		for (const told &t : told_) {
-			int runs = 0;
+			int runs = all[t.id];
 
-			for (auto &up : site_.upstreams)
-				runs += up->runs(t.id);
+			if (t.complete && t.status == 200 && !is_whole(t))
+				violation(t.id + " got a part of its answer");
 			if (t.once && runs > 1)
 				violation(t.id + " ran " +
 					  std::to_string(runs) + " times");
@@ -367,9 +506,12 @@
 	std::mutex lock_;
 	std::mt19937 random_;
 	uint32_t seed_;
+	int often_;
 	std::vector<bool> away_, stopped_;
 	std::vector<std::atomic<int>> starts_, seen_starts_;
 	Relay relay_; /* before the store */
+	std::vector<later> later_;
+	int replaced_ = 0;
 	std::atomic<int> version_{ 0 };
 	std::atomic<bool> stopping_{ false };
 	std::vector<told> told_;
@@ -413,21 +555,24 @@
 struct off_case {
 	const char *off;
 	const char *found; /* in the text of a violation */
+	int often;	   /* the fault that it takes, or -1 */
 };
 
 /* Guards against a checker of the soak that never fails. */
 TEST(SiteSoak, CheckersCatchWhatIsSwitchedOff)
 {
 	const off_case cases[] = {
-		{ "retry-rule", " ran 2 times" },
-		{ "not-run-rule", " was refused and ran" },
+		{ "retry-rule", " ran 2 times", -1 },
+		{ "not-run-rule", " was refused and ran", -1 },
+		{ "whole-answer", " got a part of its answer", -1 },
+		{ "expect-instance", " ran at another service", (int)REASSIGN },
 	};
 
 	for (const off_case &c : cases) {
 		bool found = false;
 
 		for (uint32_t seed = 1; seed <= 10 && !found; seed++) {
-			Soak soak(seed, 4, c.off);
+			Soak soak(seed, 4, c.off, c.often);
 
 			for (const std::string &text : soak.run(2))
 				found |=
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -364,7 +364,16 @@
 {
 	std::lock_guard<std::mutex> hold(lock_);
 
-	return runs_[request_id];
+	auto it = runs_.find(request_id);
+
+	return it == runs_.end() ? 0 : it->second.count;
+}
+
+std::map<std::string, SiteRun> SiteUpstream::all_runs()
+{
+	std::lock_guard<std::mutex> hold(lock_);
+
+	return runs_;
 }
 
 int SiteUpstream::runs()
@@ -438,7 +447,11 @@
 		{
 			std::lock_guard<std::mutex> hold(lock_);
 
-			runs_[rq.header("ebonypier-request-id")]++;
+			SiteRun &sr = runs_[rq.header("ebonypier-request-id")];
+
+			sr.count++;
+			sr.target = rq.target;
+			sr.caller = rq.header("ebonypier-caller-service");
 			total_++;
 			last_ = rq;
 			for (auto &fault : faults_)
@@ -539,6 +552,16 @@
 		env);
 }
 
+void Site::replace_upstream(size_t i, const std::string &id,
+			    const std::string &service)
+{
+	upstreams[i]->stop();
+	ended_upstreams.push_back(std::move(upstreams[i]));
+	services[i] = service;
+	upstreams[i] = std::make_unique<SiteUpstream>(ip(i), upstream_port_, id,
+						      service);
+}
+
 void Site::start_all()
 {
 	for (auto &up : upstreams)
--- a/tests/site.h
+++ b/tests/site.h
@@ -133,6 +133,13 @@
 	std::unique_ptr<SiteServer> server_;
 };
 
+/* What an upstream knows of the runs of one request. */
+struct SiteRun {
+	int count = 0;
+	std::string target;
+	std::string caller; /* service that the request says it comes from */
+};
+
 /*
  * An upstream of the platform; its faults are set by path. Requests for a path
  * with /shed in it are refused as not run.
@@ -151,6 +158,12 @@
 	/* Runs of a request, by its number. */
 	int runs(const std::string &request_id);
 	int runs();
+	std::map<std::string, SiteRun> all_runs();
+	/* Ends for good; what it has run stays known. */
+	void stop()
+	{
+		server_->stop();
+	}
 	/* Requests that are being handled now. */
 	int active() const
 	{
@@ -178,7 +191,7 @@
 
 	uint16_t port_;
 	std::mutex lock_;
-	std::map<std::string, int> runs_;
+	std::map<std::string, SiteRun> runs_;
 	int total_ = 0;
 	std::atomic<int> active_{ 0 };
 	SiteRequest last_;
@@ -196,6 +209,12 @@
 
 	void start_daemon(size_t i);
 	void start_all();
+	/*
+	 * The upstream of a machine has ended, and its address belongs to one
+	 * of another service. Entries and the daemon are the caller's concern.
+	 */
+	void replace_upstream(size_t i, const std::string &id,
+			      const std::string &service);
 	/* The operator's state: a route for each service, and further ones. */
 	void publish(int version, const std::string &more_routes = "");
 	std::string route(const std::string &name, const std::string &prefix,
@@ -223,6 +242,7 @@
 	/* A mechanism of the daemons that is switched off, or "". */
 	std::string test_off;
 	std::vector<std::unique_ptr<SiteUpstream>> upstreams;
+	std::vector<std::unique_ptr<SiteUpstream>> ended_upstreams;
 	std::vector<std::unique_ptr<Process>> daemons;
 	std::vector<std::string> services;
 
