client: leave paused answers alone; one count of an answer's bytes

A paused answer may wait in libcurl after its socket's end: it would have been cut. Two fields counted the same bytes. Change: a transfer whose answer is paused is not looked at; received_bytes serves inline answers too; the address is set before it is read.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -73,7 +73,6 @@
 	uint64_t credit_bytes;
 	struct eb_headers answer;
 	uint8_t *inline_body;
-	uint32_t inline_used_bytes;
 	int64_t progress_us;
 };
 
@@ -140,7 +139,7 @@
 	memset(&tf->answer, 0, sizeof(tf->answer));
 	if (tf->body_kind == EB_BODY_INLINE) {
 		f->data = tf->inline_body;
-		f->data_bytes = tf->inline_used_bytes;
+		f->data_bytes = (uint32_t)tf->received_bytes;
 		tf->inline_body = NULL;
 	}
 	tf->answer_sent = 1;
@@ -309,10 +308,9 @@
 	if (!tf->answer_head)
 		return 0;
 	if (tf->body_kind == EB_BODY_INLINE) {
-		if (tf->inline_used_bytes + n > tf->body_bytes)
+		if (tf->received_bytes + n > tf->body_bytes)
 			return 0;
-		memcpy(tf->inline_body + tf->inline_used_bytes, buf, n);
-		tf->inline_used_bytes += (uint32_t)n;
+		memcpy(tf->inline_body + tf->received_bytes, buf, n);
 		tf->received_bytes += n;
 		return n;
 	}
@@ -863,7 +861,7 @@
  */
 static int find_socket(const struct transfer *tf)
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = { 0 };
 	socklen_t n;
 	int fd;
 
@@ -890,7 +888,8 @@
 	ssize_t n;
 	char byte;
 
-	if (fd < 0)
+	/* A paused answer may wait in libcurl, after the end of its socket. */
+	if (fd < 0 || tf->receive_paused)
 		return;
 	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
