--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -642,8 +642,11 @@
 
 	if (refuse && up->listening) {
 		fd = MHD_quiesce_daemon(up->servers[up->server_count - 1]);
-		if (fd != MHD_INVALID_SOCKET)
+		/* The server's thread may still wait on it, which keeps it. */
+		if (fd != MHD_INVALID_SOCKET) {
+			shutdown(fd, SHUT_RDWR);
 			close(fd);
+		}
 		up->listening = 0;
 	} else if (!refuse && !up->listening) {
 		if (!listen_on(up))
