tidy: one copy of what this change wrote twice

Cause: reading the whole change once more. Change: apr_hash_this_val(), eb_distance_name(), lose_attempt(), eb_silence_heard(), eb_marks_read_counters(), a kind for start_fetch(), and restart() in test_eb_gate. No check, bound or assertion differs.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -905,15 +905,13 @@
 {
 	apr_hash_index_t *hi;
 	struct transfer *tf;
-	void *value;
 
 	if (now_us - cl->swept_us < POLL_MS * 1000)
 		return;
 	cl->swept_us = now_us;
 	for (hi = apr_hash_first(NULL, cl->transfers); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		tf = value;
+		tf = apr_hash_this_val(hi);
 		if (tf->send_paused) {
 			check_closed(tf);
 			continue;
@@ -995,7 +993,6 @@
 	apr_hash_index_t *hi;
 	struct transfer *tf;
 	apr_status_t status;
-	void *value;
 
 	if (!cl)
 		return;
@@ -1005,8 +1002,7 @@
 		apr_thread_join(&status, cl->thread);
 	for (hi = apr_hash_first(NULL, cl->transfers); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		tf = value;
+		tf = apr_hash_this_val(hi);
 		curl_multi_remove_handle(cl->multi, tf->easy);
 		free_transfer(tf);
 	}
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -9,6 +9,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_crash.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -170,20 +171,17 @@
 void eb_gate_free(struct eb_gate *gt)
 {
 	apr_hash_index_t *hi;
-	void *value;
 
 	if (!gt)
 		return;
 	if (gt->pool) {
 		for (hi = apr_hash_first(NULL, gt->calls); hi;
 		     hi = apr_hash_next(hi)) {
-			apr_hash_this(hi, NULL, NULL, &value);
-			free_call(gt, value);
+			free_call(gt, apr_hash_this_val(hi));
 		}
 		for (hi = apr_hash_first(NULL, gt->origins); hi;
 		     hi = apr_hash_next(hi)) {
-			apr_hash_this(hi, NULL, NULL, &value);
-			free(value);
+			free(apr_hash_this_val(hi));
 		}
 		apr_pool_destroy(gt->pool);
 	}
@@ -235,11 +233,9 @@
 {
 	apr_hash_index_t *hi;
 	const struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (ca->key.origin == incarnation && ca->state != STOPPING &&
 		    eb_overdue(ca->arrived_us, now_us) &&
 		    eb_overdue_add(f, ca->key.call))
@@ -315,12 +311,10 @@
 	apr_hash_index_t *hi;
 	struct eb_frame *out;
 	struct origin *og;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, gt->origins); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		og = value;
+		og = apr_hash_this_val(hi);
 		out = og->local ? NULL : make_hello(gt, og->incarnation);
 		if (out)
 			gt->out.to_origin(gt->out.ctx, &og->back, out);
@@ -721,12 +715,10 @@
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, gt->calls); hi && gt->held;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (!ca->held)
 			continue;
 		ca->held = 0;
@@ -1079,18 +1071,16 @@
  */
 void eb_gate_tick(struct eb_gate *gt, int64_t now_us)
 {
+	struct eb_crash_counters ct;
 	apr_hash_index_t *hi;
 	struct origin *og;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		check_call(gt, value, now_us);
+		check_call(gt, apr_hash_this_val(hi), now_us);
 	}
 	for (hi = apr_hash_first(NULL, gt->origins); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		og = value;
+		og = apr_hash_this_val(hi);
 		if (og->calls ||
 		    now_us - og->heard_us < EB_PEER_IDLE_MS * 1000LL)
 			continue;
@@ -1101,9 +1091,9 @@
 	if (gt->probe && !gt->instance)
 		send_probe(gt, now_us);
 	check_upstream(gt, now_us);
-	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKS,
-		       eb_marks_count(gt->marks));
+	eb_marks_read_counters(gt->marks, &ct);
+	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKS, (int64_t)ct.marks);
 	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKED_CRASHES,
-		       eb_marks_crashes(gt->marks));
+		       (int64_t)ct.crashes);
 	run_admission(gt, now_us);
 }
--- a/src/eb_marks.c
+++ b/src/eb_marks.c
@@ -151,12 +151,10 @@
 }
 
 /* See the header. */
-uint32_t eb_marks_crashes(const struct eb_marks *mk)
+void eb_marks_read_counters(const struct eb_marks *mk,
+			    struct eb_crash_counters *out)
 {
-	struct eb_crash_counters ct;
-
-	eb_crash_read_counters(mk->crash, &ct);
-	return (uint32_t)ct.crashes;
+	eb_crash_read_counters(mk->crash, out);
 }
 
 /* See the header. */
--- a/src/eb_marks.h
+++ b/src/eb_marks.h
@@ -14,6 +14,7 @@
  * passed in, and the caller carries out the checks.
  */
 struct eb_marks;
+struct eb_crash_counters;
 
 /* A process that ends has closed its listening socket within this time. */
 #define EB_MARKS_CHECK_AFTER_MS 20
@@ -45,8 +46,9 @@
 uint32_t eb_marks_checked(struct eb_marks *mk, int down, int64_t now_us);
 /* How many requests are marked, here or by other daemons. */
 uint32_t eb_marks_count(const struct eb_marks *mk);
-/* How many crashes the marked requests have had together. */
-uint32_t eb_marks_crashes(const struct eb_marks *mk);
+/* What has been counted so far. */
+void eb_marks_read_counters(const struct eb_marks *mk,
+			    struct eb_crash_counters *out);
 /* Grows with each mark made here; 0 while there was none. */
 uint32_t eb_marks_generation(const struct eb_marks *mk);
 /* All marks for another daemon, in parts; see eb_crash_encode(). */
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -594,8 +594,7 @@
 	zmq_connect(pr->socket, endpoint);
 	pr->dirty = 1;
 	pr->dialled_us = now_us;
-	eb_silence_forgive(&pr->silence);
-	pr->silence.heard_us = now_us;
+	eb_silence_heard(&pr->silence, now_us);
 }
 
 /* Starts over with a peer after a pause of this process. */
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -54,15 +54,13 @@
 {
 	struct eb_service_state *sv;
 	apr_hash_index_t *hi;
-	void *value;
 	uint32_t i;
 
 	if (!nd)
 		return;
 	for (hi = apr_hash_first(NULL, nd->services); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		sv = value;
+		sv = apr_hash_this_val(hi);
 		eb_route_free(sv->route);
 		eb_limit_free(sv->limit);
 		free(sv->name);
@@ -330,12 +328,10 @@
 	const struct eb_rule *rule;
 	struct eb_service_state *sv;
 	apr_hash_index_t *hi;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, nd->services); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		sv = value;
+		sv = apr_hash_this_val(hi);
 		sv->index = eb_config_find_service(nd->config, sv->name);
 		if (sv->index != EB_NONE) {
 			rule = eb_nodes_rule(nd, sv);
@@ -485,7 +481,6 @@
 {
 	int cut_off = is_cut_off(nd);
 	apr_hash_index_t *hi;
-	void *value;
 
 	if (cut_off == nd->cut_off) {
 		eb_nodes_changed(nd, id, now_us);
@@ -494,8 +489,7 @@
 	nd->cut_off = (uint8_t)cut_off;
 	for (hi = apr_hash_first(NULL, nd->services); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		refresh(nd, value, now_us);
+		refresh(nd, apr_hash_this_val(hi), now_us);
 	}
 }
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -189,14 +189,12 @@
 void eb_origin_free(struct eb_origin *og)
 {
 	apr_hash_index_t *hi;
-	void *value;
 
 	if (!og)
 		return;
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		free_call(og, value);
+		free_call(og, apr_hash_this_val(hi));
 	}
 	apr_pool_destroy(og->pool);
 	eb_chart_free(og->chart);
@@ -227,9 +225,6 @@
 	return id ? id : "-";
 }
 
-static const char *const distance_names[] = { "self", "domain", "region",
-					      "far" };
-
 /* One line for each way that an attempt ended without an answer. */
 static void log_attempt(const struct eb_origin *og, const struct call *ca,
 			int64_t now_us)
@@ -240,7 +235,7 @@
 		     "id=%s upstream=%s distance=%s attempt=%u outcome=%s "
 		     "reason=%s attempt_ms=%lld left_ms=%lld",
 		     request_id(og, ca->head), n ? n->name : "-",
-		     n ? distance_names[n->distance] : "-", ca->attempts,
+		     n ? eb_distance_name(n->distance) : "-", ca->attempts,
 		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
 		     (long long)(now_us - ca->attempt_us) / 1000,
 		     (long long)(ca->deadline_us - now_us) / 1000);
@@ -262,7 +257,7 @@
 		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
 		     "last_ms=%lld left_ms=%lld release=%llu",
 		     request_id(og, ca->head), ca->service->name,
-		     n ? n->name : "-", n ? distance_names[n->distance] : "-",
+		     n ? n->name : "-", n ? eb_distance_name(n->distance) : "-",
 		     ca->attempts, ca->runs, ca->status,
 		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
 		     (long long)(now_us - ca->started_us) / 1000,
@@ -1174,12 +1169,10 @@
 {
 	apr_hash_index_t *hi;
 	const struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, og->by_number); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (ca->node == node && eb_overdue(ca->attempt_us, now_us) &&
 		    eb_overdue_add(f, ca->number))
 			return;
@@ -1235,23 +1228,27 @@
 	step(og, ca, gate_event(f), f, now_us);
 }
 
+/* Ends an attempt of which nobody knows whether it ran; it may be retried. */
+static void lose_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	ca->outcome = EB_OUTCOME_UNKNOWN;
+	ca->reason = EB_REASON_LOST_PEER;
+	ca->status = 0;
+	step(og, ca, EVENT_LOST, NULL, now_us);
+}
+
 /* Ends the calls that a lost gate had; see the header. */
 void eb_origin_lost(struct eb_origin *og, uint32_t node, int64_t now_us)
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (!ca->at_gate || ca->node != node)
 			continue;
-		ca->outcome = EB_OUTCOME_UNKNOWN;
-		ca->reason = EB_REASON_LOST_PEER;
-		ca->status = 0;
-		step(og, ca, EVENT_LOST, NULL, now_us);
+		lose_attempt(og, ca, now_us);
 	}
 	eb_nodes_changed(og->config.nodes, node, now_us);
 }
@@ -1275,18 +1272,14 @@
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (!should_move(ca, node))
 			continue;
 		do_cancel(og, ca, NULL, now_us);
-		ca->reason = EB_REASON_LOST_PEER;
-		ca->status = 0;
-		step(og, ca, EVENT_LOST, NULL, now_us);
+		lose_attempt(og, ca, now_us);
 	}
 }
 
@@ -1295,14 +1288,12 @@
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
-	void *value;
 
 	if (!og->parked)
 		return;
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (ca->parked)
 			route(og, ca, now_us);
 	}
@@ -1330,12 +1321,10 @@
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
-	void *value;
 
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
-		apr_hash_this(hi, NULL, NULL, &value);
-		ca = value;
+		ca = apr_hash_this_val(hi);
 		if (ca->parked && !may_park(og, ca, now_us))
 			route(og, ca, now_us);
 		else if (ca->body_done &&
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -51,7 +51,8 @@
 		       : size * items;
 }
 
-static void start_fetch(struct fetch *ft, const char *path, long timeout_ms)
+static void start_fetch(struct fetch *ft, const char *path, long timeout_ms,
+			enum eb_metric kind)
 {
 	struct eb_source *pl = ft->platform;
 	char url[256];
@@ -63,6 +64,7 @@
 	ft->body.bytes = 0;
 	ft->busy = 1;
 	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_CALLS, 1);
+	eb_metrics_add(pl->config.metrics, kind, 1);
 	curl_multi_add_handle(pl->multi, ft->easy);
 }
 
@@ -75,14 +77,12 @@
 			 (unsigned long long)pl->seen_index,
 			 EB_PLATFORM_WAIT_MS);
 		start_fetch(&pl->notes, path,
-			    EB_PLATFORM_WAIT_MS + WATCH_SLACK_MS);
-		eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_WATCHES,
-			       1);
-	}
-	if (!pl->vms.busy && now_us >= pl->vms.due_us) {
-		start_fetch(&pl->vms, "/v1/vms", VMS_TIMEOUT_MS);
-		eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_READS, 1);
+			    EB_PLATFORM_WAIT_MS + WATCH_SLACK_MS,
+			    EB_METRIC_PLATFORM_WATCHES);
 	}
+	if (!pl->vms.busy && now_us >= pl->vms.due_us)
+		start_fetch(&pl->vms, "/v1/vms", VMS_TIMEOUT_MS,
+			    EB_METRIC_PLATFORM_READS);
 }
 
 /* Applies one entry of the log; a note that is not accepted is skipped. */
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -105,6 +105,15 @@
 	struct eb_route_stats stats;
 };
 
+/* Returns the name that logs and metrics use for a distance; see the header. */
+const char *eb_distance_name(unsigned distance)
+{
+	static const char *const names[TIERS] = { "self", "domain", "region",
+						  "far" };
+
+	return distance < TIERS ? names[distance] : "nowhere";
+}
+
 /* Creates a router without upstreams. Returns NULL without memory. */
 struct eb_route *eb_route_new(uint64_t seed)
 {
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -20,6 +20,9 @@
 	EB_DISTANCE_FAR,      /* in another region */
 };
 
+/* "nowhere" for a value past the last one. */
+const char *eb_distance_name(unsigned distance);
+
 /* An upstream as the router needs it; `id` is stable while it is known. */
 struct eb_route_upstream {
 	uint32_t id;
--- a/src/eb_tally.c
+++ b/src/eb_tally.c
@@ -28,10 +28,6 @@
 	uint32_t count; /* grows once a route can be read */
 };
 
-static const char *const distance_names[DISTANCES] = { "self", "domain",
-						       "region", "far",
-						       "nowhere" };
-
 /* From the limit on added latency to the longest deadline. */
 static const int64_t bounds_us[BUCKETS] = { 1000,   5000,    20000,
 					    50000,  100000,  200000,
@@ -139,7 +135,7 @@
 				continue;
 			print_name(out, "route_calls_total", rt);
 			fprintf(out, ",outcome=\"%s\",distance=\"%s\"} %llu\n",
-				eb_outcome_name(o), distance_names[d],
+				eb_outcome_name(o), eb_distance_name(d),
 				(unsigned long long)n);
 		}
 }
--- a/src/eb_tally.h
+++ b/src/eb_tally.h
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "eb_route.h"
+
 /*
  * Counts of calls by route: how they ended, why, how far they went and how
  * long they took, and what is left of the budgets for retries. One thread
@@ -26,7 +28,7 @@
 };
 
 /* The call was not sent anywhere. */
-#define EB_TALLY_NOWHERE 4
+#define EB_TALLY_NOWHERE (EB_DISTANCE_FAR + 1)
 
 struct eb_tally *eb_tally_new(void);
 void eb_tally_free(struct eb_tally *tl);
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -51,6 +51,15 @@
 		eb_metrics_free(mt);
 	}
 
+	/* A gate that knows nothing, for the next case of a table. */
+	void restart()
+	{
+		TearDown();
+		mt = eb_metrics_new();
+		tr = eb_tracer_new("test", 64);
+		SetUp();
+	}
+
 	void configure(const char *probe_path = nullptr,
 		       const char *service = "agenda")
 	{
@@ -238,10 +247,7 @@
 {
 	for (const scenario &sc : scenarios) {
 		SCOPED_TRACE(sc.guards);
-		TearDown();
-		mt = eb_metrics_new();
-		tr = eb_tracer_new("test", 64);
-		SetUp();
+		restart();
 		out.clear();
 		for (const std::string &event : sc.events)
 			run(event);
@@ -282,10 +288,7 @@
 {
 	for (const scenario &sc : probed) {
 		SCOPED_TRACE(sc.guards);
-		TearDown();
-		mt = eb_metrics_new();
-		tr = eb_tracer_new("test", 64);
-		SetUp();
+		restart();
 		configure("/health");
 		out.clear();
 		for (const std::string &event : sc.events)
@@ -316,10 +319,7 @@
 		eb_frame *f, *probe;
 
 		SCOPED_TRACE(std::string(c.own) + ", " + c.later);
-		TearDown();
-		mt = eb_metrics_new();
-		tr = eb_tracer_new("test", 64);
-		SetUp();
+		restart();
 		configure("/health");
 		eb_gate_set_service(gt, c.own);
 		f = make("head", 1);
