claims: the answer of a run waits until its holders have the result

The origin passed the answer on and reported the result to the holders in the same turn; killed right after the caller had its answer, it took the report along in ZeroMQ's buffers. The holders knew only the grant, so a resend was refused with an unknown result after 30 s. Change: the claimant releases the answer (EB_CLAIMANT_DELIVER) when a majority of the holders has acknowledged the result, after 200 ms at most, and the origin holds the last frame meanwhile (state recording). Calls that joined wait as well. The test nets keep the new action apart, so their expectations are as before.

--- a/src/eb_claimant.c
+++ b/src/eb_claimant.c
@@ -27,12 +27,13 @@
 	NOT_RUN,
 	DUE,
 	MOVED,
+	RECORDED,
 	SETTLED,
 };
 static const char *const event_names[] = {
 	"majority", "stored",	 "mismatch", "full",	"outranked",
 	"expired",  "cancelled", "ended",    "not_run", "due",
-	"moved",    "settled",	 NULL,
+	"moved",    "recorded",	 "settled",  NULL,
 };
 
 enum action {
@@ -47,15 +48,16 @@
 	ASK,
 	ASK_AGAIN,
 	RECORD,
+	DELIVER,
 	SEND_RECORD,
 	SEND_RELEASE,
 };
 static const char *const action_names[] = {
-	"nothing",	   "run",	  "answer",
-	"refuse_mismatch", "refuse_full", "refuse_expired",
-	"refuse_not_run",  "release",	  "ask",
-	"ask_again",	   "record",	  "send_record",
-	"send_release",	   NULL,
+	"nothing",	   "run",	   "answer",
+	"refuse_mismatch", "refuse_full",  "refuse_expired",
+	"refuse_not_run",  "release",	   "ask",
+	"ask_again",	   "record",	   "deliver",
+	"send_record",	   "send_release", NULL,
 };
 
 /* The last answer of a holder to the current try. */
@@ -84,11 +86,13 @@
 	uint64_t calls[EB_CLAIMANT_JOINED_MAX]; /* to be answered */
 	uint32_t call_count;
 	uint32_t backoffs;
-	uint32_t notify_rounds;		   /* messages about the end */
-	uint8_t saw_other;		   /* a holder named another claim */
-	uint8_t result;			   /* enum eb_claim_state, of the run */
+	uint32_t notify_rounds; /* messages about the end */
+	uint8_t saw_other;	/* a holder named another claim */
+	uint8_t result;		/* enum eb_claim_state, of the run */
+	uint8_t delivered;	/* the answer of the run was released */
 	struct eb_claim_response response; /* owned */
 	int64_t started_us;
+	int64_t ended_us; /* of the run */
 	int64_t try_start_us;
 	int64_t deadline_us;
 	int64_t next_us; /* of the next event DUE */
@@ -291,6 +295,20 @@
 	c->call_count = 0;
 }
 
+/* Removes a call that waits for a claim. */
+static void remove_call(struct claim *c, uint64_t call)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->call_count && c->calls[i] != call;)
+		i++;
+	if (i == c->call_count)
+		return;
+	c->call_count--;
+	memmove(&c->calls[i], &c->calls[i + 1],
+		(c->call_count - i) * sizeof(c->calls[0]));
+}
+
 /* Answers all calls of a claim except one that runs. */
 static void answer_all(struct eb_claimant *cl, struct claim *c)
 {
@@ -439,6 +457,24 @@
 	cl->counters.won++;
 }
 
+/*
+ * Releases the answer of the run, and answers the calls that waited for it. A
+ * caller that sends the request again later gets the same answer.
+ */
+static void deliver(struct eb_claimant *cl, struct claim *c)
+{
+	struct eb_claimant_action *a;
+
+	if (c->delivered)
+		return;
+	c->delivered = 1;
+	a = new_action(cl);
+	a->kind = EB_CLAIMANT_DELIVER;
+	a->call = c->running_call;
+	a->outcome = EB_OUTCOME_RAN;
+	answer_all(cl, c);
+}
+
 /* Carries out an action of the state chart. */
 static void act(struct eb_claimant *cl, struct claim *c, uint32_t action,
 		int64_t now_us)
@@ -481,10 +517,15 @@
 		ask_again(cl, c, now_us);
 		break;
 	case RECORD:
-		answer_all(cl, c);
+		/* The running call gets its own answer. */
+		c->ended_us = now_us;
+		remove_call(c, c->running_call);
 		clear_votes(c);
 		notify_holders(cl, c, EB_CLAIM_COMPLETE, now_us);
 		break;
+	case DELIVER:
+		deliver(cl, c);
+		break;
 	case SEND_RECORD:
 		notify_holders(cl, c, EB_CLAIM_COMPLETE, now_us);
 		break;
@@ -658,15 +699,17 @@
 static void on_ack(struct eb_claimant *cl, struct claim *c, uint32_t i,
 		   int64_t now_us)
 {
-	uint32_t k;
+	uint32_t k, acks = 0;
 
 	if (c->state != RECORDING && c->state != RELEASING)
 		return;
 	c->votes[i].acked = 1;
 	for (k = 0; k < c->set.count; k++)
-		if (!c->votes[k].acked)
-			return;
-	step(cl, c, SETTLED, now_us);
+		acks += c->votes[k].acked;
+	if (acks >= c->set.majority)
+		step(cl, c, RECORDED, now_us);
+	if (acks == c->set.count)
+		step(cl, c, SETTLED, now_us);
 }
 
 /*
@@ -704,7 +747,7 @@
 	if (!eb_claim_key_equal(c->digest, rq->digest))
 		refuse(cl, rq->call, EB_CLAIMANT_REFUSAL_MISMATCH,
 		       EB_OUTCOME_NOT_RUN);
-	else if (c->state == RECORDING)
+	else if (c->state == RECORDING && c->delivered)
 		answer(cl, rq->call, c);
 	else if (c->call_count == EB_CLAIMANT_JOINED_MAX)
 		refuse(cl, rq->call, EB_CLAIMANT_REFUSAL_BUSY,
@@ -790,7 +833,9 @@
 /*
  * Reports the end of a run: EB_CLAIM_DONE with the response, EB_CLAIM_LARGE
  * when it is too large to store, or EB_CLAIM_LOST when it may have run but
- * the result is unknown. The calls that wait for the result are answered.
+ * the result is unknown. EB_CLAIMANT_DELIVER follows when a majority of the
+ * holders has the result, or after EB_CLAIMANT_RECORD_WAIT_MS; the other calls
+ * that wait for the result are answered then too.
  */
 void eb_claimant_ended(struct eb_claimant *cl, uint64_t call,
 		       enum eb_claim_state state,
@@ -821,17 +866,10 @@
 void eb_claimant_cancel(struct eb_claimant *cl, uint64_t call, int64_t now_us)
 {
 	struct claim *c = find_call(cl, call);
-	uint32_t i;
 
 	if (!c)
 		return;
-	for (i = 0; i < c->call_count; i++)
-		if (c->calls[i] == call) {
-			c->call_count--;
-			memmove(&c->calls[i], &c->calls[i + 1],
-				(c->call_count - i) * sizeof(c->calls[0]));
-			break;
-		}
+	remove_call(c, call);
 	if (!c->call_count)
 		step(cl, c, CANCELLED, now_us);
 }
@@ -864,6 +902,9 @@
 		step(cl, c, EXPIRED, now_us);
 		return;
 	}
+	if (c->state == RECORDING &&
+	    now_us - c->ended_us >= EB_CLAIMANT_RECORD_WAIT_MS * US_PER_MS)
+		step(cl, c, RECORDED, now_us);
 	if (now_us < c->next_us)
 		return;
 	if (c->state >= RECORDING &&
--- a/src/eb_claimant.h
+++ b/src/eb_claimant.h
@@ -33,6 +33,12 @@
  * its holders no longer have.
  */
 #define EB_CLAIMANT_RUN_WINDOW_MS 10000
+/*
+ * The answer of a run waits at most this long until a majority of the holders
+ * has the result. A daemon that dies later than that loses no result, unless
+ * its holders were out of reach.
+ */
+#define EB_CLAIMANT_RECORD_WAIT_MS 200
 /* Rounds of messages about the end of a claim that are not acknowledged. */
 #define EB_CLAIMANT_NOTIFY_ROUNDS_MAX 30
 
@@ -40,6 +46,7 @@
 	EB_CLAIMANT_RUN = 1,	   /* run this call now */
 	EB_CLAIMANT_ANSWER_STORED, /* answer with the response of the run */
 	EB_CLAIMANT_REFUSE,	   /* answer with refusal and outcome */
+	EB_CLAIMANT_DELIVER,	   /* pass on the answer of this call's run */
 };
 
 /* Why a call with a key was refused, and the HTTP status proposed for it. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -27,7 +27,15 @@
  * States and events in the order of their names, which are those of
  * charts/origin.chart.
  */
-enum state { CLAIMING, ROUTING, WAITING, SENDING, ANSWERING, DONE };
+enum state {
+	CLAIMING,
+	ROUTING,
+	WAITING,
+	SENDING,
+	ANSWERING,
+	RECORDING,
+	DONE,
+};
 
 enum event {
 	EVENT_GRANTED,
@@ -45,21 +53,25 @@
 	EVENT_ANSWER_HEAD,
 	EVENT_ANSWER_DATA,
 	EVENT_ANSWER_LAST,
+	EVENT_ANSWER_CLAIMED,
+	EVENT_RECORDED,
 };
 
 static const char *const state_names[] = { "claiming", "routing",   "waiting",
-					   "sending",  "answering", "done",
-					   NULL };
+					   "sending",  "answering", "recording",
+					   "done",     NULL };
 static const char *const event_names[] = {
 	"granted",     "stored",      "sent",	     "parked",
 	"exhausted",   "gone",	      "expire",	     "body",
 	"credit",      "refuse",      "failed",	     "lost",
-	"answer_head", "answer_data", "answer_last", NULL
+	"answer_head", "answer_data", "answer_last", "answer_claimed",
+	"recorded",    NULL
 };
 static const char *const action_names[] = {
 	"none",		 "drop",	"route",    "retry",   "answer_failure",
 	"answer_stored", "leave_claim", "to_front", "to_gate", "answer",
-	"finish",	 "cancel",	"give_up",  "cut",     NULL
+	"finish",	 "cancel",	"give_up",  "cut",     "record",
+	"deliver",	 NULL
 };
 
 /* The HTTP status of a call that failed, by reason. */
@@ -87,6 +99,8 @@
 	uint64_t front_id;
 	uint64_t number; /* of the current attempt, unique here; 0: none */
 	struct eb_frame *head;
+	/* The last frame of the answer while its claim's end is recorded. */
+	struct eb_frame *last;
 	struct eb_service_state *service;
 	uint32_t node;
 	uint32_t tried[EB_TRIED_MAX];
@@ -186,6 +200,7 @@
 		og->parked--;
 	eb_limit_done(ca->service->limit, ca->head->head->caller);
 	eb_frame_unref(ca->head);
+	eb_frame_unref(ca->last);
 	free(ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
 }
@@ -757,9 +772,8 @@
 	to_front(og, ca, f);
 }
 
-/* Passes on the last frame of the answer. */
-static void do_finish(struct eb_origin *og, struct call *ca, struct eb_frame *f,
-		      int64_t now_us)
+/* Stores the result in the last frame of the answer; the call has run. */
+static void save_result(struct call *ca, const struct eb_frame *f)
 {
 	uint16_t status = ca->status;
 
@@ -768,12 +782,43 @@
 		ca->status = status;
 	if (ca->status < 500)
 		eb_retry_success(&ca->service->retry);
-	settle_claim(og, ca, f, now_us);
+}
+
+/* Passes on the last frame of the answer. */
+static void do_finish(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	save_result(ca, f);
 	eb_metrics_observe(og->config.metrics, EB_HISTOGRAM_CALL_US,
 			   now_us - ca->started_us);
 	to_front(og, ca, f);
 }
 
+/*
+ * Holds the last frame of a claimed call's answer until the holders of its key
+ * have the result. Otherwise a caller with an answer could send the request
+ * again after a crash of this daemon, and nobody would know the result.
+ */
+static void do_record(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	save_result(ca, f);
+	end_attempt(og, ca, now_us);
+	ca->last = f;
+	settle_claim(og, ca, f, now_us);
+}
+
+/* Passes on the last frame of a claimed call's answer. */
+static void do_deliver(struct eb_origin *og, struct call *ca,
+		       struct eb_frame *f, int64_t now_us)
+{
+	eb_frame_unref(f);
+	eb_metrics_observe(og->config.metrics, EB_HISTOGRAM_CALL_US,
+			   now_us - ca->started_us);
+	to_front(og, ca, ca->last);
+	ca->last = NULL;
+}
+
 /* Cancels the current attempt at its gate. */
 static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		      int64_t now_us)
@@ -821,7 +866,7 @@
 	do_none,	   do_drop,	     do_route,	     do_retry,
 	do_answer_failure, do_answer_stored, do_leave_claim, do_to_front,
 	do_to_gate,	   do_answer,	     do_finish,	     do_cancel,
-	do_give_up,	   do_cut,
+	do_give_up,	   do_cut,	     do_record,	     do_deliver,
 };
 
 /* Tells whether an action calls step(), which may free the call. */
@@ -1145,7 +1190,8 @@
 
 /*
  * Carries out the claimant's decision on a call: run it, answer with a stored
- * response, or refuse it. A grant for a call that has ended is given back.
+ * response, refuse it, or pass on the answer of its run. A grant for a call
+ * that has ended is given back.
  */
 void eb_origin_claim_action(struct eb_origin *og,
 			    const struct eb_claimant_action *act,
@@ -1155,6 +1201,11 @@
 	struct call *ca;
 
 	ca = apr_hash_get(og->by_front, &act->call, sizeof(act->call));
+	if (act->kind == EB_CLAIMANT_DELIVER) {
+		if (ca)
+			step(og, ca, EVENT_RECORDED, NULL, now_us);
+		return;
+	}
 	if (!ca || ca->state != CLAIMING) {
 		if (act->kind == EB_CLAIMANT_RUN)
 			eb_claimant_not_run(og->config.claims, act->call,
@@ -1180,15 +1231,16 @@
 
 /* ---- Frames of gates ---- */
 
-static enum event gate_event(const struct eb_frame *f)
+static enum event gate_event(const struct call *ca, const struct eb_frame *f)
 {
 	switch (f->type) {
 	case EB_FRAME_CREDIT:
 		return EVENT_CREDIT;
 	case EB_FRAME_RHEAD:
 	case EB_FRAME_REND:
-		return eb_frame_ends_answer(f) ? EVENT_ANSWER_LAST
-					       : EVENT_ANSWER_HEAD;
+		if (!eb_frame_ends_answer(f))
+			return EVENT_ANSWER_HEAD;
+		return ca->claimed ? EVENT_ANSWER_CLAIMED : EVENT_ANSWER_LAST;
 	case EB_FRAME_RDATA:
 		return EVENT_ANSWER_DATA;
 	case EB_FRAME_REFUSE:
@@ -1290,7 +1342,7 @@
 	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
 	    f->type == EB_FRAME_ABORT)
 		f->type = EB_FRAME_REND;
-	step(og, ca, gate_event(f), f, now_us);
+	step(og, ca, gate_event(ca, f), f, now_us);
 }
 
 /*
--- a/tests/claim_world.h
+++ b/tests/claim_world.h
@@ -314,6 +314,9 @@
 		     1000 + eb_rand_below(&rand, 100000));
 		return;
 	}
+	/* The answer counts from the end of the run: see finish(). */
+	if (a.kind == EB_CLAIMANT_DELIVER)
+		return;
 	cr.finals++;
 	cr.outcome = a.outcome;
 	cr.refusal = a.refusal;
--- a/tests/test_eb_claim_holder.cc
+++ b/tests/test_eb_claim_holder.cc
@@ -24,6 +24,7 @@
 	std::map<std::string, eb_claimant *> origins;
 	std::deque<queued_message> messages;
 	std::map<std::string, std::vector<eb_claimant_action>> actions;
+	std::vector<uint64_t> delivered; /* calls whose answer was released */
 	int64_t now_us = 0;
 
 	explicit claim_net(bool ignore_generations = false)
@@ -92,7 +93,10 @@
 			while (eb_claimant_next_send(o.second, &sd))
 				collect(o.first, sd);
 			while (eb_claimant_next(o.second, &a))
-				actions[o.first].push_back(a);
+				if (a.kind == EB_CLAIMANT_DELIVER)
+					delivered.push_back(a.call);
+				else
+					actions[o.first].push_back(a);
 		}
 	}
 	void deliver(const queued_message &l)
@@ -179,8 +183,9 @@
 				n += a.kind == EB_CLAIMANT_RUN;
 		return n;
 	}
-	void end(const std::string &origin, uint64_t call, eb_claim_state st,
-		 const std::string &body)
+	/* Ends a run; the messages about it stay queued. */
+	void end_unreported(const std::string &origin, uint64_t call,
+			    eb_claim_state st, const std::string &body)
 	{
 		eb_claim_response rs{};
 
@@ -188,6 +193,12 @@
 		rs.body = (const uint8_t *)body.data();
 		rs.body_bytes = body.size();
 		eb_claimant_ended(origins[origin], call, st, &rs, now_us);
+		gather();
+	}
+	void end(const std::string &origin, uint64_t call, eb_claim_state st,
+		 const std::string &body)
+	{
+		end_unreported(origin, call, st, body);
 		deliver_all();
 	}
 };
@@ -260,6 +271,52 @@
 	EXPECT_EQ(2u, net.actions["A"][2].call);
 }
 
+/*
+ * Guards against an answer that only the origin knows: if the origin died right
+ * after it, a resend would be refused with an unknown result.
+ */
+TEST(Claim, TheAnswerWaitsUntilAMajorityHasTheResult)
+{
+	struct {
+		const char *name;
+		int holders; /* that the result reaches */
+		int64_t waited_us;
+		size_t delivered;
+	} cases[] = {
+		{ "no holder", 0, 0, 0 },
+		{ "a minority", 1, 0, 0 },
+		{ "a majority", 2, 0, 1 },
+		{ "all", 3, 0, 1 },
+		{ "none in time", 0, EB_CLAIMANT_RECORD_WAIT_MS * 1000, 1 },
+	};
+
+	for (auto &c : cases) {
+		claim_net net;
+		std::set<std::string> reached;
+
+		net.ask("A", 1, "x");
+		net.deliver_all();
+		ASSERT_EQ(1, net.runs()) << c.name;
+		net.end_unreported("A", 1, EB_CLAIM_DONE, "r");
+		/* A call of the same key that arrives meanwhile waits too. */
+		net.ask("A", 2, "x");
+		net.deliver_if([&](const queued_message &l) {
+			if (l.type == EB_CLAIM_COMPLETE &&
+			    (int)reached.size() < c.holders)
+				reached.insert(l.to);
+			return reached.count(l.to) || reached.count(l.from);
+		});
+		net.tick(c.waited_us);
+		EXPECT_EQ(c.delivered, net.delivered.size()) << c.name;
+		EXPECT_EQ(1 + c.delivered, net.actions["A"].size()) << c.name;
+		net.deliver_all();
+		net.tick(EB_CLAIMANT_RECORD_WAIT_MS * 1000);
+		EXPECT_EQ(1u, net.delivered.size()) << c.name;
+		EXPECT_EQ(EB_CLAIMANT_ANSWER_STORED,
+			  net.actions["A"].back().kind);
+	}
+}
+
 /*
  * Guards against the outcome not-run, when the wait ends, for a key that
  * another origin may be running.
