client: bound the bytes of an answer that are no content

Change: bodies come undecoded from libcurl; eb_dechunk (http_parser) decodes them and refuses more framing than 16 KiB and 16 bytes for each byte of content. Heads count together with 1xx answers. Only content counts as progress. The origin cuts an answer at the call's deadline when its length is unknown or the caller or the path set the deadline. eb_fetch bounds the answers to the daemon's own calls (store, load probe, list of VMs, admin) in place of three copies of a write callback.

--- a/src/eb_charts_data.c
+++ b/src/eb_charts_data.c
@@ -140,7 +140,7 @@
 	  "answering  refuse       -> done       cut\n"
 	  "answering  lost         -> done       cut\n"
 	  "answering  gone         -> done       cancel\n"
-	  "answering  expire       -> answering  none\n"
+	  "answering  expire       -> done       cut_late\n"
 	  "\n"
 	  "# The answer is complete; the holders of its key do not have the result yet.\n"
 	  "recording  recorded     -> done       deliver\n"
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -15,8 +15,10 @@
 #include <sys/socket.h>
 
 #include "eb_clock.h"
-#include "eb_http.h"
 #include "eb_crash_detect.h"
+#include "eb_dechunk.h"
+#include "eb_fetch.h"
+#include "eb_http.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
 
@@ -30,6 +32,7 @@
 #define UNACKNOWLEDGED_MAX_MS 5000
 /* A probe that takes longer does not measure the present pace. */
 #define PROBE_TIMEOUT_MS 300
+#define PROBE_BODY_MAX_BYTES 65536
 /* A running upstream accepts a connection from its own VM within this. */
 #define CHECK_TIMEOUT_MS 300
 
@@ -66,11 +69,14 @@
 	uint8_t body_kind;
 	uint8_t refused_by_upstream;
 	uint8_t mismatched; /* the answer belongs to another request */
+	uint8_t chunked;    /* the body is decoded by `chunks` */
 	uint16_t status;
 	uint16_t pace_percent;
 	uint64_t body_bytes;
 	uint64_t received_bytes; /* of the answer's body */
 	uint64_t credit_bytes;
+	uint32_t head_bytes; /* of all heads, those of 1xx answers included */
+	struct eb_dechunk chunks;
 	struct eb_headers answer;
 	uint8_t *inline_body;
 	int64_t progress_us;
@@ -83,6 +89,7 @@
 	apr_thread_t *thread;
 	apr_hash_t *transfers;
 	CURL *probe; /* load probe: reads the upstream's pace */
+	struct eb_fetch probe_answer;
 	uint16_t probe_pace;
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probe_running;
@@ -93,6 +100,7 @@
 	int64_t transfers_checked_us;
 	/* Bit set of descriptors opened by curl; some are closed by now. */
 	uint8_t sockets[SOCKETS_MAX / 8];
+	uint8_t content[CURL_MAX_WRITE_SIZE]; /* a decoded part of a body */
 };
 
 /* Sends a frame of a transfer to the core and takes ownership of it. */
@@ -216,11 +224,11 @@
 {
 	const char *te = eb_headers_find(&tf->answer, "Transfer-Encoding");
 	const char *cl = eb_headers_find(&tf->answer, "Content-Length");
-	int chunked = te && !strcasecmp(te, "chunked");
 	int no_body = !strcmp(tf->head->head->method, "HEAD") ||
 		      tf->status == 204 || tf->status == 304;
 
 	tf->answer_head = 1;
+	tf->chunked = te && !strcasecmp(te, "chunked");
 	if (is_mismatched(tf)) {
 		tf->mismatched = 1;
 		tf->answer_invalid = 1;
@@ -230,8 +238,9 @@
 		tf->answer_invalid = 1;
 	if (no_body) {
 		tf->body_kind = EB_BODY_NONE;
-	} else if (chunked) {
+	} else if (tf->chunked) {
 		tf->body_kind = EB_BODY_CHUNKED;
+		eb_dechunk_init(&tf->chunks);
 	} else if (!cl) {
 		tf->body_kind = EB_BODY_CHUNKED;
 	} else if (tf->body_bytes <= EB_INLINE_BODY_BYTES) {
@@ -274,6 +283,9 @@
 	char line[EB_HEADERS_MAX_BYTES];
 
 	tf->progress_us = eb_clock_now_us();
+	tf->head_bytes += (uint32_t)n;
+	if (tf->head_bytes > EB_ANSWER_HEADS_MAX_BYTES)
+		return 0;
 	if (tf->answer_head)
 		return n; /* trailer fields are dropped */
 	while (len && (buf[len - 1] == '\r' || buf[len - 1] == '\n'))
@@ -300,30 +312,50 @@
 	return n;
 }
 
-/* Receives body bytes from curl; pauses the transfer without credit. */
+/* Sends a part of the answer's body to the core. */
+static void push_answer_part(struct transfer *tf, const void *part,
+			     size_t bytes)
+{
+	tf->credit_bytes -= bytes;
+	tf->received_bytes += bytes;
+	tf->progress_us = eb_clock_now_us();
+	push(tf->client, tf,
+	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, part,
+			       (uint32_t)bytes));
+}
+
+/*
+ * Receives body bytes from curl; pauses the transfer without credit. Only
+ * content counts as progress.
+ */
 static size_t read_answer_body(char *buf, size_t size, size_t items, void *data)
 {
 	struct transfer *tf = data;
-	size_t n = size * items;
+	uint8_t *content = tf->client->content;
+	size_t n = size * items, content_bytes;
 
-	tf->progress_us = eb_clock_now_us();
-	if (!tf->answer_head)
+	if (!tf->answer_head || n > sizeof(tf->client->content))
 		return 0;
 	if (tf->body_kind == EB_BODY_INLINE) {
 		if (tf->received_bytes + n > tf->body_bytes)
 			return 0;
 		memcpy(tf->inline_body + tf->received_bytes, buf, n);
 		tf->received_bytes += n;
+		tf->progress_us = eb_clock_now_us();
 		return n;
 	}
 	if (tf->credit_bytes < n) {
 		tf->receive_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	tf->credit_bytes -= n;
-	tf->received_bytes += n;
-	push(tf->client, tf,
-	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, buf, (uint32_t)n));
+	if (!tf->chunked) {
+		push_answer_part(tf, buf, n);
+		return n;
+	}
+	if (eb_dechunk_feed(&tf->chunks, buf, n, content, &content_bytes))
+		return 0;
+	if (content_bytes)
+		push_answer_part(tf, content, content_bytes);
 	return n;
 }
 
@@ -460,6 +492,7 @@
 	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, tf->client);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, before_send);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, tf);
+	curl_easy_setopt(e, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, read_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, tf);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, read_answer_body);
@@ -591,27 +624,18 @@
 	return 0;
 }
 
-static size_t read_probe_header(char *buf, size_t size, size_t items,
-				void *data)
+/* Reads the pace and the instance from a header line of a probe's answer. */
+static void read_probe_header(void *ctx, const char *line, size_t n)
 {
-	struct eb_client *cl = data;
+	struct eb_client *cl = ctx;
 	const struct eb_dialect *dl = cl->config.dialect;
 	char value[EB_NAME_SPACE_BYTES];
-	size_t n = size * items;
 
-	if (!header_value(buf, n, dl->load, value, sizeof(value)))
+	if (!header_value(line, n, dl->load, value, sizeof(value)))
 		cl->probe_pace = dl->read_pace(value);
 	else if (dl->instance &&
-		 !header_value(buf, n, dl->instance, value, sizeof(value)))
+		 !header_value(line, n, dl->instance, value, sizeof(value)))
 		memcpy(cl->probe_instance, value, sizeof(value));
-	return n;
-}
-
-static size_t discard_body(char *buf, size_t size, size_t items, void *data)
-{
-	(void)buf;
-	(void)data;
-	return size * items;
 }
 
 /*
@@ -645,9 +669,11 @@
 	snprintf(url, sizeof(url), "http://%.*s%s", (int)n, where,
 		 where + n + 1);
 	set_internal_options(cl, cl->probe, url, PROBE_TIMEOUT_MS);
-	curl_easy_setopt(cl->probe, CURLOPT_HEADERFUNCTION, read_probe_header);
-	curl_easy_setopt(cl->probe, CURLOPT_HEADERDATA, cl);
-	curl_easy_setopt(cl->probe, CURLOPT_WRITEFUNCTION, discard_body);
+	cl->probe_answer.body_max_bytes = PROBE_BODY_MAX_BYTES;
+	cl->probe_answer.on_header = read_probe_header;
+	cl->probe_answer.ctx = cl;
+	eb_fetch_reset(&cl->probe_answer);
+	eb_fetch_attach(&cl->probe_answer, cl->probe);
 	curl_easy_setopt(cl->probe, CURLOPT_PRIVATE, NULL);
 	cl->probe_pace = 0;
 	cl->probe_instance[0] = 0;
@@ -1029,5 +1055,6 @@
 		curl_easy_cleanup(cl->idle_handles[--cl->idle_handle_count]);
 	curl_multi_cleanup(cl->multi);
 	apr_pool_destroy(cl->pool);
+	free(cl->probe_answer.body.text);
 	free(cl);
 }
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -71,7 +71,7 @@
 	"none",		 "drop",	"route",    "retry",   "answer_failure",
 	"answer_stored", "leave_claim", "to_front", "to_gate", "answer",
 	"finish",	 "cancel",	"give_up",  "cut",     "record",
-	"deliver",	 NULL
+	"deliver",	 "cut_late",	NULL
 };
 
 /* The HTTP status of a call that failed, by reason. */
@@ -112,6 +112,7 @@
 	uint8_t body_done;
 	/* The deadline counts from the request, not from its body's end. */
 	uint8_t strict_deadline;
+	uint8_t unbounded; /* the answer has no known length */
 	uint8_t idempotent;
 	uint8_t parked;	     /* waits until a daemon of the service is up */
 	uint8_t at_gate;     /* the router counts an attempt in flight */
@@ -769,6 +770,7 @@
 {
 	(void)now_us;
 	save_reply(ca, f->reply);
+	ca->unbounded = f->reply->body_kind == EB_BODY_CHUNKED;
 	to_front(og, ca, f);
 }
 
@@ -850,6 +852,16 @@
 	do_answer_failure(og, ca, NULL, now_us);
 }
 
+/*
+ * Tells whether a call ends at its deadline. An answer of known length that has
+ * begun may take longer, if the deadline is only the default of its service.
+ */
+static int ends_at_deadline(const struct call *ca)
+{
+	return ca->body_done &&
+	       (ca->state != ANSWERING || ca->strict_deadline || ca->unbounded);
+}
+
 /* Aborts an answer whose head the caller already has. */
 static void do_cut(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		   int64_t now_us)
@@ -861,12 +873,22 @@
 	do_answer_failure(og, ca, NULL, now_us);
 }
 
+/* Aborts an answer that has not ended by the deadline. */
+static void do_cut_late(struct eb_origin *og, struct call *ca,
+			struct eb_frame *f, int64_t now_us)
+{
+	do_cancel(og, ca, f, now_us);
+	ca->reason = EB_REASON_DEADLINE;
+	do_cut(og, ca, NULL, now_us);
+}
+
 /* In the order of action_names. */
 static action_fn *const actions[] = {
 	do_none,	   do_drop,	     do_route,	     do_retry,
 	do_answer_failure, do_answer_stored, do_leave_claim, do_to_front,
 	do_to_gate,	   do_answer,	     do_finish,	     do_cancel,
 	do_give_up,	   do_cut,	     do_record,	     do_deliver,
+	do_cut_late,
 };
 
 /* Tells whether an action calls step(), which may free the call. */
@@ -1452,7 +1474,7 @@
 		ca = apr_hash_this_val(hi);
 		if (ca->parked && !may_park(og, ca, now_us))
 			route(og, ca, now_us);
-		else if (ca->body_done &&
+		else if (ends_at_deadline(ca) &&
 			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
 			step(og, ca, EVENT_EXPIRE, NULL, now_us);
 		else
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "eb_body.h"
+#include "eb_fetch.h"
 #include "eb_clock.h"
 #include "eb_core.h"
 #include "eb_release.h"
@@ -24,7 +24,7 @@
 struct fetch {
 	struct eb_source *platform;
 	CURL *easy;
-	struct eb_body body;
+	struct eb_fetch answer;
 	int busy;
 	int64_t due_us;
 };
@@ -42,16 +42,6 @@
 	apr_thread_t *thread;
 };
 
-/* Appends a part of the answer's body; curl's write callback. */
-static size_t collect(char *buf, size_t size, size_t items, void *data)
-{
-	struct fetch *ft = data;
-
-	return eb_body_append(&ft->body, buf, size * items, ANSWER_MAX_BYTES)
-		       ? 0
-		       : size * items;
-}
-
 /* Starts a GET request for `path` and counts it as `kind`. */
 static void start_fetch(struct fetch *ft, const char *path, long timeout_ms,
 			enum eb_metric kind)
@@ -63,7 +53,7 @@
 		 path);
 	curl_easy_setopt(ft->easy, CURLOPT_URL, url);
 	curl_easy_setopt(ft->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-	ft->body.bytes = 0;
+	eb_fetch_reset(&ft->answer);
 	ft->busy = 1;
 	eb_metrics_add(pl->config.metrics, EB_METRIC_PLATFORM_CALLS, 1);
 	eb_metrics_add(pl->config.metrics, kind, 1);
@@ -206,8 +196,9 @@
 	curl_multi_remove_handle(pl->multi, ft->easy);
 	ft->busy = 0;
 	if (!rc && status == 200)
-		root = json_loadb(ft->body.text ? ft->body.text : "",
-				  ft->body.bytes, JSON_REJECT_DUPLICATES, NULL);
+		root = json_loadb(
+			ft->answer.body.text ? ft->answer.body.text : "",
+			ft->answer.body.bytes, JSON_REJECT_DUPLICATES, NULL);
 	if (root)
 		bad = is_notes ? apply_notes(pl, root) : send_vms(pl, root);
 	json_decref(root);
@@ -252,8 +243,8 @@
 	ft->platform = pl;
 	ft->easy = curl_easy_init();
 	curl_easy_setopt(ft->easy, CURLOPT_PRIVATE, ft);
-	curl_easy_setopt(ft->easy, CURLOPT_WRITEFUNCTION, collect);
-	curl_easy_setopt(ft->easy, CURLOPT_WRITEDATA, ft);
+	ft->answer.body_max_bytes = ANSWER_MAX_BYTES;
+	eb_fetch_attach(&ft->answer, ft->easy);
 	curl_easy_setopt(ft->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(ft->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(ft->easy, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
@@ -264,7 +255,7 @@
 	if (ft->busy)
 		curl_multi_remove_handle(ft->platform->multi, ft->easy);
 	curl_easy_cleanup(ft->easy);
-	free(ft->body.text);
+	free(ft->answer.body.text);
 }
 
 /* Stops the thread, aborting calls in progress, and frees the source. */
--- a/src/eb_tool_admin.c
+++ b/src/eb_tool_admin.c
@@ -61,8 +61,8 @@
 
 	if (cl->status != 200)
 		return NULL;
-	js = json_loadb(cl->body.text ? cl->body.text : "", cl->body.bytes, 0,
-			NULL);
+	js = json_loadb(cl->answer.body.text ? cl->answer.body.text : "",
+			cl->answer.body.bytes, 0, NULL);
 	if (json_is_object(js))
 		return js;
 	json_decref(js);
@@ -151,7 +151,7 @@
 	if (!answered)
 		fprintf(stderr, "ebonypier: %s: %s\n", cl->address, cl->error);
 	else if (show)
-		fwrite(cl->body.text, 1, cl->body.bytes, stdout);
+		fwrite(cl->answer.body.text, 1, cl->answer.body.bytes, stdout);
 	else
 		printf("%s: draining\n", cl->address);
 	eb_tool_http_free(cl, 1);
--- a/src/eb_tool_http.c
+++ b/src/eb_tool_http.c
@@ -12,16 +12,6 @@
 #define CONNECTIONS_MAX 64L
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 
-/* Appends received bytes to the body; called by libcurl. */
-static size_t append_body(char *data, size_t size, size_t n, void *ctx)
-{
-	struct eb_tool_request *cl = ctx;
-
-	return eb_body_append(&cl->body, data, size * n, ANSWER_MAX_BYTES)
-		       ? 0
-		       : size * n;
-}
-
 /* Makes a transfer to one address; returns NULL without memory. */
 static CURL *make_request(struct eb_tool_request *cl, const char *method,
 			  const char *path)
@@ -40,8 +30,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_USERAGENT,
 			 "ebonypier/" EBONYPIER_VERSION);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, cl);
+	cl->answer.body_max_bytes = ANSWER_MAX_BYTES;
+	eb_fetch_attach(&cl->answer, easy);
 	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, cl->error);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, cl);
 	if (!strcmp(method, "POST")) {
@@ -137,6 +127,6 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		free(calls[i].body.text);
+		free(calls[i].answer.body.text);
 	free(calls);
 }
--- a/src/eb_tool_http.h
+++ b/src/eb_tool_http.h
@@ -3,12 +3,12 @@
 
 #include <stdint.h>
 
-#include "eb_body.h"
+#include "eb_fetch.h"
 
 /* One request to an admin port and its answer. */
 struct eb_tool_request {
 	const char *address; /* IP:port */
-	struct eb_body body;
+	struct eb_fetch answer;
 	int32_t status;	 /* HTTP status, or 0 without an answer */
 	char error[256]; /* reason of a failure */
 };
--- a/src/eb_tool_trace.c
+++ b/src/eb_tool_trace.c
@@ -60,8 +60,9 @@
  */
 static int add_spans(struct trace *tc, const struct eb_tool_request *cl)
 {
-	json_t *js = json_loadb(cl->body.text ? cl->body.text : "",
-				cl->body.bytes, 0, NULL);
+	json_t *js =
+		json_loadb(cl->answer.body.text ? cl->answer.body.text : "",
+			   cl->answer.body.bytes, 0, NULL);
 	const json_t *one;
 	struct span *sp;
 	size_t i;
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -17,6 +17,8 @@
 /* Largest sum of the header names and values of a request or answer. */
 #define EB_HEADERS_MAX_BYTES 16384
 #define EB_HEADERS_MAX_COUNT 100
+/* All header lines of one answer, those of the 1xx answers before it too. */
+#define EB_ANSWER_HEADS_MAX_BYTES 65536
 #define EB_TARGET_MAX_BYTES 8192
 #define EB_IDEMPOTENCY_KEY_MAX_BYTES 200
 /* Space for a name in a release note, with the terminating NUL. */
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -252,8 +252,17 @@
 	changed_.notify_all();
 }
 
+void SiteStore::set_endless(std::function<void(SiteConnection &)> run)
+{
+	std::lock_guard<std::mutex> hold(lock_);
+
+	endless_ = run;
+	changed_.notify_all();
+}
+
 void SiteStore::serve(SiteConnection &cn)
 {
+	std::function<void(SiteConnection &)> endless;
 	SiteRequest rq;
 	Mode mode;
 
@@ -262,9 +271,14 @@
 		{
 			std::lock_guard<std::mutex> hold(lock_);
 			mode = mode_;
+			endless = endless_;
 		}
 		if (mode == SILENT)
 			continue;
+		if (endless) {
+			endless(cn);
+			return;
+		}
 		if (mode == BUSY)
 			cn.write("HTTP/1.1 503 Busy\r\n"
 				 "Content-Length: 0\r\n\r\n");
--- a/tests/site.h
+++ b/tests/site.h
@@ -104,6 +104,8 @@
 	/* Watches that start at an older revision get 410 from now on. */
 	void forget_history();
 	void set_mode(Mode mode);
+	/* Handles each call by `run` instead of an answer; null: answers. */
+	void set_endless(std::function<void(SiteConnection &)> run);
 	/* Number of requests received, of all kinds. */
 	int calls() const
 	{
@@ -132,6 +134,7 @@
 	int64_t revision_ = 1;
 	int64_t history_from_ = 0;
 	Mode mode_ = ANSWERS;
+	std::function<void(SiteConnection &)> endless_;
 	std::atomic<int> calls_{ 0 };
 	std::unique_ptr<SiteServer> server_;
 };
