--- a/src/eb_adapter.h
+++ b/src/eb_adapter.h
@@ -39,13 +39,13 @@
 enum eb_source_mode {
 	EB_SOURCE_IDLE = 0,   /* no reads: peers send the changes */
 	EB_SOURCE_READ_STALE, /* cheap reads that may be slightly stale */
-	EB_SOURCE_READ,	      /* up-to-date reads */
 	EB_SOURCE_WATCH,      /* up-to-date reads, then long polls */
 };
 
 /* The result of one call to the source. */
 struct eb_source_report {
 	uint8_t failed;
+	uint8_t stale; /* the change may lack what is newer at the source */
 	struct eb_feed_change change;
 };
 
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -522,7 +522,7 @@
 	const struct eb_config *cf = eb_nodes_config(co->nodes);
 
 	if (co->feed_sync)
-		return cf->has_matches;
+		return cf->has_matches && eb_feed_sync_confirmed(co->feed_sync);
 	if (!cf->release || cf->index < co->peer_index)
 		return 0;
 	return co->peer_answered || cf->upstream_total < 2 ||
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -45,6 +45,7 @@
 	int64_t requested_us;	   /* last request to any member */
 	int64_t shortage_since_us; /* too few fresh readers since; 0: enough */
 	uint8_t last_failed;
+	uint8_t confirmed;   /* see eb_feed_sync_confirmed() */
 	uint8_t first_start; /* of the whole fleet */
 	enum eb_source_mode mode;
 };
@@ -65,6 +66,7 @@
 	sp->out = *out;
 	sp->own_order = own_order;
 	sp->first_start = first_start != 0;
+	sp->confirmed = first_start != 0;
 	sp->start_us = now_us;
 	sp->feed = eb_feed_new();
 	if (!sp->feed) {
@@ -320,6 +322,7 @@
 	else
 		ch.hold_ms = eb_feed_hold_ms(sp->feed, now_us);
 	sp->failing_since_us = 0;
+	sp->confirmed |= !rp->stale;
 	if (eb_feed_apply(sp->feed, &ch, now_us, &changed))
 		return;
 	if (changed)
@@ -483,7 +486,8 @@
  * Tells whether this daemon started recently and does not rely on the readers
  * yet. On the first start of the fleet every daemon reads for
  * EB_FEED_SYNC_START_MS while the items are published. Later a daemon reads on
- * its own only until it knows other daemons.
+ * its own only until it knows other daemons. These reads are cheap and may be
+ * stale.
  */
 static int is_starting(const struct eb_feed_sync *sp, int64_t now_us)
 {
@@ -492,6 +496,55 @@
 	return sp->first_start || !sp->count;
 }
 
+/*
+ * Tells whether a member shows that this copy is not stale: it is no newer, and
+ * it has read the source recently. While the source does not answer, any member
+ * will do: no daemon can know more.
+ */
+static int is_confirmed_by(const struct eb_feed_sync *sp,
+			   const struct member *mb, int64_t now_us)
+{
+	if (!mb->heard_us || mb->revision > eb_feed_revision(sp->feed))
+		return 0;
+	return sp->last_failed ||
+	       (mb->read_us &&
+		now_us - mb->read_us < EB_FEED_SYNC_FRESH_MS * 1000LL);
+}
+
+/*
+ * Checks whether the copy of a daemon that has started is as new as those of
+ * the others. It is taken as it is EB_FEED_SYNC_START_MS after the start, so
+ * that a daemon that reaches nobody still serves.
+ */
+static void check_confirmed(struct eb_feed_sync *sp, int64_t now_us)
+{
+	uint32_t i;
+
+	if (sp->confirmed || !eb_feed_revision(sp->feed))
+		return;
+	for (i = 0; i < sp->count && !sp->confirmed; i++)
+		sp->confirmed =
+			(uint8_t)is_confirmed_by(sp, &sp->members[i], now_us);
+	if (now_us - sp->start_us >= EB_FEED_SYNC_START_MS * 1000LL)
+		sp->confirmed = 1;
+}
+
+/*
+ * Tells whether this copy may be served: after a start, a read that may be
+ * stale is not enough, since an upstream or a route in it may be gone.
+ */
+int eb_feed_sync_confirmed(const struct eb_feed_sync *sp)
+{
+	return sp->confirmed;
+}
+
+/* Tells whether to ask the source because no other daemon has confirmed. */
+static int must_confirm(const struct eb_feed_sync *sp, int64_t now_us)
+{
+	return !sp->confirmed &&
+	       now_us - sp->start_us >= EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+}
+
 /* Chooses how to use the source and ends the hold of removed items. */
 void eb_feed_sync_tick(struct eb_feed_sync *sp, int64_t now_us)
 {
@@ -499,8 +552,11 @@
 
 	if (eb_feed_end_hold(sp->feed, now_us))
 		sp->out.changed(sp->out.ctx);
-	if (is_starting(sp, now_us))
-		mode = sp->first_start ? EB_SOURCE_READ_STALE : EB_SOURCE_READ;
+	check_confirmed(sp, now_us);
+	if (must_confirm(sp, now_us))
+		mode = EB_SOURCE_WATCH;
+	else if (is_starting(sp, now_us))
+		mode = EB_SOURCE_READ_STALE;
 	else if (should_read(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	sp->mode = mode;
--- a/src/eb_feed_sync.h
+++ b/src/eb_feed_sync.h
@@ -52,6 +52,7 @@
 				    uint8_t **reply, uint32_t *reply_bytes);
 uint32_t eb_feed_sync_read_age_ms(const struct eb_feed_sync *sp,
 				  int64_t now_us);
+int eb_feed_sync_confirmed(const struct eb_feed_sync *sp);
 int eb_feed_sync_is_reader(const struct eb_feed_sync *sp, uint32_t node);
 void eb_feed_sync_tick(struct eb_feed_sync *sp, int64_t now_us);
 
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -130,6 +130,11 @@
 #define EB_FEED_SYNC_READERS 2
 /* A starting daemon reads on its own for this long: it knows no others yet. */
 #define EB_FEED_SYNC_START_MS 3000
+/*
+ * A daemon that has started asks the source itself when no other daemon has
+ * confirmed its copy within this time.
+ */
+#define EB_FEED_SYNC_CONFIRM_MS 600
 /* A reader without a message for this long counts as unresponsive. */
 #define EB_FEED_SYNC_UNRESPONSIVE_MS 1300
 /* Largest age of a reader's last read: a watch, its timeout, a heartbeat. */
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -36,6 +36,7 @@
 	int64_t next_call = 0;
 	uint64_t newest = 0; /* newest revision it ever had */
 	bool went_back = false;
+	bool knows_members = true;
 };
 
 /* Daemons, their links and a source, on a virtual clock. */
@@ -79,6 +80,19 @@
 			out.push_back(pair.second);
 		return out;
 	}
+	/* Replaces the process of a daemon; it knows nobody at first. */
+	void restart(daemon &dm)
+	{
+		eb_feed_sync_callbacks out = { send, changed, want, &dm };
+
+		eb_feed_sync_free(dm.sp);
+		dm.sp = eb_feed_sync_new(&out, order(dm.id), 0, now);
+		dm.up = true;
+		dm.knows_members = false;
+		dm.call_at = -1;
+		dm.next_call = now;
+		dm.newest = 0;
+	}
 	void publish()
 	{
 		revision++;
@@ -114,6 +128,8 @@
 	int64_t now = 1000 * 1000 * MS;
 	uint64_t revision = 5;
 	int calls = 0;
+	int full_calls = 0;	/* calls that are not cheap reads */
+	uint64_t stale_lag = 0; /* of cheap reads, in revisions */
 	bool down = false;
 
 private:
@@ -164,11 +180,18 @@
 
 		dm->went_back |= revision_of(*dm) < dm->newest;
 		dm->newest = revision_of(*dm);
+		/* The items list the other daemons. */
+		if (!dm->knows_members)
+			dm->fleet->set_members(*dm);
+		dm->knows_members = true;
 	}
 	static void want(void *ctx, eb_source_mode mode, uint64_t)
 	{
 		daemon *dm = static_cast<daemon *>(ctx);
 
+		/* Another mode calls at once, as the store's client does. */
+		if (mode != dm->mode && !dm->fleet->down)
+			dm->next_call = dm->fleet->now;
 		dm->mode = mode;
 		if (mode == EB_SOURCE_IDLE)
 			dm->call_at = -1;
@@ -176,15 +199,18 @@
 	void report(daemon &dm, bool failed)
 	{
 		eb_source_report rp = {};
-		std::string value = std::to_string(revision);
+		bool stale = dm.mode == EB_SOURCE_READ_STALE;
+		uint64_t read = revision - (stale ? stale_lag : 0);
+		std::string value = std::to_string(read);
 
 		dm.call_at = -1;
+		rp.stale = stale;
 		rp.failed = failed;
 		if (!failed) {
 			rp.change.full = 1;
-			rp.change.revision = revision;
+			rp.change.revision = read;
 			eb_feed_change_add(&rp.change, "state", value.data(),
-					   (uint32_t)value.size(), revision, 0);
+					   (uint32_t)value.size(), read, 0);
 		}
 		dm.next_call = now + (failed ? 200 : 1) * MS;
 		eb_feed_sync_report(dm.sp, &rp, now);
@@ -200,6 +226,7 @@
 			dm.call_at = now;
 			dm.reading_from = revision_of(dm);
 			calls++;
+			full_calls += dm.mode != EB_SOURCE_READ_STALE;
 		}
 		if (down || dm.cut_off) {
 			if (now - dm.call_at >= CALL_TIMEOUT_US)
@@ -356,6 +383,56 @@
 	EXPECT_LT(fl.time_to_all(10 * BOUND_US), BOUND_US);
 }
 
+/*
+ * Guards against a full-price read by each daemon that starts (a rolling
+ * restart of hundreds cost over a thousand), and against a daemon that serves
+ * what a stale read gave: an upstream that left, or an older state. Besides,
+ * a daemon that reaches nobody must serve in the end.
+ */
+TEST(Spread, AStartingDaemonReadsCheaplyAndServesNothingStale)
+{
+	const struct {
+		const char *name;
+		uint64_t stale_lag;
+		bool alone, down;
+		int full_calls_max; /* beyond those of the two readers */
+		int64_t ready_ms_max;
+	} cases[] = {
+		{ "a current copy", 0, false, false, 0, 1100 },
+		{ "a stale copy", 3, false, false, 0, 2100 },
+		{ "no peer answers", 3, true, false, 8,
+		  EB_FEED_SYNC_CONFIRM_MS + 100 },
+		{ "the source is down", 3, false, true, 100, 4200 },
+	};
+
+	for (const auto &c : cases) {
+		Fleet fl(18);
+		daemon &dm = *fl.by_order().back();
+		int64_t from;
+		int before;
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+		for (int i = 0; i < 5; i++)
+			fl.publish();
+		fl.run(1000 * MS);
+		fl.stale_lag = c.stale_lag;
+		fl.down = c.down;
+		for (auto &other : fl.daemons)
+			other->up = !c.alone;
+		fl.restart(dm);
+		from = fl.now;
+		before = fl.full_calls;
+		while (!eb_feed_sync_confirmed(dm.sp) &&
+		       fl.now - from < 10000 * MS)
+			fl.run(10 * MS);
+		EXPECT_EQ(fl.revision, Fleet::revision_of(dm)) << c.name;
+		EXPECT_GE(c.ready_ms_max, (fl.now - from) / MS) << c.name;
+		/* The readers watch every 0.8 s. */
+		EXPECT_GE(c.full_calls_max + 2 * 4, fl.full_calls - before)
+			<< c.name;
+	}
+}
+
 /* Guards against malformed payloads of a peer that crash a daemon. */
 TEST(Spread, BadPayloadsAreRefused)
 {
