front: deliver answers whole that waited for a caller who reads late

The front wrote at most two parts of 64 KiB for each event; when the socket took both at once and the answer had already arrived completely, nothing woke the connection for the rest. So an answer of which more than 128 KiB waited in the daemon was never delivered to its end, and neither was its cut. Change: parts are written until the socket takes no more.

--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -716,6 +716,21 @@
 	cn->write_wants_read = 0;
 }
 
+/*
+ * Writes what has arrived of the answers, in parts, until the socket takes no
+ * more. Nothing else wakes the connection for parts that are left, once the
+ * answer has arrived completely.
+ */
+static void write_answers(struct connection *cn)
+{
+	do {
+		answer(cn);
+		if (!eb_answer_pending(&cn->out))
+			return;
+		write_out(cn);
+	} while (!cn->dead && !eb_answer_pending(&cn->out));
+}
+
 /*
  * Shuts down sending once the last answer is written. The connection reads on
  * for up to LINGER_US: closing it at once could reset it before the caller has
@@ -814,13 +829,7 @@
 	if (cn->caller_closed && !cn->dead && !cn->closing &&
 	    (!readable_bytes(cn) || cn->in_bytes == before))
 		handle_caller_close(cn);
-	answer(cn);
-	write_out(cn);
-	/* The output is empty: write more of the answer. */
-	if (!cn->dead && cn->first && !eb_answer_pending(&cn->out)) {
-		answer(cn);
-		write_out(cn);
-	}
+	write_answers(cn);
 	linger(cn, now_us);
 	if (cn->dead ||
 	    (cn->closing && cn->caller_closed && !eb_answer_pending(&cn->out)))
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -390,6 +390,35 @@
 	}
 }
 
+/*
+ * Guards against an answer that is never delivered to its end: the caller reads
+ * late, so that all of it waits in the daemon, and no event follows the one
+ * that shows the caller reading again.
+ */
+TEST_F(SiteTest, AnswersThatWaitForTheirCallerAreDeliveredWhole)
+{
+	for (size_t kb : { 100, 200, 300, 400, 600, 1000, 2000, 3000, 4000 }) {
+		std::string id = "late-" + std::to_string(kb), got;
+		std::string body(kb * 1024, 'x');
+		RawSocket caller(site.listen_port(), 4096, site.ip(0));
+
+		on("/" + id, [&](SiteConnection &cn, const SiteRequest &rq) {
+			cn.write(answer(rq, body));
+		});
+		ASSERT_TRUE(caller.send(site.head("GET", "/near/" + id, id)));
+		/* Most sizes fit into the buffers on the way; not all need to.
+		 */
+		for (int i = 0; i < 50 && site.metric(0, "calls_active") != 0;
+		     i++)
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(10));
+		got = caller.receive_answer();
+		EXPECT_EQ(200, raw_status(got)) << kb;
+		EXPECT_EQ(body.size(), got.size() - got.find("\r\n\r\n") - 4)
+			<< kb;
+	}
+}
+
 /*
  * Guards against a retry of an unsafe request that may have run, and against
  * reporting it as not run: the upstream closes the connection unanswered.
