nodes: daemons connect to evenly drawn subsets, with some outside

Change: eb_subset ranks by a hash of both names and keeps a quarter of the places for other domains and another quarter for other regions. Services of up to 32 upstreams are connected to completely, as before.

--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_subset.h"
 #include "eb_tunables.h"
 
 /* With fewer suspected peers, each of them may have failed on its own. */
@@ -247,36 +248,47 @@
 		n->peer->idle_heartbeat_ms = EB_PEER_HEARTBEAT_FAR_MS;
 }
 
+/* Opens the socket to a node's daemon if there is none. */
+static void dial(struct eb_nodes *nd, uint32_t id, int64_t now_us)
+{
+	struct eb_node *n = nd->nodes[id];
+
+	if (n->peer)
+		return;
+	n->peer = eb_mesh_dial(nd->mesh, n->info->daemon, n->info->key, id,
+			       now_us);
+	set_heartbeat(n);
+}
+
 /*
- * Opens sockets to the EB_SERVICE_PEERS_MAX nearest daemons of a service, as
- * far as there are none yet.
+ * Opens sockets to the daemons of a service, as far as there are none yet: to
+ * all of them, or to a subset of EB_SERVICE_PEERS_MAX.
  */
 static void dial_service(struct eb_nodes *nd, struct eb_service_state *sv,
 			 int64_t now_us)
 {
 	uint32_t first = nd->config->service_first_upstream[sv->index];
 	uint32_t count = nd->config->service_upstream_count[sv->index];
-	uint32_t i, id, dialled = 0;
-	struct eb_node *n;
-	int distance;
+	uint64_t self = eb_subset_key(nd->settings->upstream);
+	struct eb_subset_candidate *cs = calloc(count + 1, sizeof(*cs));
+	uint32_t i, n = 0, id;
 
 	sv->dialled_us = now_us;
-	for (distance = EB_DISTANCE_DOMAIN; distance <= EB_DISTANCE_FAR;
-	     distance++) {
-		for (i = 0; i < count && dialled < EB_SERVICE_PEERS_MAX; i++) {
-			id = eb_nodes_find(
-				nd, nd->config->upstreams[first + i]->name);
-			n = nd->nodes[id];
-			if (n->self || n->distance != distance)
-				continue;
-			dialled++;
-			if (n->peer)
-				continue;
-			n->peer = eb_mesh_dial(nd->mesh, n->info->daemon,
-					       n->info->key, id, now_us);
-			set_heartbeat(n);
-		}
+	if (!cs)
+		return;
+	for (i = 0; i < count; i++) {
+		id = eb_nodes_find(nd, nd->config->upstreams[first + i]->name);
+		if (nd->nodes[id]->self)
+			continue;
+		cs[n].index = id;
+		cs[n].key = eb_subset_key(nd->nodes[id]->name);
+		cs[n++].distance = nd->nodes[id]->distance;
 	}
+	eb_subset_choose(self, cs, n, EB_SERVICE_PEERS_MAX);
+	for (i = 0; i < n; i++)
+		if (cs[i].chosen)
+			dial(nd, cs[i].index, now_us);
+	free(cs);
 }
 
 /* Each caller has the rate of the rule, and a share of EB_CALLS_MAX in flight.
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -91,7 +91,7 @@
 
 /* Up to this many upstreams, all are dialled before the first request. */
 #define EB_EARLY_DIAL_UPSTREAMS_MAX 64
-/* Daemons of one service that a daemon dials, nearest first. */
+/* Daemons of one service that a daemon dials: see eb_subset. */
 #define EB_SERVICE_PEERS_MAX 32
 /* A request waits this long for a connection to a daemon of its service. */
 #define EB_UPSTREAM_WAIT_MS 2000
