feed: an outage has few daemons calling; a starting reader sends no full copy

And a reader's first read was sent in full to every daemon whose revision it did not know, that is to all, with a copy in memory for each. Change: the delay before reading has no limit. After its first read a reader sends its revision, and each daemon requests what it lacks. Result: Spread.AnOutageHasFewDaemonsCalling: 80 and 250 of 80 and 250 daemons called in 6 s before, at most 51 allowed and kept now. Spread.AStartingReader SendsOnlyWhatIsMissing fails with the full copy.

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -328,8 +328,13 @@
 	if (changed)
 		sp->out.changed(sp->out.ctx);
 	/* During the first start every daemon reads, so nothing is pushed. */
-	if (sp->mode == EB_SOURCE_WATCH)
+	if (sp->mode != EB_SOURCE_WATCH)
+		return;
+	/* The first read has all items: others request what they lack. */
+	if (before)
 		push_all(sp, before, now_us);
+	else
+		send_state(sp, now_us);
 }
 
 /*
@@ -453,15 +458,14 @@
 
 /*
  * Returns how long this daemon waits before it reads in place of missing
- * readers: daemons earlier in the order start first.
+ * readers: daemons earlier in the order start first. The delay has no limit, so
+ * that an outage of the source has as many daemons calling in a large fleet as
+ * in a small one.
  */
 static int64_t takeover_delay_us(const struct eb_feed_sync *sp)
 {
-	uint32_t rank = sp->own_rank - EB_FEED_SYNC_READERS;
-
-	if (rank > EB_FEED_SYNC_STEPS_MAX)
-		rank = EB_FEED_SYNC_STEPS_MAX;
-	return rank * EB_FEED_SYNC_STEP_MS * 1000LL;
+	return (int64_t)(sp->own_rank - EB_FEED_SYNC_READERS) *
+	       EB_FEED_SYNC_STEP_MS * 1000;
 }
 
 /* Tells whether this daemon should read the source now. */
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -141,10 +141,9 @@
 #define EB_FEED_SYNC_FRESH_MS 4000
 /*
  * When readers are missing, each daemon starts to read this much later than the
- * one before it in the order, up to a number of steps.
+ * one before it in the order.
  */
 #define EB_FEED_SYNC_STEP_MS 150
-#define EB_FEED_SYNC_STEPS_MAX 20
 /* Least time between requests to members, and between updates to one. */
 #define EB_FEED_SYNC_RESEND_MS 200
 /*
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,8 @@
 	int calls = 0;
 	int full_calls = 0;	/* calls that are not cheap reads */
 	uint64_t stale_lag = 0; /* of cheap reads, in revisions */
+	bool stale_reads_fail = false;
+	uint64_t changes_sent = 0; /* payloads with items */
 	bool down = false;
 
 private:
@@ -156,6 +159,7 @@
 
 		if (!from->up)
 			return;
+		fl->changes_sent += bytes && copy[0] == 1;
 		fl->events.emplace(fl->now + LINK_US, [fl, node, copy, back] {
 			fl->deliver(node, copy, back);
 		});
@@ -228,7 +232,9 @@
 			calls++;
 			full_calls += dm.mode != EB_SOURCE_READ_STALE;
 		}
-		if (down || dm.cut_off) {
+		if (dm.mode == EB_SOURCE_READ_STALE && stale_reads_fail) {
+			report(dm, true);
+		} else if (down || dm.cut_off) {
 			if (now - dm.call_at >= CALL_TIMEOUT_US)
 				report(dm, true);
 		} else if (revision > dm.reading_from ||
@@ -365,6 +371,63 @@
 	EXPECT_LT(fl.time_to_all(10 * BOUND_US), BOUND_US);
 }
 
+/*
+ * Guards against an outage of the source in which all daemons of a large fleet
+ * call it: those that do must be as many as in a small fleet, one more for each
+ * step, and the first of them must find the source again when it is back.
+ */
+TEST(Spread, AnOutageHasFewDaemonsCalling)
+{
+	const int64_t outage_ms = 6000;
+
+	for (uint32_t n : { 18, 80, 250 }) {
+		size_t most = EB_FEED_SYNC_READERS + 1 +
+			      (outage_ms + CALL_TIMEOUT_US / MS) /
+				      EB_FEED_SYNC_STEP_MS;
+		std::set<uint32_t> callers;
+		Fleet fl(n);
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+		fl.down = true;
+		for (int64_t at = 0; at < outage_ms; at += 10) {
+			fl.run(10 * MS);
+			for (auto &dm : fl.daemons)
+				if (dm->mode != EB_SOURCE_IDLE)
+					callers.insert(dm->id);
+		}
+		EXPECT_GE(most, callers.size()) << n;
+		fl.publish();
+		fl.down = false;
+		EXPECT_LT(fl.time_to_all(10 * BOUND_US), BOUND_US) << n;
+	}
+}
+
+/*
+ * Guards against a reader that starts and sends all items to all daemons, which
+ * have them: on a narrow link that took seconds and a copy in memory for each.
+ * Daemons that lack something must still get it.
+ */
+TEST(Spread, AStartingReaderSendsOnlyWhatIsMissing)
+{
+	Fleet fl(80);
+	daemon &reader = *fl.by_order()[0];
+	uint64_t before;
+
+	fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+	reader.up = false;
+	fl.publish();
+	fl.run(3000 * MS);
+	fl.stale_reads_fail = true;
+	fl.restart(reader);
+	before = fl.changes_sent;
+	fl.run(2500 * MS);
+	EXPECT_EQ(EB_SOURCE_WATCH, reader.mode);
+	EXPECT_EQ(fl.revision, Fleet::revision_of(reader));
+	EXPECT_GE(10u, fl.changes_sent - before);
+	fl.publish();
+	EXPECT_LT(fl.time_to_all(10 * BOUND_US), BOUND_US);
+}
+
 /*
  * Guards against a daemon without configuration: it starts while the source is
  * down and must get the items from its peers.
