--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -89,6 +89,7 @@
 		eb_feed_sync_free(dm.sp);
 		dm.sp = eb_feed_sync_new(&out, order(dm.id), 0, now);
 		dm.up = true;
+		dm.mode = EB_SOURCE_IDLE;
 		dm.knows_members = false;
 		dm.call_at = -1;
 		dm.next_call = now;
@@ -416,7 +417,8 @@
 	fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
 	reader.up = false;
 	fl.publish();
-	fl.run(3000 * MS);
+	/* It reads before the next heartbeat of any other daemon. */
+	fl.run(3000 * MS + HEARTBEAT_US / 100);
 	fl.stale_reads_fail = true;
 	fl.restart(reader);
 	before = fl.changes_sent;
