mesh: heartbeats to idle peers every 2 s

A daemon there gets 6 calls a second, and sends 70 heartbeats a second to near peers that it has not called for 3 s; far ones got one every 3 s already. Change: 2 s to idle near peers. Busy peers and the readers of the source keep 1 s.

--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -238,7 +238,7 @@
 	pr->last_used_us = now_us;
 	eb_liveness_received(&pr->liveness, now_us);
 	pr->dialled_us = now_us;
-	pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_MS;
+	pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_IDLE_MS;
 	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
 	if (!pr->socket) {
 		free(pr);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -475,8 +475,8 @@
 }
 
 /*
- * Opens a socket to a daemon if there is none, and sends it heartbeats at the
- * interval of its own region even when it is far.
+ * Opens a socket to a daemon if there is none, and sends it heartbeats as to a
+ * busy peer even when it is idle or far.
  */
 void eb_nodes_fast_heartbeat(struct eb_nodes *nd, uint32_t id, int64_t now_us)
 {
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -53,6 +53,8 @@
 #define EB_UPSTREAM_CONNECT_TIMEOUT_MS 2000
 
 #define EB_PEER_HEARTBEAT_MS 1000
+/* To an idle peer: in a large fleet most of a daemon's messages are these. */
+#define EB_PEER_HEARTBEAT_IDLE_MS 2000
 /*
  * To an idle peer in another region, as traffic between regions is billed.
  * Shorter than EB_PEER_LOST_MS, after which a gate ends the calls of an
