--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -107,8 +107,8 @@
 }
 
 /*
- * Returns an empty index for the nodes of a list, and their number in `*count`;
- * NULL when memory runs out.
+ * Returns an empty index for the nodes of a list, and their number in
+ * `*node_count`; NULL when memory runs out.
  */
 static uint32_t *new_index(const struct eb_feed_sync_member *members,
 			   uint32_t count, uint32_t *node_count)
--- a/src/eb_fetch.c
+++ b/src/eb_fetch.c
@@ -4,7 +4,7 @@
 #include <strings.h>
 
 /* Tells whether a header line announces a chunked body. */
-int eb_fetch_is_chunked(const char *line, size_t bytes)
+static int is_chunked(const char *line, size_t bytes)
 {
 	static const char name[] = "Transfer-Encoding:";
 	const char *end = line + bytes, *p;
@@ -28,7 +28,7 @@
 		return 0;
 	if (n >= 5 && !strncmp(buf, "HTTP/", 5))
 		ft->chunked = 0;
-	if (eb_fetch_is_chunked(buf, n)) {
+	if (is_chunked(buf, n)) {
 		ft->chunked = 1;
 		eb_dechunk_init(&ft->chunks);
 	}
--- a/src/eb_fetch.h
+++ b/src/eb_fetch.h
@@ -27,6 +27,5 @@
 
 void eb_fetch_attach(struct eb_fetch *ft, CURL *easy);
 void eb_fetch_reset(struct eb_fetch *ft);
-int eb_fetch_is_chunked(const char *line, size_t bytes);
 
 #endif
