feed: a hold packed at its start is accepted by peers

Cause: eb_feed_hold_ms() rounded up by a whole millisecond, so a change packed in the millisecond in which a hold begins named 2,501 ms. Peers allow 2,500 at most and refused the whole change as malformed. A reader packs right when it begins the hold, so the first changes after each outage of the source reached nobody until the next requests. Change: the rest of the hold is rounded up to the next millisecond.

--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -245,7 +245,7 @@
 {
 	if (now_us >= fd->hold_until_us)
 		return 0;
-	return (uint32_t)((fd->hold_until_us - now_us) / 1000) + 1;
+	return (uint32_t)((fd->hold_until_us - now_us + 999) / 1000);
 }
 
 /*
--- a/tests/test_eb_feed.cc
+++ b/tests/test_eb_feed.cc
@@ -175,6 +175,33 @@
 	eb_feed_free(fd);
 }
 
+/*
+ * Guards against a change that peers refuse as malformed: one packed at the
+ * start of a hold named a longer hold than the longest allowed one.
+ */
+TEST(Feed, AChangeAtTheStartOfAHoldIsAccepted)
+{
+	for (int64_t later_us : { 0, 1, 999, 1000, 1001 }) {
+		const int64_t now = 1000 * MS;
+		eb_feed *fd = eb_feed_new();
+		eb_feed_change ch = {};
+		uint8_t *packed;
+		uint32_t bytes;
+		int changed;
+
+		apply(fd, { 0, 5, true, { { "a", "1", 4 } }, EB_FEED_HOLD_MS },
+		      now, &changed);
+		ASSERT_EQ(EB_OK,
+			  eb_feed_pack(fd, 0, now + later_us, &packed, &bytes));
+		EXPECT_EQ(EB_OK, eb_feed_unpack(packed, bytes, &ch))
+			<< later_us;
+		EXPECT_GE((uint32_t)EB_FEED_HOLD_MS, ch.hold_ms) << later_us;
+		eb_feed_change_clear(&ch);
+		free(packed);
+		eb_feed_free(fd);
+	}
+}
+
 /*
  * Guards against a packed change that leaves out items or removals which a
  * peer at an older revision lacks.
