feed: a hold keeps only what was removed after the outage

Cause: after an outage of the source of 1 s or more, removed items count as present for 2.5 s, since entries may have expired meanwhile. The hold covered every removal that a copy remembered, not only those since the outage. Copies keep an item's last value, which may be from before it was draining. So the entries of upstreams that had left seconds or minutes before came back, ready, on every daemon, and the gate of a leaving upstream took requests again. Change: a hold names the revision after which removals are held. A packed change carries it, in a field that is there only during a hold, and a full one lists the older removals then. Result: Feed.AHoldKeepsOnlyWhatIsRemovedAfterTheOutage fails without the change ("a=1 b=2 c=3" instead of "b=2 c=3") and passes with it.

--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -14,8 +14,10 @@
 	uint32_t space;
 	uint64_t revision;
 	uint64_t dropped_revision; /* removals up to it are not kept */
-	int64_t hold_until_us; /* removed items count as present until then */
-	uint8_t holding;       /* eb_feed_end_hold() has not returned 1 yet */
+	/* Items removed after `hold_after` count as present until then. */
+	int64_t hold_until_us;
+	uint64_t hold_after;
+	uint8_t holding; /* eb_feed_end_hold() has not returned 1 yet */
 };
 
 /* Creates an empty copy at revision 0. Returns NULL when memory runs out. */
@@ -190,6 +192,25 @@
 	fd->dropped_revision = fd->revision;
 }
 
+/*
+ * Holds the items that a change removes. Those removed before `hold_after`, or
+ * before this copy's revision, stay removed.
+ */
+static void extend_hold(struct eb_feed *fd, const struct eb_feed_change *ch,
+			int64_t now_us)
+{
+	uint64_t after = fd->revision;
+
+	if (after < ch->hold_after)
+		after = ch->hold_after;
+	if (now_us >= fd->hold_until_us || after < fd->hold_after)
+		fd->hold_after = after;
+	if (now_us + ch->hold_ms * 1000LL <= fd->hold_until_us)
+		return;
+	fd->hold_until_us = now_us + ch->hold_ms * 1000LL;
+	fd->holding = 1;
+}
+
 /*
  * Applies a change to the copy and sets `*changed` to 1 when an item differs,
  * else to 0. Returns EB_EAGAIN when the change starts after the copy's
@@ -201,7 +222,6 @@
 			     const struct eb_feed_change *ch, int64_t now_us,
 			     int *changed)
 {
-	int64_t hold_us = now_us + ch->hold_ms * 1000LL;
 	enum eb_status st;
 	uint32_t i;
 
@@ -210,10 +230,8 @@
 		return EB_EAGAIN;
 	if (ch->revision <= fd->revision)
 		return EB_ENOTFOUND;
-	if (ch->hold_ms && hold_us > fd->hold_until_us) {
-		fd->hold_until_us = hold_us;
-		fd->holding = 1;
-	}
+	if (ch->hold_ms)
+		extend_hold(fd, ch, now_us);
 	for (i = 0; i < ch->count; i++) {
 		st = put(fd, &ch->items[i], changed);
 		if (st)
@@ -248,6 +266,14 @@
 	return (uint32_t)((fd->hold_until_us - now_us + 999) / 1000);
 }
 
+/* Tells whether a removed item counts as present. */
+static int is_held(const struct eb_feed *fd, const struct eb_feed_item *it,
+		   int64_t now_us)
+{
+	return it->value && now_us < fd->hold_until_us &&
+	       it->revision > fd->hold_after;
+}
+
 /*
  * Returns the next item that counts as present, or NULL at the end. `*pos` is
  * 0 before the first call.
@@ -259,7 +285,7 @@
 
 	while (*pos < fd->count) {
 		it = &fd->items[(*pos)++];
-		if (!it->removed || (it->value && now_us < fd->hold_until_us))
+		if (!it->removed || is_held(fd, it, now_us))
 			return it;
 	}
 	return NULL;
@@ -316,6 +342,8 @@
 /* ---- Wire format: length, then a zlib-compressed MessagePack array ---- */
 
 #define CHANGE_FIELDS 4
+/* One field more during a hold: the revision after which removals are held. */
+#define CHANGE_FIELDS_HOLD 5
 #define ITEM_FIELDS 4
 
 static void pack_item(msgpack_packer *pk, const struct eb_feed_item *it)
@@ -353,6 +381,19 @@
 	return EB_OK;
 }
 
+/*
+ * Tells whether a packed change lists an item. A full change implies removals;
+ * during a hold it lists those that are not held.
+ */
+static uint32_t is_packed(const struct eb_feed *fd,
+			  const struct eb_feed_item *it, int full,
+			  uint64_t after, uint32_t hold_ms)
+{
+	if (!full)
+		return it->revision > after;
+	return !it->removed || (hold_ms && it->revision <= fd->hold_after);
+}
+
 /*
  * Packs what a copy at revision `after` lacks: the items changed since then,
  * or all items when `after` is 0 or removals since `after` were dropped. The
@@ -363,24 +404,26 @@
 			    int64_t now_us, uint8_t **out, uint32_t *bytes)
 {
 	int full = after < fd->dropped_revision || !after;
+	uint32_t hold_ms = eb_feed_hold_ms(fd, now_us);
 	uint32_t i, n = 0;
 	enum eb_status st;
 	msgpack_sbuffer sb;
 	msgpack_packer pk;
 
 	for (i = 0; i < fd->count; i++)
-		n += full ? !fd->items[i].removed
-			  : fd->items[i].revision > after;
+		n += is_packed(fd, &fd->items[i], full, after, hold_ms);
 	msgpack_sbuffer_init(&sb);
 	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, CHANGE_FIELDS + n * ITEM_FIELDS);
+	msgpack_pack_array(&pk, (hold_ms ? CHANGE_FIELDS_HOLD : CHANGE_FIELDS) +
+					n * ITEM_FIELDS);
 	msgpack_pack_uint64(&pk, full ? 0 : after);
 	msgpack_pack_uint64(&pk, fd->revision);
 	msgpack_pack_uint8(&pk, (uint8_t)full);
-	msgpack_pack_uint32(&pk, eb_feed_hold_ms(fd, now_us));
+	msgpack_pack_uint32(&pk, hold_ms);
+	if (hold_ms)
+		msgpack_pack_uint64(&pk, fd->hold_after);
 	for (i = 0; i < fd->count; i++)
-		if (full ? !fd->items[i].removed
-			 : fd->items[i].revision > after)
+		if (is_packed(fd, &fd->items[i], full, after, hold_ms))
 			pack_item(&pk, &fd->items[i]);
 	st = compress_out(&sb, out, bytes);
 	msgpack_sbuffer_destroy(&sb);
@@ -419,21 +462,25 @@
 {
 	uint64_t full, hold_ms;
 	enum eb_status st;
-	uint32_t i, n;
+	uint32_t i, n, fields = CHANGE_FIELDS;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY)
 		return EB_EPARSE;
 	n = o->via.array.size;
 	o = o->via.array.ptr;
-	if (n < CHANGE_FIELDS || (n - CHANGE_FIELDS) % ITEM_FIELDS ||
+	if (n % ITEM_FIELDS == CHANGE_FIELDS_HOLD % ITEM_FIELDS)
+		fields = CHANGE_FIELDS_HOLD;
+	if (n < fields || (n - fields) % ITEM_FIELDS ||
 	    read_uint(&o[0], UINT64_MAX, &ch->after) ||
 	    read_uint(&o[1], UINT64_MAX, &ch->revision) ||
 	    read_uint(&o[2], 1, &full) ||
-	    read_uint(&o[3], EB_FEED_HOLD_MS, &hold_ms))
+	    read_uint(&o[3], EB_FEED_HOLD_MS, &hold_ms) ||
+	    (fields == CHANGE_FIELDS_HOLD &&
+	     read_uint(&o[4], UINT64_MAX, &ch->hold_after)))
 		return EB_EPARSE;
 	ch->full = (uint8_t)full;
 	ch->hold_ms = (uint32_t)hold_ms;
-	for (i = CHANGE_FIELDS; i < n; i += ITEM_FIELDS) {
+	for (i = fields; i < n; i += ITEM_FIELDS) {
 		st = read_item(&o[i], ch);
 		if (st)
 			return st;
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -26,8 +26,10 @@
 struct eb_feed_change {
 	uint64_t after;
 	uint64_t revision;
-	uint8_t full;	  /* lists all items; those not listed are removed */
-	uint32_t hold_ms; /* removed items may come back within this time */
+	uint8_t full; /* lists all items; those not listed are removed */
+	/* Items removed after `hold_after` may come back within this time. */
+	uint32_t hold_ms;
+	uint64_t hold_after;
 	struct eb_feed_item *items;
 	uint32_t count;
 	uint32_t space;
--- a/tests/test_eb_feed.cc
+++ b/tests/test_eb_feed.cc
@@ -202,6 +202,61 @@
 	}
 }
 
+/*
+ * Guards against an outage that brings back upstreams which left before it: the
+ * hold of removed items covered all removals that the copy remembered. A peer
+ * that was behind learns of the older removals and of the hold at once.
+ */
+TEST(Feed, AHoldKeepsOnlyWhatIsRemovedAfterTheOutage)
+{
+	const int64_t now = 1000 * MS;
+	const struct {
+		const char *name;
+		uint64_t peer_at; /* revision of the peer before the change */
+		const char *peer_content;
+	} cases[] = {
+		{ "a peer at the reader's revision", 7, "b=2 c=3 " },
+		{ "a peer that missed a removal", 5, "b=2 c=3 " },
+	};
+
+	for (const auto &c : cases) {
+		eb_feed *fd = eb_feed_new(), *peer = eb_feed_new();
+		const change start = {
+			0,
+			5,
+			true,
+			{ { "a", "1", 3 }, { "b", "2", 4 }, { "c", "3", 5 } },
+			0
+		};
+		const change left = { 5, 7, false, { { "a", nullptr, 7 } }, 0 };
+		eb_feed_change ch = {};
+		uint8_t *packed;
+		uint32_t bytes;
+		int changed;
+
+		apply(fd, start, now, &changed);
+		apply(peer, start, now, &changed);
+		apply(fd, left, now, &changed);
+		if (c.peer_at == 7)
+			apply(peer, left, now, &changed);
+		/* "b" is gone after the outage, and "a" was before it. */
+		apply(fd, { 0, 9, true, { { "c", "3", 5 } }, EB_FEED_HOLD_MS },
+		      now, &changed);
+		EXPECT_EQ("b=2 c=3 ", content(fd, now)) << c.name;
+		ASSERT_EQ(EB_OK,
+			  eb_feed_pack(fd, c.peer_at, now, &packed, &bytes));
+		ASSERT_EQ(EB_OK, eb_feed_unpack(packed, bytes, &ch));
+		EXPECT_EQ(EB_OK, eb_feed_apply(peer, &ch, now, &changed));
+		EXPECT_EQ(c.peer_content, content(peer, now)) << c.name;
+		EXPECT_EQ(1, eb_feed_end_hold(peer, now + 3000 * MS));
+		EXPECT_EQ("c=3 ", content(peer, now + 3000 * MS)) << c.name;
+		eb_feed_change_clear(&ch);
+		free(packed);
+		eb_feed_free(fd);
+		eb_feed_free(peer);
+	}
+}
+
 /*
  * Guards against a packed change that leaves out items or removals which a
  * peer at an older revision lacks.
