feed: large changes are relayed along a tree, at a bounded pace

Cause: a change of 64 KB was sent by each reader to every daemon at once, 5.3 MB at 83 daemons: 3.5 s on a link of 12 Mbit/s. Each daemon that was still waiting requested it again every 200 ms from any daemon that had it, and each request was answered in full, so that other links filled up as well. Calls, cancels, heartbeats and reads of the store waited behind these bytes. The request of the users' record waited 1.24 s at sidecar-conce-b-3, from 0.6 s before to 0.4 s after 1,400 routes came. Change: a change of more than 64 KB for all daemons together goes along a tree (eb_feed_relay): each daemon gets one copy, passes it on to half of its part of a ring sorted by region, and sends 6 Mbit/s of copies at most. A daemon that is behind waits 0.6 s for what is on its way before it requests it, and large requests are answered at the same pace. New: item_bytes_out_total, and leaving= in the line 'release in force'.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -16,6 +16,7 @@
 #include "eb_mesh.h"
 #include "eb_nodes.h"
 #include "eb_origin.h"
+#include "eb_feed_relay.h"
 #include "eb_feed_sync.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -352,11 +353,21 @@
 	f = eb_frame_new_data(EB_FRAME_GOSSIP, 0, data, bytes);
 	if (!f)
 		return;
+	eb_metrics_add(co->config.metrics, EB_METRIC_ITEM_BYTES, bytes);
 	/* If this is lost, the next heartbeat shows the difference. */
 	eb_mesh_send(co->mesh, n->peer, f, co->loop_us);
 	eb_frame_unref(f);
 }
 
+/* Tells whether the daemon beside an upstream answers heartbeats. */
+static int is_reachable(void *ctx, uint32_t node)
+{
+	struct eb_core *co = ctx;
+	const struct eb_node *n = eb_nodes_get(co->nodes, node);
+
+	return n && n->peer && n->peer->up && !n->peer->liveness.suspected;
+}
+
 static void on_items_changed(void *ctx)
 {
 	struct eb_core *co = ctx;
@@ -508,9 +519,9 @@
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
 		       (int64_t)cf->release);
 	eb_log_write(co->config.log, EB_LOG_INFO, "core", "release in force",
-		     "release=%llu upstreams=%u known=%d",
+		     "release=%llu upstreams=%u known=%d leaving=%d",
 		     (unsigned long long)cf->release, cf->upstream_total,
-		     n && n->present);
+		     n && n->present, n && n->present && n->info->leaving);
 }
 
 /*
@@ -581,7 +592,10 @@
 		if (!node->present || node->self)
 			continue;
 		list[n].node = i;
-		list[n++].order = eb_feed_sync_order(node->name);
+		list[n].order = eb_feed_sync_order(node->name);
+		list[n].position = eb_feed_relay_position(node->info->region,
+							  list[n].order);
+		n++;
 	}
 	if (eb_feed_sync_set_members(co->feed_sync, list, n))
 		eb_log_write(co->config.log, EB_LOG_ERROR, "core",
@@ -892,9 +906,10 @@
 					   cf->log,
 					   cf->adapter->dialect,
 					   cf->settings->uploads_leave };
-	struct eb_feed_sync_callbacks feed_sync_out = { send_gossip,
-							on_items_changed,
-							set_source_mode, co };
+	struct eb_feed_sync_callbacks feed_sync_out = {
+		send_gossip, is_reachable, on_items_changed, set_source_mode, co
+	};
+	uint64_t order = eb_feed_sync_order(cf->settings->upstream);
 	struct eb_findings fs = { 0 };
 
 	co->mesh = eb_mesh_new(cf->settings, co->incarnation, cf->metrics,
@@ -903,8 +918,8 @@
 		return err->status;
 	if (cf->adapter->source->decode) {
 		co->feed_sync = eb_feed_sync_new(
-			&feed_sync_out,
-			eb_feed_sync_order(cf->settings->upstream),
+			&feed_sync_out, order,
+			eb_feed_relay_position(cf->settings->region, order),
 			cf->settings->first_start, eb_clock_now_us());
 		if (!co->feed_sync)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -381,6 +381,29 @@
 	return EB_OK;
 }
 
+/* Tells whether a copy at revision `after` needs all items. */
+static int needs_full(const struct eb_feed *fd, uint64_t after)
+{
+	return after < fd->dropped_revision || !after;
+}
+
+/*
+ * Returns the size in bytes, before compression, of the items that a copy at
+ * revision `after` lacks.
+ */
+uint64_t eb_feed_bytes_after(const struct eb_feed *fd, uint64_t after)
+{
+	int full = needs_full(fd, after);
+	uint64_t bytes = 0;
+	uint32_t i;
+
+	for (i = 0; i < fd->count; i++)
+		if (!fd->items[i].removed &&
+		    (full || fd->items[i].revision > after))
+			bytes += fd->items[i].value_bytes;
+	return bytes;
+}
+
 /*
  * Tells whether a packed change lists an item. A full change implies removals;
  * during a hold it lists those that are not held.
@@ -403,7 +426,7 @@
 enum eb_status eb_feed_pack(const struct eb_feed *fd, uint64_t after,
 			    int64_t now_us, uint8_t **out, uint32_t *bytes)
 {
-	int full = after < fd->dropped_revision || !after;
+	int full = needs_full(fd, after);
 	uint32_t hold_ms = eb_feed_hold_ms(fd, now_us);
 	uint32_t i, n = 0;
 	enum eb_status st;
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -6,10 +6,19 @@
 #include <xxhash.h>
 
 #include "eb_config.h"
+#include "eb_feed_relay.h"
 #include "eb_tunables.h"
 
 /* First byte of a payload. */
-enum payload { PAYLOAD_CHANGE = 1, PAYLOAD_REQUEST, PAYLOAD_STATE };
+enum payload {
+	PAYLOAD_CHANGE = 1,
+	PAYLOAD_REQUEST,
+	PAYLOAD_STATE,
+	PAYLOAD_RELAY
+};
+
+/* A relayed change begins with the end of the part to pass it on in. */
+#define RELAY_HEAD_BYTES (1 + sizeof(uint64_t))
 
 #define REQUEST_BYTES (1 + sizeof(uint64_t))
 
@@ -33,6 +42,7 @@
 struct eb_feed_sync {
 	struct eb_feed_sync_callbacks out;
 	struct eb_feed *feed;
+	struct eb_feed_relay *relay;
 	uint64_t own_order;
 	struct member *members; /* sorted by `info.order` */
 	uint32_t count;
@@ -44,6 +54,9 @@
 	int64_t failing_since_us;  /* since when reads fail; 0: they do not */
 	int64_t requested_us;	   /* last request to any member */
 	int64_t shortage_since_us; /* too few fresh readers since; 0: enough */
+	int64_t behind_since_us;   /* others are newer, without progress; 0 */
+	uint64_t missed_revision;  /* of changes that started after the copy */
+	uint8_t incomplete; /* the copy has grown since, but not up to these */
 	uint8_t last_failed;
 	uint8_t confirmed;   /* see eb_feed_sync_confirmed() */
 	uint8_t first_start; /* of the whole fleet */
@@ -52,12 +65,13 @@
 
 /*
  * Creates an empty copy. `own_order` is this daemon's position in the order,
- * from eb_feed_sync_order(); `first_start` says that the whole fleet starts for
+ * from eb_feed_sync_order(), and `own_position` the one on the ring, from
+ * eb_feed_relay_position(); `first_start` says that the whole fleet starts for
  * the first time. Returns NULL when memory runs out.
  */
 struct eb_feed_sync *eb_feed_sync_new(const struct eb_feed_sync_callbacks *out,
-				      uint64_t own_order, int first_start,
-				      int64_t now_us)
+				      uint64_t own_order, uint64_t own_position,
+				      int first_start, int64_t now_us)
 {
 	struct eb_feed_sync *sp = calloc(1, sizeof(*sp));
 
@@ -69,8 +83,9 @@
 	sp->confirmed = first_start != 0;
 	sp->start_us = now_us;
 	sp->feed = eb_feed_new();
-	if (!sp->feed) {
-		free(sp);
+	sp->relay = eb_feed_relay_new(own_position);
+	if (!sp->feed || !sp->relay) {
+		eb_feed_sync_free(sp);
 		return NULL;
 	}
 	return sp;
@@ -82,6 +97,7 @@
 	if (!sp)
 		return;
 	eb_feed_free(sp->feed);
+	eb_feed_relay_free(sp->relay);
 	free(sp->members);
 	free(sp->by_node);
 	free(sp);
@@ -134,6 +150,27 @@
 	       (x->info.order < y->info.order);
 }
 
+/* Gives the list of other daemons to the relay. */
+static enum eb_status set_relay_members(struct eb_feed_sync *sp,
+					const struct eb_feed_sync_member *from,
+					uint32_t count)
+{
+	struct eb_feed_relay_member *list;
+	enum eb_status st;
+	uint32_t i;
+
+	list = calloc(count ? count : 1, sizeof(*list));
+	if (!list)
+		return EB_ENOMEM;
+	for (i = 0; i < count; i++) {
+		list[i].node = from[i].node;
+		list[i].position = from[i].position;
+	}
+	st = eb_feed_relay_set_members(sp->relay, list, count);
+	free(list);
+	return st;
+}
+
 /*
  * Replaces the list of other daemons. Members that were on the old list keep
  * their state. Returns EB_ENOMEM, with the old list kept, when memory runs out.
@@ -148,7 +185,7 @@
 	uint32_t i, node_count, *by_node;
 
 	by_node = new_index(members, count, &node_count);
-	if (!next || !by_node) {
+	if (!next || !by_node || set_relay_members(sp, members, count)) {
 		free(next);
 		free(by_node);
 		return EB_ENOMEM;
@@ -222,12 +259,40 @@
 	return p ? n + 1 : 0;
 }
 
+/*
+ * Tells whether the changes after `after` may be sent to a single daemon now.
+ * Large ones have to wait: the daemon requests them again, from another.
+ */
+static int may_send(const struct eb_feed_sync *sp, uint64_t after,
+		    int64_t now_us)
+{
+	return eb_feed_relay_has_room(sp->relay, now_us) ||
+	       eb_feed_bytes_after(sp->feed, after) <= EB_FEED_SYNC_SMALL_BYTES;
+}
+
+/*
+ * Builds the payload of make_change() for a single daemon and counts it.
+ * Returns 0 also when it has to wait.
+ */
+static uint32_t make_single_change(struct eb_feed_sync *sp, uint64_t after,
+				   int64_t now_us, uint8_t **out)
+{
+	uint32_t n;
+
+	if (!may_send(sp, after, now_us))
+		return 0;
+	n = make_change(sp, after, now_us, out);
+	if (n > EB_FEED_SYNC_SMALL_BYTES)
+		eb_feed_relay_sent(sp->relay, n, now_us);
+	return n;
+}
+
 /* Sends a member the changes after the revision `after`. */
 static void push(struct eb_feed_sync *sp, struct member *mb, uint64_t after,
 		 int64_t now_us)
 {
 	uint8_t *data;
-	uint32_t n = make_change(sp, after, now_us, &data);
+	uint32_t n = make_single_change(sp, after, now_us, &data);
 
 	if (!n)
 		return;
@@ -236,21 +301,80 @@
 	free(data);
 }
 
-/* Sends the changes after `after` to all members with an older revision. */
-static void push_all(struct eb_feed_sync *sp, uint64_t after, int64_t now_us)
+/* Sends a change to all members with an older revision. */
+static void send_directly(struct eb_feed_sync *sp, const uint8_t *data,
+			  uint32_t bytes, int64_t now_us)
 {
-	uint8_t *data;
-	uint32_t i, n = make_change(sp, after, now_us, &data);
+	uint32_t i;
 
-	if (!n)
-		return;
 	for (i = 0; i < sp->count; i++) {
 		if (sp->members[i].revision >= eb_feed_revision(sp->feed))
 			continue;
 		sp->members[i].pushed_us = now_us;
-		sp->out.send(sp->out.ctx, sp->members[i].info.node, data, n);
+		sp->out.send(sp->out.ctx, sp->members[i].info.node, data,
+			     bytes);
+	}
+}
+
+/* Sends the copies of relayed changes that are due. */
+static void run_relay(struct eb_feed_sync *sp, int64_t now_us)
+{
+	struct eb_feed_relay_copy c;
+	uint8_t *data;
+
+	while (eb_feed_relay_next(sp->relay, sp->out.reachable, sp->out.ctx,
+				  now_us, &c)) {
+		data = malloc(RELAY_HEAD_BYTES + c.bytes);
+		if (!data)
+			return;
+		data[0] = PAYLOAD_RELAY;
+		memcpy(data + 1, &c.end, sizeof(c.end));
+		memcpy(data + RELAY_HEAD_BYTES, c.data, c.bytes);
+		sp->out.send(sp->out.ctx, c.node, data,
+			     RELAY_HEAD_BYTES + c.bytes);
+		free(data);
 	}
+}
+
+/* Tells whether a member is alive and has read the source recently. */
+static int is_fresh(const struct member *mb, int64_t now_us)
+{
+	return mb->heard_us && mb->read_us &&
+	       now_us - mb->heard_us < EB_FEED_SYNC_UNRESPONSIVE_MS * 1000LL &&
+	       now_us - mb->read_us < EB_FEED_SYNC_FRESH_MS * 1000LL;
+}
+
+/* Returns how many readers before this daemon in the order are working. */
+static uint32_t readers_before(const struct eb_feed_sync *sp, int64_t now_us)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < sp->own_rank && i < sp->count; i++)
+		n += (uint32_t)is_fresh(&sp->members[i], now_us);
+	return n;
+}
+
+/*
+ * Sends the changes after `after` to all members: small ones directly, large
+ * ones by relay. The first reader starts it, and another one only when nothing
+ * was received from the first meanwhile.
+ */
+static void push_all(struct eb_feed_sync *sp, uint64_t after, int64_t now_us)
+{
+	uint8_t *data;
+	uint32_t n = make_change(sp, after, now_us, &data);
+
+	if (!n)
+		return;
+	if ((uint64_t)n * sp->count <= EB_FEED_SYNC_DIRECT_BYTES)
+		send_directly(sp, data, n, now_us);
+	else
+		eb_feed_relay_start(
+			sp->relay, data + 1, n - 1, eb_feed_revision(sp->feed),
+			now_us + readers_before(sp, now_us) *
+					 EB_FEED_SYNC_BACKUP_MS * 1000LL);
 	free(data);
+	run_relay(sp, now_us);
 }
 
 /* Requests the changes after this copy's revision from a member. */
@@ -297,6 +421,13 @@
 		send_state(sp, now_us);
 }
 
+/* Records that the copy has reached a newer revision. */
+static void record_progress(struct eb_feed_sync *sp)
+{
+	sp->behind_since_us = 0;
+	sp->incomplete = sp->missed_revision > eb_feed_revision(sp->feed);
+}
+
 /*
  * Applies the result of a call to the source. After an outage of the source
  * of at least EB_FEED_SYNC_OUTAGE_MS, removed items count as present for
@@ -325,6 +456,7 @@
 	sp->confirmed |= !rp->stale;
 	if (eb_feed_apply(sp->feed, &ch, now_us, &changed))
 		return;
+	record_progress(sp);
 	if (changed)
 		sp->out.changed(sp->out.ctx);
 	/* During the first start every daemon reads, so nothing is pushed. */
@@ -351,10 +483,29 @@
 
 	if (now_us - mb->pushed_us < EB_FEED_SYNC_RESEND_MS * 1000LL)
 		return 0;
+	if (mb->revision &&
+	    now_us - mb->behind_since_us < EB_FEED_SYNC_PATIENCE_MS * 1000LL)
+		return 0;
 	return sp->mode == EB_SOURCE_WATCH || steps < EB_FEED_SYNC_SENDERS ||
 	       now_us - mb->behind_since_us >= EB_FEED_SYNC_BEHIND_MS * 1000LL;
 }
 
+/*
+ * Tells whether this daemon requests the changes that it lacks. Normally they
+ * are on their way. They are not when the daemon has just started, or when they
+ * arrived before the ones that they continue.
+ */
+static int should_request(const struct eb_feed_sync *sp, int64_t now_us)
+{
+	int64_t patience_us = EB_FEED_SYNC_PATIENCE_MS * 1000LL;
+
+	if (!sp->confirmed || !eb_feed_revision(sp->feed) || sp->incomplete)
+		return now_us - sp->requested_us >=
+		       EB_FEED_SYNC_RESEND_MS * 1000LL;
+	return now_us - sp->behind_since_us >= patience_us &&
+	       now_us - sp->requested_us >= patience_us;
+}
+
 /*
  * Updates a member's state. Requests changes from a member with a newer
  * revision and sends them to one with an older revision.
@@ -373,8 +524,9 @@
 		mb->behind_since_us = 0;
 	else if (!mb->behind_since_us)
 		mb->behind_since_us = now_us;
-	if (revision > own &&
-	    now_us - sp->requested_us >= EB_FEED_SYNC_RESEND_MS * 1000LL)
+	if (revision > own && !sp->behind_since_us)
+		sp->behind_since_us = now_us;
+	if (revision > own && should_request(sp, now_us))
 		request(sp, mb, now_us);
 	else if (revision < own && should_push(sp, mb, now_us))
 		push(sp, mb, revision, now_us);
@@ -407,6 +559,38 @@
 				      rs.read_age_ms, now_us);
 }
 
+/*
+ * Applies a packed change, and passes it on up to the position `*end` unless
+ * `end` is NULL.
+ */
+static enum eb_status receive_change(struct eb_feed_sync *sp, const void *data,
+				     uint32_t bytes, const uint64_t *end,
+				     int64_t now_us)
+{
+	struct eb_feed_change ch = { 0 };
+	uint64_t before = eb_feed_revision(sp->feed);
+	enum eb_status st = eb_feed_unpack(data, bytes, &ch);
+	int changed = 0;
+
+	if (st)
+		return st;
+	if (end) {
+		/* A change that is not new has been passed on before. */
+		eb_feed_relay_pass_on(sp->relay, data, bytes, ch.revision, *end,
+				      now_us);
+		run_relay(sp, now_us);
+	}
+	st = eb_feed_apply(sp->feed, &ch, now_us, &changed);
+	if (st == EB_EAGAIN && ch.revision > sp->missed_revision)
+		sp->missed_revision = ch.revision;
+	eb_feed_change_clear(&ch);
+	if (eb_feed_revision(sp->feed) > before)
+		record_progress(sp);
+	if (changed)
+		sp->out.changed(sp->out.ctx);
+	return st == EB_ENOTFOUND ? EB_OK : st;
+}
+
 /*
  * Handles a payload from another daemon. `*reply` is set to an answer for the
  * sender, which the caller frees, or to NULL. Returns EB_EPARSE for an invalid
@@ -418,10 +602,7 @@
 				    uint8_t **reply, uint32_t *reply_bytes)
 {
 	const uint8_t *p = data;
-	struct eb_feed_change ch = { 0 };
-	uint64_t revision;
-	enum eb_status st;
-	int changed = 0;
+	uint64_t revision, end;
 
 	*reply = NULL;
 	if (!bytes)
@@ -429,31 +610,22 @@
 	if (p[0] == PAYLOAD_REQUEST && bytes == REQUEST_BYTES) {
 		memcpy(&revision, p + 1, sizeof(revision));
 		if (revision < eb_feed_revision(sp->feed))
-			*reply_bytes = make_change(sp, revision, now_us, reply);
+			*reply_bytes =
+				make_single_change(sp, revision, now_us, reply);
 		return EB_OK;
 	}
 	if (p[0] == PAYLOAD_STATE && bytes == 1 + sizeof(struct reader_state)) {
 		receive_state(sp, p + 1, now_us);
 		return EB_OK;
 	}
+	if (p[0] == PAYLOAD_RELAY && bytes > RELAY_HEAD_BYTES) {
+		memcpy(&end, p + 1, sizeof(end));
+		return receive_change(sp, p + RELAY_HEAD_BYTES,
+				      bytes - RELAY_HEAD_BYTES, &end, now_us);
+	}
 	if (p[0] != PAYLOAD_CHANGE)
 		return EB_EPARSE;
-	st = eb_feed_unpack(p + 1, bytes - 1, &ch);
-	if (st)
-		return st;
-	st = eb_feed_apply(sp->feed, &ch, now_us, &changed);
-	eb_feed_change_clear(&ch);
-	if (changed)
-		sp->out.changed(sp->out.ctx);
-	return st == EB_ENOTFOUND ? EB_OK : st;
-}
-
-/* Tells whether a member is alive and has read the source recently. */
-static int is_fresh(const struct member *mb, int64_t now_us)
-{
-	return mb->heard_us && mb->read_us &&
-	       now_us - mb->heard_us < EB_FEED_SYNC_UNRESPONSIVE_MS * 1000LL &&
-	       now_us - mb->read_us < EB_FEED_SYNC_FRESH_MS * 1000LL;
+	return receive_change(sp, p + 1, bytes - 1, NULL, now_us);
 }
 
 /*
@@ -471,13 +643,9 @@
 /* Tells whether this daemon should read the source now. */
 static int should_read(struct eb_feed_sync *sp, int64_t now_us)
 {
-	uint32_t i, fresh = 0;
-
 	if (sp->own_rank < EB_FEED_SYNC_READERS)
 		return 1;
-	for (i = 0; i < sp->own_rank && i < sp->count; i++)
-		fresh += (uint32_t)is_fresh(&sp->members[i], now_us);
-	if (fresh >= EB_FEED_SYNC_READERS) {
+	if (readers_before(sp, now_us) >= EB_FEED_SYNC_READERS) {
 		sp->shortage_since_us = 0;
 		return 0;
 	}
@@ -557,6 +725,7 @@
 	if (eb_feed_end_hold(sp->feed, now_us))
 		sp->out.changed(sp->out.ctx);
 	check_confirmed(sp, now_us);
+	run_relay(sp, now_us);
 	if (must_confirm(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	else if (is_starting(sp, now_us))
--- a/src/eb_feed_sync.h
+++ b/src/eb_feed_sync.h
@@ -19,6 +19,8 @@
 	/* Sends a payload to a daemon; `data` is valid during the call. */
 	void (*send)(void *ctx, uint32_t node, const void *data,
 		     uint32_t bytes);
+	/* Tells whether a payload to a daemon would arrive, as far as known. */
+	int (*reachable)(void *ctx, uint32_t node);
 	/* The items have changed. */
 	void (*changed)(void *ctx);
 	/* How to use the source from now on; called on each tick. */
@@ -26,15 +28,19 @@
 	void *ctx;
 };
 
-/* Another daemon: its number in callbacks and its position in the order. */
+/*
+ * Another daemon: its number in callbacks, its position in the order, and its
+ * position on the ring of eb_feed_relay.
+ */
 struct eb_feed_sync_member {
 	uint32_t node;
 	uint64_t order;
+	uint64_t position;
 };
 
 struct eb_feed_sync *eb_feed_sync_new(const struct eb_feed_sync_callbacks *out,
-				      uint64_t own_order, int first_start,
-				      int64_t now_us);
+				      uint64_t own_order, uint64_t own_position,
+				      int first_start, int64_t now_us);
 void eb_feed_sync_free(struct eb_feed_sync *sp);
 const struct eb_feed *eb_feed_sync_feed(const struct eb_feed_sync *sp);
 uint64_t eb_feed_sync_order(const char *name);
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -54,6 +54,8 @@
 	  "Bytes spent on watching the load of upstreams")                   \
 	X(CONTROL_BYTES, "control_bytes_total",                              \
 	  "Bytes spent on heartbeats, membership, releases and claims")      \
+	X(ITEM_BYTES, "item_bytes_out_total",                                \
+	  "Bytes of the source's items sent to other daemons")               \
 	X(PEERS_ACTIVE, "peers_active", "Peers with an open socket")         \
 	X(PEERS_SUSPECTED, "peers_suspected_total",                          \
 	  "Peers passed over because they owed an answer")                   \
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -154,6 +154,24 @@
  */
 #define EB_FEED_SYNC_SENDERS 3
 #define EB_FEED_SYNC_BEHIND_MS 1500
+/*
+ * A daemon that is behind waits this long for a change that is on its way
+ * before it requests it.
+ */
+#define EB_FEED_SYNC_PATIENCE_MS 600
+/*
+ * A change of up to this many bytes for all daemons together is sent to each
+ * of them directly; a larger one is relayed.
+ */
+#define EB_FEED_SYNC_DIRECT_BYTES 65536
+/* Items of up to this size are sent at any time: they need little of a link. */
+#define EB_FEED_SYNC_SMALL_BYTES 16384
+/* A reader relays a change this much later than the reader before it. */
+#define EB_FEED_SYNC_BACKUP_MS 300
+/* Large changes that a daemon passes on at the same time. */
+#define EB_FEED_RELAYS_MAX 4
+/* Pace of large changes: 6 Mbit/s, half of a narrow link. */
+#define EB_FEED_RELAY_BYTES_PER_MS 750
 /* Reads that fail for this long count as an outage of the source. */
 #define EB_FEED_SYNC_OUTAGE_MS 1000
 
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -1,14 +1,17 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 extern "C" {
+#include "eb_feed_relay.h"
 #include "eb_feed_sync.h"
 #include "eb_tunables.h"
 }
@@ -38,6 +41,7 @@
 	uint64_t newest = 0; /* newest revision it ever had */
 	bool went_back = false;
 	bool knows_members = true;
+	int64_t link_free_at = 0; /* its link has sent all bytes then */
 };
 
 /* Daemons, their links and a source, on a virtual clock. */
@@ -48,12 +52,13 @@
 	{
 		for (uint32_t i = 0; i < n; i++) {
 			auto dm = std::make_unique<daemon>();
-			eb_feed_sync_callbacks out = { send, changed, want,
-						       dm.get() };
+			eb_feed_sync_callbacks out = { send, reachable, changed,
+						       want, dm.get() };
 
 			dm->fleet = this;
 			dm->id = i;
-			dm->sp = eb_feed_sync_new(&out, order(i), 1, now);
+			dm->sp = eb_feed_sync_new(&out, order(i), position(i),
+						  1, now);
 			daemons.push_back(std::move(dm));
 		}
 		for (auto &dm : daemons)
@@ -69,6 +74,13 @@
 		return eb_feed_sync_order(
 			("10.0.0." + std::to_string(id)).c_str());
 	}
+	/* Three regions. */
+	static uint64_t position(uint32_t id)
+	{
+		const char *regions[] = { "north", "south", "west" };
+
+		return eb_feed_relay_position(regions[id % 3], order(id));
+	}
 	/* Daemons in the order by which readers are chosen. */
 	std::vector<daemon *> by_order()
 	{
@@ -84,10 +96,12 @@
 	/* Replaces the process of a daemon; it knows nobody at first. */
 	void restart(daemon &dm)
 	{
-		eb_feed_sync_callbacks out = { send, changed, want, &dm };
+		eb_feed_sync_callbacks out = { send, reachable, changed, want,
+					       &dm };
 
 		eb_feed_sync_free(dm.sp);
-		dm.sp = eb_feed_sync_new(&out, order(dm.id), 0, now);
+		dm.sp = eb_feed_sync_new(&out, order(dm.id), position(dm.id), 0,
+					 now);
 		dm.up = true;
 		dm.mode = EB_SOURCE_IDLE;
 		dm.knows_members = false;
@@ -99,6 +113,17 @@
 	{
 		revision++;
 	}
+	/* Changes another item, of `bytes` that do not compress well. */
+	void publish_large(uint32_t bytes)
+	{
+		std::minstd_rand rand((unsigned)bytes);
+
+		revision++;
+		large.clear();
+		while (large.size() < bytes)
+			large.push_back((char)rand());
+		large_revision = revision;
+	}
 	void run(int64_t us)
 	{
 		for (int64_t end = now + us; now < end; now += MS)
@@ -135,8 +160,15 @@
 	bool stale_reads_fail = false;
 	uint64_t changes_sent = 0; /* payloads with items */
 	bool down = false;
+	/* Of each daemon's link; 0: no limit. */
+	int64_t link_bytes_per_ms = 0;
+	/* Longest time that bytes waited for their daemon's link. */
+	int64_t longest_wait_us = 0;
+	uint64_t bytes_sent = 0;
 
 private:
+	std::string large;
+	uint64_t large_revision = 0;
 	std::multimap<int64_t, std::function<void()>> events;
 
 	void set_members(daemon &dm)
@@ -145,7 +177,8 @@
 
 		for (auto &other : daemons)
 			if (other->id != dm.id)
-				list.push_back({ other->id, order(other->id) });
+				list.push_back({ other->id, order(other->id),
+						 position(other->id) });
 		ASSERT_EQ(EB_OK,
 			  eb_feed_sync_set_members(dm.sp, list.data(),
 						   (uint32_t)list.size()));
@@ -161,9 +194,22 @@
 		if (!from->up)
 			return;
 		fl->changes_sent += bytes && copy[0] == 1;
-		fl->events.emplace(fl->now + LINK_US, [fl, node, copy, back] {
-			fl->deliver(node, copy, back);
-		});
+		fl->events.emplace(fl->link_arrival(*from, bytes),
+				   [fl, node, copy, back] {
+					   fl->deliver(node, copy, back);
+				   });
+	}
+	/* Puts bytes on a daemon's link; returns when they arrive. */
+	int64_t link_arrival(daemon &from, uint32_t bytes)
+	{
+		int64_t start = std::max(now, from.link_free_at);
+
+		bytes_sent += bytes;
+		if (!link_bytes_per_ms)
+			return now + LINK_US;
+		longest_wait_us = std::max(longest_wait_us, start - now);
+		from.link_free_at = start + bytes * MS / link_bytes_per_ms;
+		return from.link_free_at + LINK_US;
 	}
 	void deliver(uint32_t to, const std::string &data, uint32_t back)
 	{
@@ -179,6 +225,11 @@
 			send(dm, back, reply, bytes);
 		free(reply);
 	}
+	/* A daemon that has just gone down still counts as reachable. */
+	static int reachable(void *, uint32_t)
+	{
+		return 1;
+	}
 	static void changed(void *ctx)
 	{
 		daemon *dm = static_cast<daemon *>(ctx);
@@ -216,6 +267,11 @@
 			rp.change.revision = read;
 			eb_feed_change_add(&rp.change, "state", value.data(),
 					   (uint32_t)value.size(), read, 0);
+			if (large_revision && large_revision <= read)
+				eb_feed_change_add(&rp.change, "large",
+						   large.data(),
+						   (uint32_t)large.size(),
+						   large_revision, 0);
 		}
 		dm.next_call = now + (failed ? 200 : 1) * MS;
 		eb_feed_sync_report(dm.sp, &rp, now);
@@ -302,6 +358,71 @@
 	}
 }
 
+/*
+ * Guards against a large change that fills the links of the daemons that have
+ * it: on narrow links, calls, heartbeats and reads of the source waited behind
+ * it for seconds, and requests arrived after their callers had left. A change
+ * that follows at once must not wait for long either.
+ */
+TEST(Spread, ALargeChangeLeavesRoomOnTheLinks)
+{
+	const struct {
+		uint32_t daemons;
+		int64_t link_mbps;
+		uint32_t bytes;
+	} cases[] = {
+		{ 18, 1000, 150000 }, { 59, 10, 20000 }, { 59, 10, 64000 },
+		{ 83, 12, 64000 },    { 83, 12, 2000 },	 { 295, 20, 64000 },
+	};
+
+	for (const auto &c : cases) {
+		std::string name = std::to_string(c.daemons) + " daemons, " +
+				   std::to_string(c.bytes) + " bytes";
+		uint64_t before;
+		Fleet fl(c.daemons);
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2300 * MS);
+		fl.link_bytes_per_ms = c.link_mbps * 125;
+		before = fl.bytes_sent;
+		fl.publish_large(c.bytes);
+		EXPECT_LE(fl.time_to_all(5 * BOUND_US), BOUND_US) << name;
+		/* Peers are suspected when they are silent for longer. */
+		EXPECT_LE(fl.longest_wait_us, EB_PEER_SUSPECT_MS * MS) << name;
+		fl.run(3000 * MS);
+		/* Each daemon gets it once, and now and then once more. */
+		EXPECT_LE(fl.bytes_sent - before,
+			  (uint64_t)c.daemons * (c.bytes * 3 / 2 + 4096))
+			<< name;
+		fl.publish_large(c.bytes + 1);
+		fl.run(30 * MS);
+		fl.publish();
+		EXPECT_LE(fl.time_to_all(5 * BOUND_US), BOUND_US) << name;
+		EXPECT_LE(fl.longest_wait_us, EB_PEER_SUSPECT_MS * MS) << name;
+	}
+}
+
+/*
+ * Guards against daemons that are passed over because one that relays a large
+ * change to them, or the first reader, is down.
+ */
+TEST(Spread, ALargeChangeReachesAllDespiteLostRelays)
+{
+	for (uint32_t killed : { 0, 2, 5, 10 }) {
+		Fleet fl(83);
+		auto order = fl.by_order();
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2300 * MS);
+		fl.link_bytes_per_ms = 1500;
+		order[0]->up = killed != 2;
+		for (uint32_t i = 0; i < killed; i++)
+			order[2 + i * 7]->up = false;
+		fl.publish_large(64000);
+		EXPECT_LE(fl.time_to_all(5 * BOUND_US), 2 * BOUND_US) << killed;
+		for (auto &dm : fl.daemons)
+			EXPECT_FALSE(dm->went_back);
+	}
+}
+
 /* Why some daemons stop reading. */
 enum failure { KILLED, CUT_OFF };
 
