admit: a gate keeps the rate that its upstream names

Cause: nothing read the header. A gate knew slots only, and an upstream that asks for 5 requests a second may have all of its slots free. Change: all requests for an upstream pass its gate, whoever sends them, so the gate keeps the rate: a token bucket (eb_rate) of a quarter of a second. A call that would wait for it is handed back, a last attempt waits while it can be on time. Each answer sets the limit or lifts it, but not one of another start. Load reports show the wait as requests ahead. New in the gate's log: limit_wait_ms. Result: SiteTest.RateLimitsThatUpstreamsNameAreKept fails on (each limit) and passes now; Admit.ANamedRateIsKeptAndUsed, Admit.AUsedUpRate ShowsInTheLoadReport and the case of test_eb_gate pass.

--- a/src/eb_adapter.h
+++ b/src/eb_adapter.h
@@ -29,6 +29,8 @@
 	const char *load;
 	/* Parses the value of `load`; returns the pace in percent, or 0. */
 	uint16_t (*read_pace)(const char *value);
+	/* On an answer: requests per second that the upstream takes. */
+	const char *rate_limit;
 	/* Whether Retry-After may have a fraction of a second. */
 	uint8_t retry_after_fraction;
 };
--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_rate.h"
+
 /*
  * Smoothing weight of the mean service time. It grows with the time since the
  * last answer, so that a recovery shows within seconds even when answers are
@@ -44,6 +46,8 @@
 #define SHORT_TIMES 2
 /* From this attempt on a request is not handed back. */
 #define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
+/* Longest wait for a rate limit in a load report, in slots. */
+#define AHEAD_TIMES_MAX 16
 /* Unused budget of load reports is kept for a tenth of a second. */
 #define REPORT_BURST_US 100000
 #define REPORT_GAP_MAX_US 100000000 /* keeps the product in 64 bits */
@@ -84,6 +88,7 @@
 	int64_t done_us;       /* last completion */
 	int64_t report_tokens; /* millionths of a byte */
 	int64_t report_at_us;
+	struct eb_rate rate;   /* limit that the upstream has named */
 	uint16_t pace_percent; /* of the VM; 0: unknown */
 	uint8_t draining;
 };
@@ -133,6 +138,22 @@
 	ad->pace_percent = pace_percent;
 }
 
+/*
+ * Sets the rate at which the upstream takes requests, in requests per 1,000 s;
+ * 0: no limit.
+ */
+void eb_admit_limit_rate(struct eb_admit *ad, uint32_t per_s_milli,
+			 int64_t now_us)
+{
+	eb_rate_set(&ad->rate, per_s_milli, now_us);
+}
+
+/* Returns how long a request would wait for the upstream's rate limit. */
+int64_t eb_admit_limit_wait_us(const struct eb_admit *ad, int64_t now_us)
+{
+	return eb_rate_wait_us(&ad->rate, 0, now_us);
+}
+
 /* While draining, new requests are refused; those that wait still run. */
 void eb_admit_drain(struct eb_admit *ad, int draining)
 {
@@ -173,6 +194,7 @@
 {
 	update_busy(ad, now_us);
 	ad->in_flight++;
+	eb_rate_take(&ad->rate, now_us);
 	act->verdict = EB_ADMIT_RUN;
 }
 
@@ -260,11 +282,14 @@
 }
 
 /* Expected wait of a request with `ahead` requests before it. */
-static int64_t expected_wait_us(const struct eb_admit *ad, uint32_t ahead)
+static int64_t expected_wait_us(const struct eb_admit *ad, uint32_t ahead,
+				int64_t now_us)
 {
 	uint32_t slots = ad->config.slots;
+	int64_t slot_us = ad->service_us * (ahead + 1) / (slots ? slots : 1);
+	int64_t rate_us = eb_rate_wait_us(&ad->rate, ahead, now_us);
 
-	return ad->service_us * (ahead + 1) / (slots ? slots : 1);
+	return slot_us > rate_us ? slot_us : rate_us;
 }
 
 static int append(struct eb_admit *ad, const struct eb_admit_request *rq,
@@ -288,22 +313,24 @@
 /*
  * Whether a request may wait. The expected wait is bounded, because another
  * upstream might run the request at once; not so for a last attempt, and for
- * the first request in the queue. A request
- * that would miss its goal or its deadline is refused now, so that its caller
- * can retry.
+ * the first request in the queue unless it waits for the upstream's rate limit.
+ * A request that would miss its goal or its deadline is refused now, so that
+ * its caller can retry.
  */
 static int may_wait(const struct eb_admit *ad,
 		    const struct eb_admit_request *rq, int64_t now_us)
 {
 	uint32_t ahead = count_ahead(ad, rq, now_us);
-	int64_t wait_us = expected_wait_us(ad, ahead);
+	int64_t wait_us = expected_wait_us(ad, ahead, now_us);
 
 	if (ad->queued >= ad->config.queue ||
 	    now_us + wait_us > rq->deadline_us)
 		return 0;
 	if (rq->goal_us && now_us + wait_us + run_us(ad, rq) > rq->goal_us)
 		return 0;
-	return rq->attempt >= ATTEMPT_LAST || !ahead ||
+	if (!ahead && !eb_rate_wait_us(&ad->rate, 0, now_us))
+		return 1;
+	return rq->attempt >= ATTEMPT_LAST ||
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
 }
 
@@ -325,7 +352,7 @@
 		    int64_t now_us, struct eb_admit_action *act)
 {
 	uint32_t slots = ad->config.slots;
-	int64_t wait_us = expected_wait_us(ad, ad->queued);
+	int64_t wait_us = expected_wait_us(ad, ad->queued, now_us);
 
 	memset(act, 0, sizeof(*act));
 	act->id = rq->id;
@@ -338,11 +365,15 @@
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (has_slot(ad, rq) &&
+	} else if (has_slot(ad, rq) && !eb_rate_wait_us(&ad->rate, 0, now_us) &&
 		   (!ad->queued || ad->in_flight >= slots)) {
 		run(ad, now_us, act);
 	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
-		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
+		refuse(act,
+		       eb_rate_wait_us(&ad->rate, 0, now_us)
+			       ? EB_REASON_HANDED_BACK
+			       : EB_REASON_QUEUE_FULL,
+		       wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
 	}
@@ -412,6 +443,8 @@
 {
 	uint32_t i, best = ad->queued;
 
+	if (eb_rate_wait_us(&ad->rate, 0, now_us))
+		return best;
 	for (i = 0; i < ad->queued; i++) {
 		if (!has_slot(ad, &ad->queue[i].rq))
 			continue;
@@ -431,7 +464,7 @@
 			 int hand_back, int64_t now_us,
 			 struct eb_admit_action *act)
 {
-	int64_t wait_us = expected_wait_us(ad, ad->queued);
+	int64_t wait_us = expected_wait_us(ad, ad->queued, now_us);
 
 	if (w->rq.deadline_us <= now_us)
 		refuse(act, EB_REASON_DEADLINE, 0);
@@ -475,6 +508,14 @@
 	return 1;
 }
 
+/* Returns when the rate limit lets the next request run. */
+static int64_t rate_wake_us(const struct eb_admit *ad)
+{
+	int64_t at_us = ad->rate.at_us;
+
+	return at_us + eb_rate_wait_us(&ad->rate, 0, at_us);
+}
+
 /*
  * Returns the time at which eb_admit_next() must be called even if nothing
  * happens, because a waiting request expires, becomes late or is handed back;
@@ -496,6 +537,9 @@
 			wake_us = late_us;
 		early |= ad->queue[i].rq.attempt < ATTEMPT_LAST;
 	}
+	if (ad->queued && ad->rate.per_s_milli &&
+	    ad->in_flight < ad->config.slots && rate_wake_us(ad) < wake_us)
+		wake_us = rate_wake_us(ad);
 	if (!early || !ad->in_flight || !ad->service_us ||
 	    !ad->tune.stall_times)
 		return wake_us;
@@ -506,6 +550,23 @@
 	return stall_us < wake_us ? stall_us : wake_us;
 }
 
+/*
+ * Returns the requests ahead of a new one. The wait for the rate limit counts
+ * as the number of requests that would wait as long for slots.
+ */
+static uint32_t requests_ahead(const struct eb_admit *ad, int64_t now_us)
+{
+	int64_t rate_us = eb_rate_wait_us(&ad->rate, ad->queued, now_us);
+	int64_t busy, slots = ad->config.slots;
+
+	if (!rate_us || !ad->service_us)
+		return ad->queued;
+	busy = slots * rate_us / ad->service_us + slots - ad->in_flight;
+	if (busy > AHEAD_TIMES_MAX * slots)
+		busy = AHEAD_TIMES_MAX * slots;
+	return busy > ad->queued ? (uint32_t)busy : ad->queued;
+}
+
 /* Fills in a load report regardless of the budget. */
 void eb_admit_load(const struct eb_admit *ad, struct eb_load *ld)
 {
@@ -542,4 +603,5 @@
 		return;
 	ad->report_tokens -= cost;
 	eb_admit_load(ad, ld);
+	ld->queued = (uint16_t)requests_ahead(ad, now_us);
 }
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -58,6 +58,9 @@
 void eb_admit_configure(struct eb_admit *ad, const struct eb_admit_config *cf);
 void eb_admit_tune(struct eb_admit *ad, const struct eb_admit_tuning *tn);
 void eb_admit_pace(struct eb_admit *ad, uint16_t pace_percent);
+void eb_admit_limit_rate(struct eb_admit *ad, uint32_t per_s_milli,
+			 int64_t now_us);
+int64_t eb_admit_limit_wait_us(const struct eb_admit *ad, int64_t now_us);
 void eb_admit_drain(struct eb_admit *ad, int draining);
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act);
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -19,6 +19,7 @@
 #include "eb_dechunk.h"
 #include "eb_fetch.h"
 #include "eb_http.h"
+#include "eb_rate.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
 
@@ -72,6 +73,7 @@
 	uint8_t chunked;    /* the body is decoded by `chunks` */
 	uint16_t status;
 	uint16_t pace_percent;
+	uint32_t rate_limit_milli;
 	uint64_t body_bytes;
 	uint64_t received_bytes; /* of the answer's body */
 	uint64_t credit_bytes;
@@ -131,6 +133,8 @@
 	f->reply->reason = (uint8_t)reason;
 	f->reply->status = tf->status;
 	f->reply->load.pace_percent = tf->pace_percent;
+	f->reply->answered = tf->answer_head && !tf->answer_invalid;
+	f->reply->rate_limit_milli = tf->rate_limit_milli;
 	return f;
 }
 
@@ -272,6 +276,8 @@
 		tf->refused_by_upstream = 1;
 	if (dl->load && !strcasecmp(line, dl->load))
 		tf->pace_percent = dl->read_pace(value);
+	if (dl->rate_limit && !strcasecmp(line, dl->rate_limit))
+		tf->rate_limit_milli = eb_rate_parse(value);
 	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
 }
 
@@ -297,6 +303,7 @@
 	if (!strncmp(line, "HTTP/", 5)) {
 		eb_headers_clear(&tf->answer);
 		tf->refused_by_upstream = 0;
+		tf->rate_limit_milli = 0;
 		tf->status = (uint16_t)atoi(line + strcspn(line, " "));
 	} else if (len) {
 		if (add_answer_header(tf, line))
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -124,6 +124,12 @@
 	uint32_t retry_after_ms; /* of HELLO: age of the last source read */
 	struct eb_load load;
 	struct eb_headers headers;
+	/*
+	 * Within a daemon: whether the upstream has answered, and the limit
+	 * that its answer names, in requests per 1,000 s; 0: none.
+	 */
+	uint8_t answered;
+	uint32_t rate_limit_milli;
 };
 
 /*
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -112,6 +112,7 @@
 	uint8_t replaced;	/* another start followed `instance` */
 	int draining;
 	int leaving;		/* the upstream, while this daemon stays */
+	char *configured;	/* instance in the configuration, or NULL */
 	uint64_t release_index; /* see eb_gate_set_index() */
 	uint32_t read_age_ms;	/* see eb_gate_set_index() */
 	int resumed;		/* see eb_gate_set_resumed() */
@@ -197,9 +198,24 @@
 	free(gt->probe);
 	free(gt->instance);
 	free(gt->own_service);
+	free(gt->configured);
 	free(gt);
 }
 
+/*
+ * Forgets what the upstream has said in its answers when the configuration
+ * names another start of it.
+ */
+static void update_instance(struct eb_gate *gt, const char *instance)
+{
+	if (!instance)
+		return;
+	if (gt->configured && strcmp(gt->configured, instance) != 0)
+		eb_admit_limit_rate(gt->admit, 0, 0);
+	free(gt->configured);
+	gt->configured = strdup(instance);
+}
+
 /*
  * Sets slots, queue, address and probe of the upstream. `rule` is not used
  * when `up` is NULL.
@@ -224,6 +240,7 @@
 		cf.watch_bytes_per_s = rule->watch_bytes_per_s;
 	}
 	eb_admit_configure(gt->admit, &cf);
+	update_instance(gt, up ? up->instance : NULL);
 }
 
 /* Sets the release index and the read age that heartbeat replies carry. */
@@ -470,14 +487,15 @@
 		gt->log, EB_LOG_INFO, "gate", verdict,
 		"id=%s reason=%s attempt=%u wait_ms=%lld in_flight=%u "
 		"queued=%u slots=%u pace=%u pace_age_ms=%lld usual=%u "
-		"left_ms=%lld goal_ms=%lld leaving=%d",
+		"left_ms=%lld goal_ms=%lld leaving=%d limit_wait_ms=%lld",
 		id ? id : "-", eb_reason_name(reason), h->attempt,
 		(long long)waited_us / 1000, ld.in_flight, ld.queued, ld.slots,
 		ld.pace_percent,
 		gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000 : -1LL,
 		h->baseline_pace_percent, (long long)h->remaining_us / 1000,
 		h->goal_us == INT64_MAX ? -1LL : (long long)h->goal_us / 1000,
-		gt->draining || gt->leaving);
+		gt->draining || gt->leaving,
+		(long long)eb_admit_limit_wait_us(gt->admit, now_us) / 1000);
 }
 
 /* ---- Actions of the chart ---- */
@@ -800,6 +818,17 @@
 	eb_admit_pace(gt->admit, r->load.pace_percent);
 }
 
+/*
+ * Stores the rate limit that the upstream names in an answer, or that it names
+ * none. The answer of another start says nothing about this one.
+ */
+static void save_limit(struct eb_gate *gt, const struct eb_reply *r,
+		       int64_t now_us)
+{
+	if (r && r->answered && r->reason != EB_REASON_NO_UPSTREAM)
+		eb_admit_limit_rate(gt->admit, r->rate_limit_milli, now_us);
+}
+
 /* Stores the start of the upstream that answered a probe; NULL: no answer. */
 static void save_instance(struct eb_gate *gt, const char *instance)
 {
@@ -1073,6 +1102,7 @@
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	save_pace(gt, f->reply, now_us);
+	save_limit(gt, f->reply, now_us);
 	/*
 	 * Another start of the upstream answered: the known pace is void, so
 	 * that the next call waits for a probe.
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -102,6 +102,14 @@
 /* Origins that a gate tracks. */
 #define EB_ORIGINS_MAX 8192
 
+/*
+ * An upstream that names a lower limit still gets this rate, in thousandths of
+ * a request per second: only its answers show when the limit has changed.
+ */
+#define EB_RATE_MIN_MILLI 500
+/* Requests per second; a higher limit is none. */
+#define EB_RATE_MAX 1000000
+
 /* A measured pace of a VM is valid for this long. */
 #define EB_PACE_FRESH_US 25000
 /* A call waits this long for a load probe that measures the pace. */
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -10,6 +10,10 @@
 
 #include "site.h"
 
+extern "C" {
+#include "eb_clock.h"
+}
+
 namespace
 {
 
@@ -203,6 +207,49 @@
 	}
 }
 
+/*
+ * Guards against an upstream that gets more requests than it says it takes, and
+ * against one that gets none any more when it has stopped saying so.
+ */
+TEST_F(SiteTest, RateLimitsThatUpstreamsNameAreKept)
+{
+	const double limits[] = { 5, 2.5, 0 };
+	SiteUpstream &up = *site.upstreams[3];
+
+	for (double limit : limits) {
+		int64_t start, before;
+		int i = 0;
+
+		up.say("Server-Limit: " + std::to_string(limit) + "\r\n");
+		/* The limit is known when the upstream has answered with it. */
+		before = up.runs();
+		wait_until("answers that name the limit", [&] {
+			site.send((size_t)i++ % 4, "GET", "/far/x", "limit");
+			return up.runs() - before >= 3;
+		});
+		before = up.runs();
+		start = eb_clock_now_us();
+		while (eb_clock_now_us() - start < 4000000) {
+			HttpAnswer a = site.send((size_t)i++ % 4, "GET",
+						 "/far/x", "limit");
+
+			EXPECT_TRUE(a.complete(200)) << a.code << a.status;
+		}
+		EXPECT_LE(up.runs() - before,
+			  1.5 * limit * (eb_clock_now_us() - start) / 1e6 + 5)
+			<< limit;
+		EXPECT_GE(up.runs() - before, 1) << limit;
+	}
+	up.say("");
+	wait_until("the limit to be lifted", [&] {
+		int before_round = up.runs();
+
+		for (int i = 0; i < 20; i++)
+			site.send((size_t)i % 4, "GET", "/far/x", "lifted");
+		return up.runs() - before_round >= 5;
+	});
+}
+
 /*
  * Guards against calls in flight that fail when the entry of their upstream is
  * removed from the store.
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -410,14 +410,23 @@
 std::string SiteUpstream::answer(const SiteRequest &rq, const std::string &body,
 				 const std::string &status) const
 {
-	return "HTTP/1.1 " + status + "\r\nEbonypier-Request-Id: " +
-	       rq.header("ebonypier-request-id") +
+	std::lock_guard<std::mutex> hold(says_lock_);
+
+	return "HTTP/1.1 " + status + "\r\n" + says_ +
+	       "Ebonypier-Request-Id: " + rq.header("ebonypier-request-id") +
 	       "\r\nEbonypier-Response-Stamp: stamp-" + id +
 	       "\r\nEbonypier-Server-Load: 1,0,6," + std::to_string(pace) +
 	       "\r\nContent-Length: " + std::to_string(body.size()) +
 	       "\r\n\r\n" + body;
 }
 
+void SiteUpstream::say(const std::string &lines)
+{
+	std::lock_guard<std::mutex> hold(says_lock_);
+
+	says_ = lines;
+}
+
 std::string SiteUpstream::refusal(const SiteRequest &rq) const
 {
 	return "HTTP/1.1 503 Busy\r\nEbonypier-Request-Id: " +
--- a/tests/site.h
+++ b/tests/site.h
@@ -195,6 +195,8 @@
 	const std::string id;
 	const std::string service;
 	std::atomic<int> pace{ 100 }; /* percent; part of the load report */
+	/* Header lines of what it says of itself in its answers. */
+	void say(const std::string &lines);
 
 private:
 	void serve(SiteConnection &cn);
@@ -205,6 +207,8 @@
 	int total_ = 0;
 	std::atomic<int> active_{ 0 };
 	SiteRequest last_;
+	std::string says_;
+	mutable std::mutex says_lock_;
 	std::vector<std::pair<std::string, Run>> faults_;
 	std::unique_ptr<SiteServer> server_;
 };
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -532,4 +532,84 @@
 	}
 }
 
+/*
+ * Guards against more requests than the rate that the upstream has named, also
+ * in the first seconds and with many that wait, and against an upstream that
+ * gets fewer than it takes although it could have them.
+ */
+TEST(Admit, ANamedRateIsKeptAndUsed)
+{
+	const struct {
+		uint32_t limit_milli;
+		uint8_t attempt;
+	} cases[] = { { 7800, 0 }, { 7800, 3 }, { 2900, 0 },
+		      { 100, 3 },  { 1, 0 },	{ 40000, 3 } };
+
+	for (const auto &c : cases) {
+		const double limit = c.limit_milli / 1000.0;
+		const int64_t window_us = 4000000;
+		gate g(4);
+		std::vector<int64_t> runs, running;
+		int64_t start = g.now;
+		uint64_t id = 1000;
+
+		eb_admit_limit_rate(g.ad, c.limit_milli, g.now);
+		/* 100 requests a second for 12 s. */
+		for (; g.now < start + 3 * window_us; g.now += 1000) {
+			size_t before = runs.size();
+
+			while (!running.empty() && running[0] <= g.now) {
+				eb_admit_done(g.ad, 0, SERVICE_US, g.now);
+				running.erase(running.begin());
+			}
+			for (const auto &act : g.next())
+				if (act.verdict == EB_ADMIT_RUN)
+					runs.push_back(g.now);
+			if ((g.now - start) % 10000 == 0 &&
+			    g.offer(id++, c.attempt, g.now + 500000).verdict ==
+				    EB_ADMIT_RUN)
+				runs.push_back(g.now);
+			for (; before < runs.size(); before++)
+				running.push_back(g.now + SERVICE_US);
+		}
+		for (size_t i = 0, j = 0; i < runs.size(); i++) {
+			while (runs[i] - runs[j] > window_us)
+				j++;
+			EXPECT_LE(i - j + 1, 1.5 * 4 * limit + 5) << limit;
+		}
+		EXPECT_GE(runs.size(), limit * 12 * 0.9) << limit;
+	}
+}
+
+/*
+ * Guards against origins that keep sending to an upstream whose rate is used
+ * up: its load report must show the wait, and it refuses at once.
+ */
+TEST(Admit, AUsedUpRateShowsInTheLoadReport)
+{
+	eb_admit_config cf = { 4, 64, 100000 };
+	gate g(4);
+	eb_admit_action act;
+	eb_load ld;
+
+	eb_admit_configure(g.ad, &cf);
+	eb_admit_limit_rate(g.ad, 2000, g.now);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(1).verdict);
+	act = g.offer(2);
+	EXPECT_EQ(EB_ADMIT_REFUSE, act.verdict);
+	EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+	EXPECT_LE(499u, act.retry_after_ms);
+	EXPECT_GE(502u, act.retry_after_ms);
+	g.now += 1000;
+	eb_admit_report(g.ad, g.now, &ld);
+	EXPECT_LT(ld.slots, ld.queued);
+	/* After that time it takes one again. */
+	g.now += 500000;
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(3).verdict);
+	/* It takes all when it names no rate any more. */
+	EXPECT_EQ(EB_ADMIT_REFUSE, g.offer(4).verdict);
+	eb_admit_limit_rate(g.ad, 0, g.now);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(5).verdict);
+}
+
 } // namespace
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -61,12 +61,14 @@
 	}
 
 	void configure(const char *probe_path = nullptr,
-		       const char *service = "agenda")
+		       const char *service = "agenda",
+		       const char *instance = nullptr)
 	{
 		eb_upstream up = {};
 		eb_rule rule = {};
 
 		up.probe_path = (char *)probe_path;
+		up.instance = (char *)instance;
 		up.address = strdup("127.0.0.1:1");
 		up.service_name = strdup(service);
 		up.slots = 1;
@@ -131,6 +133,15 @@
 			eb_gate_poll(gt, now_us);
 		} else if (w == "resumed") {
 			eb_gate_set_resumed(gt, atoi(what));
+		} else if (w == "start") {
+			configure(nullptr, "agenda", what);
+		} else if (t == "limited") {
+			/* An answer that names a limit. */
+			eb_frame *f = make("rhead", (uint64_t)n);
+			f->target = ORIGIN;
+			f->reply->answered = 1;
+			f->reply->rate_limit_milli = 500;
+			eb_gate_from_client(gt, f, now_us);
 		} else if (t == "lists") {
 			eb_frame *f = make("hello", 0);
 			f->sender = ORIGIN;
@@ -211,6 +222,12 @@
 	  { "client head 1", "origin hello 0 unknown none",
 	    "origin refuse 3 not-run draining", "origin rhead 1",
 	    "client head 2" } },
+	{ "an upstream gets no more than the rate it names until it restarts",
+	  { "start i-1", "origin head 1", "client limited 1", "origin head 2",
+	    "client limited 2", "origin head 3", "start i-2", "origin head 4" },
+	  { "client head 1", "origin rhead 1", "client head 2",
+	    "origin rhead 2", "origin refuse 3 not-run handed-back",
+	    "client head 4" } },
 	{ "an idle origin is notified at once that the upstream leaves",
 	  { "origin hello 0", "drain now" },
 	  { "origin hello 0 unknown none", "origin hello 0 unknown none" } },
