route: an upstream at its rate limit is left out until its next request may run

Callers saw: catalogue reads refused though other upstreams had room: four of the six name a limit, and the four attempts of a request met those. Cause: a refusal for the rate counted as load, which decays, and other regions are considered only when half of the local attempts are refused. Change: such a refusal is marked (status 429 in REFUSE; older daemons ignore it) and names the wait. The origin does not use that upstream until then, unless none is left, and goes to another region at once when the local one has none. Route.UpstreamsAtTheirRateLimitAreAvoided and Origin.UpstreamsAtTheirRateLimitAreLeftOut fail without the check in usable().

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -369,10 +369,10 @@
 		   (!ad->queued || ad->in_flight >= slots)) {
 		run(ad, now_us, act);
 	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
+		act->rate_limited = eb_rate_wait_us(&ad->rate, 0, now_us) > 0;
 		refuse(act,
-		       eb_rate_wait_us(&ad->rate, 0, now_us)
-			       ? EB_REASON_HANDED_BACK
-			       : EB_REASON_QUEUE_FULL,
+		       act->rate_limited ? EB_REASON_HANDED_BACK
+					 : EB_REASON_QUEUE_FULL,
 		       wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -47,8 +47,9 @@
 
 struct eb_admit_action {
 	uint64_t id;
-	uint8_t verdict; /* enum eb_admit_verdict */
-	uint8_t reason;	 /* enum eb_reason, for EB_ADMIT_REFUSE */
+	uint8_t verdict;      /* enum eb_admit_verdict */
+	uint8_t reason;	      /* enum eb_reason, for EB_ADMIT_REFUSE */
+	uint8_t rate_limited; /* refused for the upstream's rate limit */
 	uint32_t retry_after_ms;
 	int64_t waited_us;
 };
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -36,6 +36,8 @@
 };
 
 #define EB_PROBE_CHECK 1
+/* Status of a REFUSE for the rate limit that the upstream has named. */
+#define EB_STATUS_RATE_LIMITED 429
 
 /* Whether the upstream ran a request, as known when its call ends. */
 enum eb_outcome {
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -577,6 +577,8 @@
 		return;
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = ca->verdict.reason;
+	if (ca->verdict.rate_limited)
+		out->reply->status = EB_STATUS_RATE_LIMITED;
 	out->reply->retry_after_ms = ca->verdict.retry_after_ms;
 	to_origin(gt, ca, out, now_us);
 }
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -353,8 +353,11 @@
 static void end_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
 	struct eb_route_result rs = { ca->outcome, ca->reason, ca->status,
-				      now_us - ca->attempt_us };
+				      now_us - ca->attempt_us, 0 };
 
+	if (ca->outcome == EB_OUTCOME_NOT_RUN &&
+	    ca->status == EB_STATUS_RATE_LIMITED)
+		rs.rate_wait_ms = ca->retry_after_ms;
 	if (ca->number) {
 		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
 			     NULL);
@@ -1400,7 +1403,7 @@
  * Tells whether an attempt at an unresponsive gate should be moved: the request
  * is idempotent, the retry limits allow it, and there is another upstream.
  */
-static int should_move(const struct call *ca, uint32_t node)
+static int should_move(const struct call *ca, uint32_t node, int64_t now_us)
 {
 	struct eb_route_query q = { 0 };
 
@@ -1410,7 +1413,7 @@
 		return 0;
 	q.tried = ca->tried;
 	q.tried_count = ca->tried_count;
-	return eb_route_has_other(ca->service->route, &q);
+	return eb_route_has_other(ca->service->route, &q, now_us);
 }
 
 /* Moves idempotent calls from an unresponsive gate to other upstreams. */
@@ -1423,7 +1426,7 @@
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
-		if (!should_move(ca, node))
+		if (!should_move(ca, node, now_us))
 			continue;
 		do_cancel(og, ca, NULL, now_us);
 		mark_attempt_lost(og, ca, now_us);
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -92,6 +92,7 @@
 	int64_t report_at_us;
 	int64_t latency_at_us;
 	int64_t failed_at_us;
+	int64_t held_until_us; /* its rate limit is used up until then */
 	struct eb_eject_state eject;
 };
 
@@ -365,11 +366,13 @@
 	return q->keep_in_region && (!q->tried_count || q->refused);
 }
 
-static int usable(const struct upstream *up, const struct eb_route_query *q)
+static int usable(const struct upstream *up, const struct eb_route_query *q,
+		  int64_t now_us)
 {
 	uint32_t i;
 
 	if (up->info.leaving || (up->info.suspected && !q->suspects) ||
+	    (now_us < up->held_until_us && !q->held) ||
 	    (keep_in_region(q) && up->info.distance == EB_DISTANCE_FAR))
 		return 0;
 	for (i = 0; i < q->tried_count; i++)
@@ -412,7 +415,7 @@
 			    eb_rand_below(&rt->rand, 1000) >= share)
 				continue;
 		}
-		if (!usable(up, q))
+		if (!usable(up, q, now_us))
 			continue;
 		score = score_us(rt, up, now_us);
 		if (!best->up || score < best->score_us) {
@@ -423,8 +426,8 @@
 }
 
 /* Returns a usable upstream of the nearest tier, even if ejected, or NULL. */
-static struct upstream *any_usable(struct eb_route *rt,
-				   const struct eb_route_query *q)
+static struct upstream *
+any_usable(struct eb_route *rt, const struct eb_route_query *q, int64_t now_us)
 {
 	uint32_t t, n, i, start;
 	struct upstream *up;
@@ -434,7 +437,7 @@
 		start = n ? eb_rand_below(&rt->rand, n) : 0;
 		for (i = 0; i < n; i++) {
 			up = &rt->ups[rt->first[t] + (start + i) % n];
-			if (usable(up, q))
+			if (usable(up, q, now_us))
 				return up;
 		}
 	}
@@ -444,11 +447,12 @@
 /*
  * Picks the upstream with the least expected time among a few random ones of
  * each tier in the local region, and stores its id. Other regions are
- * considered only when no local upstream is left, or for a retry while the
- * local region refuses much of its load. A large body (`keep_in_region`) is
- * sent to another region only when its last attempt failed for another reason
- * than load or no local upstream is usable, as traffic between regions is
- * billed. Returns EB_ENOTFOUND when no upstream can be used.
+ * considered only when no local upstream is left that was not tried and is
+ * below its rate limit, or for a retry while the local region refuses much of
+ * its load. A large body (`keep_in_region`) is sent to another region only when
+ * its last attempt failed for another reason than load or no local upstream is
+ * usable, as traffic between regions is billed. Returns EB_ENOTFOUND when no
+ * upstream can be used.
  */
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
@@ -485,20 +489,26 @@
 		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
 		       rt->tune.choices, &relaxed, now_us, &best);
 	if (!best.up)
-		best.up = any_usable(rt, q);
+		best.up = any_usable(rt, q, now_us);
 	/* If all upstreams have refused for load, it waits at one of them. */
 	if (!best.up && q->refused)
-		best.up = any_usable(rt, &relaxed);
+		best.up = any_usable(rt, &relaxed, now_us);
 	/* Without a local upstream, a large body goes to another region. */
 	if (!best.up && q->keep_in_region) {
 		relaxed = *q;
 		relaxed.keep_in_region = 0;
-		best.up = any_usable(rt, &relaxed);
+		best.up = any_usable(rt, &relaxed, now_us);
 	}
 	if (!best.up) {
 		relaxed = *q;
+		relaxed.held = 1;
+		best.up = any_usable(rt, &relaxed, now_us);
+	}
+	if (!best.up) {
+		relaxed = *q;
+		relaxed.held = 1;
 		relaxed.suspects = 1;
-		best.up = any_usable(rt, &relaxed);
+		best.up = any_usable(rt, &relaxed, now_us);
 	}
 	if (!best.up)
 		return EB_ENOTFOUND;
@@ -508,14 +518,17 @@
 	return EB_OK;
 }
 
-/* Whether an upstream is left that was not tried and is not suspected. */
+/*
+ * Whether an upstream is left that was not tried, is not suspected and is not
+ * at its rate limit.
+ */
 int eb_route_has_other(const struct eb_route *rt,
-		       const struct eb_route_query *q)
+		       const struct eb_route_query *q, int64_t now_us)
 {
 	uint32_t i;
 
 	for (i = 0; i < rt->count; i++)
-		if (usable(&rt->ups[i], q))
+		if (usable(&rt->ups[i], q, now_us))
 			return 1;
 	return 0;
 }
@@ -630,6 +643,7 @@
 		if (up->reported < least)
 			up->reported = least;
 		up->report_at_us = now_us;
+		up->held_until_us = now_us + rs->rate_wait_ms * 1000LL;
 	}
 }
 
@@ -708,6 +722,7 @@
 	up->service_us = 0;
 	up->latency_us = 0;
 	up->report_at_us = 0;
+	up->held_until_us = 0;
 	up->eject.error_permille = 0;
 	eb_eject_ramp(&rt->eject, &up->eject, now_us);
 }
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -60,6 +60,7 @@
 	uint8_t refused;	/* the last attempt was refused for load */
 	uint8_t last;		/* last attempt: the gate may queue it */
 	uint8_t suspects;	/* suspected upstreams may be picked */
+	uint8_t held;		/* upstreams at their rate limit, too */
 	uint8_t keep_in_region; /* large body: see eb_route_pick() */
 	const uint32_t *tried;	/* upstreams that it was sent to before */
 	uint32_t tried_count;
@@ -71,6 +72,9 @@
 	uint8_t reason;	 /* enum eb_reason */
 	uint16_t status; /* HTTP status, or 0 without an answer */
 	int64_t elapsed_us;
+	/* Of a refusal for the upstream's rate limit: wait for its next slot.
+	 */
+	uint32_t rate_wait_ms;
 };
 
 /* One router for each service. */
@@ -84,7 +88,7 @@
 			     const struct eb_route_query *q, int64_t now_us,
 			     uint32_t *id);
 int eb_route_has_other(const struct eb_route *rt,
-		       const struct eb_route_query *q);
+		       const struct eb_route_query *q, int64_t now_us);
 void eb_route_sent(struct eb_route *rt, uint32_t id, int64_t now_us);
 void eb_route_done(struct eb_route *rt, uint32_t id,
 		   const struct eb_route_result *rs, int64_t now_us);
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -598,6 +598,7 @@
 	act = g.offer(2);
 	EXPECT_EQ(EB_ADMIT_REFUSE, act.verdict);
 	EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+	EXPECT_EQ(1, act.rate_limited);
 	EXPECT_LE(499u, act.retry_after_ms);
 	EXPECT_GE(502u, act.retry_after_ms);
 	g.now += 1000;
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -91,6 +91,9 @@
 			line += std::string(" ") +
 				eb_outcome_name(f->reply->outcome) + " " +
 				eb_reason_name(f->reply->reason);
+		if (f->type == EB_FRAME_REFUSE &&
+		    f->reply->status == EB_STATUS_RATE_LIMITED)
+			line += " rate-limited";
 		static_cast<Gate *>(ctx)->out.push_back(line);
 		eb_frame_unref(f);
 	}
@@ -226,7 +229,8 @@
 	  { "start i-1", "origin head 1", "client limited 1", "origin head 2",
 	    "client limited 2", "origin head 3", "start i-2", "origin head 4" },
 	  { "client head 1", "origin rhead 1", "client head 2",
-	    "origin rhead 2", "origin refuse 3 not-run handed-back",
+	    "origin rhead 2",
+	    "origin refuse 3 not-run handed-back rate-limited",
 	    "client head 4" } },
 	{ "an idle origin is notified at once that the upstream leaves",
 	  { "origin hello 0", "drain now" },
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -353,6 +353,43 @@
 	}
 }
 
+/*
+ * Guards against calls that go on to an upstream which has just refused one for
+ * its rate limit, and against an upstream that is left out for good.
+ */
+TEST_F(Origin, UpstreamsAtTheirRateLimitAreLeftOut)
+{
+	uint32_t limited;
+	int again = 0;
+
+	start();
+	run("post");
+	limited = nodes[0];
+	eb_frame *f = eb_frame_new(EB_FRAME_REFUSE, numbers[0]);
+	f->reply->outcome = EB_OUTCOME_NOT_RUN;
+	f->reply->reason = EB_REASON_HANDED_BACK;
+	f->reply->status = EB_STATUS_RATE_LIMITED;
+	f->reply->retry_after_ms = 1900;
+	eb_origin_from_gate(og, limited, f, now_us);
+	run("whole 2");
+	for (int n = 3; n < 43; n++) {
+		run("post");
+		EXPECT_NE(limited, nodes.back());
+		run("wait 45");
+		gate(EB_FRAME_RHEAD, n, EB_OUTCOME_RAN, EB_REASON_NONE,
+		     EB_BODY_INLINE);
+	}
+	run("wait 2000");
+	for (int n = 43; n < 83; n++) {
+		run("post");
+		again += limited == nodes.back();
+		gate(EB_FRAME_RHEAD, n, EB_OUTCOME_RAN, EB_REASON_NONE,
+		     EB_BODY_INLINE);
+	}
+	EXPECT_GT(again, 0);
+	stop();
+}
+
 struct refusal {
 	const char *guards;
 	const char *target;
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -391,6 +392,55 @@
 	}
 }
 
+struct limit_case {
+	const char *name;
+	std::vector<int> distances; /* of upstreams 0, 1, ... */
+	std::vector<uint32_t> limited;
+	std::vector<uint32_t> expected; /* picks, of a first attempt */
+};
+
+/*
+ * Guards against first attempts at upstreams whose rate limit is used up, while
+ * others have room: nearby, or in another region. When all of them are at their
+ * limits, one of them may still queue the request.
+ */
+TEST(Route, UpstreamsAtTheirRateLimitAreAvoided)
+{
+	const int domain = EB_DISTANCE_DOMAIN, region = EB_DISTANCE_REGION,
+		  far = EB_DISTANCE_FAR;
+	const limit_case cases[] = {
+		{ "one nearby", { domain, domain, region }, { 0 }, { 1, 2 } },
+		{ "the domain", { domain, domain, region }, { 0, 1 }, { 2 } },
+		{ "the region", { domain, region, far }, { 0, 1 }, { 2 } },
+		{ "all", { domain, region }, { 0, 1 }, { 0 } },
+	};
+
+	for (const limit_case &c : cases) {
+		SCOPED_TRACE(c.name);
+		router r;
+		for (uint32_t i = 0; i < c.distances.size(); i++)
+			r.add(i, c.distances[i]);
+		r.set();
+		for (uint32_t id : c.limited) {
+			eb_route_result rs = {};
+
+			rs.outcome = EB_OUTCOME_NOT_RUN;
+			rs.reason = EB_REASON_HANDED_BACK;
+			rs.rate_wait_ms = 200;
+			eb_route_sent(r.rt, id, r.now);
+			eb_route_done(r.rt, id, &rs, r.now);
+		}
+		r.now += 199000;
+		for (const auto &p : r.picks(200))
+			EXPECT_NE(c.expected.end(),
+				  std::find(c.expected.begin(),
+					    c.expected.end(), p.first))
+				<< p.first;
+		r.now += 2000000;
+		EXPECT_GT(r.picks(500)[c.limited[0]], 0);
+	}
+}
+
 /*
  * Guards against large bodies that are sent to another region, where each byte
  * is billed, because the local region is busy, and against requests that fail
