gate, origin: an upstream that says in an answer that it leaves gets no new calls

Callers would see: requests at an upstream that has said in its answers that it leaves, sent by the daemon that has passed on such an answer (DRAIN). The rule holds for daemons that the store does not reach, too. Cause: nothing read the header. A daemon learned of a leave from the store alone, directly or from its peers. Change: the gate refuses new calls from that answer on until another start of the upstream; all origins learn that from its reports. The origin that got the answer keeps it as well, since a restarted gate has forgotten it. A start is told apart by its id and its time of start, because an upstream may start again under the id that it had. Result: SiteTest.UpstreamsThatSayThatTheyLeaveGetNoNewRequests fails on (requests at the upstream after its answer) and passes now, with a restart of the daemon beside it and of the upstream. The case of test_eb_gate and Config.StartsAreToldApart pass.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -73,6 +73,7 @@
 	uint8_t chunked;    /* the body is decoded by `chunks` */
 	uint16_t status;
 	uint16_t pace_percent;
+	uint8_t upstream_leaving;
 	uint32_t rate_limit_milli;
 	uint64_t body_bytes;
 	uint64_t received_bytes; /* of the answer's body */
@@ -134,6 +135,7 @@
 	f->reply->status = tf->status;
 	f->reply->load.pace_percent = tf->pace_percent;
 	f->reply->answered = tf->answer_head && !tf->answer_invalid;
+	f->reply->upstream_leaving = tf->upstream_leaving;
 	f->reply->rate_limit_milli = tf->rate_limit_milli;
 	return f;
 }
@@ -278,6 +280,8 @@
 		tf->pace_percent = dl->read_pace(value);
 	if (dl->rate_limit && !strcasecmp(line, dl->rate_limit))
 		tf->rate_limit_milli = eb_rate_parse(value);
+	if (dl->leaving && !strcasecmp(line, dl->leaving))
+		tf->upstream_leaving = !strcmp(value, "1");
 	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
 }
 
@@ -304,6 +308,7 @@
 		eb_headers_clear(&tf->answer);
 		tf->refused_by_upstream = 0;
 		tf->rate_limit_milli = 0;
+		tf->upstream_leaving = 0;
 		tf->status = (uint16_t)atoi(line + strcspn(line, " "));
 	} else if (len) {
 		if (add_answer_header(tf, line))
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -233,6 +233,19 @@
 	return EB_NONE;
 }
 
+/*
+ * Tells whether an upstream is another start than the one with this instance
+ * and time of start. An upstream may start again under the instance that it
+ * had.
+ */
+int eb_config_is_other_start(const struct eb_upstream *up, const char *instance,
+			     uint64_t start_ms)
+{
+	if (strcmp(up->instance ? up->instance : "", instance) != 0)
+		return 1;
+	return up->start_ms && start_ms && up->start_ms != start_ms;
+}
+
 /* Returns the index of a service by its name, or EB_NONE. */
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name)
 {
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -57,9 +57,10 @@
 	char *daemon;  /* IP:port of the daemon beside it */
 	char *region;
 	char *failure_domain;
-	char key[41];	  /* CURVE public key of the daemon, Z85; or "" */
-	char *instance;	  /* identifies its incarnation, or NULL */
-	char *probe_path; /* path of its load probe, or NULL */
+	char key[41];	   /* CURVE public key of the daemon, Z85; or "" */
+	char *instance;	   /* identifies its incarnation, or NULL */
+	uint64_t start_ms; /* Unix time of its start; 0: unknown */
+	char *probe_path;  /* path of its load probe, or NULL */
 	uint32_t slots;
 	uint32_t connections;
 	uint32_t cold_ms; /* time left that it is slow after its start */
@@ -128,6 +129,8 @@
 void *eb_config_item_ref(void *item);
 void eb_config_item_unref(enum eb_item_kind kind, void *item);
 uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name);
+int eb_config_is_other_start(const struct eb_upstream *up, const char *instance,
+			     uint64_t start_ms);
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
 uint32_t eb_config_find_rule(const struct eb_config *cf, const char *name);
 const struct eb_rule *eb_config_rule(const struct eb_config *cf,
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -127,10 +127,12 @@
 	struct eb_load load;
 	struct eb_headers headers;
 	/*
-	 * Within a daemon: whether the upstream has answered, and the limit
-	 * that its answer names, in requests per 1,000 s; 0: none.
+	 * Within a daemon: whether the upstream has answered, whether its
+	 * answer says that it leaves, and the limit that it names, in requests
+	 * per 1,000 s; 0: none.
 	 */
 	uint8_t answered;
+	uint8_t upstream_leaving;
 	uint32_t rate_limit_milli;
 };
 
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -112,7 +112,9 @@
 	uint8_t replaced;	/* another start followed `instance` */
 	int draining;
 	int leaving;		/* the upstream, while this daemon stays */
+	int says_leaving;	/* the upstream, in an answer of this start */
 	char *configured;	/* instance in the configuration, or NULL */
+	uint64_t start_ms;	/* of `configured`; 0: unknown */
 	uint64_t release_index; /* see eb_gate_set_index() */
 	uint32_t read_age_ms;	/* see eb_gate_set_index() */
 	int resumed;		/* see eb_gate_set_resumed() */
@@ -202,45 +204,10 @@
 	free(gt);
 }
 
-/*
- * Forgets what the upstream has said in its answers when the configuration
- * names another start of it.
- */
-static void update_instance(struct eb_gate *gt, const char *instance)
+/* Tells whether new calls are refused because the upstream or daemon leaves. */
+static int refuses_calls(const struct eb_gate *gt)
 {
-	if (!instance)
-		return;
-	if (gt->configured && strcmp(gt->configured, instance) != 0)
-		eb_admit_limit_rate(gt->admit, 0, 0);
-	free(gt->configured);
-	gt->configured = strdup(instance);
-}
-
-/*
- * Sets slots, queue, address and probe of the upstream. `rule` is not used
- * when `up` is NULL.
- */
-void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
-		       const struct eb_rule *rule)
-{
-	struct eb_admit_config cf = { 0 };
-
-	free(gt->address);
-	free(gt->service);
-	free(gt->probe);
-	gt->probe = NULL;
-	if (up && up->probe_path &&
-	    asprintf(&gt->probe, "%s %s", up->address, up->probe_path) < 0)
-		gt->probe = NULL;
-	gt->address = up ? strdup(up->address) : NULL;
-	gt->service = up ? strdup(up->service_name) : NULL;
-	if (up) {
-		cf.slots = up->slots;
-		cf.queue = rule->queue;
-		cf.watch_bytes_per_s = rule->watch_bytes_per_s;
-	}
-	eb_admit_configure(gt->admit, &cf);
-	update_instance(gt, up ? up->instance : NULL);
+	return gt->draining || gt->leaving || gt->says_leaving;
 }
 
 /* Sets the release index and the read age that heartbeat replies carry. */
@@ -353,22 +320,83 @@
 	}
 }
 
-/* Sets whether the upstream leaves; if so, new calls are refused. */
-void eb_gate_set_leaving(struct eb_gate *gt, int leaving)
+/* Tells admission and the origins when refuses_calls() is not `before`. */
+static void update_draining(struct eb_gate *gt, int before)
 {
-	if (gt->leaving == (leaving != 0))
+	if (refuses_calls(gt) == before)
 		return;
-	gt->leaving = leaving != 0;
-	eb_admit_drain(gt->admit, gt->leaving || gt->draining);
+	eb_admit_drain(gt->admit, !before);
 	send_load_to_origins(gt);
 }
 
+/*
+ * Forgets what the upstream has said in its answers when the configuration
+ * names another start of it.
+ */
+static void update_start(struct eb_gate *gt, const struct eb_upstream *up)
+{
+	int before = refuses_calls(gt);
+
+	if (!up->instance)
+		return;
+	if (gt->configured &&
+	    eb_config_is_other_start(up, gt->configured, gt->start_ms)) {
+		eb_admit_limit_rate(gt->admit, 0, 0);
+		gt->says_leaving = 0;
+		update_draining(gt, before);
+	}
+	free(gt->configured);
+	gt->configured = strdup(up->instance);
+	gt->start_ms = up->start_ms;
+}
+
+/*
+ * Sets slots, queue, address and probe of the upstream. `rule` is not used
+ * when `up` is NULL.
+ */
+void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
+		       const struct eb_rule *rule)
+{
+	struct eb_admit_config cf = { 0 };
+
+	free(gt->address);
+	free(gt->service);
+	free(gt->probe);
+	gt->probe = NULL;
+	if (up && up->probe_path &&
+	    asprintf(&gt->probe, "%s %s", up->address, up->probe_path) < 0)
+		gt->probe = NULL;
+	gt->address = up ? strdup(up->address) : NULL;
+	gt->service = up ? strdup(up->service_name) : NULL;
+	if (up) {
+		cf.slots = up->slots;
+		cf.queue = rule->queue;
+		cf.watch_bytes_per_s = rule->watch_bytes_per_s;
+	}
+	eb_admit_configure(gt->admit, &cf);
+	if (up)
+		update_start(gt, up);
+}
+
+/*
+ * Sets whether the upstream leaves according to the configuration; if so, new
+ * calls are refused.
+ */
+void eb_gate_set_leaving(struct eb_gate *gt, int leaving)
+{
+	int before = refuses_calls(gt);
+
+	gt->leaving = leaving != 0;
+	update_draining(gt, before);
+}
+
 /* Refuses new calls from now on; calls that have arrived are finished. */
 void eb_gate_drain(struct eb_gate *gt)
 {
+	int before = refuses_calls(gt);
+
 	gt->draining = 1;
-	eb_admit_drain(gt->admit, 1);
-	send_load_to_origins(gt);
+	update_draining(gt, before);
 }
 
 /*
@@ -386,7 +414,7 @@
 void eb_gate_load(const struct eb_gate *gt, struct eb_load *ld)
 {
 	eb_admit_load(gt->admit, ld);
-	ld->draining = gt->draining || gt->leaving;
+	ld->draining = (uint16_t)refuses_calls(gt);
 }
 
 /* Returns the number of unfinished calls. */
@@ -405,7 +433,7 @@
 	if (r->load.slots)
 		eb_metrics_add(gt->config.metrics, EB_METRIC_WATCH_BYTES,
 			       EB_ADMIT_REPORT_BYTES);
-	r->load.draining = gt->draining || gt->leaving;
+	r->load.draining = (uint16_t)refuses_calls(gt);
 }
 
 static void to_origin(struct eb_gate *gt, const struct call *ca,
@@ -494,7 +522,7 @@
 		gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000 : -1LL,
 		h->baseline_pace_percent, (long long)h->remaining_us / 1000,
 		h->goal_us == INT64_MAX ? -1LL : (long long)h->goal_us / 1000,
-		gt->draining || gt->leaving,
+		refuses_calls(gt),
 		(long long)eb_admit_limit_wait_us(gt->admit, now_us) / 1000);
 }
 
@@ -786,7 +814,7 @@
  */
 static int needs_probe(const struct eb_gate *gt, int64_t now_us)
 {
-	if (!gt->probe || gt->draining || gt->leaving)
+	if (!gt->probe || refuses_calls(gt))
 		return 0;
 	if (gt->pace_us && now_us - gt->pace_us < EB_PACE_FRESH_US)
 		return 0;
@@ -821,14 +849,25 @@
 }
 
 /*
- * Stores the rate limit that the upstream names in an answer, or that it names
- * none. The answer of another start says nothing about this one.
+ * Stores what the upstream says of itself in an answer: the rate limit that it
+ * names, if any, and whether it leaves, which holds until its next start. The
+ * answer of another start says nothing about this one.
  */
-static void save_limit(struct eb_gate *gt, const struct eb_reply *r,
-		       int64_t now_us)
+static void save_answer(struct eb_gate *gt, const struct eb_reply *r,
+			int64_t now_us)
 {
-	if (r && r->answered && r->reason != EB_REASON_NO_UPSTREAM)
-		eb_admit_limit_rate(gt->admit, r->rate_limit_milli, now_us);
+	int before = refuses_calls(gt);
+
+	if (!r || !r->answered || r->reason == EB_REASON_NO_UPSTREAM)
+		return;
+	eb_admit_limit_rate(gt->admit, r->rate_limit_milli, now_us);
+	if (!r->upstream_leaving || gt->says_leaving)
+		return;
+	gt->says_leaving = 1;
+	eb_log_write(gt->log, EB_LOG_INFO, "gate",
+		     "answer says that the upstream leaves", "instance=%s",
+		     gt->configured ? gt->configured : "-");
+	update_draining(gt, before);
 }
 
 /* Stores the start of the upstream that answered a probe; NULL: no answer. */
@@ -1104,7 +1143,7 @@
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	save_pace(gt, f->reply, now_us);
-	save_limit(gt, f->reply, now_us);
+	save_answer(gt, f->reply, now_us);
 	/*
 	 * Another start of the upstream answered: the known pace is void, so
 	 * that the next call waits for a probe.
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -180,8 +180,11 @@
 	n->replaced =
 		n->present_before &&
 		strcmp(n->instance, up->instance ? up->instance : "") != 0;
+	if (eb_config_is_other_start(up, n->instance, n->start_ms))
+		n->says_leaving = 0;
 	snprintf(n->instance, sizeof(n->instance), "%s",
 		 up->instance ? up->instance : "");
+	n->start_ms = up->start_ms;
 	if (nd->config->has_matches)
 		n->leaving = up->leaving;
 	n->present = 1;
@@ -204,7 +207,7 @@
  */
 static int is_routable(const struct eb_nodes *nd, const struct eb_node *n)
 {
-	if (!n->present || n->leaving || n->draining)
+	if (!n->present || n->leaving || n->draining || n->says_leaving)
 		return 0;
 	if (n->self)
 		return 1;
@@ -448,8 +451,8 @@
 	for (i = 0; i < nd->count; i++) {
 		n = nd->nodes[i];
 		if (n->present && n->service == sv->index && !n->leaving &&
-		    !n->draining && n->peer && !n->peer->up &&
-		    !n->peer->incarnation)
+		    !n->draining && !n->says_leaving && n->peer &&
+		    !n->peer->up && !n->peer->incarnation)
 			return 1;
 	}
 	return 0;
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -29,6 +29,7 @@
 	uint8_t self;		  /* beside this daemon */
 	uint8_t leaving;	  /* in the platform's list of VMs */
 	uint8_t draining;	  /* according to its daemon */
+	uint8_t says_leaving;	  /* in an answer of this start */
 	uint8_t distance;	  /* enum eb_distance */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
@@ -38,6 +39,7 @@
 	int64_t back_received_us;
 	int64_t removed_us; /* when it was removed from the configuration */
 	char instance[EB_NAME_SPACE_BYTES]; /* id of its start, or "" */
+	uint64_t start_ms;		    /* Unix time; 0: unknown */
 	uint32_t marks_generation; /* of the marks last sent to its daemon */
 };
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -1295,6 +1295,33 @@
 		eb_route_load(sv->route, node, ld, now_us);
 }
 
+/*
+ * Stops the use of an upstream whose answer says that it leaves. Its gate
+ * refuses calls as well, but has forgotten that after a restart.
+ */
+static void note_leaving(struct eb_origin *og, const struct call *ca,
+			 const struct eb_frame *f, int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_dialect *dl = og->config.dialect;
+	const char *sent_to = ca->head->head->instance, *value;
+
+	if (!n || n->says_leaving || !dl || !dl->leaving)
+		return;
+	value = eb_headers_find(&f->reply->headers, dl->leaving);
+	if (!value || strcmp(value, "1") != 0)
+		return;
+	/* The address may belong to another start by now. */
+	if (strcmp(sent_to ? sent_to : "", n->instance) != 0)
+		return;
+	n->says_leaving = 1;
+	eb_log_write(og->config.log, EB_LOG_INFO, "origin",
+		     "answer says that the upstream leaves",
+		     "id=%s upstream=%s instance=%s", request_id(og, ca->head),
+		     n->name, n->instance);
+	eb_nodes_changed(og->config.nodes, ca->node, now_us);
+}
+
 /*
  * Adds the numbers of attempts that have been at a node's gate for long to
  * `f`, a heartbeat to that gate.
@@ -1362,8 +1389,10 @@
 		do_drop(og, NULL, f, now_us);
 		return;
 	}
-	if (f->reply)
+	if (f->reply) {
 		apply_load(og, node, ca->service, &f->reply->load, now_us);
+		note_leaving(og, ca, f, now_us);
+	}
 	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
 	    f->type == EB_FRAME_ABORT)
 		f->type = EB_FRAME_REND;
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -250,6 +250,48 @@
 	});
 }
 
+/*
+ * Guards against requests at an upstream that says in its answers that it
+ * leaves, while its entry in the store is unchanged: at once, and after the
+ * daemon beside it has lost what it knew. Guards as well against one that gets
+ * none any more when it has started again, under the id that it had.
+ */
+TEST_F(SiteTest, UpstreamsThatSayThatTheyLeaveGetNoNewRequests)
+{
+	SiteUpstream &up = *site.upstreams[3];
+	int before = up.runs();
+	int64_t start;
+
+	up.say("Server-Leaving: 1\r\n");
+	wait_until("an answer that says so", [&] {
+		site.send(0, "GET", "/far/x", "leave");
+		return up.runs() > before;
+	});
+	before = up.runs();
+	for (size_t i = 0; i < 60; i++)
+		EXPECT_TRUE(site.send(i % 4, "GET", "/far/x", "left")
+				    .complete(200));
+	EXPECT_EQ(before, up.runs());
+	/* The daemon that has passed the answer on still knows. */
+	site.daemons[3]->kill();
+	site.start_daemon(3);
+	wait_until("the daemon to be ready",
+		   [&] { return site.ready(3) == 200; });
+	start = eb_clock_now_us();
+	while (eb_clock_now_us() - start < 3000000)
+		EXPECT_TRUE(
+			site.send(0, "GET", "/far/x", "left").complete(200));
+	EXPECT_EQ(before, up.runs());
+	up.say("");
+	up.born = 2000;
+	site.store->put(up.key(), up.entry());
+	wait_until("the next start to get work", [&] {
+		for (size_t i = 0; i < 20; i++)
+			site.send(i % 4, "GET", "/far/x", "back");
+		return up.runs() > before;
+	});
+}
+
 /*
  * Guards against calls in flight that fail when the entry of their upstream is
  * removed from the store.
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -439,7 +439,8 @@
 	return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" +
 	       std::to_string(port_) +
 	       "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" +
-	       state + "\",\"coldLeftMs\":0,\"seq\":1,\"born\":1000}";
+	       state + "\",\"coldLeftMs\":0,\"seq\":1,\"born\":" +
+	       std::to_string(born) + "}";
 }
 
 void SiteUpstream::serve(SiteConnection &cn)
--- a/tests/test_eb_config.cc
+++ b/tests/test_eb_config.cc
@@ -225,4 +225,37 @@
 	eb_config_unref(cf);
 }
 
+/*
+ * Guards against what was known of a start of an upstream being held against
+ * the next one, which may have the same id, and being forgotten meanwhile.
+ */
+TEST(Config, StartsAreToldApart)
+{
+	const struct {
+		const char *instance; /* NULL: none */
+		uint64_t start_ms;
+		const char *known;
+		uint64_t known_ms;
+		int other;
+	} cases[] = {
+		{ "i-1", 1000, "i-1", 1000, 0 },
+		{ "i-2", 1000, "i-1", 1000, 1 },
+		{ "i-1", 2000, "i-1", 1000, 1 },
+		{ "i-1", 0, "i-1", 1000, 0 },
+		{ "i-1", 1000, "i-1", 0, 0 },
+		{ nullptr, 0, "", 0, 0 },
+		{ nullptr, 0, "i-1", 0, 1 },
+	};
+
+	for (const auto &c : cases) {
+		eb_upstream up = {};
+
+		up.instance = (char *)c.instance;
+		up.start_ms = c.start_ms;
+		EXPECT_EQ(c.other,
+			  eb_config_is_other_start(&up, c.known, c.known_ms))
+			<< c.start_ms << " " << c.known << c.known_ms;
+	}
+}
+
 } // namespace
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -138,12 +138,13 @@
 			eb_gate_set_resumed(gt, atoi(what));
 		} else if (w == "start") {
 			configure(nullptr, "agenda", what);
-		} else if (t == "limited") {
-			/* An answer that names a limit. */
+		} else if (t == "limited" || t == "leaving") {
+			/* An answer that names a limit, or says so. */
 			eb_frame *f = make("rhead", (uint64_t)n);
 			f->target = ORIGIN;
 			f->reply->answered = 1;
-			f->reply->rate_limit_milli = 500;
+			f->reply->rate_limit_milli = t == "limited" ? 500 : 0;
+			f->reply->upstream_leaving = t == "leaving";
 			eb_gate_from_client(gt, f, now_us);
 		} else if (t == "lists") {
 			eb_frame *f = make("hello", 0);
@@ -225,6 +226,14 @@
 	  { "client head 1", "origin hello 0 unknown none",
 	    "origin refuse 3 not-run draining", "origin rhead 1",
 	    "client head 2" } },
+	{ "an upstream that says that it leaves gets nothing until it restarts",
+	  { "start i-1", "origin head 1", "origin head 2", "client leaving 1",
+	    "client rhead 2", "start i-1", "origin head 3", "start i-2",
+	    "origin head 4" },
+	  { "client head 1", "origin hello 0 unknown none", "origin rhead 1",
+	    "client head 2", "origin rhead 2",
+	    "origin refuse 3 not-run draining", "origin hello 0 unknown none",
+	    "client head 4" } },
 	{ "an upstream gets no more than the rate it names until it restarts",
 	  { "start i-1", "origin head 1", "client limited 1", "origin head 2",
 	    "client limited 2", "origin head 3", "start i-2", "origin head 4" },
