gate: the upstream's rate limit in the log and the metrics

Cause: a limit that an upstream names showed only as a wait in the lines of single calls; an operator could not tell it from an overload. Change: the line `upstream names another rate` at each change, upstream_rate_limit_milli, and gate_rate_limited_total. Result: Gate.MetricsShowTheRateLimit passes; test_docs (each metric is described) passes. No change of behaviour.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -113,6 +113,7 @@
 	int draining;
 	int leaving;		/* the upstream, while this daemon stays */
 	int says_leaving;	/* the upstream, in an answer of this start */
+	uint32_t rate_milli;	/* that this start names; 0: none */
 	char *configured;	/* instance in the configuration, or NULL */
 	uint64_t start_ms;	/* of `configured`; 0: unknown */
 	uint64_t release_index; /* see eb_gate_set_index() */
@@ -329,6 +330,19 @@
 	send_load_to_origins(gt);
 }
 
+/* Sets the rate that the upstream takes, in requests per 1,000 s; 0: any. */
+static void set_rate(struct eb_gate *gt, uint32_t rate_milli, int64_t now_us)
+{
+	eb_admit_limit_rate(gt->admit, rate_milli, now_us);
+	if (rate_milli == gt->rate_milli)
+		return;
+	gt->rate_milli = rate_milli;
+	eb_metrics_set(gt->config.metrics, EB_METRIC_RATE_LIMIT, rate_milli);
+	eb_log_write(gt->log, EB_LOG_INFO, "gate",
+		     "upstream names another rate", "rate_milli=%u",
+		     rate_milli);
+}
+
 /*
  * Forgets what the upstream has said in its answers when the configuration
  * names another start of it.
@@ -341,7 +355,7 @@
 		return;
 	if (gt->configured &&
 	    eb_config_is_other_start(up, gt->configured, gt->start_ms)) {
-		eb_admit_limit_rate(gt->admit, 0, 0);
+		set_rate(gt, 0, 0);
 		gt->says_leaving = 0;
 		update_draining(gt, before);
 	}
@@ -605,8 +619,11 @@
 		return;
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
 	out->reply->reason = ca->verdict.reason;
-	if (ca->verdict.rate_limited)
+	if (ca->verdict.rate_limited) {
 		out->reply->status = EB_STATUS_RATE_LIMITED;
+		eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_RATE_LIMITED,
+			       1);
+	}
 	out->reply->retry_after_ms = ca->verdict.retry_after_ms;
 	to_origin(gt, ca, out, now_us);
 }
@@ -860,7 +877,7 @@
 
 	if (!r || !r->answered || r->reason == EB_REASON_NO_UPSTREAM)
 		return;
-	eb_admit_limit_rate(gt->admit, r->rate_limit_milli, now_us);
+	set_rate(gt, r->rate_limit_milli, now_us);
 	if (!r->upstream_leaving || gt->says_leaving)
 		return;
 	gt->says_leaving = 1;
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -30,6 +30,10 @@
 	X(GATE_ADMITTED, "gate_admitted_total", "Calls that got a slot")     \
 	X(GATE_REFUSED, "gate_refused_total",                                \
 	  "Calls this gate refused as not run")                              \
+	X(GATE_RATE_LIMITED, "gate_rate_limited_total",                      \
+	  "Calls this gate refused for the upstream's rate limit")           \
+	X(RATE_LIMIT, "upstream_rate_limit_milli",                           \
+	  "Requests per 1,000 s that the upstream takes, 0 for no limit")    \
 	X(GATE_QUEUED, "gate_queued_total", "Calls that waited for a slot")  \
 	X(CRASHES, "upstream_crashes_total",                                 \
 	  "Crashes of the upstream that runs met")                           \
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -373,6 +373,33 @@
 	}
 }
 
+/*
+ * Guards against an operator who cannot tell a rate limit from an overload: the
+ * metrics show the limit and the calls that it turned away.
+ */
+TEST_F(Gate, MetricsShowTheRateLimit)
+{
+	const struct {
+		const char *event;
+		int64_t rate_milli, refused;
+	} steps[] = {
+		{ "start i-1", 0, 0 },		{ "origin head 1", 0, 0 },
+		{ "client limited 1", 500, 0 }, { "origin head 2", 500, 0 },
+		{ "client limited 2", 500, 0 }, { "origin head 3", 500, 1 },
+		{ "start i-2", 0, 1 },
+	};
+
+	for (const auto &s : steps) {
+		run(s.event);
+		EXPECT_EQ(s.rate_milli,
+			  eb_metrics_get(mt, EB_METRIC_RATE_LIMIT))
+			<< s.event;
+		EXPECT_EQ(s.refused,
+			  eb_metrics_get(mt, EB_METRIC_GATE_RATE_LIMITED))
+			<< s.event;
+	}
+}
+
 /*
  * Guards against a request that runs at the wrong upstream, because its origin
  * has an outdated address.
