gate: a restarted daemon learns the rate limit from its first probe

Callers would see: a burst at an upstream that has named a limit, as many requests as it has slots, when the daemon beside it is restarted. Cause: the limit was read from answers to calls only. Until the first of these came, a restarted gate knew none. Change: a probe's answer that names a limit sets it, if it is of the configured start; one without leaves the known limit, since upstreams need not name it there. Calls wait for the first probe, so the limit holds from the first call. An upstream without a probe path still gets one burst.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -94,6 +94,7 @@
 	CURL *probe; /* load probe: reads the upstream's pace */
 	struct eb_fetch probe_answer;
 	uint16_t probe_pace;
+	uint32_t probe_rate_milli; /* that the answer names; 0: none */
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probe_running;
 	CURL *check; /* connection check that is running, or NULL */
@@ -636,7 +637,8 @@
 	return 0;
 }
 
-/* Reads the pace and the instance from a header line of a probe's answer. */
+/* Reads pace, instance and rate limit from a header line of a probe's answer.
+ */
 static void read_probe_header(void *ctx, const char *line, size_t n)
 {
 	struct eb_client *cl = ctx;
@@ -648,6 +650,9 @@
 	else if (dl->instance &&
 		 !header_value(line, n, dl->instance, value, sizeof(value)))
 		memcpy(cl->probe_instance, value, sizeof(value));
+	else if (dl->rate_limit &&
+		 !header_value(line, n, dl->rate_limit, value, sizeof(value)))
+		cl->probe_rate_milli = eb_rate_parse(value);
 }
 
 /*
@@ -688,6 +693,7 @@
 	eb_fetch_attach(&cl->probe_answer, cl->probe);
 	curl_easy_setopt(cl->probe, CURLOPT_PRIVATE, NULL);
 	cl->probe_pace = 0;
+	cl->probe_rate_milli = 0;
 	cl->probe_instance[0] = 0;
 	cl->probe_running = 1;
 	eb_metrics_add(cl->config.metrics, EB_METRIC_PROBES, 1);
@@ -707,6 +713,7 @@
 		return;
 	f->reply->status = rc ? 0 : (uint16_t)status;
 	f->reply->load.pace_percent = cl->probe_pace;
+	f->reply->rate_limit_milli = rc ? 0 : cl->probe_rate_milli;
 	if (!rc && status == 200 && cl->probe_instance[0])
 		f->object = strdup(cl->probe_instance);
 	f->object_free = free;
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -887,6 +887,22 @@
 	update_draining(gt, before);
 }
 
+/*
+ * Stores the rate limit that a probe's answer names, so that it is known before
+ * the first call of a restarted daemon. Upstreams need not name it there:
+ * without one, the known limit stays.
+ */
+static void save_probe_limit(struct eb_gate *gt, const struct eb_frame *f,
+			     int64_t now_us)
+{
+	const char *instance = f->object;
+
+	if (!f->reply->rate_limit_milli || !instance)
+		return;
+	if (!gt->configured || !strcmp(gt->configured, instance))
+		set_rate(gt, f->reply->rate_limit_milli, now_us);
+}
+
 /* Stores the start of the upstream that answered a probe; NULL: no answer. */
 static void save_instance(struct eb_gate *gt, const char *instance)
 {
@@ -1182,6 +1198,7 @@
 	if (f->type == EB_FRAME_PROBE) {
 		gt->probe_us = 0;
 		save_instance(gt, f->object);
+		save_probe_limit(gt, f, now_us);
 		eb_frame_unref(f);
 		admit_held(gt, now_us);
 		return;
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -250,6 +250,43 @@
 	});
 }
 
+/*
+ * Guards against a burst at an upstream with a rate limit when the daemon
+ * beside it has just been restarted and no request has been answered yet.
+ */
+TEST_F(SiteTest, ARestartedDaemonKnowsTheRateLimitAtOnce)
+{
+	SiteUpstream &up = *site.upstreams[3];
+	std::vector<std::thread> callers;
+	std::atomic<bool> released{ false };
+	int64_t start;
+	int before;
+
+	up.say("Server-Limit: 1\r\n");
+	site.store->remove(site.upstreams[2]->key());
+	up.on("/slow", [&](SiteConnection &cn, const SiteRequest &rq) {
+		wait_until("the release", [&] { return released.load(); });
+		cn.write(up.answer(rq, "slow"));
+	});
+	site.daemons[3]->kill();
+	site.start_daemon(3);
+	wait_until("the daemon to be ready",
+		   [&] { return site.ready(3) == 200; });
+	before = up.runs();
+	start = eb_clock_now_us();
+	for (size_t i = 0; i < 6; i++)
+		callers.emplace_back(
+			[&] { site.send(3, "GET", "/far/slow", "burst"); });
+	while (eb_clock_now_us() - start < 1500000)
+		usleep(10000);
+	EXPECT_GE(up.runs() - before, 1);
+	EXPECT_LE(up.runs() - before,
+		  1 + (eb_clock_now_us() - start + 999999) / 1000000);
+	released = true;
+	for (std::thread &t : callers)
+		t.join();
+}
+
 /*
  * Guards against requests at an upstream that says in its answers that it
  * leaves, while its entry in the store is unchanged: at once, and after the
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -410,9 +410,7 @@
 std::string SiteUpstream::answer(const SiteRequest &rq, const std::string &body,
 				 const std::string &status) const
 {
-	std::lock_guard<std::mutex> hold(says_lock_);
-
-	return "HTTP/1.1 " + status + "\r\n" + says_ +
+	return "HTTP/1.1 " + status + "\r\n" + says() +
 	       "Ebonypier-Request-Id: " + rq.header("ebonypier-request-id") +
 	       "\r\nEbonypier-Response-Stamp: stamp-" + id +
 	       "\r\nEbonypier-Server-Load: 1,0,6," + std::to_string(pace) +
@@ -420,6 +418,13 @@
 	       "\r\n\r\n" + body;
 }
 
+std::string SiteUpstream::says() const
+{
+	std::lock_guard<std::mutex> hold(says_lock_);
+
+	return says_;
+}
+
 void SiteUpstream::say(const std::string &lines)
 {
 	std::lock_guard<std::mutex> hold(says_lock_);
@@ -452,8 +457,9 @@
 		Run run;
 
 		if (rq.target == "/health") {
-			cn.write("HTTP/1.1 200 OK\r\nEbonypier-Instance-Id: " +
-				 id + "\r\nEbonypier-Server-Load: 1,0,6," +
+			cn.write("HTTP/1.1 200 OK\r\n" + says() +
+				 "Ebonypier-Instance-Id: " + id +
+				 "\r\nEbonypier-Server-Load: 1,0,6," +
 				 std::to_string(pace) +
 				 "\r\nContent-Length: 0\r\n\r\n");
 			continue;
--- a/tests/site.h
+++ b/tests/site.h
@@ -201,6 +201,7 @@
 
 private:
 	void serve(SiteConnection &cn);
+	std::string says() const;
 
 	uint16_t port_;
 	std::mutex lock_;
