--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -637,8 +637,7 @@
 	return 0;
 }
 
-/* Reads pace, instance and rate limit from a header line of a probe's answer.
- */
+/* Reads a header line of a probe's answer: pace, instance or rate limit. */
 static void read_probe_header(void *ctx, const char *line, size_t n)
 {
 	struct eb_client *cl = ctx;
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -39,7 +39,7 @@
 	int64_t back_received_us;
 	int64_t removed_us; /* when it was removed from the configuration */
 	char instance[EB_NAME_SPACE_BYTES]; /* id of its start, or "" */
-	uint64_t start_ms;		    /* Unix time; 0: unknown */
+	uint64_t start_ms;		    /* when it started, Unix time */
 	uint32_t marks_generation; /* of the marks last sent to its daemon */
 };
 
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -643,7 +643,8 @@
 		if (up->reported < least)
 			up->reported = least;
 		up->report_at_us = now_us;
-		up->held_until_us = now_us + rs->rate_wait_ms * 1000LL;
+		if (rs->rate_wait_ms)
+			up->held_until_us = now_us + rs->rate_wait_ms * 1000LL;
 	}
 }
 
