--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -328,7 +328,7 @@
 		return 0;
 	if (rq->goal_us && now_us + wait_us + run_us(ad, rq) > rq->goal_us)
 		return 0;
-	if (!ahead && !eb_rate_wait_us(&ad->rate, 0, now_us))
+	if (!ahead && !eb_admit_limit_wait_us(ad, now_us))
 		return 1;
 	return rq->attempt >= ATTEMPT_LAST ||
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
@@ -353,6 +353,7 @@
 {
 	uint32_t slots = ad->config.slots;
 	int64_t wait_us = expected_wait_us(ad, ad->queued, now_us);
+	int limited = eb_admit_limit_wait_us(ad, now_us) > 0;
 
 	memset(act, 0, sizeof(*act));
 	act->id = rq->id;
@@ -365,14 +366,13 @@
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (has_slot(ad, rq) && !eb_rate_wait_us(&ad->rate, 0, now_us) &&
+	} else if (has_slot(ad, rq) && !limited &&
 		   (!ad->queued || ad->in_flight >= slots)) {
 		run(ad, now_us, act);
 	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
-		act->rate_limited = eb_rate_wait_us(&ad->rate, 0, now_us) > 0;
+		act->rate_limited = (uint8_t)limited;
 		refuse(act,
-		       act->rate_limited ? EB_REASON_HANDED_BACK
-					 : EB_REASON_QUEUE_FULL,
+		       limited ? EB_REASON_HANDED_BACK : EB_REASON_QUEUE_FULL,
 		       wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
@@ -443,7 +443,7 @@
 {
 	uint32_t i, best = ad->queued;
 
-	if (eb_rate_wait_us(&ad->rate, 0, now_us))
+	if (eb_admit_limit_wait_us(ad, now_us))
 		return best;
 	for (i = 0; i < ad->queued; i++) {
 		if (!has_slot(ad, &ad->queue[i].rq))
@@ -557,14 +557,14 @@
 static uint32_t requests_ahead(const struct eb_admit *ad, int64_t now_us)
 {
 	int64_t rate_us = eb_rate_wait_us(&ad->rate, ad->queued, now_us);
-	int64_t busy, slots = ad->config.slots;
+	int64_t ahead, slots = ad->config.slots;
 
 	if (!rate_us || !ad->service_us)
 		return ad->queued;
-	busy = slots * rate_us / ad->service_us + slots - ad->in_flight;
-	if (busy > AHEAD_TIMES_MAX * slots)
-		busy = AHEAD_TIMES_MAX * slots;
-	return busy > ad->queued ? (uint32_t)busy : ad->queued;
+	ahead = slots * rate_us / ad->service_us + slots - ad->in_flight;
+	if (ahead > AHEAD_TIMES_MAX * slots)
+		ahead = AHEAD_TIMES_MAX * slots;
+	return ahead > ad->queued ? (uint32_t)ahead : ad->queued;
 }
 
 /* Fills in a load report regardless of the budget. */
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -505,8 +505,6 @@
 		best.up = any_usable(rt, &relaxed, now_us);
 	}
 	if (!best.up) {
-		relaxed = *q;
-		relaxed.held = 1;
 		relaxed.suspects = 1;
 		best.up = any_usable(rt, &relaxed, now_us);
 	}
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -72,9 +72,7 @@
 	uint8_t reason;	 /* enum eb_reason */
 	uint16_t status; /* HTTP status, or 0 without an answer */
 	int64_t elapsed_us;
-	/* Of a refusal for the upstream's rate limit: wait for its next slot.
-	 */
-	uint32_t rate_wait_ms;
+	uint32_t rate_wait_ms; /* until its rate limit allows the next one */
 };
 
 /* One router for each service. */
