review: a restarted daemon takes old pages for new ones

Case 4: a staleOk read whose second page is older than its first leaves a daemon with a copy that claims the first page's revision. After a kill it doesn't learn that the server beside it drains.

--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -356,6 +356,10 @@
 		peer_port = free_port();
 		app_port_ = free_port();
 		store = std::make_unique<SiteStore>("127.0.0.1");
+		store_address = store->address;
+		put = [this](const std::string &key, const std::string &value) {
+			store->put(key, value);
+		};
 		for (size_t i = 0; i < services.size(); i++)
 			servers.push_back(std::make_unique<LabServer>(
 				ip(i), app_port_, "i-" + std::to_string(i),
@@ -397,7 +401,7 @@
 				"\":{\"healthPath\":\"/health\","
 				"\"maxConns\":220,\"protocol\":\"h1\","
 				"\"tls\":false}";
-		store->put("op/config",
+		put("op/config",
 			   "{\"version\":" + std::to_string(version) +
 				   ",\"routes\":{" + routes +
 				   "},\"services\":{" + list +
@@ -434,7 +438,7 @@
 		    << "],\"seeds\":[],\"zones\":{\"stgo-a\":\"santiago\"},"
 		       "\"discovery\":\"platform\",\"entry\":\"static\","
 		       "\"heartbeatMs\":1500,\"platform\":{\"address\":\""
-		    << store->address
+		    << store_address
 		    << "\",\"form\":\"read\",\"writesPerS\":400,"
 		       "\"readsPerS\":2000,\"historyS\":20,"
 		       "\"valueBytes\":1048576,\"ttlMinMs\":1000},"
@@ -469,8 +473,9 @@
 	void start(const std::string &routes)
 	{
 		for (auto &sv : servers)
-			store->put("servers/" + sv->id, sv->entry());
+			put("servers/" + sv->id, sv->entry());
 		publish(1, routes);
+		sleep_ms(settle_ms);
 		for (size_t i = 0; i < services.size(); i++)
 			start_daemon(i);
 		for (size_t i = 0; i < services.size(); i++)
@@ -510,10 +515,15 @@
 
 	uint16_t listen_port, peer_port;
 	bool first_start = true;
+	/* Time between the first writes to the store and the daemons' start. */
+	int settle_ms = 0;
 	std::vector<std::string> services;
 	/* Where a daemon binds for its peers, if a Path stands before it. */
 	std::vector<std::string> own_ip;
 	std::unique_ptr<SiteStore> store;
+	/* Another store, if a case needs one of its own. */
+	std::string store_address;
+	std::function<void(const std::string &, const std::string &)> put;
 	std::vector<std::unique_ptr<LabServer>> servers;
 	std::vector<std::unique_ptr<Process>> daemons;
 
