--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -73,7 +73,8 @@
 };
 
 /* Ids of the daemons, so that a case that is ended early leaves none. */
-inline std::atomic<pid_t> lab_pids[32];
+inline std::atomic<pid_t> lab_pids[64];
+inline std::atomic<int> lab_pid_count{ 0 };
 
 inline void lab_end_all(int)
 {
@@ -365,13 +366,15 @@
 				ip(i), app_port_, "i-" + std::to_string(i),
 				services[i]));
 		own_ip.resize(services.size());
+		first_pid_ = (size_t)lab_pid_count.fetch_add(
+			(int)services.size());
 		daemons.resize(services.size());
 	}
 	~Lab()
 	{
 		for (size_t i = 0; i < daemons.size(); i++) {
 			daemons[i].reset();
-			lab_pids[i] = 0;
+			lab_pids[first_pid_ + i] = 0;
 		}
 	}
 	std::string ip(size_t i) const
@@ -462,7 +465,7 @@
 						  "/ebonypier-site" },
 			std::vector<std::string>{ "EBONYPIER_BOOT=" +
 						  settings(i) });
-		lab_pids[i] = daemons[i]->pid();
+		lab_pids[first_pid_ + i] = daemons[i]->pid();
 	}
 	bool ready(size_t i)
 	{
@@ -530,9 +533,11 @@
 private:
 	std::string settings(size_t i) const
 	{
-		return temp_dir() + "/boot-" + std::to_string(i);
+		return temp_dir() + "/boot-" + std::to_string(net_) + "-" +
+		       std::to_string(i);
 	}
 
+	size_t first_pid_;
 	uint32_t net_ = 0, tries_ = 0;
 	uint16_t ready_port_, app_port_;
 };
