--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -34,8 +34,8 @@
 		const size_t machines = lab.services.size();
 		int64_t confirmed_us;
 
-		lab.start(lab.route("catalogo", "/catalogo/", "safe",
-				    "vitrina"));
+		lab.start(
+			lab.route("catalogo", "/catalogo/", "safe", "vitrina"));
 		for (size_t i = 0; i < machines; i++)
 			rc.line("version 1: machine %zu answers /catalogo/ "
 				"with %ld %s",
@@ -65,9 +65,8 @@
 		for (int round = 0; round < 10; round++, sleep_ms(500)) {
 			for (size_t i = 0; i < machines; i++) {
 				std::string id = std::to_string(n++);
-				HttpAnswer moved = lab.send(i, "GET",
-							    "/catalogo/" + id,
-							    "m-" + id);
+				HttpAnswer moved = lab.send(
+					i, "GET", "/catalogo/" + id, "m-" + id);
 				HttpAnswer added = lab.send(
 					i, "GET", "/nueva/" + id, "n-" + id);
 				std::string stamp = moved.header(
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -61,10 +61,9 @@
 		taller.early = [&](SiteConnection &cn, SiteRequest &rq) {
 			return run_upload(taller, cn, rq);
 		};
-		lab.start(lab.route("arte", "/arte/", "upload", "taller") +
-			  "," +
-			  lab.route("reserva", "/reserva/", "unsafe",
-				    "agenda"));
+		lab.start(
+			lab.route("arte", "/arte/", "upload", "taller") + "," +
+			lab.route("reserva", "/reserva/", "unsafe", "agenda"));
 		for (int u = 0; u < ROUNDS; u++) {
 			std::string one = "upload-" + std::to_string(u);
 			std::string two = "booking-" + std::to_string(u);
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -63,9 +63,9 @@
 
 		for (size_t i = 0; i < text.size(); i++)
 			if (text[i] == '%' && i + 2 < text.size()) {
-				out += (char)strtol(text.substr(i + 1, 2)
-							    .c_str(),
-						    nullptr, 16);
+				out += (char)strtol(
+					text.substr(i + 1, 2).c_str(), nullptr,
+					16);
 				i += 2;
 			} else {
 				out += text[i];
@@ -74,10 +74,10 @@
 	}
 	static std::string item(const Change &ch)
 	{
-		std::string text(
-			sodium_base64_encoded_len(
-				ch.value.size(), sodium_base64_VARIANT_ORIGINAL),
-			0);
+		std::string text(sodium_base64_encoded_len(
+					 ch.value.size(),
+					 sodium_base64_VARIANT_ORIGINAL),
+				 0);
 
 		sodium_bin2base64(&text[0], text.size(),
 				  (const unsigned char *)ch.value.data(),
@@ -117,8 +117,8 @@
 		if (say)
 			record->line("store: %s answered from revision %lld",
 				     target.c_str(), (long long)revision);
-		return "{\"items\":[" + list + "],\"hasMore\":" +
-		       (more ? "true" : "false") +
+		return "{\"items\":[" + list +
+		       "],\"hasMore\":" + (more ? "true" : "false") +
 		       ",\"storeRevision\":" + std::to_string(revision) + "}";
 	}
 	std::string watch(int64_t after, int64_t wait_ms)
@@ -131,8 +131,8 @@
 		for (const Change &ch : log_)
 			if (ch.revision > after)
 				list += (list.empty() ? "" : ",") + item(ch);
-		return "{\"events\":[" + list + "],\"storeRevision\":" +
-		       std::to_string(revision_) + "}";
+		return "{\"events\":[" + list +
+		       "],\"storeRevision\":" + std::to_string(revision_) + "}";
 	}
 	void serve(SiteConnection &cn)
 	{
@@ -206,9 +206,8 @@
 			rc.line("it is started again");
 		}
 		started_us = now_us();
-		wait_until("the daemon to be ready", [&] {
-			return lab.ready(5) || !trouble();
-		});
+		wait_until("the daemon to be ready",
+			   [&] { return lab.ready(5) || !trouble(); });
 		rc.line("it is ready");
 		while (now_us() - started_us < (STABLE_MS + 500) * 1000LL)
 			sleep_ms(10);
@@ -217,7 +216,8 @@
 		for (int i = 0; i < 60; i++, sleep_ms(50)) {
 			std::string id = "late-" + std::to_string(i);
 
-			HttpAnswer an = lab.send(5, "GET", "/almacen/" + id, id);
+			HttpAnswer an =
+				lab.send(5, "GET", "/almacen/" + id, id);
 
 			sent++;
 			served += an.complete(200);
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -51,10 +51,10 @@
 				rc.line("%d of %d daemons are killed",
 					MACHINES - LEFT, MACHINES);
 			}
-			routes += "," + lab.route(added, "/" + added + "/",
-						  "safe",
-						  services[order[MACHINES - 1]
-								   .second]);
+			routes +=
+				"," +
+				lab.route(added, "/" + added + "/", "safe",
+					  services[order[MACHINES - 1].second]);
 			lab.publish(round + 2, routes);
 			confirmed_us = now_us();
 			rc.line("version %d confirmed: /%s/ is added",
@@ -66,8 +66,8 @@
 
 				if (wait_ms > 0)
 					sleep_ms(wait_ms);
-				if (down && now_us() - killed_us >
-						    DOWN_MS * 1000) {
+				if (down &&
+				    now_us() - killed_us > DOWN_MS * 1000) {
 					for (int k = 0; k < MACHINES - LEFT;
 					     k++)
 						lab.start_daemon(
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -92,6 +92,7 @@
 	signal(SIGINT, lab_end_all);
 	signal(SIGHUP, lab_end_all);
 	signal(SIGALRM, lab_end_all);
+	signal(SIGABRT, lab_end_all);
 	alarm(limit_s);
 }
 
@@ -143,9 +144,8 @@
 		ssize_t n = recv(sd.from, buf, sizeof(buf), MSG_DONTWAIT);
 
 		if (n > 0)
-			sd.queue.push_back(
-				{ now_us() + delay_us,
-				  std::string(buf, (size_t)n) });
+			sd.queue.push_back({ now_us() + delay_us,
+					     std::string(buf, (size_t)n) });
 		else if (!n)
 			sd.ended = true;
 		return n >= 0 || errno == EAGAIN || errno == EINTR;
@@ -234,8 +234,8 @@
 
 	LabServer(const std::string &ip, uint16_t port, const std::string &id,
 		  const std::string &service)
-		: id(id), service(service), address(ip + ":" +
-						    std::to_string(port)),
+		: id(id), service(service),
+		  address(ip + ":" + std::to_string(port)),
 		  server_(ip, port, [this](SiteConnection &cn) { serve(cn); })
 	{
 	}
@@ -256,8 +256,7 @@
 	std::string head(const SiteRequest &rq, const std::string &framing,
 			 const std::string &status = "200 OK") const
 	{
-		return "HTTP/1.1 " + status +
-		       "\r\nEbonypier-Request-Id: " +
+		return "HTTP/1.1 " + status + "\r\nEbonypier-Request-Id: " +
 		       rq.header("ebonypier-request-id") +
 		       "\r\nEbonypier-Response-Stamp: stamp-" + id +
 		       "\r\nEbonypier-Server-Load: 1,0,6,100\r\n" + framing +
@@ -366,8 +365,8 @@
 				ip(i), app_port_, "i-" + std::to_string(i),
 				services[i]));
 		own_ip.resize(services.size());
-		first_pid_ = (size_t)lab_pid_count.fetch_add(
-			(int)services.size());
+		first_pid_ =
+			(size_t)lab_pid_count.fetch_add((int)services.size());
 		daemons.resize(services.size());
 	}
 	~Lab()
@@ -404,14 +403,13 @@
 				"\":{\"healthPath\":\"/health\","
 				"\"maxConns\":220,\"protocol\":\"h1\","
 				"\"tls\":false}";
-		put("op/config",
-			   "{\"version\":" + std::to_string(version) +
-				   ",\"routes\":{" + routes +
-				   "},\"services\":{" + list +
-				   "},\"limits\":{\"headerBytes\":16384,"
-				   "\"maxBodyBytes\":8388608,"
-				   "\"headerTimeoutMs\":5000,"
-				   "\"idleTimeoutMs\":30000}}");
+		put("op/config", "{\"version\":" + std::to_string(version) +
+					 ",\"routes\":{" + routes +
+					 "},\"services\":{" + list +
+					 "},\"limits\":{\"headerBytes\":16384,"
+					 "\"maxBodyBytes\":8388608,"
+					 "\"headerTimeoutMs\":5000,"
+					 "\"idleTimeoutMs\":30000}}");
 	}
 	/* The settings of a machine, from the template of the deploy file. */
 	void write_settings(size_t i)
@@ -435,9 +433,9 @@
 		       "\"diskMb\":0},\"appAddr\":"
 		    << at(ip(i), app_port_) << ",\"service\":\"" << services[i]
 		    << "\",\"listen\":{\"inbound\":\"\",\"outbound\":"
-		    << at(ip(i), listen_port) << ",\"ready\":"
-		    << at(ip(i), ready_port_) << "},\"portRange\":["
-		    << peer_port << "," << peer_port
+		    << at(ip(i), listen_port)
+		    << ",\"ready\":" << at(ip(i), ready_port_)
+		    << "},\"portRange\":[" << peer_port << "," << peer_port
 		    << "],\"seeds\":[],\"zones\":{\"stgo-a\":\"santiago\"},"
 		       "\"discovery\":\"platform\",\"entry\":\"static\","
 		       "\"heartbeatMs\":1500,\"platform\":{\"address\":\""
