--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -75,7 +75,8 @@
 int main(int argc, char **argv)
 {
 	Record rc(argc > 1 ? argv[1] : "record.txt");
-	std::atomic<int> lost{ 0 }, answered{ 0 }, unread{ 0 }, held{ 0 };
+	std::atomic<int> sent{ 0 }, lost{ 0 }, answered{ 0 }, unread{ 0 },
+		held{ 0 };
 
 	lab_guard(115);
 	{
@@ -100,6 +101,7 @@
 			std::string tag =
 				std::to_string(round) + "-" + std::to_string(i);
 			int64_t term_us = now_us();
+			bool may_send;
 			size_t in = 0;
 
 			for (int k = 0; k < CONSUMERS; k++) {
@@ -117,11 +119,12 @@
 			if (trouble())
 				lab.daemons[i]->signal(SIGTERM);
 			sleep_ms(at_ms);
-			if (!platform.may_send(i, &in)) {
+			may_send = platform.may_send(i, &in);
+			if (!may_send) {
 				rc.line("machine %zu is out and %zu of %zu are "
 					"in: its consumers wait",
 					i + 1, in, zone);
-				held++;
+				held += CONSUMERS;
 			} else {
 				int64_t sent_us = now_us();
 
@@ -144,7 +147,7 @@
 				sleep_ms(RESTART_MS);
 				lab.start_daemon(i);
 			}
-			for (int k = 0; k < CONSUMERS; k++) {
+			for (int k = 0; may_send && k < CONSUMERS; k++) {
 				std::string id =
 					"book-" + tag + "-" + std::to_string(k);
 				std::string answer = kept[k]->receive_answer();
@@ -154,6 +157,7 @@
 					for (const LabRun &run : sv->runs())
 						if (run.id == id)
 							where = sv->id;
+				sent++;
 				answered += raw_status(answer) == 200;
 				unread += answer.empty() && where.empty();
 				if (!answer.empty() || where.empty())
@@ -181,9 +185,10 @@
 			sleep_ms(4000);
 		}
 	}
-	rc.line("bookings answered %d, not run and closed %d, run and closed "
-		"without an answer %d; consumers that waited: %d times",
-		answered.load(), unread.load(), lost.load(), held.load());
+	rc.line("bookings sent %d: answered %d, not run and closed %d, run and "
+		"closed without an answer %d; consumers that waited %d",
+		sent.load(), answered.load(), unread.load(), lost.load(),
+		held.load());
 	if (lost)
 		return 1;
 	return answered ? 0 : 2;
