review: a guard ends the daemons however a case ends

A case that got SIGKILL or crashed left its daemons running (4 of 4, seen with SIGKILL and SIGSEGV); SIGTERM and SIGINT did not. The guard process has their ids and ends them when the case is gone.

--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -9,6 +9,7 @@
  */
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -23,6 +24,7 @@
 #include <fstream>
 #include <list>
 #include <mutex>
+#include <set>
 #include <thread>
 
 #include "site.h"
@@ -72,27 +74,74 @@
 	std::mutex lock_;
 };
 
-/* Ids of the daemons, so that a case that is ended early leaves none. */
-inline std::atomic<pid_t> lab_pids[64];
-inline std::atomic<int> lab_pid_count{ 0 };
+/* Where the guard reads the ids of the daemons; -1: there is no guard. */
+inline int lab_guard_fd = -1;
 
-inline void lab_end_all(int)
+/* Tells the guard that a daemon has been started, or (-pid) has ended. */
+inline void lab_tell_guard(pid_t pid)
+{
+	if (lab_guard_fd >= 0 && pid &&
+	    write(lab_guard_fd, &pid, sizeof(pid)) != sizeof(pid))
+		abort();
+}
+
+/* Whether a process is a daemon; its id may belong to another one by now. */
+inline bool lab_is_daemon(pid_t pid)
+{
+	std::ifstream in("/proc/" + std::to_string(pid) + "/comm");
+	std::string name;
+
+	return std::getline(in, name) && name == "ebonypier-site";
+}
+
+/* Ends the daemons that are left when the case has ended in any way. */
+inline void lab_run_guard(int fd)
+{
+	std::set<pid_t> pids;
+	pid_t pid;
+
+	while (read(fd, &pid, sizeof(pid)) == sizeof(pid)) {
+		if (pid > 0)
+			pids.insert(pid);
+		else
+			pids.erase(-pid);
+	}
+	for (pid_t left : pids)
+		if (lab_is_daemon(left))
+			kill(left, SIGKILL);
+	_exit(0);
+}
+
+inline void lab_end(int)
 {
-	for (auto &pid : lab_pids)
-		if (pid)
-			kill(pid, SIGKILL);
 	_exit(2);
 }
 
-/* Ends the case with status 2 on a signal or after `limit_s` seconds. */
+/*
+ * Starts the guard, before the first thread. Ends the case with status 2 on a
+ * signal or after `limit_s` seconds.
+ */
 inline void lab_guard(unsigned limit_s)
 {
+	int fds[2];
+	pid_t pid;
+
 	signal(SIGPIPE, SIG_IGN);
-	signal(SIGTERM, lab_end_all);
-	signal(SIGINT, lab_end_all);
-	signal(SIGHUP, lab_end_all);
-	signal(SIGALRM, lab_end_all);
-	signal(SIGABRT, lab_end_all);
+	if (pipe2(fds, O_CLOEXEC))
+		_exit(2);
+	pid = fork();
+	if (pid < 0)
+		_exit(2);
+	if (!pid) {
+		for (int sig : { SIGTERM, SIGINT, SIGHUP })
+			signal(sig, SIG_IGN);
+		close(fds[1]);
+		lab_run_guard(fds[0]);
+	}
+	close(fds[0]);
+	lab_guard_fd = fds[1];
+	for (int sig : { SIGTERM, SIGINT, SIGHUP, SIGALRM, SIGABRT })
+		signal(sig, lab_end);
 	alarm(limit_s);
 }
 
@@ -365,16 +414,20 @@
 				ip(i), app_port_, "i-" + std::to_string(i),
 				services[i]));
 		own_ip.resize(services.size());
-		first_pid_ =
-			(size_t)lab_pid_count.fetch_add((int)services.size());
 		daemons.resize(services.size());
 	}
 	~Lab()
 	{
-		for (size_t i = 0; i < daemons.size(); i++) {
-			daemons[i].reset();
-			lab_pids[first_pid_ + i] = 0;
-		}
+		for (size_t i = 0; i < daemons.size(); i++)
+			end_daemon(i);
+	}
+	/* Ends a daemon, if it runs. */
+	void end_daemon(size_t i)
+	{
+		pid_t pid = daemons[i] ? daemons[i]->pid() : 0;
+
+		daemons[i].reset();
+		lab_tell_guard(-pid);
 	}
 	std::string ip(size_t i) const
 	{
@@ -458,12 +511,13 @@
 	void start_daemon(size_t i)
 	{
 		write_settings(i);
+		end_daemon(i);
 		daemons[i] = std::make_unique<Process>(
 			std::vector<std::string>{ build_dir() +
 						  "/ebonypier-site" },
 			std::vector<std::string>{ "EBONYPIER_BOOT=" +
 						  settings(i) });
-		lab_pids[first_pid_ + i] = daemons[i]->pid();
+		lab_tell_guard(daemons[i]->pid());
 	}
 	bool ready(size_t i)
 	{
@@ -535,7 +589,6 @@
 		       std::to_string(i);
 	}
 
-	size_t first_pid_;
 	uint32_t net_ = 0, tries_ = 0;
 	uint16_t ready_port_, app_port_;
 };
