front, daemon: a request is read before a stop and answered, or never read

Cause: callers saw bookings run and their connections close without an answer, 2.5 to 2.7 s after SIGTERM. drain() returned when nothing was in flight for 500 ms, while the front still had open connections. Its thread was in epoll_wait() for up to 500 ms; what came meanwhile was read in that last turn and passed on, and then the core was stopped. The same path cut pipelined requests: during the drain the first answer closed the connection although those behind it had been passed on. Change: the drain ends in two steps. Idle connections are closed by the front's thread, which reads a request or does not, and the daemon ends only when no socket can carry one and no call is left; an eventfd wakes the thread for each step. While draining, only the newest request that was read closes its connection, after its own answer. Before the end the daemon waits up to 500 ms for callers to close, since the end of the process resets sockets.

--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -194,18 +194,41 @@
 	nanosleep(&ts, NULL);
 }
 
+/*
+ * Waits until the callers have closed the connections that this daemon has
+ * closed, for STOP_LINGER_MS at most: the end of the process resets those from
+ * which it has not read everything.
+ */
+static void wait_for_callers(const struct daemon *dm)
+{
+	int64_t until_us = eb_clock_now_us() + STOP_LINGER_MS * 1000;
+
+	while (eb_front_connections(dm->front) && eb_clock_now_us() < until_us)
+		sleep_ms(STOP_POLL_MS);
+}
+
+/* Tells whether a request is in flight at the front, origin or gate. */
+static int is_active(const struct daemon *dm)
+{
+	return eb_core_active(dm->core) || eb_front_active(dm->front);
+}
+
 /*
  * Drains the daemon: the gate refuses new calls, and the front accepts
  * connections for the announce time, in which callers and other daemons are
- * notified. Then the listener is closed and the requests in flight finish.
- * Returns when none was in flight for STOP_LINGER_MS, or at the drain timeout;
- * stop_all() then aborts the requests that are left.
+ * notified. Then the listener is closed and the requests in flight finish. When
+ * none was in flight for STOP_LINGER_MS, the idle connections are closed: a
+ * request is either read before that and answered, or never read.
+ *
+ * Returns when no connection is open, or at the drain timeout; stop_all() then
+ * aborts the requests that are left.
  */
 static void drain(struct daemon *dm)
 {
 	int64_t start_us = eb_clock_now_us(), idle_us = start_us, now_us;
 	int64_t announce_us = dm->settings.drain_announce_ms * 1000LL;
 	int64_t limit_us = dm->settings.drain_timeout_ms * 1000LL;
+	int closing = 0;
 
 	if (eb_test_off("graceful-stop"))
 		return;
@@ -213,15 +236,22 @@
 	eb_front_drain(dm->front);
 	for (;;) {
 		now_us = eb_clock_now_us();
-		if (eb_core_active(dm->core) || eb_front_active(dm->front))
+		if (closing && !eb_front_open(dm->front) && !is_active(dm)) {
+			wait_for_callers(dm);
+			break;
+		}
+		if (is_active(dm))
 			idle_us = now_us;
 		if (now_us - start_us >= announce_us) {
 			eb_front_close_listener(dm->front);
-			if (now_us - idle_us >= STOP_LINGER_MS * 1000)
-				break;
+			closing |= now_us - idle_us >= STOP_LINGER_MS * 1000;
 		}
-		if (now_us - start_us > limit_us - IDLE_CLOSE_LEAD_MS * 1000)
+		closing |= now_us - start_us >
+			   limit_us - IDLE_CLOSE_LEAD_MS * 1000;
+		if (closing) {
+			eb_front_close_listener(dm->front);
 			eb_front_close_idle(dm->front);
+		}
 		if (now_us - start_us > limit_us) {
 			eb_log_write(
 				dm->log, EB_LOG_ERROR, "daemon",
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #define XXH_INLINE_ALL
@@ -108,11 +109,13 @@
 	int64_t timeouts_checked_us;
 	int epoll_fd;
 	int listen_fd;
+	int wake_fd; /* wakes the thread after a flag below was set */
 	int stopping;
 	int draining;
 	int closing_listener;
 	int closing_idle;
 	uint32_t active;
+	uint32_t open; /* see eb_front_open() */
 };
 
 /* Sends a frame of a request to the core and takes ownership of it. */
@@ -135,6 +138,11 @@
 	return __atomic_load_n(&ft->draining, __ATOMIC_RELAXED);
 }
 
+static void count_open(struct eb_front *ft, int change)
+{
+	__atomic_add_fetch(&ft->open, (uint32_t)change, __ATOMIC_ACQ_REL);
+}
+
 /* ---- Requests ---- */
 
 /*
@@ -575,6 +583,17 @@
 		cn->dead = 1;
 }
 
+/*
+ * Closes the connection after the answer to the newest request that has been
+ * read. Those before it may have run as well, so each gets its answer.
+ */
+static void close_after_last(struct connection *cn)
+{
+	cn->last->close = 1;
+	if (cn->reading != cn->last)
+		cn->stop_reading = 1;
+}
+
 /*
  * Writes as much of a request's answer as has arrived and fits. Returns 1 when
  * it is complete.
@@ -585,7 +604,7 @@
 
 	if (!rq->head_written) {
 		if (is_draining(cn->front))
-			rq->close = 1;
+			close_after_last(cn);
 		if (rq->phase == PHASE_REJECTED)
 			write_problem(rq);
 		else if (!rq->answer)
@@ -687,7 +706,9 @@
 		ft->connections = cn->next;
 	if (cn->next)
 		cn->next->previous = cn->previous;
-	ft->connection_count--;
+	__atomic_sub_fetch(&ft->connection_count, 1, __ATOMIC_RELEASE);
+	if (!cn->linger_until_us)
+		count_open(ft, -1);
 	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, eb_stream_fd(cn->stream), NULL);
 	eb_stream_free(cn->stream);
 	eb_parse_free(cn->parse);
@@ -748,6 +769,7 @@
 	eb_stream_shutdown_write(cn->stream);
 	cn->linger_until_us = now_us + LINGER_US;
 	cn->in_bytes = 0;
+	count_open(cn->front, -1);
 }
 
 /*
@@ -888,7 +910,8 @@
 	if (cn->next)
 		cn->next->previous = cn;
 	ft->connections = cn;
-	ft->connection_count++;
+	__atomic_add_fetch(&ft->connection_count, 1, __ATOMIC_RELEASE);
+	count_open(ft, 1);
 	read_in(cn, now_us);
 	process_connection(cn, now_us);
 }
@@ -941,6 +964,7 @@
 	epoll_ctl(ft->epoll_fd, EPOLL_CTL_DEL, ft->listen_fd, NULL);
 	close(ft->listen_fd);
 	ft->listen_fd = -1;
+	count_open(ft, -1);
 }
 
 /* Closes connections whose idle or linger time is over. */
@@ -1052,13 +1076,21 @@
 
 /* ---- Thread ---- */
 
-/* Their addresses mark the events of the listener and of the ring. */
-static char listener_tag, ring_tag;
+/* Their addresses mark the events of the listener, the ring and a wake-up. */
+static char listener_tag, ring_tag, wake_tag;
+
+/* Sets a flag that the thread checks and wakes the thread. */
+static void set_flag(struct eb_front *ft, int *flag)
+{
+	__atomic_store_n(flag, 1, __ATOMIC_RELEASE);
+	eventfd_write(ft->wake_fd, 1);
+}
 
 static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *data)
 {
 	struct epoll_event ev[EVENTS_MAX];
 	struct eb_front *ft = data;
+	eventfd_t wakes;
 	int64_t now_us;
 	int i, n;
 
@@ -1070,6 +1102,8 @@
 		for (i = 0; i < n; i++) {
 			if (ev[i].data.ptr == &listener_tag)
 				accept_pending(ft, now_us);
+			else if (ev[i].data.ptr == &wake_tag)
+				eventfd_read(ft->wake_fd, &wakes);
 			else if (ev[i].data.ptr != &ring_tag)
 				on_event(ev[i].data.ptr, ev[i].events, now_us);
 		}
@@ -1117,8 +1151,10 @@
 	struct epoll_event listener = { .events = EPOLLIN,
 					.data.ptr = &listener_tag };
 	struct epoll_event ring = { .events = EPOLLIN, .data.ptr = &ring_tag };
+	struct epoll_event wake = { .events = EPOLLIN, .data.ptr = &wake_tag };
 
-	return epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, ft->listen_fd,
+	return epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, ft->wake_fd, &wake) ||
+	       epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, ft->listen_fd,
 			 &listener) ||
 	       epoll_ctl(ft->epoll_fd, EPOLL_CTL_ADD, eb_ring_fd(ft->config.in),
 			 &ring);
@@ -1142,6 +1178,7 @@
 	ft->config = *cf;
 	ft->requests = apr_hash_make(ft->pool);
 	ft->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	ft->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	ft->listen_fd = open_listener(se->listen_address, err);
 	if (ft->listen_fd < 0)
 		goto fail;
@@ -1151,6 +1188,7 @@
 		if (!ft->tls)
 			goto fail;
 	}
+	ft->open = 1;
 	if (register_events(ft)) {
 		eb_error_set(err, EB_EIO,
 			     "cannot register the listener %s with epoll",
@@ -1169,18 +1207,19 @@
 }
 
 /*
- * From now on, closes each connection after its current answer. May be called
- * from any thread.
+ * From now on, closes each connection after the answers to the requests that
+ * were read on it. May be called from any thread.
  */
 void eb_front_drain(struct eb_front *ft)
 {
-	__atomic_store_n(&ft->draining, 1, __ATOMIC_RELEASE);
+	set_flag(ft, &ft->draining);
 }
 
 /* Stops accepting connections. May be called from any thread. */
 void eb_front_close_listener(struct eb_front *ft)
 {
-	__atomic_store_n(&ft->closing_listener, 1, __ATOMIC_RELEASE);
+	if (!__atomic_load_n(&ft->closing_listener, __ATOMIC_RELAXED))
+		set_flag(ft, &ft->closing_listener);
 }
 
 /*
@@ -1189,7 +1228,27 @@
  */
 void eb_front_close_idle(struct eb_front *ft)
 {
-	__atomic_store_n(&ft->closing_idle, 1, __ATOMIC_RELEASE);
+	if (!__atomic_load_n(&ft->closing_idle, __ATOMIC_RELAXED))
+		set_flag(ft, &ft->closing_idle);
+}
+
+/*
+ * Returns the number of sockets from which a request may still be read or to
+ * which an answer is not written, the listening one included. May be called
+ * from any thread.
+ */
+uint32_t eb_front_open(const struct eb_front *ft)
+{
+	return __atomic_load_n(&ft->open, __ATOMIC_ACQUIRE);
+}
+
+/*
+ * Returns the number of connections, those included that only wait for their
+ * caller to close. May be called from any thread.
+ */
+uint32_t eb_front_connections(const struct eb_front *ft)
+{
+	return __atomic_load_n(&ft->connection_count, __ATOMIC_ACQUIRE);
 }
 
 /*
@@ -1209,7 +1268,7 @@
 
 	if (!ft)
 		return;
-	__atomic_store_n(&ft->stopping, 1, __ATOMIC_RELEASE);
+	set_flag(ft, &ft->stopping);
 	if (ft->thread)
 		apr_thread_join(&status, ft->thread);
 	for (cn = ft->connections; cn; cn = next) {
@@ -1220,6 +1279,7 @@
 		close(ft->listen_fd);
 	eb_tls_free(ft->tls);
 	close(ft->epoll_fd);
+	close(ft->wake_fd);
 	apr_pool_destroy(ft->pool);
 	free(ft);
 }
--- a/src/eb_front.h
+++ b/src/eb_front.h
@@ -30,6 +30,8 @@
 void eb_front_close_listener(struct eb_front *ft);
 void eb_front_close_idle(struct eb_front *ft);
 uint32_t eb_front_active(const struct eb_front *ft);
+uint32_t eb_front_open(const struct eb_front *ft);
+uint32_t eb_front_connections(const struct eb_front *ft);
 void eb_front_stop(struct eb_front *ft);
 
 #endif
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -764,6 +764,71 @@
 	EXPECT_EQ(200, site.ready(3));
 }
 
+/*
+ * Guards against requests that run and get no answer at a stop: they arrive on
+ * kept connections, alone or pipelined, until the daemon has ended.
+ */
+TEST_F(SiteTest, RequestsThatRunDuringAStopAreAnswered)
+{
+	static const struct {
+		const char *what;
+		int behind; /* requests sent behind each one */
+		int connections;
+		int first_ms; /* from SIGTERM to the first request */
+		int step_ms;
+	} cases[] = {
+		{ "alone-a", 0, 8, 2600, 0 },
+		{ "alone-b", 0, 8, 2620, 0 },
+		{ "alone-c", 0, 8, 2640, 0 },
+		{ "pipelined", 3, 12, 50, 200 },
+	};
+
+	on("/slow", [this](SiteConnection &cn, const SiteRequest &rq) {
+		sleep_ms(120);
+		cn.write(answer(rq, "slow"));
+	});
+	for (const auto &c : cases) {
+		std::vector<std::unique_ptr<RawSocket>> kept;
+		int64_t start_us;
+
+		SCOPED_TRACE(c.what);
+		for (int i = 0; i < c.connections; i++) {
+			kept.emplace_back(new RawSocket(site.listen_port(), 0,
+							site.ip(0)));
+			kept[i]->send(site.head("GET", "/near/a", "kept"));
+			EXPECT_EQ(200, raw_status(kept[i]->receive_answer()));
+		}
+		site.daemons[0]->signal(SIGTERM);
+		start_us = now_us();
+		for (int i = 0; i < c.connections; i++) {
+			std::string text;
+
+			for (int k = 0; k <= c.behind; k++)
+				text += site.head("POST", "/near/once/slow",
+						  c.what + std::to_string(i) +
+							  "." +
+							  std::to_string(k));
+			while (now_us() - start_us <
+			       (c.first_ms + i * c.step_ms) * 1000LL)
+				sleep_ms(1);
+			kept[i]->send(text);
+		}
+		for (int i = 0; i < c.connections; i++) {
+			for (int k = 0; k <= c.behind; k++) {
+				std::string id = c.what + std::to_string(i) +
+						 "." + std::to_string(k);
+				int status =
+					raw_status(kept[i]->receive_answer());
+
+				EXPECT_EQ(status == 200, runs(id) == 1) << id;
+			}
+		}
+		EXPECT_EQ(0, site.daemons[0]->wait());
+		site.start_daemon(0);
+		site.wait_status(0, "/far/a", 200);
+	}
+}
+
 /* Guards against a daemon that is ready before it has a configuration. */
 TEST(SiteStart, ADaemonWithoutAStateIsNotReady)
 {
