client, front: an early answer ends before its request's body does

Cause: callers saw a request run and their connection close without its answer when an upload before it on the connection was answered early. The front dropped the rest of the upload's body and sent no END, so libcurl kept the paused upload for good, REND never came, and the upload stayed the first request of its connection although its caller had the whole answer. The deadline then aborted it and closed the connection with all requests behind it. An early answer that fits one frame, and one that ends in chunks, waited for the upload as well. Change: the client says with an empty RDATA that an answer is whole while the body is still being sent, for answers of known length, in chunks, of one frame and without a body. The front goes on passing the body to the upstream, which may read on later, and takes the next request once the body is read. When the call ends by its deadline or by a close after that, the answer stands: origin and front end it as answered. An answer without a length that ends with its connection while the body is paused counts as whole. Limit: an upload that the upstream never reads holds the requests behind it until its own deadline.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -57,7 +57,9 @@
 	/* The part of the request body that curl has not read. */
 	struct queued *first, *last;
 	uint32_t offset_bytes;
+	uint64_t sent_bytes; /* of the request's body, given to curl */
 	uint8_t body_ended;
+	uint8_t body_sent; /* curl has the whole body */
 	uint8_t send_paused;
 	uint8_t window_granted;
 	int local_port;
@@ -65,6 +67,7 @@
 	/* The answer. */
 	uint8_t answer_head; /* the final head is complete */
 	uint8_t answer_sent; /* RHEAD was pushed */
+	uint8_t end_sent;    /* an empty RDATA was pushed */
 	uint8_t answer_invalid;
 	uint8_t receive_paused;
 	uint8_t body_kind;
@@ -185,8 +188,10 @@
 		grant_credit(tf, EB_CREDIT_WINDOW_BYTES);
 	}
 	if (!qd) {
-		if (tf->body_ended)
+		if (tf->body_ended) {
+			tf->body_sent = 1;
 			return 0;
+		}
 		tf->send_paused = 1;
 		return CURL_READFUNC_PAUSE;
 	}
@@ -194,6 +199,9 @@
 	n = left < space ? left : space;
 	memcpy(buf, qd->frame->data + tf->offset_bytes, n);
 	tf->offset_bytes += (uint32_t)n;
+	tf->sent_bytes += n;
+	if (tf->head->head->body_kind == EB_BODY_LENGTH)
+		tf->body_sent = tf->sent_bytes == tf->head->head->body_bytes;
 	if (n == left) {
 		tf->first = qd->next;
 		if (!tf->first)
@@ -286,6 +294,65 @@
 	return eb_headers_add(&tf->answer, line, value) ? -1 : 0;
 }
 
+/* Sends a part of the answer's body to the core. */
+static void push_answer_part(struct transfer *tf, const void *part,
+			     size_t bytes)
+{
+	push(tf->client, tf,
+	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, part,
+			       (uint32_t)bytes));
+}
+
+/*
+ * Tells whether an answer has been received completely. One that ends with its
+ * connection never is.
+ */
+static int is_answer_whole(const struct transfer *tf)
+{
+	if (!tf->answer_head || tf->answer_invalid)
+		return 0;
+	if (tf->body_kind == EB_BODY_CHUNKED)
+		return tf->chunked && tf->chunks.done;
+	return tf->body_kind == EB_BODY_NONE ||
+	       tf->received_bytes == tf->body_bytes;
+}
+
+/* Tells whether curl still has to send a part of the request's body. */
+static int is_sending(const struct transfer *tf)
+{
+	uint8_t kind = tf->head->head->body_kind;
+
+	return (kind == EB_BODY_LENGTH || kind == EB_BODY_CHUNKED) &&
+	       !tf->body_sent;
+}
+
+/*
+ * Passes on an answer that is whole before the request's body is sent. Most
+ * upstreams read the rest of the body soon, but some only after a long time.
+ * curl stops sending at once for a status from 300 on, and then ends the
+ * transfer. The answer to a request with a key is kept until its last frame,
+ * which settles the key's claim.
+ */
+static void push_early_answer(struct transfer *tf)
+{
+	if (tf->end_sent || tf->status >= 300 || !is_answer_whole(tf) ||
+	    !is_sending(tf))
+		return;
+	if (!tf->answer_sent) {
+		if (tf->head->head->key)
+			return;
+		if (tf->body_kind == EB_BODY_NONE)
+			tf->body_bytes = 0;
+		tf->body_kind = EB_BODY_LENGTH;
+		push_answer_head(tf);
+		if (tf->received_bytes)
+			push_answer_part(tf, tf->inline_body,
+					 tf->received_bytes);
+	}
+	tf->end_sent = 1;
+	push_answer_part(tf, NULL, 0);
+}
+
 /* Receives one header line, also of a 1xx answer, from curl. */
 static size_t read_header(char *buf, size_t size, size_t items, void *data)
 {
@@ -321,20 +388,18 @@
 		if (tf->body_kind == EB_BODY_LENGTH ||
 		    tf->body_kind == EB_BODY_CHUNKED)
 			push_answer_head(tf);
+		push_early_answer(tf);
 	}
 	return n;
 }
 
-/* Sends a part of the answer's body to the core. */
-static void push_answer_part(struct transfer *tf, const void *part,
-			     size_t bytes)
+/* Passes on a part of an answer's body for which there is credit. */
+static void receive_part(struct transfer *tf, const void *part, size_t bytes)
 {
 	tf->credit_bytes -= bytes;
 	tf->received_bytes += bytes;
 	tf->progress_us = eb_clock_now_us();
-	push(tf->client, tf,
-	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, part,
-			       (uint32_t)bytes));
+	push_answer_part(tf, part, bytes);
 }
 
 /*
@@ -355,6 +420,7 @@
 		memcpy(tf->inline_body + tf->received_bytes, buf, n);
 		tf->received_bytes += n;
 		tf->progress_us = eb_clock_now_us();
+		push_early_answer(tf);
 		return n;
 	}
 	if (tf->credit_bytes < n) {
@@ -362,13 +428,15 @@
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	if (!tf->chunked) {
-		push_answer_part(tf, buf, n);
+		receive_part(tf, buf, n);
+		push_early_answer(tf);
 		return n;
 	}
 	if (eb_dechunk_feed(&tf->chunks, buf, n, content, &content_bytes))
 		return 0;
 	if (content_bytes)
-		push_answer_part(tf, content, content_bytes);
+		receive_part(tf, content, content_bytes);
+	push_early_answer(tf);
 	return n;
 }
 
@@ -863,7 +931,8 @@
 	} else if (is_misdirected(tf)) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_NO_UPSTREAM);
-	} else if (rc || !tf->answer_head || is_body_cut(tf)) {
+	} else if ((rc && !(is_answer_whole(tf) && is_sending(tf))) ||
+		   !tf->answer_head || is_body_cut(tf)) {
 		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
 				EB_REASON_UPSTREAM_CLOSED);
 		add_fingerprint(f, tf);
@@ -910,14 +979,6 @@
 	}
 }
 
-/* Tells whether an answer of known length has been received completely. */
-static int is_answer_complete(const struct transfer *tf)
-{
-	return tf->answer_head && tf->body_kind != EB_BODY_CHUNKED &&
-	       (tf->body_kind == EB_BODY_NONE ||
-		tf->received_bytes == tf->body_bytes);
-}
-
 /*
  * Returns the socket of a transfer, or -1. libcurl reports the socket only
  * after the transfer; the local port is known from the start.
@@ -947,6 +1008,7 @@
  */
 static void check_closed(struct transfer *tf)
 {
+	CURLcode rc = CURLE_RECV_ERROR;
 	int fd = find_socket(tf);
 	ssize_t n;
 	char byte;
@@ -957,8 +1019,12 @@
 	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
 		return;
-	finish_transfer(tf,
-			is_answer_complete(tf) ? CURLE_OK : CURLE_RECV_ERROR);
+	/* The end of the connection ends an answer without a length. */
+	if (is_answer_whole(tf) ||
+	    (!n && tf->answer_head && tf->body_kind == EB_BODY_CHUNKED &&
+	     !tf->chunked))
+		rc = CURLE_OK;
+	finish_transfer(tf, rc);
 }
 
 /*
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -14,19 +14,23 @@
 	EB_FRAME_CREDIT,   /* gate grants credit for request body bytes */
 	EB_FRAME_CANCEL,   /* origin cancels the call */
 	EB_FRAME_RHEAD,	   /* status and headers of an answer */
-	EB_FRAME_RDATA,	   /* body bytes of an answer */
-	EB_FRAME_REND,	   /* the answer is complete */
-	EB_FRAME_RCREDIT,  /* origin grants credit for answer body bytes */
-	EB_FRAME_REFUSE,   /* the request was not run */
-	EB_FRAME_ABORT,	   /* the call failed; see outcome */
-	EB_FRAME_HELLO,	   /* heartbeat between two daemons */
-	EB_FRAME_GOSSIP,   /* membership and releases */
-	EB_FRAME_CLAIM,	   /* claims of idempotency keys */
-	EB_FRAME_MARKS,	   /* requests that crash upstreams */
-	EB_FRAME_CONFIG,   /* within a daemon: a new configuration */
-	EB_FRAME_VMS,	   /* within a daemon: the list of VMs */
-	EB_FRAME_QUERY,	   /* within a daemon: a query of the admin port */
-	EB_FRAME_REPORT,   /* within a daemon: changes read from the source */
+	/*
+	 * Body bytes of an answer. An empty one says that the answer is whole
+	 * while the request's body is still being sent; REND follows.
+	 */
+	EB_FRAME_RDATA,
+	EB_FRAME_REND,	  /* the answer is complete */
+	EB_FRAME_RCREDIT, /* origin grants credit for answer body bytes */
+	EB_FRAME_REFUSE,  /* the request was not run */
+	EB_FRAME_ABORT,	  /* the call failed; see outcome */
+	EB_FRAME_HELLO,	  /* heartbeat between two daemons */
+	EB_FRAME_GOSSIP,  /* membership and releases */
+	EB_FRAME_CLAIM,	  /* claims of idempotency keys */
+	EB_FRAME_MARKS,	  /* requests that crash upstreams */
+	EB_FRAME_CONFIG,  /* within a daemon: a new configuration */
+	EB_FRAME_VMS,	  /* within a daemon: the list of VMs */
+	EB_FRAME_QUERY,	  /* within a daemon: a query of the admin port */
+	EB_FRAME_REPORT,  /* within a daemon: changes read from the source */
 	/*
 	 * Within a daemon: asks the upstream for its pace or, with
 	 * EB_PROBE_CHECK as `call`, checks whether it accepts connections.
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -66,6 +66,7 @@
 	uint8_t head_written; /* of the answer, to `out` */
 	uint8_t chunked;      /* the answer is sent in chunks */
 	uint8_t ended;	      /* the last frame of the answer has arrived */
+	uint8_t answer_whole; /* the whole answer has arrived, not its end */
 	uint8_t failed;	      /* the answer can't be completed */
 	uint64_t credit_bytes;
 	struct eb_frame *answer; /* RHEAD, REFUSE or ABORT */
@@ -262,6 +263,15 @@
 	return rq;
 }
 
+/*
+ * Tells whether nothing is left to do for a request: its caller has sent the
+ * whole body and the whole answer has arrived. The upstream may still read.
+ */
+static int is_done(const struct request *rq)
+{
+	return rq->answer_whole && rq->phase == PHASE_ANSWER;
+}
+
 /* Frees the oldest request; the core receives CANCEL if it is not complete. */
 static void drop_first_request(struct connection *cn)
 {
@@ -269,7 +279,7 @@
 	struct queued *qd;
 
 	if (rq->in_table) {
-		if (!rq->ended || rq->failed)
+		if ((!rq->ended && !is_done(rq)) || rq->failed)
 			push(rq, eb_frame_new(EB_FRAME_CANCEL, rq->id));
 		apr_hash_set(cn->front->requests, &rq->id, sizeof(rq->id),
 			     NULL);
@@ -624,7 +634,7 @@
 		cn->dead = 1;
 		return 0;
 	}
-	if (!rq->ended)
+	if (!rq->ended && !rq->answer_whole)
 		return 0;
 	if (rq->chunked && eb_answer_append(&cn->out, "0\r\n\r\n", 5))
 		cn->dead = 1;
@@ -632,11 +642,23 @@
 	return 1;
 }
 
-/* Drops the rest of a body that was answered before its end. */
+/* Tells whether the body of a request is passed on as it arrives. */
+static int is_forwarded(const struct request *rq)
+{
+	return rq->in_table && !rq->discard_body;
+}
+
+/*
+ * Drops the rest of a body once its call has ended. After an early answer the
+ * call goes on: the upstream may read the rest of the body later.
+ */
 static void discard_rest_of_body(struct connection *cn, struct request *rq)
 {
 	if (cn->reading != rq || rq->head || rq->discard_body)
 		return;
+	if (rq->answer->type == EB_FRAME_RHEAD && !rq->ended &&
+	    !rq->expects_continue)
+		return;
 	cn->parse_again = 1;
 	rq->discard_body = 1;
 	rq->phase = PHASE_BODY;
@@ -664,7 +686,7 @@
 		if (!write_answer_part(rq))
 			return;
 		/* The parser needs the request until its body is read. */
-		if (cn->reading == rq && !rq->close)
+		if (cn->reading == rq && (!rq->close || is_forwarded(rq)))
 			return;
 		if (rq->close)
 			cn->closing = 1;
@@ -1011,7 +1033,10 @@
 		rq->phase = PHASE_BODY;
 }
 
-/* Handles REFUSE and ABORT; an answer that has begun can't be completed. */
+/*
+ * Handles REFUSE and ABORT: an answer that has begun can't be completed, unless
+ * all of it is here.
+ */
 static void handle_failure(struct request *rq, struct eb_frame *f)
 {
 	rq->ended = 1;
@@ -1019,7 +1044,7 @@
 		rq->answer = f;
 		return;
 	}
-	rq->failed = 1;
+	rq->failed |= !rq->answer_whole;
 	eb_frame_unref(f);
 }
 
@@ -1045,7 +1070,12 @@
 		rq->ended = eb_frame_ends_answer(f) != 0;
 		break;
 	case EB_FRAME_RDATA:
-		queue_data(rq, f);
+		if (f->data_bytes) {
+			queue_data(rq, f);
+		} else {
+			rq->answer_whole = 1;
+			eb_frame_unref(f);
+		}
 		break;
 	case EB_FRAME_REND:
 		rq->ended = 1;
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -112,7 +112,8 @@
 	uint8_t body_done;
 	/* The deadline counts from the request, not from its body's end. */
 	uint8_t strict_deadline;
-	uint8_t unbounded; /* the answer has no known length */
+	uint8_t unbounded;    /* the answer has no known length */
+	uint8_t answer_whole; /* the front has it; the body is being sent */
 	uint8_t idempotent;
 	uint8_t parked;	     /* waits until a daemon of the service is up */
 	uint8_t at_gate;     /* the router counts an attempt in flight */
@@ -716,6 +717,8 @@
 			struct eb_frame *f, int64_t now_us)
 {
 	(void)now_us;
+	if (f->type == EB_FRAME_RDATA && !f->data_bytes)
+		ca->answer_whole = 1;
 	to_front(og, ca, f);
 }
 
@@ -865,10 +868,28 @@
 	       (ca->state != ANSWERING || ca->strict_deadline || ca->unbounded);
 }
 
+/* Ends a call whose answer the caller has, whatever becomes of the body. */
+static void end_answered(struct eb_origin *og, struct call *ca)
+{
+	struct eb_frame *out = eb_frame_new(EB_FRAME_REND, ca->front_id);
+
+	ca->outcome = EB_OUTCOME_RAN;
+	ca->reason = EB_REASON_NONE;
+	if (!out)
+		return;
+	out->reply->outcome = EB_OUTCOME_RAN;
+	to_front(og, ca, out);
+}
+
 /* Aborts an answer whose head the caller already has. */
 static void do_cut(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		   int64_t now_us)
 {
+	if (ca->answer_whole) {
+		eb_frame_unref(f);
+		end_answered(og, ca);
+		return;
+	}
 	if (f && f->reply)
 		ca->reason = f->reply->reason;
 	eb_frame_unref(f);
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -653,6 +653,91 @@
 	}
 }
 
+/*
+ * Guards against requests that run and get no answer because an upload before
+ * them on their connection was answered early: its call lasted until its
+ * deadline and then closed the connection. The upstream reads the rest of the
+ * body later or never.
+ */
+TEST_F(SiteTest, RequestsBehindAnEarlyAnswerAreAnswered)
+{
+	static const size_t later = 400000, never = 9000000;
+	static const struct {
+		const char *name;
+		const char *framing;
+		size_t answer_bytes, piece_bytes, body_bytes;
+	} cases[] = {
+		{ "length", "Content-Length: 20000", 20000, 20000, later },
+		{ "small", "Content-Length: 900", 900, 900, later },
+		{ "empty", "Content-Length: 0", 0, 0, later },
+		{ "chunked", "Transfer-Encoding: chunked", 20000, 5000, later },
+		{ "small-never", "Content-Length: 900", 900, 900, never },
+		{ "chunked-never", "Transfer-Encoding: chunked", 20000, 5000,
+		  never },
+	};
+	std::atomic<size_t> seen{ 0 };
+	std::atomic<bool> over{ false };
+
+	for (const auto &c : cases) {
+		RawSocket s(site.listen_port(), 0, site.ip(0));
+		std::string id = std::string("up-") + c.name, a;
+		bool chunked = strstr(c.framing, "chunked") != nullptr;
+
+		SCOPED_TRACE(c.name);
+		seen = 0;
+		over = false;
+		on("/early-" + std::string(c.name), [&](SiteConnection &cn,
+							const SiteRequest &rq) {
+			std::string out = answer(rq, "");
+			std::string piece(c.piece_bytes, 'y');
+			SiteRequest copy = rq;
+			char size[16];
+
+			out.replace(out.find("Content-Length: 0"), 17,
+				    c.framing);
+			snprintf(size, sizeof(size), "%zx\r\n", c.piece_bytes);
+			for (size_t n = 0; n < c.answer_bytes;
+			     n += c.piece_bytes)
+				out += chunked ? size + piece + "\r\n" : piece;
+			cn.write(chunked ? out + "0\r\n\r\n" : out);
+			if (c.body_bytes == never) {
+				wait_until("the second answer",
+					   [&] { return over.load(); });
+				return;
+			}
+			sleep_ms(600);
+			cn.read_body(copy);
+			seen = copy.body.size();
+		});
+		std::thread upload([&] {
+			s.send(site.head("POST",
+					 "/near/once/early-" +
+						 std::string(c.name),
+					 id,
+					 "Content-Length: " +
+						 std::to_string(c.body_bytes) +
+						 "\r\n") +
+			       std::string(c.body_bytes, 'x') +
+			       site.head("POST", "/far/once/b", id + "-next"));
+		});
+		a = s.receive_answer();
+		EXPECT_EQ(200, raw_status(a));
+		EXPECT_TRUE(!chunked ||
+			    a.find("\r\n0\r\n\r\n") != std::string::npos);
+		a = s.receive_answer();
+		EXPECT_EQ(200, raw_status(a));
+		EXPECT_NE(std::string::npos, a.find(id + "-next"));
+		EXPECT_EQ(1, runs(id + "-next"));
+		over = true;
+		upload.join();
+		s.close();
+		wait_until("the end of the upload", [&] { return !active(); });
+		if (c.body_bytes == later)
+			wait_until("the rest of the body",
+				   [&] { return seen == c.body_bytes; });
+	}
+}
+
 /*
  * Guards against a call that keeps its slot and its caller until it counts as
  * stalled: the upstream closes in the middle of its answer while the request
