frame: bodies carry offsets, so that a lost part ends the call

Cause: an upload whose connection between two daemons was reset ran with a gap, ended properly in chunks. ZeroMQ connects again within tens of milliseconds and the peer counts as up; DATA lost on the way, or refused by eb_mesh_send(), was missed by nobody, and later DATA and END were passed on. Answers were lost as well: the gate replied to the routing id of the old connection, and credit lost in either direction stalled a body until its deadline. Change: DATA, END, RDATA and REND name the offset in their body. The client thread checks the request's, before libcurl, and the front the answer's, before the caller, so that every hop and ring between them is covered, for each framing. A frame after a gap ends the call with an unknown outcome and closes the connection to the upstream or caller. An origin that cannot send a frame of a running call ends it at once. The gate replies by the newest connection of an origin; when that is replaced, it ends the calls that were exchanging frames, and those that wait for a short answer get it. An answer whose head was lost ends its attempt as lost. The wire version is 2.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -57,7 +57,8 @@
 	/* The part of the request body that curl has not read. */
 	struct queued *first, *last;
 	uint32_t offset_bytes;
-	uint64_t sent_bytes; /* of the request's body, given to curl */
+	uint64_t queued_bytes; /* of the request's body, received in DATA */
+	uint64_t sent_bytes;   /* of it, given to curl */
 	uint8_t body_ended;
 	uint8_t body_sent; /* curl has the whole body */
 	uint8_t send_paused;
@@ -80,6 +81,7 @@
 	uint32_t rate_limit_milli;
 	uint64_t body_bytes;
 	uint64_t received_bytes; /* of the answer's body */
+	uint64_t pushed_bytes;	 /* of it, in RDATA */
 	uint64_t credit_bytes;
 	uint32_t head_bytes; /* of all heads, those of 1xx answers included */
 	struct eb_dechunk chunks;
@@ -118,6 +120,7 @@
 		return;
 	f->call = tf->key.call;
 	f->target = tf->key.origin;
+	f->offset_bytes = tf->pushed_bytes;
 	if (eb_ring_push(cl->config.out, f)) {
 		eb_log_write(cl->config.log, EB_LOG_ERROR, "client",
 			     "ring to the core is full", NULL);
@@ -301,6 +304,7 @@
 	push(tf->client, tf,
 	     eb_frame_new_data(EB_FRAME_RDATA, tf->key.call, part,
 			       (uint32_t)bytes));
+	tf->pushed_bytes += bytes;
 }
 
 /*
@@ -652,6 +656,16 @@
 	free_transfer(tf);
 }
 
+/*
+ * Tells whether a part of the body before this frame was lost on the way, with
+ * a connection between two daemons. Then the upstream must not receive an end.
+ */
+static int follows_gap(const struct transfer *tf, const struct eb_frame *f)
+{
+	return (f->type == EB_FRAME_DATA || f->type == EB_FRAME_END) &&
+	       f->offset_bytes != tf->queued_bytes;
+}
+
 static void queue_body(struct transfer *tf, struct eb_frame *f)
 {
 	struct queued *qd = calloc(1, sizeof(*qd));
@@ -662,6 +676,7 @@
 		return;
 	}
 	qd->frame = f;
+	tf->queued_bytes += f->data_bytes;
 	if (tf->last)
 		tf->last->next = qd;
 	else
@@ -858,6 +873,12 @@
 		eb_frame_unref(f);
 		return;
 	}
+	if (follows_gap(tf, f)) {
+		eb_metrics_add(cl->config.metrics, EB_METRIC_BODY_GAPS, 1);
+		stop_transfer(tf, EB_REASON_LOST_PEER);
+		eb_frame_unref(f);
+		return;
+	}
 	switch (f->type) {
 	case EB_FRAME_DATA:
 		if (f->data_bytes) {
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -151,6 +151,8 @@
 	uint64_t sender; /* incarnation of the sending daemon */
 	uint64_t target; /* incarnation of the receiver; 0: any */
 	uint64_t credit_bytes;
+	/* Of DATA, END, RDATA and REND: bytes of the body before it. */
+	uint64_t offset_bytes;
 	struct eb_head *head;	/* HEAD */
 	struct eb_reply *reply; /* RHEAD, REND, REFUSE, ABORT, HELLO, PROBE */
 	void *object;		/* frames within a daemon */
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -69,6 +69,8 @@
 	uint8_t answer_whole; /* the whole answer has arrived, not its end */
 	uint8_t failed;	      /* the answer can't be completed */
 	uint64_t credit_bytes;
+	uint64_t body_bytes;	 /* sent to the core in DATA */
+	uint64_t answer_bytes;	 /* received in RDATA */
 	struct eb_frame *answer; /* RHEAD, REFUSE or ABORT */
 	struct queued *first, *last;
 	uint64_t consumed_bytes;
@@ -127,6 +129,7 @@
 	if (!f)
 		return;
 	f->call = rq->id;
+	f->offset_bytes = rq->body_bytes;
 	if (eb_ring_push(ft->config.out, f)) {
 		eb_log_write(ft->config.log, EB_LOG_ERROR, "front",
 			     "ring to the core is full", NULL);
@@ -370,6 +373,7 @@
 	rq->credit_bytes -= bytes;
 	push(rq,
 	     eb_frame_new_data(EB_FRAME_DATA, rq->id, data, (uint32_t)bytes));
+	rq->body_bytes += bytes;
 }
 
 static void end_body(struct connection *cn)
@@ -1048,6 +1052,17 @@
 	eb_frame_unref(f);
 }
 
+/*
+ * Tells whether a part of the answer before this frame was lost on the way,
+ * with a connection between two daemons.
+ */
+static int follows_gap(const struct request *rq, const struct eb_frame *f)
+{
+	if (f->type != EB_FRAME_RDATA && f->type != EB_FRAME_REND)
+		return 0;
+	return !rq->answer_whole && f->offset_bytes != rq->answer_bytes;
+}
+
 static void handle_frame(struct eb_front *ft, struct eb_frame *f,
 			 int64_t now_us)
 {
@@ -1059,6 +1074,14 @@
 		eb_frame_unref(f);
 		return;
 	}
+	if (follows_gap(rq, f)) {
+		eb_metrics_add(ft->config.metrics, EB_METRIC_BODY_GAPS, 1);
+		rq->ended = 1;
+		rq->failed = 1;
+		eb_frame_unref(f);
+		process_connection(rq->connection, now_us);
+		return;
+	}
 	switch (f->type) {
 	case EB_FRAME_CREDIT:
 		handle_credit(rq, f);
@@ -1071,6 +1094,7 @@
 		break;
 	case EB_FRAME_RDATA:
 		if (f->data_bytes) {
+			rq->answer_bytes += f->data_bytes;
 			queue_data(rq, f);
 		} else {
 			rq->answer_whole = 1;
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -60,14 +60,14 @@
 	int64_t received_us; /* time of its last frame */
 	uint32_t calls;
 	uint8_t local;
-	struct eb_routing_id back; /* of its last frame */
+	struct eb_routing_id back;   /* of its newest connection */
+	struct eb_routing_id before; /* of the connection before that */
 };
 
 struct call {
 	struct key key;
 	uint64_t id; /* for admission */
 	struct origin *origin;
-	struct eb_routing_id back;
 	struct eb_frame *head; /* until the request starts */
 	struct eb_admit_action verdict;
 	uint8_t state;
@@ -458,7 +458,7 @@
 	f->sender = gt->config.incarnation;
 	if (f->reply)
 		add_report(gt, f->reply, now_us);
-	gt->out.to_origin(gt->out.ctx, ca->local ? NULL : &ca->back, f);
+	gt->out.to_origin(gt->out.ctx, ca->local ? NULL : &ca->origin->back, f);
 }
 
 static void add_span(struct eb_gate *gt, const struct call *ca,
@@ -942,6 +942,49 @@
 
 /* ---- Frames ---- */
 
+static int is_same_way(const struct eb_routing_id *a,
+		       const struct eb_routing_id *b)
+{
+	return a->used_bytes == b->used_bytes &&
+	       !memcmp(a->bytes, b->bytes, a->used_bytes);
+}
+
+/*
+ * Ends the calls that exchange frames with an origin whose connection was
+ * replaced: some may be lost, credit too, and their sender does not repeat
+ * them. A call that only waits for a short answer goes on.
+ */
+static void end_broken_calls(struct eb_gate *gt, const struct origin *og,
+			     int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+
+	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
+		ca = apr_hash_this_val(hi);
+		if (ca->origin != og)
+			continue;
+		if (ca->state == ANSWERING ||
+		    (ca->state == RUNNING && ca->streamed && !ca->body_done))
+			step(gt, ca, EVENT_ORIGIN_LOST, NULL, now_us);
+	}
+}
+
+/*
+ * Stores the connection that a frame of an origin came by. Frames of the one
+ * before it may still be read after its first.
+ */
+static void update_way_back(struct eb_gate *gt, struct origin *og,
+			    const struct eb_routing_id *back, int64_t now_us)
+{
+	if (is_same_way(&og->back, back) || is_same_way(&og->before, back))
+		return;
+	og->before = og->back;
+	og->back = *back;
+	if (og->before.used_bytes && og->calls)
+		end_broken_calls(gt, og, now_us);
+}
+
 /*
  * Returns the entry of an origin, with the time and the way back of its frame;
  * adds an unknown origin. NULL when EB_ORIGINS_MAX are known, or without
@@ -967,7 +1010,7 @@
 	}
 	og->received_us = now_us;
 	if (back)
-		og->back = *back;
+		update_way_back(gt, og, back, now_us);
 	return og;
 }
 
@@ -1019,8 +1062,6 @@
 	ca->id = ++gt->next_id;
 	ca->origin = og;
 	ca->local = back == NULL;
-	if (back)
-		ca->back = *back;
 	ca->head = f;
 	ca->streamed = f->head->body_kind == EB_BODY_LENGTH ||
 		       f->head->body_kind == EB_BODY_CHUNKED;
@@ -1085,6 +1126,7 @@
 {
 	struct key key = { f->sender, f->call };
 	struct origin *og = find_origin(gt, f->sender, back, now_us);
+	/* After find_origin(), which may end calls. */
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	if (f->type == EB_FRAME_HELLO) {
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -45,6 +45,8 @@
 	  "Retries that the budget turned away")                             \
 	X(LATE_FRAMES, "frames_late_total",                                  \
 	  "Frames for a call that no longer exists")                         \
+	X(BODY_GAPS, "body_gaps_total",                                      \
+	  "Calls ended because a part of a body was lost between daemons")   \
 	X(STALE_FRAMES, "frames_stale_total",                                \
 	  "Frames from or for another incarnation")                          \
 	X(BAD_FRAMES, "frames_bad_total",                                    \
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -160,6 +160,10 @@
 
 static void step(struct eb_origin *og, struct call *ca, enum event ev,
 		 struct eb_frame *f, int64_t now_us);
+static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us);
+static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
+			      int64_t now_us);
 
 /*
  * Creates an origin. Returns NULL, with findings, when its state chart is
@@ -733,8 +737,11 @@
 	}
 	f->call = ca->number;
 	f->sender = og->config.incarnation;
-	/* If this fails, the peer is lost, and EVENT_LOST ends the call. */
-	og->out.to_gate(og->out.ctx, ca->node, f);
+	if (!og->out.to_gate(og->out.ctx, ca->node, f))
+		return;
+	/* What follows on another connection would follow a gap. */
+	do_cancel(og, ca, NULL, now_us);
+	mark_attempt_lost(og, ca, now_us);
 }
 
 /* Tells whether a retry might crash another upstream. */
@@ -918,7 +925,7 @@
 /* Tells whether an action calls step(), which may free the call. */
 static int calls_step(action_fn *action)
 {
-	return action == do_route || action == do_retry;
+	return action == do_route || action == do_retry || action == do_to_gate;
 }
 
 /* Runs the chart's transition for an event; this may free the call. */
@@ -1390,6 +1397,16 @@
 	}
 }
 
+/*
+ * Tells whether the head of an answer was lost on the way to this frame, with
+ * the connection to the gate.
+ */
+static int lacks_head(const struct call *ca, const struct eb_frame *f)
+{
+	return (f->type == EB_FRAME_RDATA || f->type == EB_FRAME_REND) &&
+	       ca->state != ANSWERING;
+}
+
 /*
  * Handles a frame of the gate of a node; takes the reference over. A frame of
  * an attempt that has ended is dropped.
@@ -1414,6 +1431,11 @@
 		apply_load(og, node, ca->service, &f->reply->load, now_us);
 		note_leaving(og, ca, f, now_us);
 	}
+	if (lacks_head(ca, f)) {
+		do_cancel(og, ca, f, now_us);
+		mark_attempt_lost(og, ca, now_us);
+		return;
+	}
 	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
 	    f->type == EB_FRAME_ABORT)
 		f->type = EB_FRAME_REND;
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define COMMON_FIELDS 5
+#define COMMON_FIELDS 6
 #define HEAD_FIELDS 21
 #define REPLY_FIELDS 13
 /* The most fields that a frame of any type has. */
@@ -100,6 +100,7 @@
 	msgpack_pack_uint64(&pk, f->sender);
 	msgpack_pack_uint64(&pk, f->target);
 	msgpack_pack_uint64(&pk, f->credit_bytes);
+	msgpack_pack_uint64(&pk, f->offset_bytes);
 	pack_bin(&pk, f->data, f->data_bytes);
 	if (f->head)
 		pack_head(&pk, f);
@@ -270,6 +271,7 @@
 	f->sender = read_uint(&rd, UINT64_MAX);
 	f->target = read_uint(&rd, UINT64_MAX);
 	f->credit_bytes = read_uint(&rd, UINT32_MAX);
+	f->offset_bytes = read_uint(&rd, UINT64_MAX);
 	read_data(&rd, f);
 	if (f->head)
 		read_head(&rd, f);
--- a/src/eb_wire.h
+++ b/src/eb_wire.h
@@ -6,7 +6,7 @@
 #include "eb_frame.h"
 #include "eb_status.h"
 
-#define EB_WIRE_VERSION 1
+#define EB_WIRE_VERSION 2
 
 /*
  * Frames between daemons are MessagePack arrays:
--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <jansson.h>
+
 #include <signal.h>
 
 #include <atomic>
@@ -300,6 +302,92 @@
 		check_outcome(answers[i], "cut-" + std::to_string(i));
 }
 
+/* The number of executed runs that `bytes` of body did not reach whole. */
+int short_runs(const Member &m, int64_t bytes)
+{
+	json_t *js = json_loads(m.runs().c_str(), 0, nullptr), *run;
+	size_t i;
+	int n = 0;
+
+	json_array_foreach(json_object_get(js, "runs"), i, run)
+	{
+		const char *method =
+			json_string_value(json_object_get(run, "method"));
+
+		n += !strcmp(method, "PUT") &&
+		     json_is_true(json_object_get(run, "executed")) &&
+		     json_integer_value(json_object_get(run, "bytes")) != bytes;
+	}
+	json_decref(js);
+	return n;
+}
+
+/*
+ * Guards against bodies with a gap: a link between two daemons that is cut in
+ * the middle of an upload or an answer loses what is on the way.
+ */
+TEST_F(Hazard, CutLinkLeavesNoGapInABody)
+{
+	static const struct {
+		const char *name;
+		bool upload, chunked;
+	} cases[] = {
+		{ "upload with a length", true, false },
+		{ "upload in chunks", true, true },
+		{ "answer", false, false },
+	};
+	const uint64_t bytes = 600000;
+
+	relay->fault("{\"delay_ms\":8}");
+	wait_served("/far/x");
+	for (const auto &c : cases) {
+		for (int round = 0; round < 4; round++) {
+			std::atomic<uint64_t> moved{ 0 };
+			std::atomic<bool> cut{ false };
+			HttpRequest rq;
+			HttpAnswer a;
+
+			SCOPED_TRACE(c.name);
+			/* Passes a piece on; the link is cut at 200,000. */
+			auto piece = [&](uint64_t total) {
+				moved = total;
+				while (total > 200000 && !cut)
+					sleep_ms(1);
+				sleep_ms(10);
+				return true;
+			};
+			rq.url = near().url("/far/x");
+			rq.headers = { "Ebonypier-Deadline-Ms: 8000" };
+			if (c.upload) {
+				rq.method = "PUT";
+				rq.upload_bytes = bytes;
+				rq.chunked = c.chunked;
+				rq.on_upload = piece;
+			} else {
+				rq.url += "?bytes=" + std::to_string(bytes);
+				rq.on_data = [&](size_t n) {
+					return piece(moved + n);
+				};
+			}
+			std::thread caller([&] { a = HttpClient().send(rq); });
+			wait_until("half of the body",
+				   [&] { return moved > 200000 || a.status; });
+			relay->cut();
+			cut = true;
+			caller.join();
+			if (a.complete(200)) {
+				EXPECT_EQ(pattern_checksum(bytes),
+					  c.upload ? a.json("checksum")
+						   : a.checksum);
+			}
+			wait_served("/far/x");
+		}
+	}
+	wait_until("the end of the calls",
+		   [this] { return !far().metric("calls_active"); });
+	EXPECT_EQ(0, short_runs(far(), (int64_t)bytes));
+}
+
 /*
  * Guards against suspended requests, one for each waiting call, that block
  * other requests.
