feed: changes larger than a message are sent in parts

Cause: after an entry of 300,000 bytes that cannot be read, only the daemons that read the store followed changes, for good. A change that packs to over 200,000 bytes did not fit a message; eb_feed_pack() failed, and the senders took that as nothing to send. Any desired state of that size does the same. Change: a packed change goes in parts of up to 190,000 bytes, each with the revisions, total size and offset of the change. Relays pass parts on as they come; a daemon that is sent a first part alone asks its sender for the next. Parts are put together in order, one change at a time, up to 8 MB as received. A daemon that stays behind for 5 s without progress reads the source itself. A full read no longer makes the next change of everybody a full one: a copy knows what changed since revisions at which it was complete itself.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -387,7 +387,7 @@
 
 /* Handles a payload of gossip and sends the reply on its connection. */
 static void on_gossip(struct eb_core *co, struct eb_frame *f,
-		      const struct eb_routing_id *back)
+		      struct eb_peer *pr, const struct eb_routing_id *back)
 {
 	struct eb_frame *out;
 	uint32_t bytes = 0;
@@ -397,13 +397,14 @@
 	    eb_feed_sync_receive(co->feed_sync, f->data, f->data_bytes,
 				 co->loop_us, &reply, &bytes) == EB_EPARSE)
 		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
-	if (reply && back && bytes) {
-		out = eb_frame_new_data(EB_FRAME_GOSSIP, 0, reply, bytes);
-		if (out) {
-			eb_mesh_reply(co->mesh, back, out);
-			eb_frame_unref(out);
-		}
-	}
+	out = reply && bytes
+		      ? eb_frame_new_data(EB_FRAME_GOSSIP, 0, reply, bytes)
+		      : NULL;
+	if (out && pr)
+		eb_mesh_send(co->mesh, pr, out, co->loop_us);
+	else if (out)
+		eb_mesh_reply(co->mesh, back, out);
+	eb_frame_unref(out);
 	free(reply);
 	eb_frame_unref(f);
 }
@@ -434,7 +435,7 @@
 			save_peer_release(co, f);
 	}
 	if (f->type == EB_FRAME_GOSSIP)
-		on_gossip(co, f, back);
+		on_gossip(co, f, pr, back);
 	else if (f->type == EB_FRAME_CLAIM)
 		on_claim(co, f, back);
 	else if (f->type == EB_FRAME_MARKS)
--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -14,6 +14,12 @@
 	uint32_t space;
 	uint64_t revision;
 	uint64_t dropped_revision; /* removals up to it are not kept */
+	/*
+	 * Revisions up to `dropped_revision` at which this copy was complete:
+	 * what changed since any of them is known nevertheless. 0: unused.
+	 */
+	uint64_t past[EB_FEED_PAST_MAX];
+	uint32_t past_next;
 	/* Items removed after `hold_after` count as present until then. */
 	int64_t hold_until_us;
 	uint64_t hold_after;
@@ -190,6 +196,7 @@
 	}
 	fd->count = kept;
 	fd->dropped_revision = fd->revision;
+	memset(fd->past, 0, sizeof(fd->past));
 }
 
 /*
@@ -237,11 +244,13 @@
 		if (st)
 			return st;
 	}
-	if (ch->full)
+	if (ch->full) {
 		remove_missing(fd, ch, changed);
-	fd->revision = ch->revision;
-	if (ch->full)
+		/* An item may have come and gone since; others may have it. */
+		fd->past[fd->past_next++ % EB_FEED_PAST_MAX] = fd->revision;
 		fd->dropped_revision = ch->revision;
+	}
+	fd->revision = ch->revision;
 	drop_removed(fd);
 	return EB_OK;
 }
@@ -384,7 +393,25 @@
 /* Tells whether a copy at revision `after` needs all items. */
 static int needs_full(const struct eb_feed *fd, uint64_t after)
 {
-	return after < fd->dropped_revision || !after;
+	uint32_t i;
+
+	if (!after)
+		return 1;
+	if (after >= fd->dropped_revision)
+		return 0;
+	for (i = 0; i < EB_FEED_PAST_MAX; i++)
+		if (fd->past[i] == after)
+			return 0;
+	return 1;
+}
+
+/*
+ * Returns the revision that a packed change for a copy at `after` starts from:
+ * 0 for one with all items.
+ */
+uint64_t eb_feed_start_of_change(const struct eb_feed *fd, uint64_t after)
+{
+	return needs_full(fd, after) ? 0 : after;
 }
 
 /*
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -38,6 +38,7 @@
 struct eb_feed *eb_feed_new(void);
 void eb_feed_free(struct eb_feed *fd);
 uint64_t eb_feed_revision(const struct eb_feed *fd);
+uint64_t eb_feed_start_of_change(const struct eb_feed *fd, uint64_t after);
 uint64_t eb_feed_bytes_after(const struct eb_feed *fd, uint64_t after);
 enum eb_status eb_feed_apply(struct eb_feed *fd,
 			     const struct eb_feed_change *ch, int64_t now_us,
--- a/src/eb_feed_relay.c
+++ b/src/eb_feed_relay.c
@@ -17,12 +17,13 @@
 	uint64_t distance;
 };
 
-/* A change, and the part of the ring that this daemon passes it on in. */
+/* A part of a change, and of the ring that this daemon passes it on in. */
 struct relay {
 	uint8_t *data;
 	uint32_t bytes;
 	uint64_t revision;
-	uint64_t end; /* the part ends before it; the own position: all */
+	uint32_t part; /* grows with each part of the change */
+	uint64_t end;  /* the part ends before it; the own position: all */
 	int64_t start_us;
 	uint8_t own;	 /* read by this daemon, not received */
 	uint8_t started; /* a copy was sent */
@@ -35,6 +36,7 @@
 	struct relay relays[EB_FEED_RELAYS_MAX]; /* in order of arrival */
 	uint32_t relay_count;
 	uint64_t newest; /* newest revision that was added */
+	uint32_t newest_part;
 	int64_t free_us; /* the share of the link is used up until then */
 };
 
@@ -124,7 +126,8 @@
 	struct relay *r;
 	uint8_t *copy;
 
-	if (from->revision <= rl->newest)
+	if (from->revision < rl->newest ||
+	    (from->revision == rl->newest && from->part <= rl->newest_part))
 		return EB_ENOTFOUND;
 	copy = malloc(from->bytes);
 	if (!copy)
@@ -136,40 +139,60 @@
 	*r = *from;
 	r->data = copy;
 	rl->newest = from->revision;
+	rl->newest_part = from->part;
 	return EB_OK;
 }
 
 /*
- * Starts to send a change that this daemon has read to all others, from
- * `start_us` on unless it is received from another daemon before. Returns
- * EB_ENOMEM, or EB_ENOTFOUND for a revision that is being relayed already.
+ * Starts to send a part of a change that this daemon has read to all others,
+ * from `start_us` on unless it is received from another daemon before. The
+ * parts of a change have rising numbers from 1 on and are started in order.
+ * Returns EB_ENOMEM, or EB_ENOTFOUND for a part that is being relayed already.
  */
 enum eb_status eb_feed_relay_start(struct eb_feed_relay *rl, const void *data,
 				   uint32_t bytes, uint64_t revision,
-				   int64_t start_us)
+				   uint32_t part, int64_t start_us)
 {
-	struct relay r = { NULL,     bytes, revision, rl->own_position,
+	struct relay r = { NULL,     bytes, revision, part, rl->own_position,
 			   start_us, 1,	    0 };
 
 	return add(rl, &r, data);
 }
 
+/* Replaces the content of a relay by what was received; -1 without memory. */
+static int replace_data(struct relay *r, const void *data, uint32_t bytes)
+{
+	uint8_t *copy = malloc(bytes);
+
+	if (!copy)
+		return -1;
+	memcpy(copy, data, bytes);
+	free(r->data);
+	r->data = copy;
+	r->bytes = bytes;
+	return 0;
+}
+
 /*
- * Passes a received change on to the daemons from this one up to the position
- * `end`. Errors as eb_feed_relay_start().
+ * Passes a received part of a change on to the daemons from this one up to the
+ * position `end`. Errors as eb_feed_relay_start().
  */
 enum eb_status eb_feed_relay_pass_on(struct eb_feed_relay *rl, const void *data,
 				     uint32_t bytes, uint64_t revision,
-				     uint64_t end, int64_t now_us)
+				     uint32_t part, uint64_t end,
+				     int64_t now_us)
 {
-	struct relay r = { NULL, bytes, revision, end, now_us, 0, 0 };
+	struct relay r = { NULL, bytes, revision, part, end, now_us, 0, 0 };
 	uint32_t i;
 
 	for (i = 0; i < rl->relay_count; i++) {
-		if (rl->relays[i].revision != revision || !rl->relays[i].own ||
+		if (rl->relays[i].revision != revision ||
+		    rl->relays[i].part != part || !rl->relays[i].own ||
 		    rl->relays[i].started)
 			continue;
-		/* Another reader has started with it. */
+		/* Another reader has started; its parts may differ. */
+		if (replace_data(&rl->relays[i], data, bytes))
+			return EB_ENOMEM;
 		rl->relays[i].own = 0;
 		rl->relays[i].end = end;
 		rl->relays[i].start_us = now_us;
--- a/src/eb_feed_relay.h
+++ b/src/eb_feed_relay.h
@@ -38,10 +38,11 @@
 			  uint32_t count);
 enum eb_status eb_feed_relay_start(struct eb_feed_relay *rl, const void *data,
 				   uint32_t bytes, uint64_t revision,
-				   int64_t start_us);
+				   uint32_t part, int64_t start_us);
 enum eb_status eb_feed_relay_pass_on(struct eb_feed_relay *rl, const void *data,
 				     uint32_t bytes, uint64_t revision,
-				     uint64_t end, int64_t now_us);
+				     uint32_t part, uint64_t end,
+				     int64_t now_us);
 int eb_feed_relay_next(struct eb_feed_relay *rl,
 		       int (*reachable)(void *ctx, uint32_t node), void *ctx,
 		       int64_t now_us, struct eb_feed_relay_copy *out);
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -17,10 +17,49 @@
 	PAYLOAD_RELAY
 };
 
-/* A relayed change begins with the end of the part to pass it on in. */
+/* A relayed part begins with the end of the part of the ring to pass it on in.
+ */
 #define RELAY_HEAD_BYTES (1 + sizeof(uint64_t))
 
-#define REQUEST_BYTES (1 + sizeof(uint64_t))
+/*
+ * Before each part of a packed change. A change of up to EB_FEED_PART_BYTES has
+ * one part.
+ */
+struct part_head {
+	uint64_t after;
+	uint64_t revision;
+	uint32_t total_bytes; /* of the packed change */
+	uint32_t offset_bytes;
+};
+
+/* What a daemon lacks: the changes after a revision, or a part of them. */
+struct request {
+	uint64_t own_revision;
+	uint64_t part_revision; /* of the change that is being received, or 0 */
+	uint32_t part_offset_bytes;
+	uint32_t reserved;
+};
+
+#define REQUEST_BYTES (1 + sizeof(struct request))
+
+/* A change that is being received in parts, in their order. */
+struct assembly {
+	struct part_head head; /* of the first part */
+	uint8_t *data;	       /* NULL: none */
+	uint32_t have_bytes;
+	int64_t progress_us;
+};
+
+/* A change of several parts, kept for daemons that request them. */
+struct packed {
+	uint64_t wanted_after; /* as requested; the change may be full */
+	uint64_t revision;
+	uint8_t *data; /* NULL: none */
+	uint32_t bytes;
+	uint8_t held; /* names how long a hold lasts: only for a request going
+			 on */
+	int64_t used_us;
+};
 
 /* Sent by a reader when its reads begin to succeed or to fail. */
 struct reader_state {
@@ -50,9 +89,12 @@
 	uint32_t node_count;
 	uint32_t own_rank; /* members before this daemon in the order */
 	int64_t start_us;
-	int64_t read_us;	   /* last read that succeeded; 0: none */
-	int64_t failing_since_us;  /* since when reads fail; 0: they do not */
-	int64_t requested_us;	   /* last request to any member */
+	int64_t read_us;	  /* last read that succeeded; 0: none */
+	int64_t failing_since_us; /* since when reads fail; 0: they do not */
+	int64_t requested_us;	  /* last request, or part received */
+	uint32_t requested_node;  /* of the last request, or EB_NONE */
+	struct assembly assembly;
+	struct packed packed;
 	int64_t shortage_since_us; /* too few fresh readers since; 0: enough */
 	int64_t behind_since_us;   /* others are newer, without progress; 0 */
 	uint64_t missed_revision;  /* of changes that started after the copy */
@@ -82,6 +124,7 @@
 	sp->first_start = first_start != 0;
 	sp->confirmed = first_start != 0;
 	sp->start_us = now_us;
+	sp->requested_node = EB_NONE;
 	sp->feed = eb_feed_new();
 	sp->relay = eb_feed_relay_new(own_position);
 	if (!sp->feed || !sp->relay) {
@@ -100,6 +143,8 @@
 	eb_feed_relay_free(sp->relay);
 	free(sp->members);
 	free(sp->by_node);
+	free(sp->assembly.data);
+	free(sp->packed.data);
 	free(sp);
 }
 
@@ -237,26 +282,70 @@
 }
 
 /*
- * Builds a payload with what a copy at revision `after` lacks. Returns its
- * length in bytes, or 0 when it is too large or memory runs out. The caller
- * frees `*out`.
+ * Returns what a copy at revision `after` lacks, packed, or NULL when it is too
+ * large or memory runs out. A change of several parts is kept, so that they are
+ * parts of the same one: the one for `revision` if it is asked for again, or
+ * else the newest. Valid until the next call.
  */
-static uint32_t make_change(const struct eb_feed_sync *sp, uint64_t after,
-			    int64_t now_us, uint8_t **out)
+static const struct packed *pack(struct eb_feed_sync *sp, uint64_t after,
+				 uint64_t revision, int64_t now_us)
 {
-	uint8_t *packed, *p;
-	uint32_t n;
+	struct packed *pd = &sp->packed;
 
-	if (eb_feed_pack(sp->feed, after, now_us, &packed, &n))
-		return 0;
-	p = malloc(n + 1);
-	if (p) {
-		p[0] = PAYLOAD_CHANGE;
-		memcpy(p + 1, packed, n);
-		*out = p;
+	if (pd->data && pd->wanted_after == after &&
+	    (pd->revision == revision ||
+	     (pd->revision == eb_feed_revision(sp->feed) && !pd->held))) {
+		pd->used_us = now_us;
+		return pd;
 	}
-	free(packed);
-	return p ? n + 1 : 0;
+	free(pd->data);
+	pd->data = NULL;
+	if (eb_feed_pack(sp->feed, after, now_us, &pd->data, &pd->bytes))
+		return NULL;
+	pd->wanted_after = after;
+	pd->revision = eb_feed_revision(sp->feed);
+	pd->held = eb_feed_hold_ms(sp->feed, now_us) > 0;
+	pd->used_us = now_us;
+	return pd;
+}
+
+/* Frees the packed change when no part of it was requested for a while. */
+static void drop_packed(struct eb_feed_sync *sp, int64_t now_us)
+{
+	if (!sp->packed.data ||
+	    (sp->packed.bytes > EB_FEED_PART_BYTES &&
+	     now_us - sp->packed.used_us < EB_FEED_SYNC_PACKED_MS * 1000LL))
+		return;
+	free(sp->packed.data);
+	sp->packed.data = NULL;
+}
+
+/*
+ * Builds the payload with the part of a packed change at an offset, after
+ * `lead_bytes` of space. Returns its length, or 0 without memory. The caller
+ * frees `*out`.
+ */
+static uint32_t make_part(const struct eb_feed_sync *sp,
+			  const struct packed *pd, uint32_t offset_bytes,
+			  uint32_t lead_bytes, uint8_t **out)
+{
+	struct part_head head = { 0 };
+	uint32_t n = pd->bytes - offset_bytes;
+	uint8_t *p;
+
+	if (n > EB_FEED_PART_BYTES)
+		n = EB_FEED_PART_BYTES;
+	p = malloc(lead_bytes + sizeof(head) + n);
+	if (!p)
+		return 0;
+	head.after = eb_feed_start_of_change(sp->feed, pd->wanted_after);
+	head.revision = pd->revision;
+	head.total_bytes = pd->bytes;
+	head.offset_bytes = offset_bytes;
+	memcpy(p + lead_bytes, &head, sizeof(head));
+	memcpy(p + lead_bytes + sizeof(head), pd->data + offset_bytes, n);
+	*out = p;
+	return lead_bytes + (uint32_t)sizeof(head) + n;
 }
 
 /*
@@ -271,17 +360,29 @@
 }
 
 /*
- * Builds the payload of make_change() for a single daemon and counts it.
- * Returns 0 also when it has to wait.
+ * Builds the payload for a daemon that lacks changes: the part that it asks
+ * for, if that change is still packed, or else the first part of what it lacks.
+ * Counts a large one. Returns its length, or 0 when it has to wait, is too
+ * large, or memory runs out.
  */
-static uint32_t make_single_change(struct eb_feed_sync *sp, uint64_t after,
-				   int64_t now_us, uint8_t **out)
+static uint32_t make_single_part(struct eb_feed_sync *sp,
+				 const struct request *rq, int64_t now_us,
+				 uint8_t **out)
 {
-	uint32_t n;
+	const struct packed *pd;
+	uint32_t offset = 0, n;
 
-	if (!may_send(sp, after, now_us))
+	if (!may_send(sp, rq->own_revision, now_us))
+		return 0;
+	pd = pack(sp, rq->own_revision, rq->part_revision, now_us);
+	if (!pd)
 		return 0;
-	n = make_change(sp, after, now_us, out);
+	if (pd->revision == rq->part_revision &&
+	    rq->part_offset_bytes < pd->bytes)
+		offset = rq->part_offset_bytes;
+	n = make_part(sp, pd, offset, 1, out);
+	if (n)
+		(*out)[0] = PAYLOAD_CHANGE;
 	if (n > EB_FEED_SYNC_SMALL_BYTES)
 		eb_feed_relay_sent(sp->relay, n, now_us);
 	return n;
@@ -291,8 +392,9 @@
 static void push(struct eb_feed_sync *sp, struct member *mb, uint64_t after,
 		 int64_t now_us)
 {
+	struct request rq = { after, 0, 0, 0 };
 	uint8_t *data;
-	uint32_t n = make_single_change(sp, after, now_us, &data);
+	uint32_t n = make_single_part(sp, &rq, now_us, &data);
 
 	if (!n)
 		return;
@@ -354,57 +456,94 @@
 	return n;
 }
 
+/* Sends all members this daemon's revision and the age of its last read. */
+static void send_state(struct eb_feed_sync *sp, int64_t now_us)
+{
+	struct reader_state rs = { sp->own_order, eb_feed_revision(sp->feed),
+				   eb_feed_sync_read_age_ms(sp, now_us), 0 };
+	uint8_t data[1 + sizeof(rs)];
+	uint32_t i;
+
+	data[0] = PAYLOAD_STATE;
+	memcpy(data + 1, &rs, sizeof(rs));
+	for (i = 0; i < sp->count; i++)
+		sp->out.send(sp->out.ctx, sp->members[i].info.node, data,
+			     sizeof(data));
+}
+
+/* Starts to relay all parts of a packed change. */
+static void relay_parts(struct eb_feed_sync *sp, const struct packed *pd,
+			int64_t start_us)
+{
+	uint32_t offset, part = 0, n;
+	uint8_t *data;
+
+	for (offset = 0; offset < pd->bytes; offset += EB_FEED_PART_BYTES) {
+		n = make_part(sp, pd, offset, 0, &data);
+		if (!n)
+			return;
+		eb_feed_relay_start(sp->relay, data, n, pd->revision, ++part,
+				    start_us);
+		free(data);
+	}
+}
+
 /*
  * Sends the changes after `after` to all members: small ones directly, large
  * ones by relay. The first reader starts it, and another one only when nothing
- * was received from the first meanwhile.
+ * was received from the first meanwhile. What is too large for a relay is
+ * requested by each member.
  */
 static void push_all(struct eb_feed_sync *sp, uint64_t after, int64_t now_us)
 {
+	const struct packed *pd = pack(sp, after, 0, now_us);
 	uint8_t *data;
-	uint32_t n = make_change(sp, after, now_us, &data);
+	uint32_t n;
 
-	if (!n)
+	if (!pd || pd->bytes > EB_FEED_RELAYS_MAX * EB_FEED_PART_BYTES) {
+		send_state(sp, now_us);
 		return;
-	if ((uint64_t)n * sp->count <= EB_FEED_SYNC_DIRECT_BYTES)
+	}
+	if ((uint64_t)pd->bytes * sp->count <= EB_FEED_SYNC_DIRECT_BYTES) {
+		n = make_part(sp, pd, 0, 1, &data);
+		if (!n)
+			return;
+		data[0] = PAYLOAD_CHANGE;
 		send_directly(sp, data, n, now_us);
-	else
-		eb_feed_relay_start(
-			sp->relay, data + 1, n - 1, eb_feed_revision(sp->feed),
-			now_us + readers_before(sp, now_us) *
-					 EB_FEED_SYNC_BACKUP_MS * 1000LL);
-	free(data);
+		free(data);
+	} else {
+		relay_parts(sp, pd,
+			    now_us + readers_before(sp, now_us) *
+					     EB_FEED_SYNC_BACKUP_MS * 1000LL);
+	}
 	run_relay(sp, now_us);
 }
 
+/* Builds a request for what this copy lacks. */
+static void make_request(const struct eb_feed_sync *sp, uint8_t *data)
+{
+	struct request rq = { eb_feed_revision(sp->feed), 0, 0, 0 };
+
+	if (sp->assembly.data) {
+		rq.part_revision = sp->assembly.head.revision;
+		rq.part_offset_bytes = sp->assembly.have_bytes;
+	}
+	data[0] = PAYLOAD_REQUEST;
+	memcpy(data + 1, &rq, sizeof(rq));
+}
+
 /* Requests the changes after this copy's revision from a member. */
 static void request(struct eb_feed_sync *sp, const struct member *mb,
 		    int64_t now_us)
 {
-	uint64_t revision = eb_feed_revision(sp->feed);
 	uint8_t data[REQUEST_BYTES];
 
 	sp->requested_us = now_us;
-	data[0] = PAYLOAD_REQUEST;
-	memcpy(data + 1, &revision, sizeof(revision));
+	sp->requested_node = mb->info.node;
+	make_request(sp, data);
 	sp->out.send(sp->out.ctx, mb->info.node, data, sizeof(data));
 }
 
-/* Sends all members this daemon's revision and the age of its last read. */
-static void send_state(struct eb_feed_sync *sp, int64_t now_us)
-{
-	struct reader_state rs = { sp->own_order, eb_feed_revision(sp->feed),
-				   eb_feed_sync_read_age_ms(sp, now_us), 0 };
-	uint8_t data[1 + sizeof(rs)];
-	uint32_t i;
-
-	data[0] = PAYLOAD_STATE;
-	memcpy(data + 1, &rs, sizeof(rs));
-	for (i = 0; i < sp->count; i++)
-		sp->out.send(sp->out.ctx, sp->members[i].info.node, data,
-			     sizeof(data));
-}
-
 /*
  * Records whether a read succeeded. When that changes, a reader notifies the
  * other daemons at once, since they choose by it whether to read.
@@ -559,13 +698,9 @@
 				      rs.read_age_ms, now_us);
 }
 
-/*
- * Applies a packed change, and passes it on up to the position `*end` unless
- * `end` is NULL.
- */
-static enum eb_status receive_change(struct eb_feed_sync *sp, const void *data,
-				     uint32_t bytes, const uint64_t *end,
-				     int64_t now_us)
+/* Applies a packed change that has been received completely. */
+static enum eb_status apply_packed(struct eb_feed_sync *sp, const void *data,
+				   uint32_t bytes, int64_t now_us)
 {
 	struct eb_feed_change ch = { 0 };
 	uint64_t before = eb_feed_revision(sp->feed);
@@ -574,12 +709,6 @@
 
 	if (st)
 		return st;
-	if (end) {
-		/* A change that is not new has been passed on before. */
-		eb_feed_relay_pass_on(sp->relay, data, bytes, ch.revision, *end,
-				      now_us);
-		run_relay(sp, now_us);
-	}
 	st = eb_feed_apply(sp->feed, &ch, now_us, &changed);
 	if (st == EB_EAGAIN && ch.revision > sp->missed_revision)
 		sp->missed_revision = ch.revision;
@@ -591,6 +720,122 @@
 	return st == EB_ENOTFOUND ? EB_OK : st;
 }
 
+static void drop_assembly(struct eb_feed_sync *sp)
+{
+	free(sp->assembly.data);
+	memset(&sp->assembly, 0, sizeof(sp->assembly));
+}
+
+/* Tells whether a part belongs to the change that is being received. */
+static int is_expected(const struct assembly *as, const struct part_head *head)
+{
+	return as->data && as->head.after == head->after &&
+	       as->head.revision == head->revision &&
+	       as->head.total_bytes == head->total_bytes;
+}
+
+/*
+ * Appends a part to the change that is being received. Returns 1 when that is
+ * complete, 0 when parts are missing, -1 for a part that is not the next one.
+ * A change that has made no progress for EB_FEED_SYNC_PATIENCE_MS makes way for
+ * the first part of another one.
+ */
+static int append_part(struct eb_feed_sync *sp, const struct part_head *head,
+		       const uint8_t *data, uint32_t bytes, int64_t now_us)
+{
+	struct assembly *as = &sp->assembly;
+	uint8_t *p;
+
+	if (!is_expected(as, head)) {
+		if (head->offset_bytes ||
+		    (as->data && now_us - as->progress_us <
+					 EB_FEED_SYNC_PATIENCE_MS * 1000LL))
+			return -1;
+		drop_assembly(sp);
+		as->head = *head;
+	}
+	if (head->offset_bytes != as->have_bytes)
+		return -1;
+	p = realloc(as->data, as->have_bytes + bytes);
+	if (!p)
+		return -1;
+	memcpy(p + as->have_bytes, data, bytes);
+	as->data = p;
+	as->have_bytes += bytes;
+	as->progress_us = now_us;
+	/* More is on its way. */
+	sp->requested_us = now_us;
+	if (sp->behind_since_us)
+		sp->behind_since_us = now_us;
+	return as->have_bytes == head->total_bytes;
+}
+
+/* Reads and checks the head of a part; returns EB_EPARSE for a bad one. */
+static enum eb_status read_part_head(const uint8_t *data, uint32_t bytes,
+				     struct part_head *head)
+{
+	if (bytes <= sizeof(*head))
+		return EB_EPARSE;
+	memcpy(head, data, sizeof(*head));
+	if (head->total_bytes > EB_FEED_PACKED_MAX_BYTES ||
+	    head->offset_bytes > head->total_bytes ||
+	    bytes - sizeof(*head) > head->total_bytes - head->offset_bytes)
+		return EB_EPARSE;
+	return EB_OK;
+}
+
+/*
+ * Handles a part of a packed change, and passes it on up to the position `*end`
+ * unless `end` is NULL. Then the sender is asked for the next part, if there is
+ * one, in `*reply`.
+ */
+static enum eb_status receive_part(struct eb_feed_sync *sp, const uint8_t *data,
+				   uint32_t bytes, const uint64_t *end,
+				   int64_t now_us, uint8_t **reply,
+				   uint32_t *reply_bytes)
+{
+	struct part_head head;
+	enum eb_status st = read_part_head(data, bytes, &head);
+	uint32_t n = bytes - (uint32_t)sizeof(head);
+
+	if (st)
+		return st;
+	if (end) {
+		/* A part that is not new has been passed on before. */
+		eb_feed_relay_pass_on(sp->relay, data, bytes, head.revision,
+				      head.offset_bytes / EB_FEED_PART_BYTES +
+					      1,
+				      *end, now_us);
+		run_relay(sp, now_us);
+	}
+	data += sizeof(head);
+	if (n == head.total_bytes)
+		return apply_packed(sp, data, n, now_us);
+	if (head.revision <= eb_feed_revision(sp->feed))
+		return EB_OK;
+	if (head.after > eb_feed_revision(sp->feed)) {
+		if (head.revision > sp->missed_revision)
+			sp->missed_revision = head.revision;
+		return EB_EAGAIN;
+	}
+	switch (append_part(sp, &head, data, n, now_us)) {
+	case 1:
+		st = apply_packed(sp, sp->assembly.data,
+				  sp->assembly.have_bytes, now_us);
+		drop_assembly(sp);
+		return st;
+	case 0:
+		*reply = end ? NULL : malloc(REQUEST_BYTES);
+		if (!*reply)
+			return EB_OK;
+		make_request(sp, *reply);
+		*reply_bytes = REQUEST_BYTES;
+		return EB_OK;
+	default:
+		return EB_OK;
+	}
+}
+
 /*
  * Handles a payload from another daemon. `*reply` is set to an answer for the
  * sender, which the caller frees, or to NULL. Returns EB_EPARSE for an invalid
@@ -602,16 +847,16 @@
 				    uint8_t **reply, uint32_t *reply_bytes)
 {
 	const uint8_t *p = data;
-	uint64_t revision, end;
+	struct request rq;
+	uint64_t end;
 
 	*reply = NULL;
 	if (!bytes)
 		return EB_EPARSE;
 	if (p[0] == PAYLOAD_REQUEST && bytes == REQUEST_BYTES) {
-		memcpy(&revision, p + 1, sizeof(revision));
-		if (revision < eb_feed_revision(sp->feed))
-			*reply_bytes =
-				make_single_change(sp, revision, now_us, reply);
+		memcpy(&rq, p + 1, sizeof(rq));
+		if (rq.own_revision < eb_feed_revision(sp->feed))
+			*reply_bytes = make_single_part(sp, &rq, now_us, reply);
 		return EB_OK;
 	}
 	if (p[0] == PAYLOAD_STATE && bytes == 1 + sizeof(struct reader_state)) {
@@ -620,12 +865,14 @@
 	}
 	if (p[0] == PAYLOAD_RELAY && bytes > RELAY_HEAD_BYTES) {
 		memcpy(&end, p + 1, sizeof(end));
-		return receive_change(sp, p + RELAY_HEAD_BYTES,
-				      bytes - RELAY_HEAD_BYTES, &end, now_us);
+		return receive_part(sp, p + RELAY_HEAD_BYTES,
+				    bytes - RELAY_HEAD_BYTES, &end, now_us,
+				    reply, reply_bytes);
 	}
 	if (p[0] != PAYLOAD_CHANGE)
 		return EB_EPARSE;
-	return receive_change(sp, p + 1, bytes - 1, NULL, now_us);
+	return receive_part(sp, p + 1, bytes - 1, NULL, now_us, reply,
+			    reply_bytes);
 }
 
 /*
@@ -640,10 +887,31 @@
 	       EB_FEED_SYNC_STEP_MS * 1000;
 }
 
+/* Tells whether what this daemon lacks does not arrive from the others. */
+static int is_stuck(const struct eb_feed_sync *sp, int64_t now_us)
+{
+	return sp->behind_since_us &&
+	       now_us - sp->behind_since_us >= EB_FEED_SYNC_STUCK_MS * 1000LL;
+}
+
+/* Requests the next part again when it does not arrive. */
+static void continue_assembly(struct eb_feed_sync *sp, int64_t now_us)
+{
+	const struct member *mb = find(sp, sp->requested_node);
+
+	if (!sp->assembly.data)
+		return;
+	if (sp->assembly.head.revision <= eb_feed_revision(sp->feed))
+		drop_assembly(sp);
+	else if (mb &&
+		 now_us - sp->requested_us >= EB_FEED_SYNC_RESEND_MS * 1000LL)
+		request(sp, mb, now_us);
+}
+
 /* Tells whether this daemon should read the source now. */
 static int should_read(struct eb_feed_sync *sp, int64_t now_us)
 {
-	if (sp->own_rank < EB_FEED_SYNC_READERS)
+	if (sp->own_rank < EB_FEED_SYNC_READERS || is_stuck(sp, now_us))
 		return 1;
 	if (readers_before(sp, now_us) >= EB_FEED_SYNC_READERS) {
 		sp->shortage_since_us = 0;
@@ -726,6 +994,8 @@
 		sp->out.changed(sp->out.ctx);
 	check_confirmed(sp, now_us);
 	run_relay(sp, now_us);
+	continue_assembly(sp, now_us);
+	drop_packed(sp, now_us);
 	if (must_confirm(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	else if (is_starting(sp, now_us))
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -126,9 +126,12 @@
 /* Items of the source, and removed items whose removal is kept. */
 #define EB_FEED_ITEMS_MAX 65536
 #define EB_FEED_REMOVED_MAX 4096
+/* Revisions before full reads from which a copy can list the changes. */
+#define EB_FEED_PAST_MAX 8
 #define EB_FEED_KEY_MAX_BYTES 200
-/* A packed change fits into one message between daemons. */
-#define EB_FEED_PACKED_MAX_BYTES 200000
+/* A packed change, and the part of it that fits one message. */
+#define EB_FEED_PACKED_MAX_BYTES 8388608
+#define EB_FEED_PART_BYTES 190000
 #define EB_FEED_UNPACKED_MAX_BYTES 33554432
 /*
  * Items that are missing after an outage of the source are kept this long, as
@@ -176,8 +179,15 @@
 #define EB_FEED_SYNC_SMALL_BYTES 16384
 /* A reader relays a change this much later than the reader before it. */
 #define EB_FEED_SYNC_BACKUP_MS 300
-/* Large changes that a daemon passes on at the same time. */
-#define EB_FEED_RELAYS_MAX 4
+/* Parts of changes that a daemon passes on at the same time. */
+#define EB_FEED_RELAYS_MAX 32
+/* A packed change is kept this long for daemons that request its parts. */
+#define EB_FEED_SYNC_PACKED_MS 5000
+/*
+ * A daemon that stays behind the others for this long without progress reads
+ * the source itself.
+ */
+#define EB_FEED_SYNC_STUCK_MS 5000
 /* Pace of large changes: 6 Mbit/s, half of a narrow link. */
 #define EB_FEED_RELAY_BYTES_PER_MS 750
 /* Reads that fail for this long count as an outage of the source. */
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 
 #include <iostream>
+#include <random>
 #include <sstream>
 #include <thread>
 
@@ -777,6 +778,45 @@
 	}
 }
 
+/*
+ * Guards against entries of another writer after which daemons follow no other
+ * change: a large one that cannot be read, a large one that can, and a key that
+ * is too long.
+ */
+TEST_F(SiteTest, UnusableEntriesBlockNoChange)
+{
+	std::minstd_rand rand(31);
+	std::string noise, text;
+
+	while (noise.size() < 300000) {
+		noise.push_back((char)rand());
+		text.push_back((char)('!' + rand() % 90));
+		if (text.back() == '\\' || text.back() == '"')
+			text.back() = '.';
+	}
+	const std::pair<std::string, std::string> entries[] = {
+		{ "servers/noise", noise },
+		{ "servers/text", "{\"service\":7,\"x\":\"" + text + "\"}" },
+		{ "servers/" + std::string(300, 'k'), "{}" },
+	};
+	int version = 40;
+
+	for (const auto &en : entries) {
+		std::string path = "/new-" + std::to_string(version) + "/";
+
+		site.store->put(en.first, en.second);
+		sleep_ms(1000);
+		site.publish(version++,
+			     site.route("new", path, "safe", "near"));
+		for (size_t i = 0; i < 4; i++)
+			site.wait_status(i, path + "a", 200);
+	}
+	/* A daemon that starts gets all of it. */
+	site.daemons[3]->kill();
+	site.start_daemon(3);
+	site.wait_status(3, "/new-42/a", 200);
+}
+
 /*
  * Guards against daemons that cannot serve or restart while the store does not
  * answer or answers 503, or that miss changes afterwards.
--- a/tests/test_eb_feed_relay.cc
+++ b/tests/test_eb_feed_relay.cc
@@ -52,7 +52,7 @@
 		int64_t last = now, idle_since = now;
 
 		EXPECT_EQ(EB_OK, eb_feed_relay_start(relays[0], "x", 1,
-						     revision, now));
+						     revision, 1, now));
 		for (; now - idle_since < 500 * MS; now += MS) {
 			for (uint32_t i = 0; i < relays.size(); i++) {
 				eb_feed_relay_copy c;
@@ -83,7 +83,7 @@
 		copies[c.node]++;
 		between_regions += region[from] != region[c.node];
 		eb_feed_relay_pass_on(relays[c.node], c.data, c.bytes, revision,
-				      c.end, now);
+				      1, c.end, now);
 	}
 
 	std::vector<std::string> region;
@@ -152,13 +152,13 @@
 		eb_feed_relay_copy c;
 
 		eb_feed_relay_set_members(rl, others, 3);
-		eb_feed_relay_start(rl, "x", 1, 7, later);
+		eb_feed_relay_start(rl, "x", 1, 7, 1, later);
 		EXPECT_EQ(0, eb_feed_relay_next(rl, all, nullptr, 0, &c));
 		EXPECT_EQ(EB_OK, received ? eb_feed_relay_pass_on(rl, "x", 1, 7,
-								  200, MS)
+								  1, 200, MS)
 					  : EB_OK);
 		EXPECT_EQ(EB_ENOTFOUND,
-			  eb_feed_relay_start(rl, "x", 1, 7, 2 * MS));
+			  eb_feed_relay_start(rl, "x", 1, 7, 1, 2 * MS));
 		for (int64_t at = MS; at < 2 * later; at += MS)
 			while (eb_feed_relay_next(rl, all, nullptr, at, &c))
 				nodes.insert(c.node);
@@ -189,7 +189,7 @@
 		others.push_back({ i, 100 + i * 10 });
 	eb_feed_relay_set_members(rl, others.data(), 40);
 	for (uint64_t revision : { 5, 6 })
-		eb_feed_relay_start(rl, data.data(), bytes, revision, 0);
+		eb_feed_relay_start(rl, data.data(), bytes, revision, 1, 0);
 	for (int64_t at = 0; at < 1000 * MS; at += MS) {
 		while (eb_feed_relay_next(rl, all, nullptr, at, &c))
 			sent += c.bytes;
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -423,6 +423,45 @@
 	}
 }
 
+/*
+ * Guards against daemons that follow no change any more because one that they
+ * lack does not fit a message: only the readers did.
+ */
+TEST(Spread, AChangeLargerThanAMessageReachesAll)
+{
+	const struct {
+		uint32_t daemons;
+		uint32_t bytes;
+		int64_t bound_us; /* 0: it takes longer, but does not block */
+	} cases[] = {
+		{ 6, 300000, BOUND_US },
+		{ 18, 700000, 0 },
+		{ 6, 3000000, 0 },
+		/* Too large for a relay: each daemon requests the parts. */
+		{ 3, 7000000, 0 },
+	};
+
+	for (const auto &c : cases) {
+		std::string name = std::to_string(c.daemons) + " daemons, " +
+				   std::to_string(c.bytes) + " bytes";
+		int64_t limit_us = c.bound_us ? c.bound_us : 120000 * MS;
+		Fleet fl(c.daemons);
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2300 * MS);
+		fl.publish_large(c.bytes);
+		EXPECT_LT(fl.time_to_all(limit_us), limit_us) << name;
+		fl.publish();
+		EXPECT_LE(fl.time_to_all(5 * BOUND_US), BOUND_US) << name;
+		/* All of it is sent again, as one full change. */
+		fl.restart(*fl.by_order().back());
+		EXPECT_LT(fl.time_to_all(limit_us), limit_us) << name;
+		fl.publish();
+		EXPECT_LE(fl.time_to_all(5 * BOUND_US), BOUND_US) << name;
+		for (auto &dm : fl.daemons)
+			EXPECT_FALSE(dm->went_back) << name;
+	}
+}
+
 /* Why some daemons stop reading. */
 enum failure { KILLED, CUT_OFF };
 
