daemon: the source ends before the core is freed

Cause: a daemon ended with SIGSEGV after its last log line. stop_all() freed the core while the source's thread still ran; a change that it read then went to eb_core_send_report() with a core that was gone. The call in the other direction had the same gap: the core's thread may hold the source that another thread is freeing. Change: the core's thread is stopped first, then the source, then the core is freed; eb_core_stop() and eb_core_free() are two functions. It holds for both sources, that of the users' platform and that of release notes.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -975,22 +975,36 @@
 	if (create_parts(co, err) ||
 	    apr_thread_create(&co->thread, NULL, run, co, co->pool) !=
 		    APR_SUCCESS) {
-		eb_core_stop(co);
+		eb_core_free(co);
 		return NULL;
 	}
 	return co;
 }
 
-/* Stops the thread and frees everything. */
+/*
+ * Stops the thread; NULL is allowed. Until eb_core_free(), other threads may
+ * still send to the core.
+ */
 void eb_core_stop(struct eb_core *co)
 {
 	apr_status_t status;
 
-	if (!co)
+	if (!co || !co->thread)
 		return;
 	__atomic_store_n(&co->stopping, 1, __ATOMIC_RELEASE);
-	if (co->thread)
-		apr_thread_join(&status, co->thread);
+	apr_thread_join(&status, co->thread);
+	co->thread = NULL;
+}
+
+/*
+ * Stops the thread and frees everything; NULL is allowed. The source must have
+ * been stopped: its thread sends reports to the core.
+ */
+void eb_core_free(struct eb_core *co)
+{
+	if (!co)
+		return;
+	eb_core_stop(co);
 	run_local(co);
 	eb_origin_free(co->origin);
 	if (co->claims)
--- a/src/eb_core.h
+++ b/src/eb_core.h
@@ -45,6 +45,7 @@
 struct eb_core *eb_core_start(const struct eb_core_config *cf,
 			      struct eb_error *err);
 void eb_core_stop(struct eb_core *co);
+void eb_core_free(struct eb_core *co);
 /* The functions below may be called from any thread. */
 void eb_core_set_source(struct eb_core *co, struct eb_source *sc);
 enum eb_status eb_core_send_report(struct eb_core *co,
--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -168,17 +168,20 @@
 	eb_ring_free(rg);
 }
 
+/*
+ * Stops all threads and frees everything. The core and the source call each
+ * other: the core's thread is stopped first, and the core is freed last.
+ */
 static void stop_all(struct daemon *dm)
 {
 	int i;
 
 	eb_admin_stop(dm->admin);
-	if (dm->core)
-		eb_core_set_source(dm->core, NULL);
 	eb_front_stop(dm->front);
 	eb_core_stop(dm->core);
 	if (dm->source)
 		dm->adapter->source->stop(dm->source);
+	eb_core_free(dm->core);
 	eb_client_stop(dm->client);
 	for (i = 0; i < 5; i++)
 		free_ring(dm->rings[i]);
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -971,6 +971,53 @@
 	EXPECT_EQ(200, site.ready(0));
 }
 
+/*
+ * Guards against a daemon that crashes at the end of its stop, when the store
+ * sends a change to a core that is freed.
+ */
+TEST(SiteStop, ADaemonEndsWhileALargeStateChanges)
+{
+	std::vector<std::thread> threads;
+	std::atomic<int> crashed{ 0 };
+
+	for (int k = 0; k < 4; k++) {
+		threads.emplace_back([&, k] {
+			std::atomic<bool> over{ false };
+			Site site({ "near" });
+			std::string routes;
+
+			for (int i = 0; i < 4500; i++) {
+				std::string name = "r" + std::to_string(i);
+
+				routes += (i ? "," : "") +
+					  site.route(name, "/" + name + "/",
+						     "safe", "near");
+			}
+			site.store->put(site.upstreams[0]->key(),
+					site.upstreams[0]->entry());
+			site.publish(1, routes);
+			std::thread writer([&] {
+				for (int v = 2; !over; v++) {
+					site.publish(v, routes);
+					sleep_ms(100);
+				}
+			});
+			for (int r = 0; r < 4; r++) {
+				site.start_daemon(0);
+				site.wait_status(0, "/near/a", 200);
+				sleep_ms(200 + 37 * (k + r));
+				site.daemons[0]->signal(SIGTERM);
+				crashed += site.daemons[0]->wait() != 0;
+			}
+			over = true;
+			writer.join();
+		});
+	}
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_EQ(0, crashed);
+}
+
 /*
  * Guards against a SIGHUP that ends the daemon because it arrives while the
  * settings are read. A pipe without a writer blocks that read.
