--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -817,6 +817,32 @@
 	site.wait_status(3, "/new-42/a", 200);
 }
 
+/*
+ * Guards against a restarted daemon that takes old pages of the store for new
+ * ones and uses the upstream beside it, which leaves.
+ */
+TEST_F(SiteTest, OldPagesOfTheStoreAreNotTakenForNewOnes)
+{
+	SiteUpstream &leaving = *site.upstreams[1];
+
+	for (int i = 0; i < 5; i++)
+		site.store->put("a/" + std::to_string(i), "{}");
+	site.store->set_pages(5);
+	site.store->put(leaving.key(), leaving.entry("draining"));
+	site.store->put("a/0", "{}");
+	sleep_ms(500);
+	site.daemons[1]->kill();
+	site.start_daemon(1);
+	site.wait_status(1, "/near/a", 200);
+	sleep_ms(2000);
+	for (int i = 0; i < 40; i++) {
+		std::string id = "after-" + std::to_string(i);
+
+		EXPECT_TRUE(site.send(1, "GET", "/near/a", id).complete(200));
+		EXPECT_EQ(0, leaving.runs(id));
+	}
+}
+
 /*
  * Guards against daemons that cannot serve or restart while the store does not
  * answer or answers 503, or that miss changes afterwards.
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -51,6 +51,23 @@
 	return out;
 }
 
+/* Replaces %XX by the byte that it stands for. */
+std::string unescape(const std::string &text)
+{
+	std::string out;
+
+	for (size_t i = 0; i < text.size(); i++) {
+		if (text[i] == '%' && i + 2 < text.size()) {
+			out += (char)std::stoi(text.substr(i + 1, 2), nullptr,
+					       16);
+			i += 2;
+		} else {
+			out += text[i];
+		}
+	}
+	return out;
+}
+
 /* The value of a query parameter, or "". */
 std::string query(const std::string &target, const std::string &name)
 {
@@ -292,7 +309,9 @@
 	std::string body, status = "200 OK";
 
 	if (target.find("/v1/kv-range") == 0)
-		body = range(query(target, "prefix"));
+		body = range(query(target, "prefix"),
+			     unescape(query(target, "after")),
+			     query(target, "staleOk") == "1");
 	else
 		body = watch(query(target, "prefix"),
 			     atoll(query(target, "after").c_str()),
@@ -316,17 +335,39 @@
 	       base64(it.value) + "\"}";
 }
 
-std::string SiteStore::range(const std::string &prefix)
+void SiteStore::set_pages(size_t items)
 {
 	std::lock_guard<std::mutex> hold(lock_);
+
+	page_items_ = items;
+	old_items_ = items_;
+	old_revision_ = revision_;
+}
+
+std::string SiteStore::range(const std::string &prefix,
+			     const std::string &after, bool stale_ok)
+{
+	std::lock_guard<std::mutex> hold(lock_);
+	bool old = stale_ok && !after.empty() && page_items_;
 	std::string list;
+	size_t n = 0;
+	bool more = false;
 
-	for (const auto &pair : items_)
-		if (!pair.second.removed && pair.first.find(prefix) == 0)
-			list += (list.empty() ? "" : ",") +
-				item_json(pair.first, pair.second);
-	return "{\"items\":[" + list + "],\"hasMore\":false," +
-	       "\"storeRevision\":" + std::to_string(revision_) + "}";
+	for (const auto &pair : old ? old_items_ : items_) {
+		if (pair.second.removed || pair.first.find(prefix) != 0 ||
+		    pair.first <= after)
+			continue;
+		more = page_items_ && n == page_items_;
+		if (more)
+			break;
+		n++;
+		list += (list.empty() ? "" : ",") +
+			item_json(pair.first, pair.second);
+	}
+	return "{\"items\":[" + list +
+	       "],\"hasMore\":" + (more ? "true" : "false") +
+	       ",\"storeRevision\":" +
+	       std::to_string(old ? old_revision_ : revision_) + "}";
 }
 
 std::string SiteStore::watch(const std::string &prefix, int64_t after,
--- a/tests/site.h
+++ b/tests/site.h
@@ -103,6 +103,11 @@
 	void remove(const std::string &key);
 	/* Watches that start at an older revision get 410 from now on. */
 	void forget_history();
+	/*
+	 * Ranges have pages of this many items from now on. Those that may be
+	 * stale show all but the first page as it is at this moment.
+	 */
+	void set_pages(size_t items);
 	void set_mode(Mode mode);
 	/* Handles each call by `run` instead of an answer; null: answers. */
 	void set_endless(std::function<void(SiteConnection &)> run);
@@ -123,7 +128,8 @@
 
 	void serve(SiteConnection &cn);
 	void answer(SiteConnection &cn, const std::string &target);
-	std::string range(const std::string &prefix);
+	std::string range(const std::string &prefix, const std::string &after,
+			  bool stale_ok);
 	std::string watch(const std::string &prefix, int64_t after,
 			  int64_t wait_ms);
 	std::string item_json(const std::string &key, const Item &it);
@@ -131,6 +137,9 @@
 	std::mutex lock_;
 	std::condition_variable changed_;
 	std::map<std::string, Item> items_;
+	size_t page_items_ = 0; /* 0: all on one page */
+	std::map<std::string, Item> old_items_;
+	int64_t old_revision_ = 0;
 	int64_t revision_ = 1;
 	int64_t history_from_ = 0;
 	Mode mode_ = ANSWERS;
