feed sync: dead daemons do not delay the takeover of reading

Cause: after 15 of 18 daemons were killed the others answered 404 on a new route for up to 0.6 s longer than allowed. A daemon that misses readers waits 150 ms for each daemon before it in the order, dead ones too, after the 1.3 s in which a dead reader counts as fresh. Change: with the shortage a daemon asks those before it whether they answer; those found silent, within 250 ms, are not waited for. Only the first 32 after the readers ask. A daemon that is not known to be silent still goes first, so that an outage of the source has as few callers as before. Spread.OthersStepIn, 'all but the last three are killed': 2.26 s without the change, under the bound of 2 s with it.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -368,6 +368,15 @@
 	return n && n->peer && n->peer->up && !n->peer->liveness.suspected;
 }
 
+/* Tells whether the daemon beside an upstream does not answer heartbeats. */
+static int is_silent(void *ctx, uint32_t node)
+{
+	struct eb_core *co = ctx;
+	const struct eb_node *n = eb_nodes_get(co->nodes, node);
+
+	return n && n->peer && (!n->peer->up || n->peer->liveness.suspected);
+}
+
 static void on_items_changed(void *ctx)
 {
 	struct eb_core *co = ctx;
@@ -908,7 +917,8 @@
 					   cf->adapter->dialect,
 					   cf->settings->uploads_leave };
 	struct eb_feed_sync_callbacks feed_sync_out = {
-		send_gossip, is_reachable, on_items_changed, set_source_mode, co
+		send_gossip,	  is_reachable,	   is_silent, send_heartbeat,
+		on_items_changed, set_source_mode, co
 	};
 	uint64_t order = eb_feed_sync_order(cf->settings->upstream);
 	struct eb_findings fs = { 0 };
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -877,14 +877,31 @@
 
 /*
  * Returns how long this daemon waits before it reads in place of missing
- * readers: daemons earlier in the order start first. The delay has no limit, so
- * that an outage of the source has as many daemons calling in a large fleet as
- * in a small one.
+ * readers: daemons earlier in the order start first, but those that do not
+ * answer are not waited for. The delay has no limit, so that an outage of the
+ * source has as many daemons calling in a large fleet as in a small one.
  */
 static int64_t takeover_delay_us(const struct eb_feed_sync *sp)
 {
-	return (int64_t)(sp->own_rank - EB_FEED_SYNC_READERS) *
-	       EB_FEED_SYNC_STEP_MS * 1000;
+	uint32_t i, steps = 0;
+
+	for (i = EB_FEED_SYNC_READERS; i < sp->own_rank; i++)
+		steps += !sp->out.silent(sp->out.ctx, sp->members[i].info.node);
+	return (int64_t)steps * EB_FEED_SYNC_STEP_MS * 1000;
+}
+
+/*
+ * Asks the daemons before this one whether they answer, so that it does not
+ * wait for those that were lost together with the readers.
+ */
+static void ask_candidates(const struct eb_feed_sync *sp)
+{
+	uint32_t i;
+
+	if (sp->own_rank > EB_FEED_SYNC_READERS + EB_FEED_SYNC_ASKERS_MAX)
+		return;
+	for (i = 0; i < sp->own_rank; i++)
+		sp->out.ask(sp->out.ctx, sp->members[i].info.node);
 }
 
 /* Tells whether what this daemon lacks does not arrive from the others. */
@@ -917,8 +934,10 @@
 		sp->shortage_since_us = 0;
 		return 0;
 	}
-	if (!sp->shortage_since_us)
+	if (!sp->shortage_since_us) {
 		sp->shortage_since_us = now_us;
+		ask_candidates(sp);
+	}
 	return now_us - sp->shortage_since_us >= takeover_delay_us(sp);
 }
 
--- a/src/eb_feed_sync.h
+++ b/src/eb_feed_sync.h
@@ -21,6 +21,10 @@
 		     uint32_t bytes);
 	/* Tells whether a payload to a daemon would arrive, as far as known. */
 	int (*reachable)(void *ctx, uint32_t node);
+	/* Tells whether a daemon is known not to answer. */
+	int (*silent)(void *ctx, uint32_t node);
+	/* Finds out soon whether a daemon answers. */
+	void (*ask)(void *ctx, uint32_t node);
 	/* The items have changed. */
 	void (*changed)(void *ctx);
 	/* How to use the source from now on; called on each tick. */
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -157,6 +157,8 @@
  * one before it in the order.
  */
 #define EB_FEED_SYNC_STEP_MS 150
+/* Daemons after the readers that ask those before them whether they answer. */
+#define EB_FEED_SYNC_ASKERS_MAX 32
 /* Least time between requests to members, and between updates to one. */
 #define EB_FEED_SYNC_RESEND_MS 200
 /*
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -41,6 +41,7 @@
 	uint64_t newest = 0; /* newest revision it ever had */
 	bool went_back = false;
 	bool knows_members = true;
+	int64_t asked_at = -1; /* when another one asked whether it answers */
 	int64_t link_free_at = 0; /* its link has sent all bytes then */
 };
 
@@ -52,8 +53,10 @@
 	{
 		for (uint32_t i = 0; i < n; i++) {
 			auto dm = std::make_unique<daemon>();
-			eb_feed_sync_callbacks out = { send, reachable, changed,
-						       want, dm.get() };
+			eb_feed_sync_callbacks out = { send,	reachable,
+						       silent,	ask,
+						       changed, want,
+						       dm.get() };
 
 			dm->fleet = this;
 			dm->id = i;
@@ -96,8 +99,8 @@
 	/* Replaces the process of a daemon; it knows nobody at first. */
 	void restart(daemon &dm)
 	{
-		eb_feed_sync_callbacks out = { send, reachable, changed, want,
-					       &dm };
+		eb_feed_sync_callbacks out = { send,	reachable, silent, ask,
+					       changed, want,	   &dm };
 
 		eb_feed_sync_free(dm.sp);
 		dm.sp = eb_feed_sync_new(&out, order(dm.id), position(dm.id), 0,
@@ -230,6 +233,22 @@
 	{
 		return 1;
 	}
+	/* A daemon that was asked while it is down is found silent. */
+	static int silent(void *ctx, uint32_t node)
+	{
+		Fleet *fl = static_cast<daemon *>(ctx)->fleet;
+		int64_t asked = fl->daemons[node]->asked_at;
+
+		return !fl->daemons[node]->up && asked >= 0 &&
+		       fl->now - asked >= EB_PEER_SUSPECT_MS * MS;
+	}
+	static void ask(void *ctx, uint32_t node)
+	{
+		Fleet *fl = static_cast<daemon *>(ctx)->fleet;
+
+		if (fl->daemons[node]->asked_at < 0)
+			fl->daemons[node]->asked_at = fl->now;
+	}
 	static void changed(void *ctx)
 	{
 		daemon *dm = static_cast<daemon *>(ctx);
@@ -480,6 +499,7 @@
 		{ "one reader is killed", KILLED, 0, 1 },
 		{ "both readers are killed", KILLED, 0, 2 },
 		{ "the first ten are killed", KILLED, 0, 10 },
+		{ "all but the last three are killed", KILLED, 0, 15 },
 		{ "one reader is unanswered", CUT_OFF, 1, 1 },
 		{ "both readers are unanswered", CUT_OFF, 0, 2 },
 		{ "the first six are unanswered", CUT_OFF, 0, 6 },
