front: requests that are not safe wait for the answers before theirs

Cause: a pipelined request was passed on at once. When the answer before it then failed midway, the connection had to be closed, and its caller, which counts what is behind such an answer as not read, sends a request again that has run. An HTTP/1.0 caller met it with each answer in chunks, which ends its connection. Change: a request whose method is not GET, HEAD or OPTIONS is held until it is the first of its connection, with the time it waited taken off its deadline; nothing behind it is read meanwhile. HTTP/1.0 requests are read one by one. Also: lint, of drop_assembly().

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -723,7 +723,8 @@
 static void drop_assembly(struct eb_feed_sync *sp)
 {
 	free(sp->assembly.data);
-	memset(&sp->assembly, 0, sizeof(sp->assembly));
+	sp->assembly.data = NULL;
+	sp->assembly.have_bytes = 0;
 }
 
 /* Tells whether a part belongs to the change that is being received. */
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -63,6 +63,7 @@
 	uint8_t close;		  /* close the connection after the answer */
 	uint8_t expects_continue; /* the caller waits for 100 Continue */
 	uint8_t discard_body; /* answered early: drop the rest of its body */
+	uint8_t held;	      /* see must_wait() */
 	uint8_t head_written; /* of the answer, to `out` */
 	uint8_t chunked;      /* the answer is sent in chunks */
 	uint8_t ended;	      /* the last frame of the answer has arrived */
@@ -74,6 +75,7 @@
 	struct eb_frame *answer; /* RHEAD, REFUSE or ABORT */
 	struct queued *first, *last;
 	uint64_t consumed_bytes;
+	int64_t held_us; /* since when it is held */
 };
 
 struct connection {
@@ -236,10 +238,30 @@
 	return f;
 }
 
+/*
+ * Tells whether a request waits for the answers to those before it on its
+ * connection. When one of these fails midway, the connection is closed, and the
+ * caller sends what is behind it again: that must not have run then, unless the
+ * method is safe.
+ */
+static int must_wait(const struct request *rq)
+{
+	const char *method = rq->head->head->method;
+
+	return rq != rq->connection->first && strcmp(method, "GET") != 0 &&
+	       strcmp(method, "HEAD") != 0 && strcmp(method, "OPTIONS") != 0;
+}
+
+/* Passes a request on to the core, or holds it until it is the first one. */
 static void send_head(struct request *rq)
 {
 	struct eb_frame *f = rq->head;
 
+	rq->held = (uint8_t)must_wait(rq);
+	if (rq->held) {
+		rq->held_us = eb_clock_now_us();
+		return;
+	}
 	rq->head = NULL;
 	apr_hash_set(rq->connection->front->requests, &rq->id, sizeof(rq->id),
 		     rq);
@@ -247,6 +269,23 @@
 	push(rq, f);
 }
 
+/* Passes on the request that is the first one now, if it was held. */
+static void release_held(struct connection *cn)
+{
+	struct request *rq = cn->first;
+	struct eb_head *h;
+
+	if (!rq || !rq->held)
+		return;
+	h = rq->head->head;
+	if (h->remaining_us > 0) {
+		h->remaining_us -= eb_clock_now_us() - rq->held_us;
+		if (h->remaining_us <= 0)
+			h->remaining_us = -1;
+	}
+	send_head(rq);
+}
+
 /* Appends a request to those of a connection. */
 static struct request *new_request(struct connection *cn)
 {
@@ -391,6 +430,15 @@
 		cn->stop_reading = 1;
 }
 
+/*
+ * Tells whether the next request may be read before the ones before it are
+ * answered. An answer in chunks ends the connection of an HTTP/1.0 caller.
+ */
+static int may_pipeline(const struct connection *cn)
+{
+	return cn->pending < EB_PIPELINE_MAX && (!cn->last || cn->last->http11);
+}
+
 /*
  * Returns how many input bytes may be parsed now. The body of a request is
  * limited by its credit, and pipelined requests to EB_PIPELINE_MAX.
@@ -401,8 +449,10 @@
 
 	if (cn->stop_reading || cn->dead || cn->closing)
 		return 0;
+	if (cn->last && cn->last->held)
+		return 0;
 	if (!rq)
-		return cn->pending < EB_PIPELINE_MAX ? cn->in_bytes : 0;
+		return may_pipeline(cn) ? cn->in_bytes : 0;
 	if (rq->head || rq->discard_body)
 		return cn->in_bytes;
 	if (rq->phase == PHASE_ADMISSION)
@@ -695,6 +745,8 @@
 		if (rq->close)
 			cn->closing = 1;
 		drop_first_request(cn);
+		if (!cn->closing)
+			release_held(cn);
 		cn->parse_again = 1;
 	}
 }
