test: the gate's replies after its origin has connected again

Four scenarios without network: the answer goes by the newest connection, a late frame of the old one does not bring that back, and calls that exchange frames are ended.

--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -31,6 +31,7 @@
 	eb_gate *gt = nullptr;
 	std::vector<std::string> out;
 	std::string named; /* start of the upstream in the last HEAD sent */
+	uint8_t connection = 1; /* that the origin's frames come by */
 	int64_t now_us = 1000000;
 
 	void SetUp() override
@@ -57,6 +58,7 @@
 		TearDown();
 		mt = eb_metrics_new();
 		tr = eb_tracer_new("test", 64);
+		connection = 1;
 		SetUp();
 	}
 
@@ -107,13 +109,17 @@
 
 	static void to_origin(void *ctx, const eb_routing_id *back, eb_frame *f)
 	{
-		note(ctx, back ? "origin" : "local", f);
+		std::string where = back ? "origin" : "local";
+
+		if (back && back->bytes[0] > 1)
+			where += "@" + std::to_string(back->bytes[0]);
+		note(ctx, where.c_str(), f);
 	}
 
 	/* Events: "origin TYPE CALL", "client TYPE CALL", "wait MS", ... */
 	void run(const std::string &event)
 	{
-		eb_routing_id back = { { 1 }, 1 };
+		eb_routing_id back = { { connection }, 1 };
 		char where[16], what[16];
 		int n = 0;
 
@@ -136,6 +142,8 @@
 			eb_gate_poll(gt, now_us);
 		} else if (w == "resumed") {
 			eb_gate_set_resumed(gt, atoi(what));
+		} else if (w == "connect") {
+			connection = (uint8_t)atoi(what);
 		} else if (w == "start") {
 			configure(nullptr, "agenda", what);
 		} else if (t == "limited" || t == "leaving") {
@@ -152,10 +160,14 @@
 			eb_overdue_add(f, (uint64_t)n);
 			eb_gate_from_origin(gt, f, &back, now_us);
 		} else {
-			eb_frame *f =
-				make(t == "part" ? "rhead" : t, (uint64_t)n);
+			eb_frame *f = make(t == "part"	   ? "rhead"
+					   : t == "upload" ? "head"
+							   : t,
+					   (uint64_t)n);
 			if (t == "part")
 				f->reply->body_kind = EB_BODY_CHUNKED;
+			if (t == "upload")
+				f->head->body_kind = EB_BODY_CHUNKED;
 			f->sender = ORIGIN;
 			f->target = ORIGIN;
 			if (w == "origin")
@@ -197,6 +209,22 @@
 	{ "a request that fits is run and its answer goes back",
 	  { "origin head 1", "client rhead 1" },
 	  { "client head 1", "origin rhead 1" } },
+	{ "an answer goes back by the newest connection of its origin",
+	  { "origin head 1", "connect 2", "origin cancel 9", "client rhead 1" },
+	  { "client head 1", "origin@2 rhead 1" } },
+	{ "a late frame of the old connection does not bring that back",
+	  { "origin head 1", "connect 2", "origin cancel 9", "connect 1",
+	    "origin cancel 9", "client rhead 1" },
+	  { "client head 1", "origin@2 rhead 1" } },
+	{ "an upload whose connection is replaced is ended: frames may be lost",
+	  { "origin upload 1", "connect 2", "origin cancel 9",
+	    "origin data 1" },
+	  { "client head 1", "client cancel 1",
+	    "origin@2 abort 1 unknown lost-peer" } },
+	{ "the same in the middle of an answer",
+	  { "origin head 1", "client part 1", "connect 2", "origin cancel 9" },
+	  { "client head 1", "origin rhead 1", "client cancel 1",
+	    "origin@2 abort 1 unknown lost-peer" } },
 	{ "a second request waits for the slot",
 	  { "origin head 1", "origin head 2", "client rhead 1" },
 	  { "client head 1", "origin rhead 1", "client head 2" } },
