feed sync: parts keep the start of the change that they were packed with

Cause: the start of a packed change was computed for each part; a full read of the sender in between changed it, and the receiver took the rest for another change. A first part that a daemon pushes again got no reply, so that the next one was never sent by that daemon. Found by reading the diff. Change: the start is stored with the packed change; a first part that comes again is answered with a request for the next one.

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -52,7 +52,8 @@
 
 /* A change of several parts, kept for daemons that request them. */
 struct packed {
-	uint64_t wanted_after; /* as requested; the change may be full */
+	uint64_t wanted_after; /* as requested */
+	uint64_t after;	       /* that it starts from; 0: it is full */
 	uint64_t revision;
 	uint8_t *data; /* NULL: none */
 	uint32_t bytes;
@@ -303,6 +304,7 @@
 	if (eb_feed_pack(sp->feed, after, now_us, &pd->data, &pd->bytes))
 		return NULL;
 	pd->wanted_after = after;
+	pd->after = eb_feed_start_of_change(sp->feed, after);
 	pd->revision = eb_feed_revision(sp->feed);
 	pd->held = eb_feed_hold_ms(sp->feed, now_us) > 0;
 	pd->used_us = now_us;
@@ -325,8 +327,7 @@
  * `lead_bytes` of space. Returns its length, or 0 without memory. The caller
  * frees `*out`.
  */
-static uint32_t make_part(const struct eb_feed_sync *sp,
-			  const struct packed *pd, uint32_t offset_bytes,
+static uint32_t make_part(const struct packed *pd, uint32_t offset_bytes,
 			  uint32_t lead_bytes, uint8_t **out)
 {
 	struct part_head head = { 0 };
@@ -338,7 +339,7 @@
 	p = malloc(lead_bytes + sizeof(head) + n);
 	if (!p)
 		return 0;
-	head.after = eb_feed_start_of_change(sp->feed, pd->wanted_after);
+	head.after = pd->after;
 	head.revision = pd->revision;
 	head.total_bytes = pd->bytes;
 	head.offset_bytes = offset_bytes;
@@ -380,7 +381,7 @@
 	if (pd->revision == rq->part_revision &&
 	    rq->part_offset_bytes < pd->bytes)
 		offset = rq->part_offset_bytes;
-	n = make_part(sp, pd, offset, 1, out);
+	n = make_part(pd, offset, 1, out);
 	if (n)
 		(*out)[0] = PAYLOAD_CHANGE;
 	if (n > EB_FEED_SYNC_SMALL_BYTES)
@@ -479,7 +480,7 @@
 	uint8_t *data;
 
 	for (offset = 0; offset < pd->bytes; offset += EB_FEED_PART_BYTES) {
-		n = make_part(sp, pd, offset, 0, &data);
+		n = make_part(pd, offset, 0, &data);
 		if (!n)
 			return;
 		eb_feed_relay_start(sp->relay, data, n, pd->revision, ++part,
@@ -505,7 +506,7 @@
 		return;
 	}
 	if ((uint64_t)pd->bytes * sp->count <= EB_FEED_SYNC_DIRECT_BYTES) {
-		n = make_part(sp, pd, 0, 1, &data);
+		n = make_part(pd, 0, 1, &data);
 		if (!n)
 			return;
 		data[0] = PAYLOAD_CHANGE;
@@ -755,8 +756,9 @@
 		drop_assembly(sp);
 		as->head = *head;
 	}
+	/* A first part that comes again is from a daemon that pushes it. */
 	if (head->offset_bytes != as->have_bytes)
-		return -1;
+		return head->offset_bytes ? -1 : 0;
 	p = realloc(as->data, as->have_bytes + bytes);
 	if (!p)
 		return -1;
