daemon: idle connections stay open for 500 ms after the listener is closed

Cause: with nothing in flight, the drain closed idle connections at the same moment as the listener, 2.5 s after SIGTERM. Change: idle connections are closed 500 ms after the listener at the earliest.

--- a/src/eb_daemon.c
+++ b/src/eb_daemon.c
@@ -220,8 +220,8 @@
  * Drains the daemon: the gate refuses new calls, and the front accepts
  * connections for the announce time, in which callers and other daemons are
  * notified. Then the listener is closed and the requests in flight finish. When
- * none was in flight for STOP_LINGER_MS, the idle connections are closed: a
- * request is either read before that and answered, or never read.
+ * none was in flight for STOP_LINGER_MS since then, the idle connections are
+ * closed: a request is either read before that and answered, or never read.
  *
  * Returns when no connection is open, or at the drain timeout; stop_all() then
  * aborts the requests that are left.
@@ -245,10 +245,11 @@
 		}
 		if (is_active(dm))
 			idle_us = now_us;
-		if (now_us - start_us >= announce_us) {
+		if (now_us - start_us >= announce_us)
 			eb_front_close_listener(dm->front);
+		/* A connection that was just accepted may carry a request. */
+		if (now_us - start_us >= announce_us + STOP_LINGER_MS * 1000)
 			closing |= now_us - idle_us >= STOP_LINGER_MS * 1000;
-		}
 		closing |= now_us - start_us >
 			   limit_us - IDLE_CLOSE_LEAD_MS * 1000;
 		if (closing) {
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -979,9 +979,9 @@
 		int first_ms; /* from SIGTERM to the first request */
 		int step_ms;
 	} cases[] = {
-		{ "alone-a", 0, 8, 2600, 0 },
-		{ "alone-b", 0, 8, 2620, 0 },
-		{ "alone-c", 0, 8, 2640, 0 },
+		{ "alone-a", 0, 8, 2620, 0 },
+		{ "alone-b", 0, 8, 2640, 0 },
+		{ "alone-c", 0, 40, 2960, 2 },
 		{ "pipelined", 3, 12, 50, 200 },
 	};
 
