--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -56,6 +56,7 @@
 	struct eb_gate *gate;
 	struct eb_origin *origin;
 	struct eb_claim_roles *claims; /* NULL if `feed_sync` is used */
+	uint32_t refutations;	       /* of the copy, that are logged */
 	struct eb_feed_sync
 		*feed_sync;	  /* NULL: the source sends configurations */
 	struct eb_source *source; /* see eb_core_set_source(), or NULL */
@@ -428,6 +429,19 @@
 		eb_feed_sync_report(co->feed_sync, rp, co->loop_us);
 }
 
+/* Records what a heartbeat reply says of a daemon's copy of the items. */
+static void save_peer_copy(struct eb_core *co, const struct eb_frame *f,
+			   uint32_t node)
+{
+	struct eb_feed_state state = { 0 };
+
+	state.revision = f->reply->body_bytes;
+	state.read_age_ms = f->reply->retry_after_ms;
+	state.digest = (uint32_t)f->offset_bytes;
+	state.unverified = f->credit_bytes == EB_HELLO_UNVERIFIED;
+	eb_feed_sync_update_member(co->feed_sync, node, &state, co->loop_us);
+}
+
 /* Hands a frame to its module; `pr` is set for a reply of a gate. */
 static void on_frame(void *ctx, struct eb_frame *f, struct eb_peer *pr,
 		     const struct eb_routing_id *back)
@@ -437,9 +451,7 @@
 	eb_metrics_stamp(co->config.metrics, EB_AGE_PEER, co->loop_us);
 	if (f->type == EB_FRAME_HELLO && pr) {
 		if (co->feed_sync)
-			eb_feed_sync_update_member(
-				co->feed_sync, pr->user, f->reply->body_bytes,
-				f->reply->retry_after_ms, co->loop_us);
+			save_peer_copy(co, f, pr->user);
 		else
 			save_peer_release(co, f);
 	}
@@ -562,6 +574,8 @@
 /* Stores a configuration, and puts it into force if this daemon serves. */
 static void apply_config(struct eb_core *co, struct eb_config *cf)
 {
+	const struct eb_feed_state release = { .revision = cf->index };
+
 	/* Ignore an older release. The feed orders its revisions on its own. */
 	if (!co->feed_sync && cf->index <= eb_nodes_config(co->nodes)->index &&
 	    !eb_test_off("release-order"))
@@ -576,7 +590,7 @@
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
 	eb_metrics_stamp(co->config.metrics, EB_AGE_CONFIG, co->loop_us);
 	if (!co->feed_sync)
-		eb_gate_set_index(co->gate, cf->index, 0);
+		eb_gate_set_copy(co->gate, &release);
 	if (!co->configured_us)
 		co->configured_us = co->loop_us;
 	if (co->serving)
@@ -637,12 +651,24 @@
 /* Runs the timers of the spread of items, and applies changed items. */
 static void tick_spread(struct eb_core *co)
 {
+	uint32_t refutations;
+	struct eb_feed_state state;
+
 	if (!co->feed_sync)
 		return;
 	eb_feed_sync_tick(co->feed_sync, co->loop_us);
-	eb_gate_set_index(co->gate,
-			  eb_feed_revision(eb_feed_sync_feed(co->feed_sync)),
-			  eb_feed_sync_read_age_ms(co->feed_sync, co->loop_us));
+	refutations = eb_feed_sync_refutations(co->feed_sync);
+	eb_feed_sync_state(co->feed_sync, co->loop_us, &state);
+	if (refutations != co->refutations)
+		eb_log_write(co->config.log, EB_LOG_WARN, "core",
+			     "items differ from those of a reader; they are "
+			     "read again",
+			     "revision=%llu",
+			     (unsigned long long)state.revision);
+	eb_metrics_add(co->config.metrics, EB_METRIC_FEED_REFUTED,
+		       refutations - co->refutations);
+	co->refutations = refutations;
+	eb_gate_set_copy(co->gate, &state);
 	if (co->items_changed)
 		apply_items(co);
 }
--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -4,6 +4,8 @@
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 #include <zlib.h>
 
 #include "eb_tunables.h"
@@ -13,6 +15,9 @@
 	uint32_t count;
 	uint32_t space;
 	uint64_t revision;
+	/* From this revision on the items are exactly those of the revision. */
+	uint64_t exact_revision;
+	uint32_t digest; /* see eb_feed_digest(); 0: not computed yet */
 	uint64_t dropped_revision; /* removals up to it are not kept */
 	/*
 	 * Revisions up to `dropped_revision` at which this copy was complete:
@@ -57,6 +62,30 @@
 	return fd->revision;
 }
 
+/*
+ * Returns a digest of the items at the copy's revision, or 0 when it is not
+ * known: the copy is empty, or parts of it are newer than its revision. Copies
+ * of one source with equal revisions and digests have the same items.
+ */
+uint32_t eb_feed_digest(struct eb_feed *fd)
+{
+	const struct eb_feed_item *it;
+	uint32_t i;
+
+	if (!fd->revision || fd->revision < fd->exact_revision)
+		return 0;
+	if (fd->digest)
+		return fd->digest;
+	for (i = 0; i < fd->count; i++) {
+		it = &fd->items[i];
+		if (!it->removed)
+			fd->digest += (uint32_t)XXH64(it->key, strlen(it->key),
+						      it->revision);
+	}
+	fd->digest += !fd->digest;
+	return fd->digest;
+}
+
 /* Returns the index of a key, or where to insert it; sets `*found`. */
 static uint32_t search(const struct eb_feed *fd, const char *key, int *found)
 {
@@ -99,7 +128,7 @@
 
 	if (fd->count == EB_FEED_ITEMS_MAX)
 		return NULL;
-	if (fd->count == fd->space) {
+	if (!fd->items || fd->count == fd->space) {
 		items = realloc(fd->items, space * sizeof(*items));
 		if (!items)
 			return NULL;
@@ -218,6 +247,18 @@
 	fd->holding = 1;
 }
 
+/* Records from which revision on the items are exactly those of a revision. */
+static void extend_exact(struct eb_feed *fd, const struct eb_feed_change *ch)
+{
+	uint32_t i;
+
+	if (fd->exact_revision < ch->newest_revision)
+		fd->exact_revision = ch->newest_revision;
+	for (i = 0; i < ch->count; i++)
+		if (fd->exact_revision < ch->items[i].revision)
+			fd->exact_revision = ch->items[i].revision;
+}
+
 /*
  * Applies a change to the copy and sets `*changed` to 1 when an item differs,
  * else to 0. Returns EB_EAGAIN when the change starts after the copy's
@@ -239,6 +280,8 @@
 		return EB_ENOTFOUND;
 	if (ch->hold_ms)
 		extend_hold(fd, ch, now_us);
+	fd->digest = 0;
+	extend_exact(fd, ch);
 	for (i = 0; i < ch->count; i++) {
 		st = put(fd, &ch->items[i], changed);
 		if (st)
@@ -255,6 +298,23 @@
 	return EB_OK;
 }
 
+/*
+ * Replaces a copy that may lack items of its revision by a full change, of
+ * whatever revision. Items that are newer than the change are kept. Returns
+ * EB_EINVAL for a change that is not full, EB_EFULL or EB_ENOMEM.
+ */
+enum eb_status eb_feed_replace(struct eb_feed *fd,
+			       const struct eb_feed_change *ch, int64_t now_us,
+			       int *changed)
+{
+	*changed = 0;
+	if (!ch->full || !ch->revision)
+		return EB_EINVAL;
+	if (fd->revision >= ch->revision)
+		fd->revision = ch->revision - 1;
+	return eb_feed_apply(fd, ch, now_us, changed);
+}
+
 /*
  * Returns 1 once when the hold of removed items has ended: they no longer
  * count as present. Otherwise returns 0.
@@ -348,7 +408,11 @@
 	memset(ch, 0, sizeof(*ch));
 }
 
-/* ---- Wire format: length, then a zlib-compressed MessagePack array ---- */
+/*
+ * ---- Wire format: length, a zlib-compressed MessagePack array, and the digest
+ * of the sender's copy. Daemons that know no digest ignore what follows the
+ * compressed data.
+ */
 
 #define CHANGE_FIELDS 4
 /* One field more during a hold: the revision after which removals are held. */
@@ -369,24 +433,26 @@
 }
 
 /* Compresses the packed change. Returns EB_EFULL or EB_ENOMEM. */
-static enum eb_status compress_out(const msgpack_sbuffer *sb, uint8_t **out,
-				   uint32_t *bytes)
+static enum eb_status compress_out(const msgpack_sbuffer *sb, uint32_t digest,
+				   uint8_t **out, uint32_t *bytes)
 {
 	uLongf n = compressBound(sb->size);
 	uint32_t plain_bytes = htonl((uint32_t)sb->size);
-	uint8_t *p = malloc(sizeof(plain_bytes) + n);
+	uint8_t *p = malloc(sizeof(plain_bytes) + n + sizeof(digest));
 
 	if (!p)
 		return EB_ENOMEM;
 	memcpy(p, &plain_bytes, sizeof(plain_bytes));
 	if (compress2(p + sizeof(plain_bytes), &n, (const Bytef *)sb->data,
 		      sb->size, Z_BEST_SPEED) != Z_OK ||
-	    n + sizeof(plain_bytes) > EB_FEED_PACKED_MAX_BYTES) {
+	    n + sizeof(plain_bytes) + sizeof(digest) >
+		    EB_FEED_PACKED_MAX_BYTES) {
 		free(p);
 		return EB_EFULL;
 	}
+	memcpy(p + sizeof(plain_bytes) + n, &digest, sizeof(digest));
 	*out = p;
-	*bytes = (uint32_t)(n + sizeof(plain_bytes));
+	*bytes = (uint32_t)(n + sizeof(plain_bytes) + sizeof(digest));
 	return EB_OK;
 }
 
@@ -450,8 +516,8 @@
  * caller frees `*out`. Returns EB_EFULL when it does not fit one message, or
  * EB_ENOMEM.
  */
-enum eb_status eb_feed_pack(const struct eb_feed *fd, uint64_t after,
-			    int64_t now_us, uint8_t **out, uint32_t *bytes)
+enum eb_status eb_feed_pack(struct eb_feed *fd, uint64_t after, int64_t now_us,
+			    uint8_t **out, uint32_t *bytes)
 {
 	int full = needs_full(fd, after);
 	uint32_t hold_ms = eb_feed_hold_ms(fd, now_us);
@@ -475,7 +541,7 @@
 	for (i = 0; i < fd->count; i++)
 		if (is_packed(fd, &fd->items[i], full, after, hold_ms))
 			pack_item(&pk, &fd->items[i]);
-	st = compress_out(&sb, out, bytes);
+	st = compress_out(&sb, eb_feed_digest(fd), out, bytes);
 	msgpack_sbuffer_destroy(&sb);
 	return st;
 }
@@ -549,26 +615,33 @@
 	enum eb_status st = EB_EPARSE;
 	msgpack_unpacked up;
 	uint32_t plain_bytes;
-	uLongf n;
+	uLongf n, used;
 	char *p;
 
 	if (bytes <= sizeof(plain_bytes))
 		return EB_EPARSE;
 	memcpy(&plain_bytes, data, sizeof(plain_bytes));
 	n = ntohl(plain_bytes);
+	used = bytes - sizeof(plain_bytes);
 	if (n > EB_FEED_UNPACKED_MAX_BYTES)
 		return EB_EFULL;
 	p = malloc(n + 1);
 	if (!p)
 		return EB_ENOMEM;
 	msgpack_unpacked_init(&up);
-	if (uncompress((Bytef *)p, &n,
-		       (const Bytef *)data + sizeof(plain_bytes),
-		       bytes - sizeof(plain_bytes)) == Z_OK &&
+	if (uncompress2((Bytef *)p, &n,
+			(const Bytef *)data + sizeof(plain_bytes),
+			&used) == Z_OK &&
 	    msgpack_unpack_next(&up, p, n, NULL) == MSGPACK_UNPACK_SUCCESS)
 		st = read_change(&up.data, ch);
 	msgpack_unpacked_destroy(&up);
 	free(p);
+	used += sizeof(plain_bytes);
+	if (!st && bytes - used == sizeof(ch->digest))
+		memcpy(&ch->digest, (const uint8_t *)data + used,
+		       sizeof(ch->digest));
+	else if (!st && bytes != used)
+		st = EB_EPARSE;
 	if (st)
 		eb_feed_change_clear(ch);
 	return st;
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -26,7 +26,10 @@
 struct eb_feed_change {
 	uint64_t after;
 	uint64_t revision;
-	uint8_t full; /* lists all items; those not listed are removed */
+	/* Newest revision that any part of it was read at; 0: `revision`. */
+	uint64_t newest_revision;
+	uint32_t digest; /* of the sender's copy at `revision`; 0: unknown */
+	uint8_t full;	 /* lists all items; those not listed are removed */
 	/* Items removed after `hold_after` may come back within this time. */
 	uint32_t hold_ms;
 	uint64_t hold_after;
@@ -35,14 +38,31 @@
 	uint32_t space;
 };
 
+/*
+ * What a daemon says of its copy. Equal revisions alone do not show that two
+ * copies are equal: a read that may be stale can name a revision whose items it
+ * lacks. Equal digests do.
+ */
+struct eb_feed_state {
+	uint64_t revision;
+	uint32_t digest; /* see eb_feed_digest(); 0: unknown */
+	uint32_t
+		read_age_ms; /* of its last up-to-date read; UINT32_MAX: none */
+	uint8_t unverified;  /* may lack items of its revision */
+};
+
 struct eb_feed *eb_feed_new(void);
 void eb_feed_free(struct eb_feed *fd);
 uint64_t eb_feed_revision(const struct eb_feed *fd);
+uint32_t eb_feed_digest(struct eb_feed *fd);
 uint64_t eb_feed_start_of_change(const struct eb_feed *fd, uint64_t after);
 uint64_t eb_feed_bytes_after(const struct eb_feed *fd, uint64_t after);
 enum eb_status eb_feed_apply(struct eb_feed *fd,
 			     const struct eb_feed_change *ch, int64_t now_us,
 			     int *changed);
+enum eb_status eb_feed_replace(struct eb_feed *fd,
+			       const struct eb_feed_change *ch, int64_t now_us,
+			       int *changed);
 int eb_feed_end_hold(struct eb_feed *fd, int64_t now_us);
 uint32_t eb_feed_hold_ms(const struct eb_feed *fd, int64_t now_us);
 const struct eb_feed_item *eb_feed_next(const struct eb_feed *fd,
@@ -55,8 +75,8 @@
 				  const void *value, uint32_t bytes,
 				  uint64_t revision, int removed);
 void eb_feed_change_clear(struct eb_feed_change *ch);
-enum eb_status eb_feed_pack(const struct eb_feed *fd, uint64_t after,
-			    int64_t now_us, uint8_t **out, uint32_t *bytes);
+enum eb_status eb_feed_pack(struct eb_feed *fd, uint64_t after, int64_t now_us,
+			    uint8_t **out, uint32_t *bytes);
 enum eb_status eb_feed_unpack(const void *data, uint32_t bytes,
 			      struct eb_feed_change *ch);
 
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -34,7 +34,7 @@
 
 /* What a daemon lacks: the changes after a revision, or a part of them. */
 struct request {
-	uint64_t own_revision;
+	uint64_t own_revision;	/* 0: all items are wanted */
 	uint64_t part_revision; /* of the change that is being received, or 0 */
 	uint32_t part_offset_bytes;
 	uint32_t reserved;
@@ -67,12 +67,25 @@
 	uint64_t order; /* of the sender */
 	uint64_t revision;
 	uint32_t read_age_ms;
-	uint32_t reserved;
+	uint32_t digest; /* of its copy; 0: unknown */
+};
+
+/* What is known of the items in this daemon's copy. */
+enum trust {
+	/* From a read that may be stale: items of the revision may be missing.
+	 */
+	TRUST_NONE,
+	/* It differs from the copy of a daemon that reads the source. */
+	TRUST_REFUTED,
+	/* From the source or from a daemon whose copy is verified. */
+	TRUST_VERIFIED
 };
 
 struct member {
 	struct eb_feed_sync_member info;
 	uint64_t revision;
+	uint32_t digest; /* of its copy; 0: unknown */
+	uint8_t unverified;
 	int64_t heard_us; /* 0: never */
 	int64_t read_us;  /* its last read, on this daemon's clock; 0: none */
 	int64_t pushed_us;
@@ -101,7 +114,12 @@
 	uint64_t missed_revision;  /* of changes that started after the copy */
 	uint8_t incomplete; /* the copy has grown since, but not up to these */
 	uint8_t last_failed;
-	uint8_t confirmed;   /* see eb_feed_sync_confirmed() */
+	uint8_t confirmed;  /* see eb_feed_sync_confirmed() */
+	uint8_t trust;	    /* enum trust */
+	int64_t refuted_us; /* last time that the copy was refuted; 0: never */
+	uint32_t refutations;
+	/* An unverified copy is ahead of a reader's since; 0: it is not. */
+	int64_t ahead_since_us;
 	uint8_t first_start; /* of the whole fleet */
 	enum eb_source_mode mode;
 };
@@ -272,16 +290,26 @@
 }
 
 /*
- * Returns the age of this daemon's last read of the source in milliseconds,
- * or UINT32_MAX when there was none or the last one failed.
+ * Returns the age of this daemon's last up-to-date read of the source in
+ * milliseconds, or UINT32_MAX when there was none or the last one failed.
  */
-uint32_t eb_feed_sync_read_age_ms(const struct eb_feed_sync *sp, int64_t now_us)
+static uint32_t read_age_ms(const struct eb_feed_sync *sp, int64_t now_us)
 {
 	if (!sp->read_us || sp->last_failed)
 		return UINT32_MAX;
 	return (uint32_t)((now_us - sp->read_us) / 1000);
 }
 
+/* Says what others need to know of this copy. */
+void eb_feed_sync_state(const struct eb_feed_sync *sp, int64_t now_us,
+			struct eb_feed_state *out)
+{
+	out->revision = eb_feed_revision(sp->feed);
+	out->digest = eb_feed_digest(sp->feed);
+	out->read_age_ms = read_age_ms(sp, now_us);
+	out->unverified = sp->trust != TRUST_VERIFIED;
+}
+
 /*
  * Returns what a copy at revision `after` lacks, packed, or NULL when it is too
  * large or memory runs out. A change of several parts is kept, so that they are
@@ -373,7 +401,8 @@
 	const struct packed *pd;
 	uint32_t offset = 0, n;
 
-	if (!may_send(sp, rq->own_revision, now_us))
+	if (sp->trust != TRUST_VERIFIED ||
+	    !may_send(sp, rq->own_revision, now_us))
 		return 0;
 	pd = pack(sp, rq->own_revision, rq->part_revision, now_us);
 	if (!pd)
@@ -457,14 +486,20 @@
 	return n;
 }
 
-/* Sends all members this daemon's revision and the age of its last read. */
+/*
+ * Sends all members this daemon's revision and the age of its last read, unless
+ * its copy may lack items of the revision.
+ */
 static void send_state(struct eb_feed_sync *sp, int64_t now_us)
 {
 	struct reader_state rs = { sp->own_order, eb_feed_revision(sp->feed),
-				   eb_feed_sync_read_age_ms(sp, now_us), 0 };
+				   read_age_ms(sp, now_us),
+				   eb_feed_digest(sp->feed) };
 	uint8_t data[1 + sizeof(rs)];
 	uint32_t i;
 
+	if (sp->trust != TRUST_VERIFIED)
+		return;
 	data[0] = PAYLOAD_STATE;
 	memcpy(data + 1, &rs, sizeof(rs));
 	for (i = 0; i < sp->count; i++)
@@ -525,6 +560,8 @@
 {
 	struct request rq = { eb_feed_revision(sp->feed), 0, 0, 0 };
 
+	if (sp->trust == TRUST_REFUTED)
+		rq.own_revision = 0;
 	if (sp->assembly.data) {
 		rq.part_revision = sp->assembly.head.revision;
 		rq.part_offset_bytes = sp->assembly.have_bytes;
@@ -545,17 +582,97 @@
 	sp->out.send(sp->out.ctx, mb->info.node, data, sizeof(data));
 }
 
+/* Records that the copy is that of the source at its revision. */
+static void verify(struct eb_feed_sync *sp)
+{
+	sp->trust = TRUST_VERIFIED;
+	sp->ahead_since_us = 0;
+}
+
+/*
+ * Records that a daemon with a verified copy shows another one at the same
+ * revision. Only once in EB_FEED_SYNC_REFUTE_MS, so that two readers that
+ * disagree do not make everybody fetch all items again and again.
+ */
+static void refute(struct eb_feed_sync *sp, int64_t now_us)
+{
+	if (sp->trust == TRUST_REFUTED ||
+	    (sp->refuted_us &&
+	     now_us - sp->refuted_us < EB_FEED_SYNC_REFUTE_MS * 1000LL))
+		return;
+	sp->trust = TRUST_REFUTED;
+	sp->refuted_us = now_us;
+	sp->refutations++;
+}
+
+/*
+ * Compares the copy with a digest of the one that it should equal, 0 if that is
+ * not known. Returns 1 if they are equal, 0 if that cannot be told.
+ */
+static int check_digest(struct eb_feed_sync *sp, uint32_t digest,
+			int64_t now_us)
+{
+	uint32_t own = eb_feed_digest(sp->feed);
+
+	if (!own || !digest)
+		return 0;
+	if (own == digest)
+		return 1;
+	refute(sp, now_us);
+	return 0;
+}
+
+/*
+ * Tells whether a full change replaces the copy even if its revision is not
+ * newer. What another daemon sends may have been on its way for long: an older
+ * one is taken only for a copy that is known to be wrong.
+ */
+static int replaces_copy(const struct eb_feed_sync *sp,
+			 const struct eb_feed_change *ch, int from_source)
+{
+	if (!ch->full || sp->trust == TRUST_VERIFIED)
+		return 0;
+	return from_source || sp->trust == TRUST_REFUTED ||
+	       ch->revision >= eb_feed_revision(sp->feed);
+}
+
+/*
+ * Applies a change to the copy, or replaces one that is not verified by a full
+ * change. `from_source` says that it was read there just now. Errors are those
+ * of eb_feed_apply().
+ */
+static enum eb_status apply(struct eb_feed_sync *sp,
+			    const struct eb_feed_change *ch, int from_source,
+			    int64_t now_us, int *changed)
+{
+	enum eb_status st;
+
+	if (replaces_copy(sp, ch, from_source))
+		st = eb_feed_replace(sp->feed, ch, now_us, changed);
+	else
+		st = eb_feed_apply(sp->feed, ch, now_us, changed);
+	if (st)
+		return st;
+	/* What follows an unverified copy does not complete it. */
+	if (ch->full || (from_source && sp->trust == TRUST_VERIFIED))
+		verify(sp);
+	if (!from_source && check_digest(sp, ch->digest, now_us))
+		verify(sp);
+	return EB_OK;
+}
+
 /*
  * Records whether a read succeeded. When that changes, a reader notifies the
  * other daemons at once, since they choose by it whether to read.
  */
-static void record_result(struct eb_feed_sync *sp, int failed, int64_t now_us)
+static void record_result(struct eb_feed_sync *sp, int failed, int stale,
+			  int64_t now_us)
 {
-	int notify = sp->mode == EB_SOURCE_WATCH && sp->count &&
+	int notify = sp->mode == EB_SOURCE_WATCH && sp->count && !stale &&
 		     (sp->last_failed != failed || !sp->read_us);
 
 	sp->last_failed = (uint8_t)failed;
-	if (!failed)
+	if (!failed && !stale)
 		sp->read_us = now_us;
 	if (notify)
 		send_state(sp, now_us);
@@ -579,9 +696,11 @@
 {
 	struct eb_feed_change ch = rp->change;
 	uint64_t before = eb_feed_revision(sp->feed);
+	int verified_before = sp->trust == TRUST_VERIFIED;
+	enum eb_status st;
 	int changed = 0;
 
-	record_result(sp, rp->failed, now_us);
+	record_result(sp, rp->failed, rp->stale, now_us);
 	if (rp->failed) {
 		if (!sp->failing_since_us)
 			sp->failing_since_us = now_us;
@@ -593,8 +712,20 @@
 	else
 		ch.hold_ms = eb_feed_hold_ms(sp->feed, now_us);
 	sp->failing_since_us = 0;
-	sp->confirmed |= !rp->stale;
-	if (eb_feed_apply(sp->feed, &ch, now_us, &changed))
+	if (rp->stale)
+		st = sp->trust == TRUST_NONE
+			     ? eb_feed_apply(sp->feed, &ch, now_us, &changed)
+			     : EB_ENOTFOUND;
+	else
+		st = apply(sp, &ch, 1, now_us, &changed);
+	if (st && st != EB_ENOTFOUND) {
+		/* What the source gave is not stored, but was read. */
+		sp->refuted_us = 0;
+		refute(sp, now_us);
+	} else if (!rp->stale) {
+		sp->confirmed = 1;
+	}
+	if (st)
 		return;
 	record_progress(sp);
 	if (changed)
@@ -602,8 +733,8 @@
 	/* During the first start every daemon reads, so nothing is pushed. */
 	if (sp->mode != EB_SOURCE_WATCH)
 		return;
-	/* The first read has all items: others request what they lack. */
-	if (before)
+	/* A read of all items: others request what they lack. */
+	if (before && verified_before)
 		push_all(sp, before, now_us);
 	else
 		send_state(sp, now_us);
@@ -646,57 +777,108 @@
 	       now_us - sp->requested_us >= patience_us;
 }
 
+/*
+ * Compares this copy with that of a member. One that reads the source refutes
+ * this copy if it has another one at the same revision, or if an unverified
+ * copy here stays ahead of it.
+ */
+static void compare_copies(struct eb_feed_sync *sp, const struct member *mb,
+			   int64_t now_us)
+{
+	uint64_t own = eb_feed_revision(sp->feed);
+
+	if (!own || mb->unverified)
+		return;
+	if (mb->revision == own && mb->digest == eb_feed_digest(sp->feed) &&
+	    mb->digest) {
+		verify(sp);
+		return;
+	}
+	if (!is_fresh(mb, now_us))
+		return;
+	if (mb->revision == own) {
+		check_digest(sp, mb->digest, now_us);
+	} else if (mb->revision < own && sp->trust == TRUST_NONE &&
+		   mb->digest) {
+		if (!sp->ahead_since_us)
+			sp->ahead_since_us = now_us;
+		if (now_us - sp->ahead_since_us >=
+		    EB_FEED_SYNC_PATIENCE_MS * 1000LL)
+			refute(sp, now_us);
+	}
+}
+
+/*
+ * Tells whether to request all items from a member, as this copy lacks some of
+ * its own revision. A daemon that reads the source reads them there.
+ */
+static int should_replace(const struct eb_feed_sync *sp,
+			  const struct member *mb, int64_t now_us)
+{
+	return sp->trust == TRUST_REFUTED && sp->mode != EB_SOURCE_WATCH &&
+	       is_fresh(mb, now_us) &&
+	       now_us - sp->requested_us >= EB_FEED_SYNC_RESEND_MS * 1000LL;
+}
+
 /*
  * Updates a member's state. Requests changes from a member with a newer
- * revision and sends them to one with an older revision.
+ * revision and sends them to one with an older revision. The revision of a copy
+ * that is not verified shows nothing that this one lacks.
  */
 static void update_member(struct eb_feed_sync *sp, struct member *mb,
-			  uint64_t revision, uint32_t read_age_ms,
-			  int64_t now_us)
+			  const struct eb_feed_state *state, int64_t now_us)
 {
 	uint64_t own = eb_feed_revision(sp->feed);
+	uint64_t revision = state->revision;
 
 	mb->revision = revision;
+	mb->digest = state->digest;
+	mb->unverified = state->unverified;
 	mb->heard_us = now_us;
-	mb->read_us =
-		read_age_ms == UINT32_MAX ? 0 : now_us - read_age_ms * 1000LL;
+	mb->read_us = state->read_age_ms == UINT32_MAX
+			      ? 0
+			      : now_us - state->read_age_ms * 1000LL;
 	if (revision >= own)
 		mb->behind_since_us = 0;
 	else if (!mb->behind_since_us)
 		mb->behind_since_us = now_us;
-	if (revision > own && !sp->behind_since_us)
+	compare_copies(sp, mb, now_us);
+	if (revision > own && !mb->unverified && !sp->behind_since_us)
 		sp->behind_since_us = now_us;
-	if (revision > own && should_request(sp, now_us))
+	if (mb->unverified
+		    ? 0
+		    : should_replace(sp, mb, now_us) ||
+			      (revision > own && should_request(sp, now_us)))
 		request(sp, mb, now_us);
 	else if (revision < own && should_push(sp, mb, now_us))
 		push(sp, mb, revision, now_us);
 }
 
-/*
- * Records a daemon's revision and the age of its last read of the source in
- * milliseconds, UINT32_MAX for none. Unknown daemons are ignored.
- */
+/* Records what a daemon says of its copy. Unknown daemons are ignored. */
 void eb_feed_sync_update_member(struct eb_feed_sync *sp, uint32_t node,
-				uint64_t revision, uint32_t read_age_ms,
+				const struct eb_feed_state *state,
 				int64_t now_us)
 {
 	struct member *mb = find(sp, node);
 
 	if (mb)
-		update_member(sp, mb, revision, read_age_ms, now_us);
+		update_member(sp, mb, state, now_us);
 }
 
 static void receive_state(struct eb_feed_sync *sp, const uint8_t *data,
 			  int64_t now_us)
 {
+	struct eb_feed_state state = { 0 };
 	struct reader_state rs;
 	uint32_t i;
 
 	memcpy(&rs, data, sizeof(rs));
+	state.revision = rs.revision;
+	state.read_age_ms = rs.read_age_ms;
+	state.digest = rs.digest;
 	for (i = 0; i < sp->count; i++)
 		if (sp->members[i].info.order == rs.order)
-			update_member(sp, &sp->members[i], rs.revision,
-				      rs.read_age_ms, now_us);
+			update_member(sp, &sp->members[i], &state, now_us);
 }
 
 /* Applies a packed change that has been received completely. */
@@ -710,7 +892,7 @@
 
 	if (st)
 		return st;
-	st = eb_feed_apply(sp->feed, &ch, now_us, &changed);
+	st = apply(sp, &ch, 0, now_us, &changed);
 	if (st == EB_EAGAIN && ch.revision > sp->missed_revision)
 		sp->missed_revision = ch.revision;
 	eb_feed_change_clear(&ch);
@@ -928,10 +1110,23 @@
 		request(sp, mb, now_us);
 }
 
+/*
+ * Tells whether others may soon verify the copy of this daemon, which has
+ * started again: that saves a read of all items.
+ */
+static int awaits_peers(const struct eb_feed_sync *sp, int64_t now_us)
+{
+	return !sp->first_start && sp->trust == TRUST_NONE &&
+	       eb_feed_revision(sp->feed) &&
+	       now_us - sp->start_us < EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+}
+
 /* Tells whether this daemon should read the source now. */
 static int should_read(struct eb_feed_sync *sp, int64_t now_us)
 {
-	if (sp->own_rank < EB_FEED_SYNC_READERS || is_stuck(sp, now_us))
+	if ((sp->own_rank < EB_FEED_SYNC_READERS &&
+	     !awaits_peers(sp, now_us)) ||
+	    is_stuck(sp, now_us))
 		return 1;
 	if (readers_before(sp, now_us) >= EB_FEED_SYNC_READERS) {
 		sp->shortage_since_us = 0;
@@ -953,7 +1148,12 @@
  */
 static int is_starting(const struct eb_feed_sync *sp, int64_t now_us)
 {
-	if (now_us - sp->start_us >= EB_FEED_SYNC_START_MS * 1000LL)
+	int64_t limit_us = EB_FEED_SYNC_START_MS * 1000LL;
+
+	/* The others then find readers with an up-to-date copy. */
+	if (sp->own_rank < EB_FEED_SYNC_READERS && sp->count)
+		limit_us -= EB_FEED_SYNC_HANDOVER_MS * 1000LL;
+	if (now_us - sp->start_us >= limit_us)
 		return 0;
 	return sp->first_start || !sp->count;
 }
@@ -961,12 +1161,16 @@
 /*
  * Tells whether a member shows that this copy is not stale: it is no newer, and
  * it has read the source recently. While the source does not answer, any member
- * will do: no daemon can know more.
+ * will do: no daemon can know more. A member that names the digest of its copy
+ * has verified this one, or does not confirm it.
  */
 static int is_confirmed_by(const struct eb_feed_sync *sp,
 			   const struct member *mb, int64_t now_us)
 {
-	if (!mb->heard_us || mb->revision > eb_feed_revision(sp->feed))
+	if (!mb->heard_us || mb->unverified ||
+	    mb->revision > eb_feed_revision(sp->feed))
+		return 0;
+	if (mb->digest && sp->trust != TRUST_VERIFIED && !sp->last_failed)
 		return 0;
 	return sp->last_failed ||
 	       (mb->read_us &&
@@ -1000,6 +1204,12 @@
 	return sp->confirmed;
 }
 
+/* Returns how often this copy was found to lack items of its revision. */
+uint32_t eb_feed_sync_refutations(const struct eb_feed_sync *sp)
+{
+	return sp->refutations;
+}
+
 /* Tells whether to ask the source because no other daemon has confirmed. */
 static int must_confirm(const struct eb_feed_sync *sp, int64_t now_us)
 {
@@ -1025,5 +1235,7 @@
 	else if (should_read(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	sp->mode = mode;
-	sp->out.want(sp->out.ctx, mode, eb_feed_revision(sp->feed));
+	sp->out.want(sp->out.ctx, mode,
+		     sp->trust == TRUST_VERIFIED ? eb_feed_revision(sp->feed)
+						 : 0);
 }
--- a/src/eb_feed_sync.h
+++ b/src/eb_feed_sync.h
@@ -27,7 +27,10 @@
 	void (*ask)(void *ctx, uint32_t node);
 	/* The items have changed. */
 	void (*changed)(void *ctx);
-	/* How to use the source from now on; called on each tick. */
+	/*
+	 * How to use the source from now on; called on each tick. Revision 0:
+	 * the copy may lack items of its revision, so all are to be read.
+	 */
 	void (*want)(void *ctx, enum eb_source_mode mode, uint64_t revision);
 	void *ctx;
 };
@@ -55,14 +58,15 @@
 void eb_feed_sync_report(struct eb_feed_sync *sp,
 			 const struct eb_source_report *rp, int64_t now_us);
 void eb_feed_sync_update_member(struct eb_feed_sync *sp, uint32_t node,
-				uint64_t revision, uint32_t read_age_ms,
+				const struct eb_feed_state *state,
 				int64_t now_us);
 enum eb_status eb_feed_sync_receive(struct eb_feed_sync *sp, const void *data,
 				    uint32_t bytes, int64_t now_us,
 				    uint8_t **reply, uint32_t *reply_bytes);
-uint32_t eb_feed_sync_read_age_ms(const struct eb_feed_sync *sp,
-				  int64_t now_us);
+void eb_feed_sync_state(const struct eb_feed_sync *sp, int64_t now_us,
+			struct eb_feed_state *out);
 int eb_feed_sync_confirmed(const struct eb_feed_sync *sp);
+uint32_t eb_feed_sync_refutations(const struct eb_feed_sync *sp);
 int eb_feed_sync_is_reader(const struct eb_feed_sync *sp, uint32_t node);
 void eb_feed_sync_tick(struct eb_feed_sync *sp, int64_t now_us);
 
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -40,6 +40,12 @@
 };
 
 #define EB_PROBE_CHECK 1
+
+/*
+ * `credit_bytes` of a HELLO: the sender's copy of the source's items may lack
+ * some of its revision.
+ */
+#define EB_HELLO_UNVERIFIED 1
 /* Status of a REFUSE for the rate limit that the upstream has named. */
 #define EB_STATUS_RATE_LIMITED 429
 
@@ -147,11 +153,14 @@
 struct eb_frame {
 	int32_t refs;
 	uint8_t type;
-	uint64_t call;	 /* id assigned by the origin */
-	uint64_t sender; /* incarnation of the sending daemon */
-	uint64_t target; /* incarnation of the receiver; 0: any */
-	uint64_t credit_bytes;
-	/* Of DATA, END, RDATA and REND: bytes of the body before it. */
+	uint64_t call;	       /* id assigned by the origin */
+	uint64_t sender;       /* incarnation of the sending daemon */
+	uint64_t target;       /* incarnation of the receiver; 0: any */
+	uint64_t credit_bytes; /* of HELLO: EB_HELLO_UNVERIFIED, or 0 */
+	/*
+	 * Of DATA, END, RDATA and REND: bytes of the body before it. Of HELLO:
+	 * the digest of the sender's items, 0 if unknown.
+	 */
 	uint64_t offset_bytes;
 	struct eb_head *head;	/* HEAD */
 	struct eb_reply *reply; /* RHEAD, REND, REFUSE, ABORT, HELLO, PROBE */
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -111,14 +111,13 @@
 	char *own_service;	/* service of `instance`; NULL: unknown */
 	uint8_t replaced;	/* another start followed `instance` */
 	int draining;
-	int leaving;		/* the upstream, while this daemon stays */
-	int says_leaving;	/* the upstream, in an answer of this start */
-	uint32_t rate_milli;	/* that this start names; 0: none */
-	char *configured;	/* instance in the configuration, or NULL */
-	uint64_t start_ms;	/* of `configured`; 0: unknown */
-	uint64_t release_index; /* see eb_gate_set_index() */
-	uint32_t read_age_ms;	/* see eb_gate_set_index() */
-	int resumed;		/* see eb_gate_set_resumed() */
+	int leaving;	     /* the upstream, while this daemon stays */
+	int says_leaving;    /* the upstream, in an answer of this start */
+	uint32_t rate_milli; /* that this start names; 0: none */
+	char *configured;    /* instance in the configuration, or NULL */
+	uint64_t start_ms;   /* of `configured`; 0: unknown */
+	struct eb_feed_state copy; /* see eb_gate_set_copy() */
+	int resumed;		   /* see eb_gate_set_resumed() */
 	uint64_t next_id;
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
@@ -211,11 +210,13 @@
 	return gt->draining || gt->leaving || gt->says_leaving;
 }
 
-/* Sets the release index and the read age that heartbeat replies carry. */
-void eb_gate_set_index(struct eb_gate *gt, uint64_t index, uint32_t read_age_ms)
+/*
+ * Sets the newest release or revision, and what else heartbeat replies carry
+ * of this daemon's copy.
+ */
+void eb_gate_set_copy(struct eb_gate *gt, const struct eb_feed_state *state)
 {
-	gt->release_index = index;
-	gt->read_age_ms = read_age_ms;
+	gt->copy = *state;
 }
 
 /* Adds an origin's calls that have been here for long to a heartbeat reply. */
@@ -248,8 +249,11 @@
 	out->target = incarnation;
 	out->sender = gt->config.incarnation;
 	eb_gate_load(gt, &out->reply->load);
-	out->reply->body_bytes = gt->release_index;
-	out->reply->retry_after_ms = gt->read_age_ms;
+	out->reply->body_bytes = gt->copy.revision;
+	out->reply->retry_after_ms = gt->copy.read_age_ms;
+	out->offset_bytes = gt->copy.digest;
+	if (gt->copy.unverified)
+		out->credit_bytes = EB_HELLO_UNVERIFIED;
 	return out;
 }
 
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -6,6 +6,7 @@
 
 #include "eb_admit.h"
 #include "eb_config.h"
+#include "eb_feed.h"
 #include "eb_findings.h"
 #include "eb_frame.h"
 #include "eb_log.h"
@@ -55,12 +56,8 @@
 void eb_gate_set_service(struct eb_gate *gt, const char *service);
 /* To be called when the upstream starts or stops leaving on its own. */
 void eb_gate_set_leaving(struct eb_gate *gt, int leaving);
-/*
- * `index` is the newest release or revision known, and `read_age_ms` the age of
- * this daemon's own last read of the source.
- */
-void eb_gate_set_index(struct eb_gate *gt, uint64_t index,
-		       uint32_t read_age_ms);
+/* What heartbeat replies say of this daemon's copy, or of its release. */
+void eb_gate_set_copy(struct eb_gate *gt, const struct eb_feed_state *state);
 void eb_gate_from_origin(struct eb_gate *gt, struct eb_frame *f,
 			 const struct eb_routing_id *back, int64_t now_us);
 void eb_gate_from_client(struct eb_gate *gt, struct eb_frame *f,
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -47,6 +47,8 @@
 	  "Frames for a call that no longer exists")                         \
 	X(BODY_GAPS, "body_gaps_total",                                      \
 	  "Calls ended because a part of a body was lost between daemons")   \
+	X(FEED_REFUTED, "items_refuted_total",                               \
+	  "Copies of the items found to differ from that of a reader")       \
 	X(STALE_FRAMES, "frames_stale_total",                                \
 	  "Frames from or for another incarnation")                          \
 	X(BAD_FRAMES, "frames_bad_total",                                    \
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -185,6 +185,10 @@
 #define EB_FEED_RELAYS_MAX 32
 /* A packed change is kept this long for daemons that request its parts. */
 #define EB_FEED_SYNC_PACKED_MS 5000
+/* On the first start the readers stop reading cheaply this much earlier. */
+#define EB_FEED_SYNC_HANDOVER_MS 300
+/* Least time between two replacements of a copy that differs from others. */
+#define EB_FEED_SYNC_REFUTE_MS 5000
 /*
  * A daemon that stays behind the others for this long without progress reads
  * the source itself.
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -894,6 +894,44 @@
 	}
 }
 
+/*
+ * Guards against a restarted daemon that uses an upstream which leaves since a
+ * read that may be stale names the store's newest revision: any daemon, so that
+ * those that read the store are among them, and all of them at once.
+ */
+TEST_F(SiteTest, AStaleReadThatNamesANewRevisionIsNotTakenForIt)
+{
+	SiteUpstream &leaving = *site.upstreams[1];
+	std::vector<std::vector<size_t>> cases = {
+		{ 0 }, { 1 }, { 2 }, { 3 }, { 0, 1, 2, 3 }
+	};
+
+	for (int i = 0; i < 5; i++)
+		site.store->put("a/" + std::to_string(i), "{}");
+	site.store->set_pages(5, true);
+	site.store->put(leaving.key(), leaving.entry("draining"));
+	site.store->put("a/0", "{}");
+	sleep_ms(2500);
+	for (const auto &restarted : cases) {
+		for (size_t i : restarted)
+			site.daemons[i]->kill();
+		for (size_t i : restarted)
+			site.start_daemon(i);
+		for (size_t i : restarted)
+			site.wait_status(i, "/near/a", 200);
+		for (int i = 0; i < 40; i++) {
+			size_t at = restarted[(size_t)i % restarted.size()];
+			std::string id = std::to_string(restarted.size()) +
+					 "-" + std::to_string(at) + "-" +
+					 std::to_string(i);
+
+			EXPECT_TRUE(site.send(at, "GET", "/near/a", id)
+					    .complete(200));
+			EXPECT_EQ(0, leaving.runs(id)) << id;
+		}
+	}
+}
+
 /*
  * Guards against daemons that cannot serve or restart while the store does not
  * answer or answers 503, or that miss changes afterwards.
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -335,11 +335,12 @@
 	       base64(it.value) + "\"}";
 }
 
-void SiteStore::set_pages(size_t items)
+void SiteStore::set_pages(size_t items, bool name_newest)
 {
 	std::lock_guard<std::mutex> hold(lock_);
 
 	page_items_ = items;
+	name_newest_ = name_newest;
 	old_items_ = items_;
 	old_revision_ = revision_;
 }
@@ -367,7 +368,9 @@
 	return "{\"items\":[" + list +
 	       "],\"hasMore\":" + (more ? "true" : "false") +
 	       ",\"storeRevision\":" +
-	       std::to_string(old ? old_revision_ : revision_) + "}";
+	       std::to_string(old && !name_newest_ ? old_revision_
+						   : revision_) +
+	       "}";
 }
 
 std::string SiteStore::watch(const std::string &prefix, int64_t after,
--- a/tests/site.h
+++ b/tests/site.h
@@ -105,9 +105,10 @@
 	void forget_history();
 	/*
 	 * Ranges have pages of this many items from now on. Those that may be
-	 * stale show all but the first page as it is at this moment.
+	 * stale show all but the first page as it is at this moment, and name
+	 * the revision of that moment or, with `name_newest`, the newest one.
 	 */
-	void set_pages(size_t items);
+	void set_pages(size_t items, bool name_newest = false);
 	void set_mode(Mode mode);
 	/* Handles each call by `run` instead of an answer; null: answers. */
 	void set_endless(std::function<void(SiteConnection &)> run);
@@ -138,6 +139,7 @@
 	std::condition_variable changed_;
 	std::map<std::string, Item> items_;
 	size_t page_items_ = 0; /* 0: all on one page */
+	bool name_newest_ = false;
 	std::map<std::string, Item> old_items_;
 	int64_t old_revision_ = 0;
 	int64_t revision_ = 1;
--- a/tests/test_eb_feed.cc
+++ b/tests/test_eb_feed.cc
@@ -25,7 +25,7 @@
 	uint64_t revision;
 	bool full;
 	std::vector<item> items;
-	uint32_t hold_ms;
+	uint32_t hold_ms = 0;
 };
 
 enum eb_status apply(eb_feed *fd, const change &c, int64_t now_us, int *changed)
@@ -63,6 +63,97 @@
 	return out;
 }
 
+/*
+ * Guards against copies that are taken for equal since their revisions are, and
+ * against equal ones that are taken for different because they were read or
+ * received in another way.
+ */
+TEST(Feed, DigestsTellCopiesApart)
+{
+	const struct {
+		const char *name;
+		std::vector<change> one, other;
+		bool equal, known;
+	} cases[] = {
+		{ "a full read and changes in turn",
+		  { { 0, 9, true, { { "a", "1", 3 }, { "b", "2", 9 } } } },
+		  { { 0, 5, true, { { "a", "1", 3 }, { "c", "3", 5 } } },
+		    { 5, 9, false, { { "b", "2", 9 }, { "c", nullptr, 7 } } } },
+		  true,
+		  true },
+		{ "an old item at a new revision",
+		  { { 0, 9, true, { { "a", "1", 3 } } } },
+		  { { 0, 9, true, { { "a", "2", 9 } } } },
+		  false,
+		  true },
+		{ "a missing item",
+		  { { 0, 9, true, { { "a", "1", 3 } } } },
+		  { { 0, 9, true, { { "a", "1", 3 }, { "b", "2", 4 } } } },
+		  false,
+		  true },
+		{ "a removal that one has not seen",
+		  { { 0, 9, true, { { "a", "1", 3 }, { "b", "2", 4 } } } },
+		  { { 0, 5, true, { { "a", "1", 3 }, { "b", "2", 4 } } },
+		    { 5, 9, false, { { "b", nullptr, 8 } } } },
+		  false,
+		  true },
+		{ "pages of which one is newer than the revision",
+		  { { 0, 9, true, { { "a", "1", 3 }, { "b", "2", 11 } } } },
+		  { { 0, 9, true, { { "a", "1", 3 }, { "b", "1", 4 } } } },
+		  false,
+		  false },
+	};
+
+	for (const auto &c : cases) {
+		uint32_t digests[2];
+		int changed;
+
+		for (int i = 0; i < 2; i++) {
+			eb_feed *fd = eb_feed_new();
+
+			for (const change &ch : i ? c.other : c.one)
+				EXPECT_EQ(EB_OK, apply(fd, ch, 0, &changed))
+					<< c.name;
+			digests[i] = eb_feed_digest(fd);
+			eb_feed_free(fd);
+		}
+		EXPECT_EQ(c.known, digests[0] != 0) << c.name;
+		EXPECT_EQ(c.equal, digests[0] == digests[1]) << c.name;
+	}
+}
+
+/*
+ * Guards against a copy that keeps what a stale read gave, as the change that
+ * corrects it is not newer.
+ */
+TEST(Feed, AFullChangeReplacesAnUnverifiedCopy)
+{
+	for (uint64_t revision : { 7, 9, 12 }) {
+		eb_feed *fd = eb_feed_new();
+		eb_feed_change ch = {};
+		int changed;
+
+		ASSERT_EQ(EB_OK,
+			  apply(fd,
+				{ 0,
+				  9,
+				  true,
+				  { { "a", "old", 3 }, { "b", "2", 4 } } },
+				0, &changed));
+		ch.full = 1;
+		ch.revision = revision;
+		ASSERT_EQ(EB_OK, eb_feed_change_add(&ch, "a", "new", 3, 7, 0));
+		EXPECT_EQ(EB_OK, eb_feed_replace(fd, &ch, 0, &changed));
+		EXPECT_EQ(1, changed);
+		EXPECT_EQ("a=new ", content(fd));
+		EXPECT_EQ(revision, eb_feed_revision(fd));
+		ch.full = 0;
+		EXPECT_EQ(EB_EINVAL, eb_feed_replace(fd, &ch, 0, &changed));
+		eb_feed_change_clear(&ch);
+		eb_feed_free(fd);
+	}
+}
+
 /*
  * Guards against a copy that returns to an older state after a late change,
  * applies a change after a gap, or keeps removed items.
@@ -311,9 +402,18 @@
 	apply(fd, { 0, 4, true, { { "a", "value", 3 } }, 0 }, 0, &changed);
 	ASSERT_EQ(EB_OK, eb_feed_pack(fd, 0, 0, &packed, &bytes));
 	for (uint32_t n = 0; n < bytes; n++) {
+		/* A whole change of a daemon that sends no digest. */
+		if (n == bytes - sizeof(ch.digest))
+			continue;
 		EXPECT_NE(EB_OK, eb_feed_unpack(packed, n, &ch)) << n;
 		EXPECT_EQ(0u, ch.count);
 	}
+	EXPECT_EQ(EB_OK,
+		  eb_feed_unpack(packed, bytes - sizeof(ch.digest), &ch));
+	EXPECT_EQ(1u, ch.count);
+	EXPECT_EQ(4u, ch.revision);
+	EXPECT_EQ(0u, ch.digest);
+	eb_feed_change_clear(&ch);
 	for (uint32_t i = 0; i < bytes; i++) {
 		packed[i] ^= 0x55;
 		eb_feed_unpack(packed, bytes, &ch);
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -36,6 +36,8 @@
 	bool up = true;
 	bool cut_off = false; /* its calls to the source get no answer */
 	uint64_t reading_from = 0;
+	uint64_t wanted_from = 0; /* by its copy; 0: all items are to be read */
+	uint64_t read_up_to = 0;  /* by its client of the source */
 	int64_t call_at = -1; /* start of its call to the source; -1: none */
 	int64_t next_call = 0;
 	uint64_t newest = 0; /* newest revision it ever had */
@@ -111,6 +113,8 @@
 		dm.call_at = -1;
 		dm.next_call = now;
 		dm.newest = 0;
+		dm.wanted_from = 0;
+		dm.read_up_to = 0;
 	}
 	void publish()
 	{
@@ -153,6 +157,16 @@
 	{
 		return eb_feed_revision(eb_feed_sync_feed(dm.sp));
 	}
+	/* Whether a daemon has the newest items, not only their revision. */
+	bool is_current(const daemon &dm) const
+	{
+		const eb_feed_item *it =
+			eb_feed_find(eb_feed_sync_feed(dm.sp), "state");
+
+		return it &&
+		       std::string((const char *)it->value, it->value_bytes) ==
+			       std::to_string(revision);
+	}
 
 	std::vector<std::unique_ptr<daemon>> daemons;
 	int64_t now = 1000 * 1000 * MS;
@@ -160,6 +174,8 @@
 	int calls = 0;
 	int full_calls = 0;	/* calls that are not cheap reads */
 	uint64_t stale_lag = 0; /* of cheap reads, in revisions */
+	/* Cheap reads name the newest revision, whatever they show. */
+	bool stale_reads_name_newest = false;
 	bool stale_reads_fail = false;
 	uint64_t changes_sent = 0; /* payloads with items */
 	bool down = false;
@@ -260,10 +276,13 @@
 			dm->fleet->set_members(*dm);
 		dm->knows_members = true;
 	}
-	static void want(void *ctx, eb_source_mode mode, uint64_t)
+	static void want(void *ctx, eb_source_mode mode, uint64_t revision)
 	{
 		daemon *dm = static_cast<daemon *>(ctx);
 
+		if (!revision && dm->wanted_from)
+			dm->read_up_to = 0;
+		dm->wanted_from = revision;
 		/* Another mode calls at once, as the store's client does. */
 		if (mode != dm->mode && !dm->fleet->down)
 			dm->next_call = dm->fleet->now;
@@ -283,7 +302,9 @@
 		rp.failed = failed;
 		if (!failed) {
 			rp.change.full = 1;
-			rp.change.revision = read;
+			rp.change.revision = stale && stale_reads_name_newest
+						     ? revision
+						     : read;
 			eb_feed_change_add(&rp.change, "state", value.data(),
 					   (uint32_t)value.size(), read, 0);
 			if (large_revision && large_revision <= read)
@@ -292,6 +313,8 @@
 						   (uint32_t)large.size(),
 						   large_revision, 0);
 		}
+		if (!failed && !stale)
+			dm.read_up_to = read;
 		dm.next_call = now + (failed ? 200 : 1) * MS;
 		eb_feed_sync_report(dm.sp, &rp, now);
 		eb_feed_change_clear(&rp.change);
@@ -304,7 +327,8 @@
 			if (now < dm.next_call)
 				return;
 			dm.call_at = now;
-			dm.reading_from = revision_of(dm);
+			dm.reading_from =
+				std::max(dm.wanted_from, dm.read_up_to);
 			calls++;
 			full_calls += dm.mode != EB_SOURCE_READ_STALE;
 		}
@@ -323,14 +347,15 @@
 	}
 	void heartbeats()
 	{
+		eb_feed_state state;
+
 		for (auto &a : daemons)
 			for (auto &b : daemons)
-				if (a != b && a->up && b->up)
-					eb_feed_sync_update_member(
-						a->sp, b->id, revision_of(*b),
-						eb_feed_sync_read_age_ms(b->sp,
-									 now),
-						now);
+				if (a != b && a->up && b->up) {
+					eb_feed_sync_state(b->sp, now, &state);
+					eb_feed_sync_update_member(a->sp, b->id,
+								   &state, now);
+				}
 	}
 	void step()
 	{
@@ -678,6 +703,61 @@
 	}
 }
 
+/*
+ * Guards against a daemon that takes the revision of a stale read for what it
+ * has read: all compare revisions, so nobody ever sent what it lacked, and it
+ * sent its own items on as those of that revision.
+ */
+TEST(Spread, ARevisionOfAStaleReadIsNoProofOfItsItems)
+{
+	const struct {
+		const char *name;
+		uint32_t first, count; /* restarted daemons, by order */
+		bool down;	       /* the source, after the stale reads */
+		int64_t limit_ms;
+	} cases[] = {
+		{ "a daemon that does not read", 17, 1, false, 2100 },
+		{ "a reader", 0, 1, false, 2100 },
+		{ "both readers", 0, 2, false, 2100 },
+		{ "all but one", 0, 17, false, 2100 },
+		{ "all", 0, 18, false, 2100 },
+		{ "a daemon while the source is down", 17, 1, true, 5200 },
+	};
+
+	for (const auto &c : cases) {
+		Fleet fl(18);
+		auto order = fl.by_order();
+		int64_t from;
+		bool all = false;
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+		for (int i = 0; i < 5; i++)
+			fl.publish();
+		fl.run(1000 * MS);
+		fl.stale_lag = 3;
+		fl.stale_reads_name_newest = true;
+		for (uint32_t i = c.first; i < c.first + c.count; i++)
+			fl.restart(*order[i]);
+		fl.run(2 * MS);
+		fl.down = c.down;
+		for (from = fl.now;
+		     !all && fl.now - from < 2 * c.limit_ms * MS;) {
+			fl.run(10 * MS);
+			all = true;
+			for (auto &dm : fl.daemons) {
+				all &= fl.is_current(*dm) &&
+				       eb_feed_sync_confirmed(dm->sp);
+				EXPECT_TRUE(c.down || fl.is_current(*dm) ||
+					    !eb_feed_sync_confirmed(dm->sp))
+					<< c.name << ": daemon " << dm->id;
+			}
+		}
+		EXPECT_GE(c.limit_ms, (fl.now - from) / MS) << c.name;
+		for (auto &dm : fl.daemons)
+			EXPECT_TRUE(fl.is_current(*dm)) << c.name << dm->id;
+	}
+}
+
 /* Guards against malformed payloads of a peer that crash a daemon. */
 TEST(Spread, BadPayloadsAreRefused)
 {
