feed sync: one daemon steps in for a reader, and few read when all start

A log of each call showed three parts. A daemon that had read the source before told nobody when it stepped in for a reader, so each candidate stepped in as well. Peers that had been asked just now, or never, counted as silent, so candidates did not wait for each other. After a loss of power each daemon read all items itself, as nobody was verified yet. Change: a daemon that begins to read tells the others every time. A peer is silent once it had time to answer (eb_liveness_is_silent()). When all start, the two readers read first, and those that hear from them wait for that. Spread.OneDaemonStepsInForAReader: 7 and 8 daemons read without the change, 2 with it; Spread.AFleetThatStartsAgainReadsLittle: 10 calls before the last part, 8 with it.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -369,13 +369,15 @@
 	return n && n->peer && n->peer->up && !n->peer->liveness.suspected;
 }
 
-/* Tells whether the daemon beside an upstream does not answer heartbeats. */
+/* Tells whether the daemon beside an upstream is known not to answer. */
 static int is_silent(void *ctx, uint32_t node)
 {
 	struct eb_core *co = ctx;
 	const struct eb_node *n = eb_nodes_get(co->nodes, node);
 
-	return n && n->peer && (!n->peer->up || n->peer->liveness.suspected);
+	return n && n->peer &&
+	       eb_liveness_is_silent(&n->peer->liveness, n->peer->up,
+				     co->loop_us);
 }
 
 static void on_items_changed(void *ctx)
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -114,8 +114,9 @@
 	uint64_t missed_revision;  /* of changes that started after the copy */
 	uint8_t incomplete; /* the copy has grown since, but not up to these */
 	uint8_t last_failed;
-	uint8_t confirmed;  /* see eb_feed_sync_confirmed() */
-	uint8_t trust;	    /* enum trust */
+	uint8_t announced; /* others know whether this daemon's reads succeed */
+	uint8_t confirmed; /* see eb_feed_sync_confirmed() */
+	uint8_t trust;	   /* enum trust */
 	int64_t refuted_us; /* last time that the copy was refuted; 0: never */
 	uint32_t refutations;
 	/* An unverified copy is ahead of a reader's since; 0: it is not. */
@@ -662,20 +663,23 @@
 }
 
 /*
- * Records whether a read succeeded. When that changes, a reader notifies the
- * other daemons at once, since they choose by it whether to read.
+ * Records whether a read succeeded. When that changes, and when it begins to
+ * read, a reader notifies the other daemons at once, since they choose by it
+ * whether to read.
  */
 static void record_result(struct eb_feed_sync *sp, int failed, int stale,
 			  int64_t now_us)
 {
 	int notify = sp->mode == EB_SOURCE_WATCH && sp->count && !stale &&
-		     (sp->last_failed != failed || !sp->read_us);
+		     (sp->last_failed != failed || !sp->announced);
 
 	sp->last_failed = (uint8_t)failed;
 	if (!failed && !stale)
 		sp->read_us = now_us;
-	if (notify)
-		send_state(sp, now_us);
+	if (!notify)
+		return;
+	sp->announced = 1;
+	send_state(sp, now_us);
 }
 
 /* Records that the copy has reached a newer revision. */
@@ -1110,6 +1114,24 @@
 		request(sp, mb, now_us);
 }
 
+/*
+ * Returns how long after its start this daemon asks the source itself when no
+ * other daemon has confirmed its copy. When others start as well, the readers
+ * ask first, and those that hear from them wait for what they read.
+ */
+static int64_t confirm_delay_us(const struct eb_feed_sync *sp)
+{
+	int64_t delay_us = EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+	uint32_t i;
+
+	if (sp->own_rank < EB_FEED_SYNC_READERS && sp->count)
+		return EB_FEED_SYNC_READER_CONFIRM_MS * 1000LL;
+	for (i = 0; i < EB_FEED_SYNC_READERS && i < sp->count; i++)
+		if (sp->members[i].heard_us && sp->members[i].unverified)
+			return 2 * delay_us;
+	return delay_us;
+}
+
 /*
  * Tells whether others may soon verify the copy of this daemon, which has
  * started again: that saves a read of all items.
@@ -1118,15 +1140,15 @@
 {
 	return !sp->first_start && sp->trust == TRUST_NONE &&
 	       eb_feed_revision(sp->feed) &&
-	       now_us - sp->start_us < EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+	       now_us - sp->start_us < confirm_delay_us(sp);
 }
 
 /* Tells whether this daemon should read the source now. */
 static int should_read(struct eb_feed_sync *sp, int64_t now_us)
 {
-	if ((sp->own_rank < EB_FEED_SYNC_READERS &&
-	     !awaits_peers(sp, now_us)) ||
-	    is_stuck(sp, now_us))
+	if (awaits_peers(sp, now_us))
+		return 0;
+	if (sp->own_rank < EB_FEED_SYNC_READERS || is_stuck(sp, now_us))
 		return 1;
 	if (readers_before(sp, now_us) >= EB_FEED_SYNC_READERS) {
 		sp->shortage_since_us = 0;
@@ -1213,8 +1235,7 @@
 /* Tells whether to ask the source because no other daemon has confirmed. */
 static int must_confirm(const struct eb_feed_sync *sp, int64_t now_us)
 {
-	return !sp->confirmed &&
-	       now_us - sp->start_us >= EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+	return !sp->confirmed && now_us - sp->start_us >= confirm_delay_us(sp);
 }
 
 /* Chooses how to use the source and ends the hold of removed items. */
@@ -1235,6 +1256,8 @@
 	else if (should_read(sp, now_us))
 		mode = EB_SOURCE_WATCH;
 	sp->mode = mode;
+	if (mode != EB_SOURCE_WATCH)
+		sp->announced = 0;
 	sp->out.want(sp->out.ctx, mode,
 		     sp->trust == TRUST_VERIFIED ? eb_feed_revision(sp->feed)
 						 : 0);
--- a/src/eb_liveness.c
+++ b/src/eb_liveness.c
@@ -64,6 +64,19 @@
 		       : EB_LIVENESS_ALIVE;
 }
 
+/*
+ * Tells whether the peer is known not to answer; `up` says that it has answered
+ * since it was dialled. One that was not asked for long enough to answer is not
+ * silent.
+ */
+int eb_liveness_is_silent(const struct eb_liveness *si, int up, int64_t now_us)
+{
+	if (si->suspected)
+		return 1;
+	return !up && si->asked_us &&
+	       now_us - si->asked_us >= EB_PEER_SUSPECT_MS * 1000LL;
+}
+
 /*
  * Whether the peer should be sent a heartbeat because of a call: nothing was
  * received from it since the call was sent EB_PEER_CHECK_MS or more ago, and no
--- a/src/eb_liveness.h
+++ b/src/eb_liveness.h
@@ -38,6 +38,7 @@
 				       const struct eb_liveness_clock *ck,
 				       int64_t now_us);
 int64_t eb_liveness_dial_interval_ms(uint32_t sent);
+int eb_liveness_is_silent(const struct eb_liveness *si, int up, int64_t now_us);
 int eb_liveness_check_due(const struct eb_liveness *si, int64_t sent_us,
 			  int64_t now_us);
 
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -38,6 +38,7 @@
 	uint64_t reading_from = 0;
 	uint64_t wanted_from = 0; /* by its copy; 0: all items are to be read */
 	uint64_t read_up_to = 0;  /* by its client of the source */
+	bool first_call = false;  /* it does not wait for changes */
 	int64_t call_at = -1; /* start of its call to the source; -1: none */
 	int64_t next_call = 0;
 	uint64_t newest = 0; /* newest revision it ever had */
@@ -286,6 +287,7 @@
 		/* Another mode calls at once, as the store's client does. */
 		if (mode != dm->mode && !dm->fleet->down)
 			dm->next_call = dm->fleet->now;
+		dm->first_call |= mode != dm->mode;
 		dm->mode = mode;
 		if (mode == EB_SOURCE_IDLE)
 			dm->call_at = -1;
@@ -313,6 +315,7 @@
 						   (uint32_t)large.size(),
 						   large_revision, 0);
 		}
+		dm.first_call = false;
 		if (!failed && !stale)
 			dm.read_up_to = read;
 		dm.next_call = now + (failed ? 200 : 1) * MS;
@@ -337,7 +340,7 @@
 		} else if (down || dm.cut_off) {
 			if (now - dm.call_at >= CALL_TIMEOUT_US)
 				report(dm, true);
-		} else if (revision > dm.reading_from ||
+		} else if (revision > dm.reading_from || dm.first_call ||
 			   now - dm.call_at >= WATCH_US ||
 			   dm.mode == EB_SOURCE_READ_STALE) {
 			report(dm, false);
@@ -758,6 +761,61 @@
 	}
 }
 
+/*
+ * Guards against a daemon that steps in for a reader without telling the
+ * others, as it has read the source before: each of them stepped in as well.
+ */
+TEST(Spread, OneDaemonStepsInForAReader)
+{
+	Fleet fl(18);
+	auto order = fl.by_order();
+	std::set<uint32_t> reading;
+
+	fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+	for (int i = 0; i < 2; i++) {
+		order[0]->up = false;
+		for (int at = 0; at < 4000; at += 10) {
+			fl.run(10 * MS);
+			for (auto &dm : fl.daemons)
+				if (dm->up && dm->mode == EB_SOURCE_WATCH)
+					reading.insert(dm->id);
+		}
+		EXPECT_GE(2u, reading.size()) << i;
+		fl.restart(*order[0]);
+		fl.run(4000 * MS);
+		reading.clear();
+	}
+}
+
+/*
+ * Guards against a full-price read by each daemon of a fleet that starts again
+ * at once, though the first of them can show the others that theirs are up to
+ * date.
+ */
+TEST(Spread, AFleetThatStartsAgainReadsLittle)
+{
+	for (uint64_t lag : { 0, 3 }) {
+		Fleet fl(80);
+		int before;
+
+		fl.run(EB_FEED_SYNC_START_MS * MS + 2000 * MS);
+		for (int i = 0; i < 5; i++)
+			fl.publish();
+		fl.run(1000 * MS);
+		fl.stale_lag = lag;
+		before = fl.full_calls;
+		for (auto &dm : fl.daemons)
+			fl.restart(*dm);
+		fl.run(2000 * MS);
+		/* Of two readers: all items, and a watch each 0.8 s. */
+		EXPECT_GE(2 * (1 + 3), fl.full_calls - before) << lag;
+		for (auto &dm : fl.daemons) {
+			EXPECT_TRUE(fl.is_current(*dm)) << lag;
+			EXPECT_TRUE(eb_feed_sync_confirmed(dm->sp)) << lag;
+		}
+	}
+}
+
 /* Guards against malformed payloads of a peer that crash a daemon. */
 TEST(Spread, BadPayloadsAreRefused)
 {
--- a/tests/test_eb_liveness.cc
+++ b/tests/test_eb_liveness.cc
@@ -142,6 +142,36 @@
 	EXPECT_GE(10u, in_4_s);
 }
 
+/*
+ * Guards against daemons that all take the place of one reader, since they
+ * count peers that were just asked, or never, as silent.
+ */
+TEST(Liveness, APeerIsSilentOnceItHadTimeToAnswer)
+{
+	const struct {
+		const char *name;
+		int64_t asked_ms; /* before now; -1: never */
+		uint8_t suspected;
+		int up, silent;
+	} cases[] = {
+		{ "never asked", -1, 0, 0, 0 },
+		{ "just asked", 1, 0, 0, 0 },
+		{ "asked, no answer", EB_PEER_SUSPECT_MS, 0, 0, 1 },
+		{ "it answers", EB_PEER_SUSPECT_MS - 1, 0, 1, 0 },
+		{ "suspected", EB_PEER_SUSPECT_MS, 1, 1, 1 },
+	};
+	int64_t now = 9000 * MS;
+
+	for (const auto &c : cases) {
+		eb_liveness si = {};
+
+		si.asked_us = c.asked_ms < 0 ? 0 : now - c.asked_ms * MS;
+		si.suspected = c.suspected;
+		EXPECT_EQ(c.silent, eb_liveness_is_silent(&si, c.up, now))
+			<< c.name;
+	}
+}
+
 /*
  * Guards against a pause of this process that is not detected: heartbeats from
  * before the pause would then end all calls.
