feed sync: a reader that hears another one start reads at once

Change: a reader does not wait 150 ms for others when it hears that the other reader starts as well.

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -1122,14 +1122,13 @@
 static int64_t confirm_delay_us(const struct eb_feed_sync *sp)
 {
 	int64_t delay_us = EB_FEED_SYNC_CONFIRM_MS * 1000LL;
+	int reads = sp->own_rank < EB_FEED_SYNC_READERS && sp->count;
 	uint32_t i;
 
-	if (sp->own_rank < EB_FEED_SYNC_READERS && sp->count)
-		return EB_FEED_SYNC_READER_CONFIRM_MS * 1000LL;
 	for (i = 0; i < EB_FEED_SYNC_READERS && i < sp->count; i++)
 		if (sp->members[i].heard_us && sp->members[i].unverified)
-			return 2 * delay_us;
-	return delay_us;
+			return reads ? 0 : 2 * delay_us;
+	return reads ? EB_FEED_SYNC_READER_CONFIRM_MS * 1000LL : delay_us;
 }
 
 /*
