test: uploads that lose frames between two daemons do not run

Cause: no test of the suite failed without the offsets of bodies. Change: Peers.AnUploadWithALostFrameIsNotRun sends frames to a gate as a known peer and leaves one out; Hazard.AnUploadAcrossAResetLinkDoesNotRunWithAGap resets the link while the caller of an upload in chunks sends on.

--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -388,6 +388,39 @@
 	EXPECT_EQ(0, short_runs(far(), (int64_t)bytes));
 }
 
+/*
+ * Guards against an upload that runs with a gap: the pieces on the way between
+ * two daemons are lost when their connection is reset, while the caller sends
+ * on. With a length, the upstream would notice; in chunks it does not.
+ */
+TEST_F(Hazard, AnUploadAcrossAResetLinkDoesNotRunWithAGap)
+{
+	const int chunks = 20, chunk_bytes = 3000;
+	std::string chunk = "bb8\r\n" + std::string(chunk_bytes, 'x') + "\r\n";
+
+	relay->fault("{\"delay_ms\":8}");
+	wait_served("/far/x");
+	for (int round = 0; round < 4; round++) {
+		RawSocket cn(near().listen_port);
+
+		cn.send("PUT /far/x HTTP/1.1\r\nHost: a\r\n"
+			"Ebonypier-Deadline-Ms: 2500\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n");
+		for (int i = 0; i < chunks; i++) {
+			cn.send(chunk);
+			if (i == chunks / 2)
+				relay->cut();
+			sleep_ms(40);
+		}
+		cn.send("0\r\n\r\n");
+		cn.receive_answer();
+		wait_served("/far/x");
+	}
+	wait_until("the end of the calls",
+		   [this] { return !far().metric("calls_active"); });
+	EXPECT_EQ(0, short_runs(far(), chunks * chunk_bytes));
+}
+
 /*
  * Guards against suspended requests, one for each waiting call, that block
  * other requests.
--- a/tests/it_peers.cc
+++ b/tests/it_peers.cc
@@ -54,20 +54,13 @@
 	void *socket_;
 };
 
-/* Returns the HEAD frame of a request to run on `upstream`. */
-std::string head_frame(const std::string &upstream, uint64_t call)
+/* Encodes a frame of the forged sender; takes the reference over. */
+std::string encoded(eb_frame *f)
 {
-	eb_frame *f = eb_frame_new(EB_FRAME_HEAD, call);
 	msgpack_sbuffer sb;
 	std::string out;
 
 	f->sender = 4711;
-	f->head->service = strdup("near");
-	f->head->upstream = strdup(upstream.c_str());
-	f->head->method = strdup("POST");
-	f->head->target = strdup("/near/forged");
-	f->head->remaining_us = 5000000;
-	f->head->hops = 5;
 	msgpack_sbuffer_init(&sb);
 	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
 	out.assign(sb.data, sb.size);
@@ -76,6 +69,34 @@
 	return out;
 }
 
+/* Returns the HEAD frame of a request to run on `upstream`. */
+std::string head_frame(const std::string &upstream, uint64_t call,
+		       bool chunked = false)
+{
+	eb_frame *f = eb_frame_new(EB_FRAME_HEAD, call);
+
+	f->head->service = strdup("near");
+	f->head->upstream = strdup(upstream.c_str());
+	f->head->method = strdup(chunked ? "PUT" : "POST");
+	f->head->target = strdup("/near/forged");
+	f->head->remaining_us = 5000000;
+	f->head->hops = 5;
+	f->head->body_kind = chunked ? EB_BODY_CHUNKED : EB_BODY_NONE;
+	return encoded(f);
+}
+
+/* Returns a frame of a request's body, `bytes` after its start. */
+std::string body_frame(eb_frame_type type, uint64_t call, uint64_t offset,
+		       size_t bytes)
+{
+	std::string data(bytes, 'x');
+	eb_frame *f = eb_frame_new_data(type, call, data.data(),
+					(uint32_t)data.size());
+
+	f->offset_bytes = offset;
+	return encoded(f);
+}
+
 struct Peers : testing::Test {
 	Fleet fleet;
 
@@ -212,6 +233,56 @@
 	EXPECT_EQ(1, fleet[1].runs_count("started"));
 }
 
+/*
+ * Guards against an upload that runs without the frames that were lost between
+ * two daemons: the upstream cannot notice, as the body comes in chunks.
+ */
+TEST_F(Peers, AnUploadWithALostFrameIsNotRun)
+{
+	const struct {
+		const char *name;
+		std::vector<std::pair<uint64_t, size_t>>
+			data; /* offset, size */
+		uint64_t end;
+		int executed;
+	} cases[] = {
+		{ "all", { { 0, 900 }, { 900, 900 }, { 1800, 900 } }, 2700, 1 },
+		{ "without the first",
+		  { { 900, 900 }, { 1800, 900 } },
+		  2700,
+		  0 },
+		{ "without the second",
+		  { { 0, 900 }, { 1800, 900 } },
+		  2700,
+		  0 },
+		{ "without the last", { { 0, 900 }, { 900, 900 } }, 2700, 0 },
+		{ "one of them twice",
+		  { { 0, 900 }, { 900, 900 }, { 900, 900 } },
+		  2700,
+		  0 },
+	};
+	uint64_t call = 1;
+
+	for (const auto &c : cases) {
+		int before = fleet[0].runs_count("executed");
+		Dealer dealer(fleet[0], &fleet[1].keys);
+
+		dealer.send(head_frame("near-1", call, true));
+		sleep_ms(100);
+		for (const auto &part : c.data)
+			dealer.send(body_frame(EB_FRAME_DATA, call, part.first,
+					       part.second));
+		dealer.send(body_frame(EB_FRAME_END, call, c.end, 0));
+		wait_until("the end of the call",
+			   [&] { return !fleet[0].metric("calls_active"); });
+		sleep_ms(100);
+		EXPECT_EQ(c.executed, fleet[0].runs_count("executed") - before)
+			<< c.name;
+		call++;
+	}
+	check_alive();
+}
+
 /* Guards against a peer that stays unreachable after it restarts. */
 TEST_F(Peers, RestartedPeerServesAgain)
 {
