feed relay: large changes leave at the pace of the links

Cause: a change that packs to 1 MB left at 6 Mbit/s from each daemon, half of a narrow link, whatever the links are: at 18 daemons of 1,000 Mbit/s it was in force everywhere after more than 7 s, and configMs is 2,000. Change: a daemon knows the bandwidth of its link (--link-mbps, the platform's linkMbps), names it in heartbeat replies, and sends a copy at half of the narrower of both links; 12 Mbit/s where it is not known, as before.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -440,6 +440,7 @@
 	state.revision = f->reply->body_bytes;
 	state.read_age_ms = f->reply->retry_after_ms;
 	state.digest = (uint32_t)f->offset_bytes;
+	state.link_mbps = f->reply->status;
 	state.unverified = f->credit_bytes == EB_HELLO_UNVERIFIED;
 	eb_feed_sync_update_member(co->feed_sync, node, &state, co->loop_us);
 }
@@ -962,6 +963,7 @@
 			cf->settings->first_start, eb_clock_now_us());
 		if (!co->feed_sync)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
+		eb_feed_sync_set_link(co->feed_sync, cf->settings->link_mbps);
 	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
 	if (!co->feed_sync)
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -48,6 +48,7 @@
 	uint32_t digest; /* see eb_feed_digest(); 0: unknown */
 	uint32_t
 		read_age_ms; /* of its last up-to-date read; UINT32_MAX: none */
+	uint32_t link_mbps;  /* of its machine; 0: unknown */
 	uint8_t unverified;  /* may lack items of its revision */
 };
 
--- a/src/eb_feed_relay.c
+++ b/src/eb_feed_relay.c
@@ -37,7 +37,8 @@
 	uint32_t relay_count;
 	uint64_t newest; /* newest revision that was added */
 	uint32_t newest_part;
-	int64_t free_us; /* the share of the link is used up until then */
+	uint32_t bytes_per_ms; /* of copies that leave */
+	int64_t free_us;       /* the share of the link is used up until then */
 };
 
 /* Creates a relay without members. Returns NULL when memory runs out. */
@@ -45,8 +46,10 @@
 {
 	struct eb_feed_relay *rl = calloc(1, sizeof(*rl));
 
-	if (rl)
-		rl->own_position = own_position;
+	if (!rl)
+		return NULL;
+	rl->own_position = own_position;
+	rl->bytes_per_ms = EB_FEED_RELAY_BYTES_PER_MS;
 	return rl;
 }
 
@@ -267,7 +270,7 @@
 		out->bytes = r->bytes;
 		r->end = rl->own_position + rl->stops[at].distance;
 		r->started = 1;
-		eb_feed_relay_sent(rl, r->bytes, now_us);
+		eb_feed_relay_sent(rl, r->bytes, rl->bytes_per_ms, now_us);
 		return 1;
 	}
 	return 0;
@@ -279,9 +282,15 @@
 	return now_us >= rl->free_us;
 }
 
-/* Records that a large change was sent. */
+/* Sets the pace of copies; EB_FEED_RELAY_BYTES_PER_MS if it is not called. */
+void eb_feed_relay_set_pace(struct eb_feed_relay *rl, uint32_t bytes_per_ms)
+{
+	rl->bytes_per_ms = bytes_per_ms;
+}
+
+/* Records that a large change was sent, at a pace that suits its receiver. */
 void eb_feed_relay_sent(struct eb_feed_relay *rl, uint32_t bytes,
-			int64_t now_us)
+			uint32_t bytes_per_ms, int64_t now_us)
 {
-	rl->free_us = now_us + bytes * 1000LL / EB_FEED_RELAY_BYTES_PER_MS;
+	rl->free_us = now_us + bytes * 1000LL / bytes_per_ms;
 }
--- a/src/eb_feed_relay.h
+++ b/src/eb_feed_relay.h
@@ -48,6 +48,7 @@
 		       int64_t now_us, struct eb_feed_relay_copy *out);
 int eb_feed_relay_has_room(const struct eb_feed_relay *rl, int64_t now_us);
 void eb_feed_relay_sent(struct eb_feed_relay *rl, uint32_t bytes,
-			int64_t now_us);
+			uint32_t bytes_per_ms, int64_t now_us);
+void eb_feed_relay_set_pace(struct eb_feed_relay *rl, uint32_t bytes_per_ms);
 
 #endif
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -84,7 +84,8 @@
 struct member {
 	struct eb_feed_sync_member info;
 	uint64_t revision;
-	uint32_t digest; /* of its copy; 0: unknown */
+	uint32_t digest;    /* of its copy; 0: unknown */
+	uint32_t link_mbps; /* of its machine; 0: unknown */
 	uint8_t unverified;
 	int64_t heard_us; /* 0: never */
 	int64_t read_us;  /* its last read, on this daemon's clock; 0: none */
@@ -102,6 +103,7 @@
 	uint32_t *by_node; /* node -> index in `members`, or EB_NONE */
 	uint32_t node_count;
 	uint32_t own_rank; /* members before this daemon in the order */
+	uint32_t link_mbps;
 	int64_t start_us;
 	int64_t read_us;	  /* last read that succeeded; 0: none */
 	int64_t failing_since_us; /* since when reads fail; 0: they do not */
@@ -145,6 +147,7 @@
 	sp->confirmed = first_start != 0;
 	sp->start_us = now_us;
 	sp->requested_node = EB_NONE;
+	sp->link_mbps = EB_LINK_DEFAULT_MBPS;
 	sp->feed = eb_feed_new();
 	sp->relay = eb_feed_relay_new(own_position);
 	if (!sp->feed || !sp->relay) {
@@ -168,6 +171,20 @@
 	free(sp);
 }
 
+/* Returns the pace of large changes over a link, in bytes per ms. */
+static uint32_t pace(uint32_t mbps)
+{
+	return mbps * EB_LINK_BYTES_PER_MS * EB_FEED_RELAY_SHARE_PERMILLE /
+	       1000;
+}
+
+/* Sets the bandwidth of this machine's link in Mbit/s, for large changes. */
+void eb_feed_sync_set_link(struct eb_feed_sync *sp, uint32_t mbps)
+{
+	sp->link_mbps = mbps;
+	eb_feed_relay_set_pace(sp->relay, pace(mbps));
+}
+
 /* Returns the copy of the items; never NULL. */
 const struct eb_feed *eb_feed_sync_feed(const struct eb_feed_sync *sp)
 {
@@ -309,6 +326,7 @@
 	out->digest = eb_feed_digest(sp->feed);
 	out->read_age_ms = read_age_ms(sp, now_us);
 	out->unverified = sp->trust != TRUST_VERIFIED;
+	out->link_mbps = sp->link_mbps;
 }
 
 /*
@@ -415,7 +433,7 @@
 	if (n)
 		(*out)[0] = PAYLOAD_CHANGE;
 	if (n > EB_FEED_SYNC_SMALL_BYTES)
-		eb_feed_relay_sent(sp->relay, n, now_us);
+		eb_feed_relay_sent(sp->relay, n, pace(sp->link_mbps), now_us);
 	return n;
 }
 
@@ -449,6 +467,16 @@
 	}
 }
 
+/* Returns the pace of large changes to a member: the narrower link counts. */
+static uint32_t pace_to(const struct eb_feed_sync *sp, uint32_t node)
+{
+	const struct member *mb = find(sp, node);
+	uint32_t mbps =
+		mb && mb->link_mbps ? mb->link_mbps : EB_LINK_DEFAULT_MBPS;
+
+	return pace(mbps < sp->link_mbps ? mbps : sp->link_mbps);
+}
+
 /* Sends the copies of relayed changes that are due. */
 static void run_relay(struct eb_feed_sync *sp, int64_t now_us)
 {
@@ -465,6 +493,8 @@
 		memcpy(data + RELAY_HEAD_BYTES, c.data, c.bytes);
 		sp->out.send(sp->out.ctx, c.node, data,
 			     RELAY_HEAD_BYTES + c.bytes);
+		eb_feed_relay_sent(sp->relay, c.bytes, pace_to(sp, c.node),
+				   now_us);
 		free(data);
 	}
 }
@@ -838,6 +868,8 @@
 	mb->revision = revision;
 	mb->digest = state->digest;
 	mb->unverified = state->unverified;
+	if (state->link_mbps)
+		mb->link_mbps = state->link_mbps;
 	mb->heard_us = now_us;
 	mb->read_us = state->read_age_ms == UINT32_MAX
 			      ? 0
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -46,6 +46,8 @@
  * some of its revision.
  */
 #define EB_HELLO_UNVERIFIED 1
+/* Largest bandwidth of a link that `status` of a HELLO names, in Mbit/s. */
+#define EB_HELLO_MBPS_MAX 999
 /* Status of a REFUSE for the rate limit that the upstream has named. */
 #define EB_STATUS_RATE_LIMITED 429
 
@@ -128,7 +130,7 @@
 
 /* The fields of RHEAD, REND, REFUSE, ABORT, HELLO and PROBE. */
 struct eb_reply {
-	uint16_t status;
+	uint16_t status; /* of HELLO: bandwidth of the sender's link, Mbit/s */
 	uint8_t outcome;
 	uint8_t reason;
 	uint8_t body_kind;   /* of RHEAD: NONE, LENGTH or CHUNKED */
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -252,6 +252,9 @@
 	out->reply->body_bytes = gt->copy.revision;
 	out->reply->retry_after_ms = gt->copy.read_age_ms;
 	out->offset_bytes = gt->copy.digest;
+	out->reply->status = (uint16_t)(gt->copy.link_mbps < EB_HELLO_MBPS_MAX
+						? gt->copy.link_mbps
+						: EB_HELLO_MBPS_MAX);
 	if (gt->copy.unverified)
 		out->credit_bytes = EB_HELLO_UNVERIFIED;
 	return out;
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -17,6 +17,7 @@
 #define PARSE_ERRORS_MAX 20
 /* A day: longer than any upload, and within the range of the timers. */
 #define DRAIN_TIMEOUT_MAX_MS 86400000
+#define LINK_MAX_MBPS 1000000
 
 enum setting_type {
 	SETTING_TEXT = 0,  /* char * */
@@ -28,6 +29,7 @@
 	SETTING_FILE,	   /* char *, a readable file */
 	SETTING_PORT,	   /* uint16_t */
 	SETTING_DRAIN_MS,  /* uint32_t, milliseconds */
+	SETTING_MBPS,	   /* uint32_t, Mbit/s */
 	SETTING_LEVEL,	   /* enum eb_log_level */
 	SETTING_SWITCH,	   /* uint8_t; its flag takes no value */
 };
@@ -94,6 +96,9 @@
 	  "1500", "MS",
 	  "time to notify callers and daemons of a shutdown "
 	  "(default 1500)" },
+	{ "link-mbps", SETTING_MBPS, 0, AT(link_mbps), "12", "MBPS",
+	  "bandwidth of this machine's link, of which large configurations "
+	  "use half (default 12)" },
 	{ "log-level", SETTING_LEVEL, 0, AT(log_level), "info", "LEVEL",
 	  "error, warn, info or debug (default info)" },
 };
@@ -217,6 +222,8 @@
 		return reason;
 	case SETTING_DRAIN_MS:
 		return read_number(text, 0, DRAIN_TIMEOUT_MAX_MS, dest);
+	case SETTING_MBPS:
+		return read_number(text, 1, LINK_MAX_MBPS, dest);
 	case SETTING_SWITCH:
 		return read_switch(text, dest);
 	case SETTING_LEVEL:
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -196,7 +196,11 @@
  * the source itself.
  */
 #define EB_FEED_SYNC_STUCK_MS 5000
-/* Pace of large changes: 6 Mbit/s, half of a narrow link. */
+/* Large changes use this share of a link. */
+#define EB_FEED_RELAY_SHARE_PERMILLE 500
+/* A link of 1 Mbit/s; and a link whose bandwidth is not known, in Mbit/s. */
+#define EB_LINK_BYTES_PER_MS 125
+#define EB_LINK_DEFAULT_MBPS 12
 #define EB_FEED_RELAY_BYTES_PER_MS 750
 /* Reads that fail for this long count as an outage of the source. */
 #define EB_FEED_SYNC_OUTAGE_MS 1000
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -117,6 +117,13 @@
 		dm.wanted_from = 0;
 		dm.read_up_to = 0;
 	}
+	/* All daemons have such a link, and know it. */
+	void set_links(uint32_t mbps)
+	{
+		link_bytes_per_ms = mbps * EB_LINK_BYTES_PER_MS;
+		for (auto &dm : daemons)
+			eb_feed_sync_set_link(dm->sp, mbps);
+	}
 	void publish()
 	{
 		revision++;
@@ -479,13 +486,17 @@
 	const struct {
 		uint32_t daemons;
 		uint32_t bytes;
-		int64_t bound_us; /* 0: it takes longer, but does not block */
+		int64_t bound_us;   /* 0: it takes longer, but does not block */
+		uint32_t link_mbps; /* 0: not known */
 	} cases[] = {
-		{ 6, 300000, BOUND_US },
-		{ 18, 700000, 0 },
-		{ 6, 3000000, 0 },
+		{ 6, 300000, BOUND_US, 0 },
+		{ 18, 700000, 0, 0 },
+		{ 6, 3000000, 0, 0 },
 		/* Too large for a relay: each daemon requests the parts. */
-		{ 3, 7000000, 0 },
+		{ 3, 7000000, 0, 0 },
+		/* The largest value that the platform stores. */
+		{ 18, 1048576, BOUND_US, 1000 },
+		{ 59, 1048576, BOUND_US, 200 },
 	};
 
 	for (const auto &c : cases) {
@@ -494,6 +505,8 @@
 		int64_t limit_us = c.bound_us ? c.bound_us : 120000 * MS;
 		Fleet fl(c.daemons);
 
+		if (c.link_mbps)
+			fl.set_links(c.link_mbps);
 		fl.run(EB_FEED_SYNC_START_MS * MS + 2300 * MS);
 		fl.publish_large(c.bytes);
 		EXPECT_LT(fl.time_to_all(limit_us), limit_us) << name;
@@ -509,6 +522,21 @@
 	}
 }
 
+/*
+ * Guards against the largest desired state that the platform stores coming into
+ * force too late on narrow links, which are then full for longer than a daemon
+ * may use them for configuration.
+ */
+TEST(Spread, TheLargestChangeIsInTimeOnNarrowLinks)
+{
+	Fleet fl(18);
+
+	fl.set_links(12);
+	fl.run(EB_FEED_SYNC_START_MS * MS + 2300 * MS);
+	fl.publish_large(1048576);
+	EXPECT_LE(fl.time_to_all(10 * BOUND_US), BOUND_US);
+}
+
 /* Why some daemons stop reading. */
 enum failure { KILLED, CUT_OFF };
 
