gate: answers that are lost with a connection are sent again

Cause: an answer that is on its way when the connection between two daemons is reset is gone. The gate has ended the call, so the origin's next heartbeat got an abort, and the caller 502 with an unknown outcome for a request that ran. Change: a gate keeps the last frame of its calls for 5 s, at most 256 of them and 512 KB (eb_kept), and sends it again when the origin connects again, or when a heartbeat lists the call. An origin drops what it has, by the number of the attempt, which is not used again. Answers of several frames still end as unknown.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -10,6 +10,7 @@
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
+#include "eb_kept.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -118,6 +119,7 @@
 	uint64_t start_ms;   /* of `configured`; 0: unknown */
 	struct eb_feed_state copy; /* see eb_gate_set_copy() */
 	int resumed;		   /* see eb_gate_set_resumed() */
+	struct eb_kept *kept;	   /* answers that were sent to origins */
 	uint64_t next_id;
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
@@ -149,7 +151,8 @@
 	gt->chart = eb_chart_load("gate", &names, fs);
 	gt->admit = eb_admit_new(&none);
 	gt->marks = eb_crash_detect_new(cf->upstream);
-	if (!gt->chart || !gt->admit || !gt->marks ||
+	gt->kept = eb_kept_new();
+	if (!gt->chart || !gt->admit || !gt->marks || !gt->kept ||
 	    apr_pool_create(&gt->pool, NULL) != APR_SUCCESS) {
 		eb_gate_free(gt);
 		return NULL;
@@ -195,6 +198,7 @@
 	eb_chart_free(gt->chart);
 	eb_admit_free(gt->admit);
 	eb_crash_detect_free(gt->marks);
+	eb_kept_free(gt->kept);
 	free(gt->address);
 	free(gt->service);
 	free(gt->probe);
@@ -260,12 +264,27 @@
 	return out;
 }
 
+static void add_report(struct eb_gate *gt, struct eb_reply *r, int64_t now_us);
+
+/*
+ * Sends an answer once more. The origin drops it if it has it, as the number of
+ * its call is not used again.
+ */
+static void send_again(struct eb_gate *gt, struct eb_frame *f,
+		       const struct eb_routing_id *back, int64_t now_us)
+{
+	add_report(gt, f->reply, now_us);
+	eb_metrics_add(gt->config.metrics, EB_METRIC_ANSWERS_AGAIN, 1);
+	gt->out.to_origin(gt->out.ctx, back, eb_frame_ref(f));
+}
+
 /*
- * Aborts the calls in an origin's heartbeat that this gate does not have: the
- * frame that started or ended them was lost.
+ * Ends the calls in an origin's heartbeat that this gate does not have, as the
+ * frame that started or ended them was lost: by their answer if it is still
+ * kept, or else as unknown.
  */
-static void abort_unknown_calls(struct eb_gate *gt, const struct eb_frame *f,
-				const struct eb_routing_id *back)
+static void end_unknown_calls(struct eb_gate *gt, const struct eb_frame *f,
+			      const struct eb_routing_id *back, int64_t now_us)
 {
 	struct key key = { f->sender, 0 };
 	uint32_t i, n = eb_overdue_count(f);
@@ -275,6 +294,11 @@
 		key.call = eb_overdue_at(f, i);
 		if (apr_hash_get(gt->calls, &key, sizeof(key)))
 			continue;
+		out = eb_kept_find(gt->kept, f->sender, key.call);
+		if (out) {
+			send_again(gt, out, back, now_us);
+			continue;
+		}
 		out = eb_frame_new(EB_FRAME_ABORT, key.call);
 		if (!out)
 			return;
@@ -301,7 +325,7 @@
 {
 	struct eb_frame *out = new_load_report(gt, f->sender);
 
-	abort_unknown_calls(gt, f, back);
+	end_unknown_calls(gt, f, back, now_us);
 	if (!out)
 		return;
 	add_overdue_calls(gt, f->sender, out, now_us);
@@ -457,6 +481,20 @@
 	r->load.draining = (uint16_t)refuses_calls(gt);
 }
 
+/* Tells whether a frame is all that an origin gets of an answer. */
+static int is_whole_answer(const struct call *ca, const struct eb_frame *f)
+{
+	switch (f->type) {
+	case EB_FRAME_RHEAD:
+		return eb_frame_ends_answer(f);
+	case EB_FRAME_REFUSE:
+	case EB_FRAME_ABORT:
+		return ca->state != ANSWERING;
+	default:
+		return 0;
+	}
+}
+
 static void to_origin(struct eb_gate *gt, const struct call *ca,
 		      struct eb_frame *f, int64_t now_us)
 {
@@ -465,6 +503,8 @@
 	f->sender = gt->config.incarnation;
 	if (f->reply)
 		add_report(gt, f->reply, now_us);
+	if (!ca->local && is_whole_answer(ca, f))
+		eb_kept_add(gt->kept, ca->key.origin, f, now_us);
 	gt->out.to_origin(gt->out.ctx, ca->local ? NULL : &ca->origin->back, f);
 }
 
@@ -977,6 +1017,18 @@
 	}
 }
 
+/* Sends the answers that may have been lost with an origin's connection. */
+static void send_kept(struct eb_gate *gt, const struct origin *og,
+		      int64_t now_us)
+{
+	struct eb_frame *f;
+	uint32_t pos = 0;
+
+	eb_kept_expire(gt->kept, now_us);
+	while ((f = eb_kept_next(gt->kept, og->incarnation, &pos)))
+		send_again(gt, f, &og->back, now_us);
+}
+
 /*
  * Stores the connection that a frame of an origin came by. Frames of the one
  * before it may still be read after its first.
@@ -988,7 +1040,10 @@
 		return;
 	og->before = og->back;
 	og->back = *back;
-	if (og->before.used_bytes && og->calls)
+	if (!og->before.used_bytes)
+		return;
+	send_kept(gt, og, now_us);
+	if (og->calls)
 		end_broken_calls(gt, og, now_us);
 }
 
@@ -1281,6 +1336,7 @@
 	apr_hash_index_t *hi;
 	struct origin *og;
 
+	eb_kept_expire(gt->kept, now_us);
 	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
 		check_timeouts(gt, apr_hash_this_val(hi), now_us);
 	}
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -15,6 +15,9 @@
 	  "Answers to callers by outcome")                                   \
 	X(ANSWER_UNKNOWN, "answers_total{outcome=\"unknown\"}",              \
 	  "Answers to callers by outcome")                                   \
+	X(ANSWERS_AGAIN, "answers_again_total",                              \
+	  "Answers sent to an origin once more, after its connection was "   \
+	  "lost or when it asked")                                           \
 	X(ANSWER_CUT, "answers_cut_total",                                   \
 	  "Connections ended because an answer could not be completed")      \
 	X(CALLER_GONE, "callers_gone_total",                                 \
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -12,6 +12,13 @@
  * take, and longer than a frame takes to arrive.
  */
 #define EB_CALL_OVERDUE_MS 2000
+/*
+ * Answers of one frame that a gate keeps after it has sent them, in case the
+ * connection to the origin is lost.
+ */
+#define EB_KEPT_ANSWERS_MAX 256
+#define EB_KEPT_ANSWERS_BYTES 524288
+#define EB_KEPT_ANSWERS_MS 5000
 /* Largest message that is accepted from a peer. */
 #define EB_MESSAGE_MAX_BYTES 262144
 /* Largest sum of the header names and values of a request or answer. */
--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -388,6 +388,35 @@
 	EXPECT_EQ(0, short_runs(far(), (int64_t)bytes));
 }
 
+/*
+ * Guards against an answer that is lost with the connection between two
+ * daemons: the request has run, and its caller was told after seconds that this
+ * is not known.
+ */
+TEST_F(Hazard, AnswersOnAResetLinkAreDelivered)
+{
+	relay->fault("{\"delay_ms\":50}");
+	wait_served("/far/x");
+	for (int i = 0; i < 8; i++) {
+		std::string key = "answer-" + std::to_string(i);
+		HttpAnswer a;
+
+		std::thread caller([&] {
+			a = book("/far/x?delay_us=300000", key,
+				 { "Ebonypier-Deadline-Ms: 8000" });
+		});
+		wait_until("the run",
+			   [&] { return fleet.executions(key) == 1; });
+		/* The answer leaves about now, and is 50 ms on its way. */
+		sleep_ms(260 + 10 * i);
+		relay->cut();
+		caller.join();
+		EXPECT_EQ(1, fleet.executions(key));
+		EXPECT_TRUE(a.complete(200)) << key << ": " << a.status;
+		EXPECT_EQ("ran", a.outcome()) << key;
+	}
+}
+
 /*
  * Guards against an upload that runs with a gap: the pieces on the way between
  * two daemons are lost when their connection is reset, while the caller sends
