wire: daemons of versions 1 and 2 talk to each other

Cause: offsets of bodies made version 2 of the frames. A daemon refused those of the other version, so that calls and items did not pass between old and new ones while a fleet was updated. Change: both versions are decoded, and a daemon is answered in its own. A heartbeat to one that has not answered yet is sent in either version in turn, and one that answers in version 1 is asked in version 2 as well, as it may have been updated. Payloads on items are converted (eb_feed_wire); their structs move there. Frames of version 1 have no offset, so gaps can't be seen: a body is not sent to a daemon of version 1, its request goes elsewhere. Peers.TheVersionBeforeIsServed and Wire.EachVersionIsUnderstood can't pass before, as frames of version 1 were refused.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -663,6 +663,7 @@
 static int follows_gap(const struct transfer *tf, const struct eb_frame *f)
 {
 	return (f->type == EB_FRAME_DATA || f->type == EB_FRAME_END) &&
+	       f->offset_bytes != EB_OFFSET_UNKNOWN &&
 	       f->offset_bytes != tf->queued_bytes;
 }
 
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -18,8 +18,10 @@
 #include "eb_origin.h"
 #include "eb_feed_relay.h"
 #include "eb_feed_sync.h"
+#include "eb_feed_wire.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
+#include "eb_wire.h"
 
 #define QUERY_TIMEOUT_S 2
 /* How often marks are sent to daemons that lack them; marks are rare. */
@@ -134,6 +136,18 @@
 }
 
 /* Sends a frame to the gate of a node; takes the reference over. */
+/*
+ * Tells whether a request's body would be sent to a daemon that does not notice
+ * a lost part of it: requests with such bodies go elsewhere.
+ */
+static int lacks_offsets(const struct eb_peer *pr, const struct eb_frame *f)
+{
+	return f->type == EB_FRAME_HEAD &&
+	       pr->wire_version == EB_WIRE_VERSION_MIN &&
+	       (f->head->body_kind == EB_BODY_LENGTH ||
+		f->head->body_kind == EB_BODY_CHUNKED);
+}
+
 static enum eb_status send_gate(void *ctx, uint32_t node, struct eb_frame *f)
 {
 	struct eb_core *co = ctx;
@@ -142,7 +156,7 @@
 
 	if (n && n->self)
 		return queue_local(co, f, 1);
-	if (n && n->peer)
+	if (n && n->peer && !lacks_offsets(n->peer, f))
 		st = eb_mesh_send(co->mesh, n->peer, f, co->loop_us);
 	eb_frame_unref(f);
 	return st;
@@ -342,6 +356,27 @@
 
 /* ---- Items of the source ---- */
 
+/*
+ * Returns a frame with a payload on items, in the form that a daemon of a
+ * version understands; NULL if there is none, or without memory.
+ */
+static struct eb_frame *new_items_frame(uint8_t version, const void *data,
+					uint32_t bytes)
+{
+	struct eb_frame *f;
+	uint8_t *p;
+
+	if (version != EB_WIRE_VERSION_MIN)
+		return eb_frame_new_data(EB_FRAME_GOSSIP, 0, data, bytes);
+	p = malloc(bytes);
+	if (!p)
+		return NULL;
+	bytes = eb_feed_wire_to_first(data, bytes, p);
+	f = bytes ? eb_frame_new_data(EB_FRAME_GOSSIP, 0, p, bytes) : NULL;
+	free(p);
+	return f;
+}
+
 static void send_gossip(void *ctx, uint32_t node, const void *data,
 			uint32_t bytes)
 {
@@ -351,7 +386,7 @@
 
 	if (!n || !n->peer)
 		return;
-	f = eb_frame_new_data(EB_FRAME_GOSSIP, 0, data, bytes);
+	f = new_items_frame(n->peer->wire_version, data, bytes);
 	if (!f)
 		return;
 	eb_metrics_add(co->config.metrics, EB_METRIC_ITEM_BYTES, bytes);
@@ -397,6 +432,30 @@
 		co->config.adapter->source->want(sc, mode, revision);
 }
 
+/* Handles a payload on items, in the form of the version of its frame. */
+static enum eb_status receive_items(struct eb_core *co,
+				    const struct eb_frame *f, uint8_t **reply,
+				    uint32_t *reply_bytes)
+{
+	uint32_t n = f->data_bytes;
+	enum eb_status st;
+	uint8_t *p;
+
+	*reply = NULL;
+	if (f->wire_version != EB_WIRE_VERSION_MIN)
+		return eb_feed_sync_receive(co->feed_sync, f->data, n,
+					    co->loop_us, reply, reply_bytes);
+	p = malloc(n + EB_FEED_WIRE_MORE_BYTES);
+	if (!p)
+		return EB_ENOMEM;
+	n = eb_feed_wire_from_first(f->data, n, p);
+	st = n ? eb_feed_sync_receive(co->feed_sync, p, n, co->loop_us, reply,
+				      reply_bytes)
+	       : EB_EPARSE;
+	free(p);
+	return st;
+}
+
 /* Handles a payload of gossip and sends the reply on its connection. */
 static void on_gossip(struct eb_core *co, struct eb_frame *f,
 		      struct eb_peer *pr, const struct eb_routing_id *back)
@@ -405,13 +464,10 @@
 	uint32_t bytes = 0;
 	uint8_t *reply = NULL;
 
-	if (!co->feed_sync ||
-	    eb_feed_sync_receive(co->feed_sync, f->data, f->data_bytes,
-				 co->loop_us, &reply, &bytes) == EB_EPARSE)
+	if (!co->feed_sync || receive_items(co, f, &reply, &bytes) == EB_EPARSE)
 		eb_metrics_add(co->config.metrics, EB_METRIC_BAD_FRAMES, 1);
-	out = reply && bytes
-		      ? eb_frame_new_data(EB_FRAME_GOSSIP, 0, reply, bytes)
-		      : NULL;
+	out = reply && bytes ? new_items_frame(f->wire_version, reply, bytes)
+			     : NULL;
 	if (out && pr)
 		eb_mesh_send(co->mesh, pr, out, co->loop_us);
 	else if (out)
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -7,45 +7,13 @@
 
 #include "eb_config.h"
 #include "eb_feed_relay.h"
+#include "eb_feed_wire.h"
 #include "eb_tunables.h"
 
-/* First byte of a payload. */
-enum payload {
-	PAYLOAD_CHANGE = 1,
-	PAYLOAD_REQUEST,
-	PAYLOAD_STATE,
-	PAYLOAD_RELAY
-};
-
-/* A relayed part begins with the end of the part of the ring to pass it on in.
- */
-#define RELAY_HEAD_BYTES (1 + sizeof(uint64_t))
-
-/*
- * Before each part of a packed change. A change of up to EB_FEED_PART_BYTES has
- * one part.
- */
-struct part_head {
-	uint64_t after;
-	uint64_t revision;
-	uint32_t total_bytes; /* of the packed change */
-	uint32_t offset_bytes;
-};
-
-/* What a daemon lacks: the changes after a revision, or a part of them. */
-struct request {
-	uint64_t own_revision;	/* 0: all items are wanted */
-	uint64_t part_revision; /* of the change that is being received, or 0 */
-	uint32_t part_offset_bytes;
-	uint32_t reserved;
-};
-
-#define REQUEST_BYTES (1 + sizeof(struct request))
-
 /* A change that is being received in parts, in their order. */
 struct assembly {
-	struct part_head head; /* of the first part */
-	uint8_t *data;	       /* NULL: none */
+	struct eb_feed_part_head head; /* of the first part */
+	uint8_t *data;		       /* NULL: none */
 	uint32_t have_bytes;
 	int64_t progress_us;
 };
@@ -62,14 +30,6 @@
 	int64_t used_us;
 };
 
-/* Sent by a reader when its reads begin to succeed or to fail. */
-struct reader_state {
-	uint64_t order; /* of the sender */
-	uint64_t revision;
-	uint32_t read_age_ms;
-	uint32_t digest; /* of its copy; 0: unknown */
-};
-
 /* What is known of the items in this daemon's copy. */
 enum trust {
 	/* From a read that may be stale: items of the revision may be missing.
@@ -377,7 +337,7 @@
 static uint32_t make_part(const struct packed *pd, uint32_t offset_bytes,
 			  uint32_t lead_bytes, uint8_t **out)
 {
-	struct part_head head = { 0 };
+	struct eb_feed_part_head head = { 0 };
 	uint32_t n = pd->bytes - offset_bytes;
 	uint8_t *p;
 
@@ -414,8 +374,8 @@
  * large, or memory runs out.
  */
 static uint32_t make_single_part(struct eb_feed_sync *sp,
-				 const struct request *rq, int64_t now_us,
-				 uint8_t **out)
+				 const struct eb_feed_request *rq,
+				 int64_t now_us, uint8_t **out)
 {
 	const struct packed *pd;
 	uint32_t offset = 0, n;
@@ -431,7 +391,7 @@
 		offset = rq->part_offset_bytes;
 	n = make_part(pd, offset, 1, out);
 	if (n)
-		(*out)[0] = PAYLOAD_CHANGE;
+		(*out)[0] = EB_FEED_CHANGE;
 	if (n > EB_FEED_SYNC_SMALL_BYTES)
 		eb_feed_relay_sent(sp->relay, n, pace(sp->link_mbps), now_us);
 	return n;
@@ -441,7 +401,7 @@
 static void push(struct eb_feed_sync *sp, struct member *mb, uint64_t after,
 		 int64_t now_us)
 {
-	struct request rq = { after, 0, 0, 0 };
+	struct eb_feed_request rq = { after, 0, 0, 0 };
 	uint8_t *data;
 	uint32_t n = make_single_part(sp, &rq, now_us, &data);
 
@@ -485,14 +445,14 @@
 
 	while (eb_feed_relay_next(sp->relay, sp->out.reachable, sp->out.ctx,
 				  now_us, &c)) {
-		data = malloc(RELAY_HEAD_BYTES + c.bytes);
+		data = malloc(EB_FEED_RELAY_HEAD_BYTES + c.bytes);
 		if (!data)
 			return;
-		data[0] = PAYLOAD_RELAY;
+		data[0] = EB_FEED_RELAY;
 		memcpy(data + 1, &c.end, sizeof(c.end));
-		memcpy(data + RELAY_HEAD_BYTES, c.data, c.bytes);
+		memcpy(data + EB_FEED_RELAY_HEAD_BYTES, c.data, c.bytes);
 		sp->out.send(sp->out.ctx, c.node, data,
-			     RELAY_HEAD_BYTES + c.bytes);
+			     EB_FEED_RELAY_HEAD_BYTES + c.bytes);
 		eb_feed_relay_sent(sp->relay, c.bytes, pace_to(sp, c.node),
 				   now_us);
 		free(data);
@@ -523,15 +483,16 @@
  */
 static void send_state(struct eb_feed_sync *sp, int64_t now_us)
 {
-	struct reader_state rs = { sp->own_order, eb_feed_revision(sp->feed),
-				   read_age_ms(sp, now_us),
-				   eb_feed_digest(sp->feed) };
+	struct eb_feed_reader_state rs = { sp->own_order,
+					   eb_feed_revision(sp->feed),
+					   read_age_ms(sp, now_us),
+					   eb_feed_digest(sp->feed) };
 	uint8_t data[1 + sizeof(rs)];
 	uint32_t i;
 
 	if (sp->trust != TRUST_VERIFIED)
 		return;
-	data[0] = PAYLOAD_STATE;
+	data[0] = EB_FEED_STATE;
 	memcpy(data + 1, &rs, sizeof(rs));
 	for (i = 0; i < sp->count; i++)
 		sp->out.send(sp->out.ctx, sp->members[i].info.node, data,
@@ -575,7 +536,7 @@
 		n = make_part(pd, 0, 1, &data);
 		if (!n)
 			return;
-		data[0] = PAYLOAD_CHANGE;
+		data[0] = EB_FEED_CHANGE;
 		send_directly(sp, data, n, now_us);
 		free(data);
 	} else {
@@ -589,7 +550,7 @@
 /* Builds a request for what this copy lacks. */
 static void make_request(const struct eb_feed_sync *sp, uint8_t *data)
 {
-	struct request rq = { eb_feed_revision(sp->feed), 0, 0, 0 };
+	struct eb_feed_request rq = { eb_feed_revision(sp->feed), 0, 0, 0 };
 
 	if (sp->trust == TRUST_REFUTED)
 		rq.own_revision = 0;
@@ -597,7 +558,7 @@
 		rq.part_revision = sp->assembly.head.revision;
 		rq.part_offset_bytes = sp->assembly.have_bytes;
 	}
-	data[0] = PAYLOAD_REQUEST;
+	data[0] = EB_FEED_REQUEST;
 	memcpy(data + 1, &rq, sizeof(rq));
 }
 
@@ -605,7 +566,7 @@
 static void request(struct eb_feed_sync *sp, const struct member *mb,
 		    int64_t now_us)
 {
-	uint8_t data[REQUEST_BYTES];
+	uint8_t data[EB_FEED_REQUEST_BYTES];
 
 	sp->requested_us = now_us;
 	sp->requested_node = mb->info.node;
@@ -905,7 +866,7 @@
 			  int64_t now_us)
 {
 	struct eb_feed_state state = { 0 };
-	struct reader_state rs;
+	struct eb_feed_reader_state rs;
 	uint32_t i;
 
 	memcpy(&rs, data, sizeof(rs));
@@ -947,7 +908,8 @@
 }
 
 /* Tells whether a part belongs to the change that is being received. */
-static int is_expected(const struct assembly *as, const struct part_head *head)
+static int is_expected(const struct assembly *as,
+		       const struct eb_feed_part_head *head)
 {
 	return as->data && as->head.after == head->after &&
 	       as->head.revision == head->revision &&
@@ -960,7 +922,8 @@
  * A change that has made no progress for EB_FEED_SYNC_PATIENCE_MS makes way for
  * the first part of another one.
  */
-static int append_part(struct eb_feed_sync *sp, const struct part_head *head,
+static int append_part(struct eb_feed_sync *sp,
+		       const struct eb_feed_part_head *head,
 		       const uint8_t *data, uint32_t bytes, int64_t now_us)
 {
 	struct assembly *as = &sp->assembly;
@@ -993,7 +956,7 @@
 
 /* Reads and checks the head of a part; returns EB_EPARSE for a bad one. */
 static enum eb_status read_part_head(const uint8_t *data, uint32_t bytes,
-				     struct part_head *head)
+				     struct eb_feed_part_head *head)
 {
 	if (bytes <= sizeof(*head))
 		return EB_EPARSE;
@@ -1015,7 +978,7 @@
 				   int64_t now_us, uint8_t **reply,
 				   uint32_t *reply_bytes)
 {
-	struct part_head head;
+	struct eb_feed_part_head head;
 	enum eb_status st = read_part_head(data, bytes, &head);
 	uint32_t n = bytes - (uint32_t)sizeof(head);
 
@@ -1046,11 +1009,11 @@
 		drop_assembly(sp);
 		return st;
 	case 0:
-		*reply = end ? NULL : malloc(REQUEST_BYTES);
+		*reply = end ? NULL : malloc(EB_FEED_REQUEST_BYTES);
 		if (!*reply)
 			return EB_OK;
 		make_request(sp, *reply);
-		*reply_bytes = REQUEST_BYTES;
+		*reply_bytes = EB_FEED_REQUEST_BYTES;
 		return EB_OK;
 	default:
 		return EB_OK;
@@ -1068,29 +1031,30 @@
 				    uint8_t **reply, uint32_t *reply_bytes)
 {
 	const uint8_t *p = data;
-	struct request rq;
+	struct eb_feed_request rq;
 	uint64_t end;
 
 	*reply = NULL;
 	if (!bytes)
 		return EB_EPARSE;
-	if (p[0] == PAYLOAD_REQUEST && bytes == REQUEST_BYTES) {
+	if (p[0] == EB_FEED_REQUEST && bytes == EB_FEED_REQUEST_BYTES) {
 		memcpy(&rq, p + 1, sizeof(rq));
 		if (rq.own_revision < eb_feed_revision(sp->feed))
 			*reply_bytes = make_single_part(sp, &rq, now_us, reply);
 		return EB_OK;
 	}
-	if (p[0] == PAYLOAD_STATE && bytes == 1 + sizeof(struct reader_state)) {
+	if (p[0] == EB_FEED_STATE &&
+	    bytes == 1 + sizeof(struct eb_feed_reader_state)) {
 		receive_state(sp, p + 1, now_us);
 		return EB_OK;
 	}
-	if (p[0] == PAYLOAD_RELAY && bytes > RELAY_HEAD_BYTES) {
+	if (p[0] == EB_FEED_RELAY && bytes > EB_FEED_RELAY_HEAD_BYTES) {
 		memcpy(&end, p + 1, sizeof(end));
-		return receive_part(sp, p + RELAY_HEAD_BYTES,
-				    bytes - RELAY_HEAD_BYTES, &end, now_us,
-				    reply, reply_bytes);
+		return receive_part(sp, p + EB_FEED_RELAY_HEAD_BYTES,
+				    bytes - EB_FEED_RELAY_HEAD_BYTES, &end,
+				    now_us, reply, reply_bytes);
 	}
-	if (p[0] != PAYLOAD_CHANGE)
+	if (p[0] != EB_FEED_CHANGE)
 		return EB_EPARSE;
 	return receive_part(sp, p + 1, bytes - 1, NULL, now_us, reply,
 			    reply_bytes);
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -46,6 +46,8 @@
  * some of its revision.
  */
 #define EB_HELLO_UNVERIFIED 1
+/* `offset_bytes` of a frame whose sender does not name it. */
+#define EB_OFFSET_UNKNOWN UINT64_MAX
 /* Largest bandwidth of a link that `status` of a HELLO names, in Mbit/s. */
 #define EB_HELLO_MBPS_MAX 999
 /* Status of a REFUSE for the rate limit that the upstream has named. */
@@ -164,6 +166,7 @@
 	 * the digest of the sender's items, 0 if unknown.
 	 */
 	uint64_t offset_bytes;
+	uint8_t wire_version;	/* that it came in; 0: from this daemon */
 	struct eb_head *head;	/* HEAD */
 	struct eb_reply *reply; /* RHEAD, REND, REFUSE, ABORT, HELLO, PROBE */
 	void *object;		/* frames within a daemon */
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -1112,7 +1112,8 @@
 {
 	if (f->type != EB_FRAME_RDATA && f->type != EB_FRAME_REND)
 		return 0;
-	return !rq->answer_whole && f->offset_bytes != rq->answer_bytes;
+	return !rq->answer_whole && f->offset_bytes != EB_OFFSET_UNKNOWN &&
+	       f->offset_bytes != rq->answer_bytes;
 }
 
 static void handle_frame(struct eb_front *ft, struct eb_frame *f,
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -1036,7 +1036,11 @@
 static void update_way_back(struct eb_gate *gt, struct origin *og,
 			    const struct eb_routing_id *back, int64_t now_us)
 {
-	if (is_same_way(&og->back, back) || is_same_way(&og->before, back))
+	if (is_same_way(&og->back, back)) {
+		og->back.wire_version = back->wire_version;
+		return;
+	}
+	if (is_same_way(&og->before, back))
 		return;
 	og->before = og->back;
 	og->back = *back;
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -295,6 +295,20 @@
 	return errno == EAGAIN ? EB_EAGAIN : EB_EPEER;
 }
 
+/*
+ * Returns the version in which to send a frame. Heartbeats to a peer that has
+ * not answered yet alternate, the newest version first.
+ */
+static uint8_t version_for(const struct eb_peer *pr, const struct eb_frame *f)
+{
+	if (f->type != EB_FRAME_HELLO)
+		return pr->wire_version ? pr->wire_version : EB_WIRE_VERSION;
+	if (!pr->up)
+		return pr->dial_hellos % 2 ? EB_WIRE_VERSION_MIN
+					   : EB_WIRE_VERSION;
+	return pr->wire_version;
+}
+
 /*
  * Sends a frame to a peer; the reference stays with the caller. After an error
  * the frame has not been sent and will not be: EB_EAGAIN when the socket's
@@ -308,7 +322,7 @@
 	/* A restarted daemon, with another incarnation, must accept it too. */
 	f->target = f->type == EB_FRAME_HELLO ? 0 : pr->incarnation;
 	msgpack_sbuffer_clear(&ms->out);
-	if (eb_wire_encode(f, &ms->out))
+	if (eb_wire_encode(f, version_for(pr, f), &ms->out))
 		return EB_EINVAL;
 	pr->readable = 1;
 	if (zmq_send(pr->socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
@@ -330,7 +344,10 @@
 {
 	f->sender = ms->incarnation;
 	msgpack_sbuffer_clear(&ms->out);
-	if (eb_wire_encode(f, &ms->out))
+	if (eb_wire_encode(f,
+			   back->wire_version ? back->wire_version
+					      : EB_WIRE_VERSION,
+			   &ms->out))
 		return EB_EINVAL;
 	ms->router_readable = 1;
 	if (zmq_send(ms->router, back->bytes, back->used_bytes,
@@ -373,6 +390,8 @@
 {
 	int suspected = eb_liveness_received(&pr->liveness, now_us);
 
+	if (f->wire_version > pr->wire_version)
+		pr->wire_version = f->wire_version;
 	if (pr->up && pr->incarnation == f->sender) {
 		if (suspected)
 			sink->up(sink->ctx, pr);
@@ -383,6 +402,7 @@
 		sink->lost(sink->ctx, pr, 1);
 	}
 	pr->incarnation = f->sender;
+	pr->wire_version = f->wire_version;
 	pr->up = 1;
 	sink->up(sink->ctx, pr);
 }
@@ -459,8 +479,10 @@
 			eb_metrics_add(ms->metrics, EB_METRIC_BAD_FRAMES, 1);
 		}
 		zmq_msg_close(&msg);
-		if (f)
-			sink->frame(sink->ctx, f, NULL, &back);
+		if (!f)
+			continue;
+		back.wire_version = f->wire_version;
+		sink->frame(sink->ctx, f, NULL, &back);
 	}
 	return 1;
 }
@@ -588,6 +610,19 @@
 	       (events & ZMQ_POLLOUT);
 }
 
+/*
+ * Sends a heartbeat in the newest version as well: a peer that answered in an
+ * older one may be new, and was asked in that version. An old one ignores it.
+ */
+static void ask_for_newest(struct eb_mesh *ms, struct eb_peer *pr,
+			   const struct eb_frame *hello)
+{
+	msgpack_sbuffer_clear(&ms->out);
+	if (!eb_wire_encode(hello, EB_WIRE_VERSION, &ms->out) &&
+	    zmq_send(pr->socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) >= 0)
+		count_out(ms, hello);
+}
+
 static void send_hello(struct eb_mesh *ms, struct eb_peer *pr,
 		       const struct eb_mesh_sink *sink, int64_t now_us)
 {
@@ -603,6 +638,8 @@
 	sink->hello(sink->ctx, pr, f);
 	if (!eb_mesh_send(ms, pr, f, now_us) && !pr->up)
 		pr->dial_hellos++;
+	if (pr->up && pr->wire_version < EB_WIRE_VERSION)
+		ask_for_newest(ms, pr, f);
 	eb_frame_unref(f);
 }
 
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -24,7 +24,8 @@
 /* The ROUTER's routing id of the connection that a frame came from. */
 struct eb_routing_id {
 	uint8_t bytes[EB_ROUTING_ID_BYTES];
-	uint8_t used_bytes; /* 0: none */
+	uint8_t used_bytes;   /* 0: none */
+	uint8_t wire_version; /* that the other daemon understands */
 };
 
 /* A peer that this daemon has a DEALER to; owned by the mesh. */
@@ -42,6 +43,7 @@
 	uint32_t idle_heartbeat_ms;
 	uint32_t dial_hellos; /* heartbeats sent since dialled, while not up */
 	uint32_t user;	      /* number of the node, for the core */
+	uint8_t wire_version; /* that it answered in; 0: has not answered */
 	uint8_t up;	      /* answers heartbeats */
 	uint8_t readable;     /* may have messages to read */
 };
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -78,29 +78,33 @@
 }
 
 /*
- * Appends the frame to `out`. Returns EB_EINVAL for a type that is not sent
- * between daemons.
+ * Appends the frame to `out`, as daemons of a version expect it. Returns
+ * EB_EINVAL for a type that is not sent between daemons.
  */
-enum eb_status eb_wire_encode(const struct eb_frame *f, msgpack_sbuffer *out)
+enum eb_status eb_wire_encode(const struct eb_frame *f, uint8_t version,
+			      msgpack_sbuffer *out)
 {
 	msgpack_packer pk;
 	uint32_t fields = COMMON_FIELDS + 2;
 
 	if (f->type >= EB_FRAME_CONFIG)
 		return EB_EINVAL;
+	if (version == EB_WIRE_VERSION_MIN)
+		fields--;
 	if (f->head)
 		fields += HEAD_FIELDS;
 	if (f->reply)
 		fields += REPLY_FIELDS;
 	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, fields);
-	msgpack_pack_uint8(&pk, EB_WIRE_VERSION);
+	msgpack_pack_uint8(&pk, version);
 	msgpack_pack_uint8(&pk, f->type);
 	msgpack_pack_uint64(&pk, f->call);
 	msgpack_pack_uint64(&pk, f->sender);
 	msgpack_pack_uint64(&pk, f->target);
 	msgpack_pack_uint64(&pk, f->credit_bytes);
-	msgpack_pack_uint64(&pk, f->offset_bytes);
+	if (version != EB_WIRE_VERSION_MIN)
+		msgpack_pack_uint64(&pk, f->offset_bytes);
 	pack_bin(&pk, f->data, f->data_bytes);
 	if (f->head)
 		pack_head(&pk, f);
@@ -253,13 +257,14 @@
 {
 	struct reader rd = { 0 };
 	struct eb_frame *f;
-	uint64_t type, call;
+	uint64_t version, type, call;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY)
 		return EB_EPARSE;
 	rd.items = o->via.array.ptr;
 	rd.count = o->via.array.size;
-	if (read_uint(&rd, UINT8_MAX) != EB_WIRE_VERSION)
+	version = read_uint(&rd, UINT8_MAX);
+	if (version < EB_WIRE_VERSION_MIN || version > EB_WIRE_VERSION)
 		return EB_EPARSE;
 	type = read_uint(&rd, EB_FRAME_CONFIG - 1);
 	call = read_uint(&rd, UINT64_MAX);
@@ -271,7 +276,11 @@
 	f->sender = read_uint(&rd, UINT64_MAX);
 	f->target = read_uint(&rd, UINT64_MAX);
 	f->credit_bytes = read_uint(&rd, UINT32_MAX);
-	f->offset_bytes = read_uint(&rd, UINT64_MAX);
+	f->wire_version = (uint8_t)version;
+	if (version != EB_WIRE_VERSION_MIN)
+		f->offset_bytes = read_uint(&rd, UINT64_MAX);
+	else if (f->type != EB_FRAME_HELLO)
+		f->offset_bytes = EB_OFFSET_UNKNOWN;
 	read_data(&rd, f);
 	if (f->head)
 		read_head(&rd, f);
@@ -372,7 +381,7 @@
 
 /*
  * Decodes one message from a peer into a new frame. Returns EB_EPARSE for
- * anything that is not exactly one frame of this version, EB_EFULL for a
+ * anything that is not exactly one frame of a known version, EB_EFULL for a
  * message over EB_MESSAGE_MAX_BYTES, and EB_ENOMEM without memory.
  */
 enum eb_status eb_wire_decode(const void *bytes, size_t n,
--- a/tests/it_peers.cc
+++ b/tests/it_peers.cc
@@ -48,6 +48,24 @@
 	{
 		zmq_send(socket_, bytes.data(), bytes.size(), ZMQ_DONTWAIT);
 	}
+	/* Receives the next frame of a type; NULL if none comes in time. */
+	eb_frame *receive_type(eb_frame_type type)
+	{
+		int wait_ms = 5000, n;
+		eb_frame *f = nullptr;
+		char buf[65536];
+
+		zmq_setsockopt(socket_, ZMQ_RCVTIMEO, &wait_ms,
+			       sizeof(wait_ms));
+		do {
+			eb_frame_unref(f);
+			f = nullptr;
+			n = zmq_recv(socket_, buf, sizeof(buf), 0);
+			if (n < 0 || eb_wire_decode(buf, (size_t)n, &f))
+				return nullptr;
+		} while (f->type != type);
+		return f;
+	}
 
 private:
 	void *zmq_;
@@ -55,14 +73,14 @@
 };
 
 /* Encodes a frame of the forged sender; takes the reference over. */
-std::string encoded(eb_frame *f)
+std::string encoded(eb_frame *f, uint8_t version = EB_WIRE_VERSION)
 {
 	msgpack_sbuffer sb;
 	std::string out;
 
 	f->sender = 4711;
 	msgpack_sbuffer_init(&sb);
-	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
+	EXPECT_EQ(EB_OK, eb_wire_encode(f, version, &sb));
 	out.assign(sb.data, sb.size);
 	msgpack_sbuffer_destroy(&sb);
 	eb_frame_unref(f);
@@ -71,7 +89,7 @@
 
 /* Returns the HEAD frame of a request to run on `upstream`. */
 std::string head_frame(const std::string &upstream, uint64_t call,
-		       bool chunked = false)
+		       bool chunked = false, uint8_t version = EB_WIRE_VERSION)
 {
 	eb_frame *f = eb_frame_new(EB_FRAME_HEAD, call);
 
@@ -82,19 +100,19 @@
 	f->head->remaining_us = 5000000;
 	f->head->hops = 5;
 	f->head->body_kind = chunked ? EB_BODY_CHUNKED : EB_BODY_NONE;
-	return encoded(f);
+	return encoded(f, version);
 }
 
 /* Returns a frame of a request's body, `bytes` after its start. */
 std::string body_frame(eb_frame_type type, uint64_t call, uint64_t offset,
-		       size_t bytes)
+		       size_t bytes, uint8_t version = EB_WIRE_VERSION)
 {
 	std::string data(bytes, 'x');
 	eb_frame *f = eb_frame_new_data(type, call, data.data(),
 					(uint32_t)data.size());
 
 	f->offset_bytes = offset;
-	return encoded(f);
+	return encoded(f, version);
 }
 
 struct Peers : testing::Test {
@@ -233,6 +251,39 @@
 	EXPECT_EQ(1, fleet[1].runs_count("started"));
 }
 
+/*
+ * Guards against a daemon that refuses the frames of the version before it, or
+ * answers them in a version that their sender refuses.
+ */
+TEST_F(Peers, TheVersionBeforeIsServed)
+{
+	for (uint8_t version : { 1, 2 }) {
+		int64_t before = fleet[0].runs_count("executed");
+		uint64_t call = 100 + version;
+		Dealer dealer(fleet[0], &fleet[1].keys);
+		eb_frame *f;
+
+		dealer.send(encoded(eb_frame_new(EB_FRAME_HELLO, 0), version));
+		f = dealer.receive_type(EB_FRAME_HELLO);
+		ASSERT_NE(nullptr, f);
+		EXPECT_EQ(version, f->wire_version);
+		eb_frame_unref(f);
+		dealer.send(head_frame("near-1", call, true, version));
+		sleep_ms(100);
+		dealer.send(body_frame(EB_FRAME_DATA, call, 0, 900, version));
+		dealer.send(body_frame(EB_FRAME_DATA, call, 900, 900, version));
+		dealer.send(body_frame(EB_FRAME_END, call, 1800, 0, version));
+		f = dealer.receive_type(EB_FRAME_RHEAD);
+		ASSERT_NE(nullptr, f);
+		EXPECT_EQ(version, f->wire_version);
+		EXPECT_EQ(200, f->reply->status);
+		EXPECT_EQ(call, f->call);
+		eb_frame_unref(f);
+		EXPECT_EQ(1, fleet[0].runs_count("executed") - before);
+	}
+	check_alive();
+}
+
 /*
  * Guards against an upload that runs without the frames that were lost between
  * two daemons: the upstream cannot notice, as the body comes in chunks.
--- a/tests/test_eb_wire.cc
+++ b/tests/test_eb_wire.cc
@@ -36,17 +36,51 @@
 	return f;
 }
 
-std::string encode(const eb_frame *f)
+std::string encode(const eb_frame *f, uint8_t version = EB_WIRE_VERSION)
 {
 	msgpack_sbuffer sb;
 
 	msgpack_sbuffer_init(&sb);
-	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
+	EXPECT_EQ(EB_OK, eb_wire_encode(f, version, &sb));
 	std::string out(sb.data, sb.size);
 	msgpack_sbuffer_destroy(&sb);
 	return out;
 }
 
+/*
+ * Guards against daemons that do not understand each other while a fleet is
+ * updated, and against bodies of the first version that are taken for ones
+ * whose parts have a place.
+ */
+TEST(Wire, EachVersionIsUnderstood)
+{
+	const struct {
+		uint8_t version;
+		eb_frame_type type;
+		uint64_t offset;
+	} cases[] = {
+		{ 2, EB_FRAME_DATA, 4242 },
+		{ 1, EB_FRAME_DATA, EB_OFFSET_UNKNOWN },
+		{ 1, EB_FRAME_REND, EB_OFFSET_UNKNOWN },
+		{ 1, EB_FRAME_HELLO, 0 },
+	};
+
+	for (const auto &c : cases) {
+		eb_frame *f = sample(c.type), *g = nullptr;
+
+		f->offset_bytes = 4242;
+		std::string bytes = encode(f, c.version);
+
+		ASSERT_EQ(EB_OK,
+			  eb_wire_decode(bytes.data(), bytes.size(), &g));
+		EXPECT_EQ(c.version, g->wire_version);
+		EXPECT_EQ(c.offset, g->offset_bytes);
+		EXPECT_EQ(f->data_bytes, g->data_bytes);
+		eb_frame_unref(f);
+		eb_frame_unref(g);
+	}
+}
+
 /* Guards against a field that is written but not read back. */
 TEST(Wire, RoundTripOfEachType)
 {
--- a/tests/test_fuzz_parsers.cc
+++ b/tests/test_fuzz_parsers.cc
@@ -104,7 +104,7 @@
 	msgpack_sbuffer sb;
 
 	msgpack_sbuffer_init(&sb);
-	EXPECT_EQ(EB_OK, eb_wire_encode(f, &sb));
+	EXPECT_EQ(EB_OK, eb_wire_encode(f, EB_WIRE_VERSION, &sb));
 	std::string out(sb.data, sb.size);
 	msgpack_sbuffer_destroy(&sb);
 	return out;
