--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -7,7 +7,7 @@
 #include <atomic>
 #include <thread>
 
-#include "harness.h"
+#include "site.h"
 
 namespace
 {
@@ -450,6 +450,51 @@
 	EXPECT_EQ(0, short_runs(far(), chunks * chunk_bytes));
 }
 
+/*
+ * Guards against an answer that its caller gets only with the end of its own
+ * upload: the upstream answers at once and reads the body later. An answer to a
+ * request with a key settles the key's claim, with its last frame.
+ */
+TEST_F(Hazard, AnEarlyAnswerToARequestWithAKeyDoesNotWait)
+{
+	const size_t bytes = 400000, first = 100000;
+	std::atomic<bool> go_on{ false };
+
+	near().upstream->kill();
+	SiteServer server(
+		"127.0.0.1", near().upstream_port, [&](SiteConnection &cn) {
+			SiteRequest rq;
+
+			while (cn.read(rq, false)) {
+				cn.write("HTTP/1.1 200 OK\r\n"
+					 "Content-Length: 5\r\n\r\n"
+					 "early");
+				wait_until("the caller",
+					   [&] { return go_on.load(); });
+				cn.read_body(rq);
+			}
+		});
+	for (bool keyed : { false, true }) {
+		RawSocket s(near().listen_port);
+		std::string key = keyed ? "Idempotency-Key: early\r\n" : "";
+		bool early = false;
+
+		go_on = false;
+		s.send("POST /near/x HTTP/1.1\r\nHost: a\r\n" + key +
+		       "Ebonypier-Deadline-Ms: 30000\r\nContent-Length: " +
+		       std::to_string(bytes) + "\r\n\r\n" +
+		       std::string(first, 'x'));
+		for (int i = 0; i < 300 && !early; i++) {
+			sleep_ms(10);
+			early = s.readable();
+		}
+		EXPECT_TRUE(early) << "keyed: " << keyed;
+		go_on = true;
+		s.send(std::string(bytes - first, 'x'));
+		EXPECT_EQ(200, raw_status(s.receive_answer()));
+	}
+}
+
 /*
  * Guards against suspended requests, one for each waiting call, that block
  * other requests.
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -790,6 +790,38 @@
 	}
 }
 
+/*
+ * Guards against a request that waits for the deadline of an upload before it
+ * on its connection, which was answered early and is never read.
+ */
+TEST_F(SiteTest, AnUploadThatIsNeverReadHoldsNothingBack)
+{
+	RawSocket s(site.listen_port(), 0, site.ip(0));
+	std::atomic<bool> over{ false };
+	bool answered = false;
+
+	on("/early-unread", [&](SiteConnection &cn, const SiteRequest &rq) {
+		cn.write(answer(rq, "early"));
+		wait_until("the end", [&] { return over.load(); });
+	});
+	std::thread upload([&] {
+		s.send(site.head("POST", "/near/once/early-unread", "unread",
+				 "Content-Length: 9000000\r\n") +
+		       std::string(9000000, 'x') +
+		       site.head("POST", "/far/once/b", "behind"));
+	});
+	EXPECT_EQ(200, raw_status(s.receive_answer()));
+	/* The route gives the upload 5 s. */
+	for (int i = 0; i < 300 && !answered; i++) {
+		sleep_ms(10);
+		answered = s.readable();
+	}
+	EXPECT_TRUE(answered);
+	over = true;
+	EXPECT_EQ(200, raw_status(s.receive_answer()));
+	upload.join();
+}
+
 /*
  * Guards against a call that keeps its slot and its caller until it counts as
  * stalled: the upstream closes in the middle of its answer while the request
