feed sync: a refuted copy is not confirmed while the source is down

Cause: read while checking the diff: without the source, any member with no newer revision confirmed a copy, also one whose digest differs. Change: a copy that is known to differ is not confirmed before it is replaced, or before the time after which any copy is served.

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -825,6 +825,7 @@
 {
 	uint64_t own = eb_feed_revision(sp->feed);
 	uint64_t revision = state->revision;
+	int lacks;
 
 	mb->revision = revision;
 	mb->digest = state->digest;
@@ -842,10 +843,9 @@
 	compare_copies(sp, mb, now_us);
 	if (revision > own && !mb->unverified && !sp->behind_since_us)
 		sp->behind_since_us = now_us;
-	if (mb->unverified
-		    ? 0
-		    : should_replace(sp, mb, now_us) ||
-			      (revision > own && should_request(sp, now_us)))
+	lacks = should_replace(sp, mb, now_us) ||
+		(revision > own && should_request(sp, now_us));
+	if (lacks && !mb->unverified)
 		request(sp, mb, now_us);
 	else if (revision < own && should_push(sp, mb, now_us))
 		push(sp, mb, revision, now_us);
@@ -1184,7 +1184,7 @@
 static int is_confirmed_by(const struct eb_feed_sync *sp,
 			   const struct member *mb, int64_t now_us)
 {
-	if (!mb->heard_us || mb->unverified ||
+	if (!mb->heard_us || mb->unverified || sp->trust == TRUST_REFUTED ||
 	    mb->revision > eb_feed_revision(sp->feed))
 		return 0;
 	if (mb->digest && sp->trust != TRUST_VERIFIED && !sp->last_failed)
