--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -119,7 +119,7 @@
 	/* Events: "origin TYPE CALL", "client TYPE CALL", "wait MS", ... */
 	void run(const std::string &event)
 	{
-		eb_routing_id back = { { connection }, 1 };
+		eb_routing_id back = { { connection }, 1, 0 };
 		char where[16], what[16];
 		int n = 0;
 
@@ -407,7 +407,7 @@
 	};
 
 	for (const auto &c : cases) {
-		eb_routing_id back = { { 1 }, 1 };
+		eb_routing_id back = { { 1 }, 1, 0 };
 		eb_frame *f, *probe;
 
 		SCOPED_TRACE(std::string(c.own) + ", " + c.later);
@@ -460,7 +460,7 @@
  */
 TEST_F(Gate, RefusesOtherUpstreams)
 {
-	eb_routing_id back = { { 1 }, 1 };
+	eb_routing_id back = { { 1 }, 1, 0 };
 	eb_frame *f = make("head", 9);
 
 	free(f->head->upstream);
