--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -32,8 +32,7 @@
 
 /* What is known of the items in this daemon's copy. */
 enum trust {
-	/* From a read that may be stale: items of the revision may be missing.
-	 */
+	/* From a read that may be stale: some items may be missing. */
 	TRUST_NONE,
 	/* It differs from the copy of a daemon that reads the source. */
 	TRUST_REFUTED,
@@ -134,8 +133,8 @@
 /* Returns the pace of large changes over a link, in bytes per ms. */
 static uint32_t pace(uint32_t mbps)
 {
-	return mbps * EB_LINK_BYTES_PER_MS * EB_FEED_RELAY_SHARE_PERMILLE /
-	       1000;
+	return (uint32_t)((uint64_t)mbps * EB_LINK_BYTES_PER_MS *
+			  EB_FEED_RELAY_SHARE_PERMILLE / 1000);
 }
 
 /* Sets the bandwidth of this machine's link in Mbit/s, for large changes. */
--- a/src/eb_feed_wire.h
+++ b/src/eb_feed_wire.h
@@ -17,8 +17,7 @@
 	EB_FEED_RELAY
 };
 
-/* A relayed part begins with the end of the part of the ring to pass it on in.
- */
+/* Before a relayed part: the end of the part of the ring to pass it on in. */
 #define EB_FEED_RELAY_HEAD_BYTES (1 + sizeof(uint64_t))
 
 /*
--- a/tests/test_eb_feed_sync.cc
+++ b/tests/test_eb_feed_sync.cc
@@ -497,6 +497,7 @@
 		/* The largest value that the platform stores. */
 		{ 18, 1048576, BOUND_US, 1000 },
 		{ 59, 1048576, BOUND_US, 200 },
+		{ 6, 1048576, BOUND_US, 1000000 },
 	};
 
 	for (const auto &c : cases) {
