feed sync: a reader that starts again asks the source at once

Cause: after a loss of power of all machines each daemon waits for the two readers, which first waited 150 ms for others to verify their copies. Change: a daemon that normally reads the source does not wait. It costs a read of all items for each start of one of the two. Spread tests pass but for the known red one.

--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -1111,19 +1111,20 @@
 
 /*
  * Returns how long after its start this daemon asks the source itself when no
- * other daemon has confirmed its copy. When others start as well, the readers
- * ask first, and those that hear from them wait for what they read.
+ * other daemon has confirmed its copy. Readers ask at once, and those that hear
+ * from a reader which starts as well wait for what it reads.
  */
 static int64_t confirm_delay_us(const struct eb_feed_sync *sp)
 {
 	int64_t delay_us = EB_FEED_SYNC_CONFIRM_MS * 1000LL;
-	int reads = sp->own_rank < EB_FEED_SYNC_READERS && sp->count;
 	uint32_t i;
 
+	if (sp->own_rank < EB_FEED_SYNC_READERS && sp->count)
+		return 0;
 	for (i = 0; i < EB_FEED_SYNC_READERS && i < sp->count; i++)
 		if (sp->members[i].heard_us && sp->members[i].unverified)
-			return reads ? 0 : 2 * delay_us;
-	return reads ? EB_FEED_SYNC_READER_CONFIRM_MS * 1000LL : delay_us;
+			return 2 * delay_us;
+	return delay_us;
 }
 
 /*
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -155,8 +155,6 @@
  * confirmed its copy within this time.
  */
 #define EB_FEED_SYNC_CONFIRM_MS 600
-/* The same for a daemon that normally reads the source. */
-#define EB_FEED_SYNC_READER_CONFIRM_MS 150
 /* A reader without a message for this long counts as unresponsive. */
 #define EB_FEED_SYNC_UNRESPONSIVE_MS 1300
 /* Largest age of a reader's last read: a watch, its timeout, a heartbeat. */
