feed relay: the pace of a copy is set in one place; tidying

Cause: read at the end: eb_feed_relay_set_pace() set a pace that run_relay() replaced for each copy, the pace of unknown links stood beside the constants that it follows from, add_report() had a forward declaration, and a doc comment in eb_core had come to stand above another function. Change: the setter and its field are gone, the constant is derived, add_report() moves up, two comments are in place. Behaviour stays.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -135,7 +135,6 @@
 	push_frame(co, co->config.to_client, f);
 }
 
-/* Sends a frame to the gate of a node; takes the reference over. */
 /*
  * Tells whether a request's body would be sent to a daemon that does not notice
  * a lost part of it: requests with such bodies go elsewhere.
@@ -148,6 +147,7 @@
 		f->head->body_kind == EB_BODY_CHUNKED);
 }
 
+/* Sends a frame to the gate of a node; takes the reference over. */
 static enum eb_status send_gate(void *ctx, uint32_t node, struct eb_frame *f)
 {
 	struct eb_core *co = ctx;
--- a/src/eb_feed_relay.c
+++ b/src/eb_feed_relay.c
@@ -37,8 +37,7 @@
 	uint32_t relay_count;
 	uint64_t newest; /* newest revision that was added */
 	uint32_t newest_part;
-	uint32_t bytes_per_ms; /* of copies that leave */
-	int64_t free_us;       /* the share of the link is used up until then */
+	int64_t free_us; /* the share of the link is used up until then */
 };
 
 /* Creates a relay without members. Returns NULL when memory runs out. */
@@ -46,10 +45,8 @@
 {
 	struct eb_feed_relay *rl = calloc(1, sizeof(*rl));
 
-	if (!rl)
-		return NULL;
-	rl->own_position = own_position;
-	rl->bytes_per_ms = EB_FEED_RELAY_BYTES_PER_MS;
+	if (rl)
+		rl->own_position = own_position;
 	return rl;
 }
 
@@ -242,7 +239,8 @@
 
 /*
  * Chooses the next copy to send. Returns 1 with `*out` set, or 0 when there is
- * nothing to send now.
+ * nothing to send now. The copy counts as sent over a link of unknown bandwidth
+ * unless eb_feed_relay_sent() is called for it.
  */
 int eb_feed_relay_next(struct eb_feed_relay *rl,
 		       int (*reachable)(void *ctx, uint32_t node), void *ctx,
@@ -270,7 +268,8 @@
 		out->bytes = r->bytes;
 		r->end = rl->own_position + rl->stops[at].distance;
 		r->started = 1;
-		eb_feed_relay_sent(rl, r->bytes, rl->bytes_per_ms, now_us);
+		eb_feed_relay_sent(rl, r->bytes, EB_FEED_RELAY_BYTES_PER_MS,
+				   now_us);
 		return 1;
 	}
 	return 0;
@@ -282,12 +281,6 @@
 	return now_us >= rl->free_us;
 }
 
-/* Sets the pace of copies; EB_FEED_RELAY_BYTES_PER_MS if it is not called. */
-void eb_feed_relay_set_pace(struct eb_feed_relay *rl, uint32_t bytes_per_ms)
-{
-	rl->bytes_per_ms = bytes_per_ms;
-}
-
 /* Records that a large change was sent, at a pace that suits its receiver. */
 void eb_feed_relay_sent(struct eb_feed_relay *rl, uint32_t bytes,
 			uint32_t bytes_per_ms, int64_t now_us)
--- a/src/eb_feed_relay.h
+++ b/src/eb_feed_relay.h
@@ -49,6 +49,5 @@
 int eb_feed_relay_has_room(const struct eb_feed_relay *rl, int64_t now_us);
 void eb_feed_relay_sent(struct eb_feed_relay *rl, uint32_t bytes,
 			uint32_t bytes_per_ms, int64_t now_us);
-void eb_feed_relay_set_pace(struct eb_feed_relay *rl, uint32_t bytes_per_ms);
 
 #endif
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -141,7 +141,6 @@
 void eb_feed_sync_set_link(struct eb_feed_sync *sp, uint32_t mbps)
 {
 	sp->link_mbps = mbps;
-	eb_feed_relay_set_pace(sp->relay, pace(mbps));
 }
 
 /* Returns the copy of the items; never NULL. */
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -264,7 +264,18 @@
 	return out;
 }
 
-static void add_report(struct eb_gate *gt, struct eb_reply *r, int64_t now_us);
+/*
+ * Adds the load report to a reply if its budget allows, and in any case whether
+ * the upstream leaves.
+ */
+static void add_report(struct eb_gate *gt, struct eb_reply *r, int64_t now_us)
+{
+	eb_admit_report(gt->admit, now_us, &r->load);
+	if (r->load.slots)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_WATCH_BYTES,
+			       EB_ADMIT_REPORT_BYTES);
+	r->load.draining = (uint16_t)refuses_calls(gt);
+}
 
 /*
  * Sends an answer once more. The origin drops it if it has it, as the number of
@@ -468,19 +479,6 @@
 	return apr_hash_count(gt->calls);
 }
 
-/*
- * Adds the load report to a reply if its budget allows, and in any case whether
- * the upstream leaves.
- */
-static void add_report(struct eb_gate *gt, struct eb_reply *r, int64_t now_us)
-{
-	eb_admit_report(gt->admit, now_us, &r->load);
-	if (r->load.slots)
-		eb_metrics_add(gt->config.metrics, EB_METRIC_WATCH_BYTES,
-			       EB_ADMIT_REPORT_BYTES);
-	r->load.draining = (uint16_t)refuses_calls(gt);
-}
-
 /* Tells whether a frame is all that an origin gets of an answer. */
 static int is_whole_answer(const struct call *ca, const struct eb_frame *f)
 {
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -206,7 +206,9 @@
 /* A link of 1 Mbit/s; and a link whose bandwidth is not known, in Mbit/s. */
 #define EB_LINK_BYTES_PER_MS 125
 #define EB_LINK_DEFAULT_MBPS 12
-#define EB_FEED_RELAY_BYTES_PER_MS 750
+#define EB_FEED_RELAY_BYTES_PER_MS                     \
+	(EB_LINK_DEFAULT_MBPS * EB_LINK_BYTES_PER_MS * \
+	 EB_FEED_RELAY_SHARE_PERMILLE / 1000)
 /* Reads that fail for this long count as an outage of the source. */
 #define EB_FEED_SYNC_OUTAGE_MS 1000
 
--- a/src/eb_wire.h
+++ b/src/eb_wire.h
@@ -7,8 +7,7 @@
 #include "eb_status.h"
 
 #define EB_WIRE_VERSION 2
-/* The oldest version that is understood and sent; its bodies have no offsets.
- */
+/* The oldest version that is spoken; its frames have no offsets. */
 #define EB_WIRE_VERSION_MIN 1
 
 /*
