crash: an upstream that crashes behind an open port is found

Callers saw that a request which crashes upstreams went on to the next one, 18 times of 18.

Cause: an upstream counted as crashed only if it accepted no connection 20 ms after a run had lost its own. Something in front of it may hold the port and close each connection, and another start of the upstream may be there already. Class: a crash was recognised by one way in which it shows. Change: the check asks for an answer on a connection of its own, where the platform names a path for it. An upstream that closes such connections for 250 ms and answers no request meanwhile has crashed; so has one that answers as another instance than the one that was to run the request. One outage counts as one crash, and checks go on until it is over. Each result of a check is logged. Result: it_crashes, new cases Cuts, CutsOnceOnly, BackAtOnce: 18 crashes of 18 sends each on, 3 or fewer now; the other 12 hold as before. An upstream that starts again under the same id before the check is not found.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #include "eb_clock.h"
+#include "eb_claim_wire.h"
 #include "eb_crash_detect.h"
 #include "eb_dechunk.h"
 #include "eb_fetch.h"
@@ -102,7 +103,9 @@
 	uint32_t probe_rate_milli; /* that the answer names; 0: none */
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probe_running;
-	CURL *check; /* connection check that is running, or NULL */
+	CURL *check; /* check of the upstream that is running, or NULL */
+	struct eb_fetch check_answer;
+	char check_instance[EB_NAME_SPACE_BYTES];
 	CURL *idle_handles[IDLE_HANDLES_MAX];
 	uint32_t idle_handle_count;
 	int stopping;
@@ -641,18 +644,20 @@
 	curl_multi_add_handle(cl->multi, tf->easy);
 }
 
-/* Adds the request's fingerprints: its upstream may have crashed on it. */
-static void add_fingerprint(struct eb_frame *f, const struct transfer *tf)
+/* Adds what identifies the run: its upstream may have crashed on it. */
+static void add_run(struct eb_frame *f, const struct transfer *tf)
 {
-	struct eb_crash_id *id;
+	const char *instance = tf->head->head->instance;
+	struct eb_crash_run *run;
 
 	if (!f)
 		return;
-	id = malloc(sizeof(*id));
-	if (!id)
+	run = malloc(sizeof(*run));
+	if (!run)
 		return;
-	*id = eb_crash_detect_identify(tf->head);
-	f->object = id;
+	run->id = eb_crash_detect_identify(tf->head);
+	run->instance = instance ? eb_claim_member(instance) : 0;
+	f->object = run;
 	f->object_free = free;
 }
 
@@ -669,7 +674,7 @@
 				       : EB_OUTCOME_NOT_RUN,
 			reason);
 	if (tf->send_count && !tf->answer_head)
-		add_fingerprint(f, tf);
+		add_run(f, tf);
 	push(cl, tf, f);
 	free_transfer(tf);
 }
@@ -822,51 +827,101 @@
 		eb_frame_unref(f);
 }
 
-/* ---- Checks whether the upstream accepts connections ---- */
+/* ---- Checks whether the upstream has crashed ---- */
 
-static void report_check(struct eb_client *cl, int down)
+/* Reports the result of a check, with the instance that answered it. */
+static void report_check(struct eb_client *cl, enum eb_reason reason)
 {
 	struct eb_frame *f = eb_frame_new(EB_FRAME_PROBE, EB_PROBE_CHECK);
 
-	if (f)
-		f->reply->reason = down ? EB_REASON_CONNECT : EB_REASON_NONE;
+	if (f) {
+		f->reply->reason = (uint8_t)reason;
+		if (cl->check_instance[0])
+			f->object = strdup(cl->check_instance);
+		f->object_free = free;
+	}
 	/* The gate treats a check without a result as lost. */
 	if (!f || eb_ring_push(cl->config.out, f)) {
 		eb_log_write(cl->config.log, EB_LOG_ERROR, "client",
-			     "dropped the result of a connection check",
-			     "down=%d", down);
+			     "dropped the result of a check of the upstream",
+			     "reason=%s", eb_reason_name(reason));
 		eb_frame_unref(f);
 	}
 }
 
+static void read_check_header(void *ctx, const char *line, size_t n)
+{
+	struct eb_client *cl = ctx;
+	const char *name = cl->config.dialect->instance;
+	char value[EB_NAME_SPACE_BYTES];
+
+	if (name && !header_value(line, n, name, value, sizeof(value)))
+		memcpy(cl->check_instance, value, sizeof(value));
+}
+
+/*
+ * Starts a check on a connection of its own. The frame's `object` is "ADDRESS
+ * PATH", or "ADDRESS" to check only that connections are accepted.
+ */
 static void start_check(struct eb_client *cl, const struct eb_frame *f)
 {
+	const char *where = f->object;
 	char url[256];
+	size_t n;
 
-	if (cl->check || !f->object)
+	if (cl->check || !where)
 		return;
 	cl->check = curl_easy_init();
 	if (!cl->check) {
 		eb_log_write(cl->config.log, EB_LOG_ERROR, "client",
-			     "out of memory for a connection check", NULL);
+			     "out of memory for a check of the upstream", NULL);
 		return;
 	}
-	snprintf(url, sizeof(url), "http://%s/", (const char *)f->object);
+	n = strcspn(where, " ");
+	snprintf(url, sizeof(url), "http://%.*s%s", (int)n, where,
+		 where[n] ? where + n + 1 : "/");
 	set_internal_options(cl, cl->check, url, CHECK_TIMEOUT_MS);
 	curl_easy_setopt(cl->check, CURLOPT_FRESH_CONNECT, 1L);
-	curl_easy_setopt(cl->check, CURLOPT_CONNECT_ONLY, 1L);
+	curl_easy_setopt(cl->check, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(cl->check, CURLOPT_CONNECT_ONLY, where[n] ? 0L : 1L);
+	cl->check_answer.body_max_bytes = PROBE_BODY_MAX_BYTES;
+	cl->check_answer.on_header = read_check_header;
+	cl->check_answer.ctx = cl;
+	cl->check_instance[0] = 0;
+	eb_fetch_reset(&cl->check_answer);
+	eb_fetch_attach(&cl->check_answer, cl->check);
 	curl_multi_add_handle(cl->multi, cl->check);
 }
 
-static void finish_check(struct eb_client *cl, CURLcode rc)
+/*
+ * Returns EB_REASON_CONNECT for an upstream that could not be reached,
+ * EB_REASON_UPSTREAM_CLOSED for one that closed the connection without an
+ * answer, or EB_REASON_NONE: it is there, though it may be slow.
+ */
+static enum eb_reason judge_check(struct eb_client *cl, CURLcode rc)
 {
+	curl_off_t connect_us = 0;
+
 	/* With all connections in use, the check may time out in the queue. */
-	int pool_full = apr_hash_count(cl->transfers) >= cl->config.connections;
+	if (!rc || apr_hash_count(cl->transfers) >= cl->config.connections)
+		return EB_REASON_NONE;
+	curl_easy_getinfo(cl->check, CURLINFO_CONNECT_TIME_T, &connect_us);
+	if (!connect_us)
+		return EB_REASON_CONNECT;
+	return rc == CURLE_GOT_NOTHING || rc == CURLE_RECV_ERROR ||
+			       rc == CURLE_SEND_ERROR
+		       ? EB_REASON_UPSTREAM_CLOSED
+		       : EB_REASON_NONE;
+}
+
+static void finish_check(struct eb_client *cl, CURLcode rc)
+{
+	enum eb_reason reason = judge_check(cl, rc);
 
 	curl_multi_remove_handle(cl->multi, cl->check);
 	curl_easy_cleanup(cl->check);
 	cl->check = NULL;
-	report_check(cl, rc && !pool_full);
+	report_check(cl, reason);
 }
 
 static void handle_frame(struct eb_client *cl, struct eb_frame *f)
@@ -960,7 +1015,7 @@
 		   !tf->answer_head || is_body_cut(tf)) {
 		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
 				EB_REASON_UPSTREAM_CLOSED);
-		add_fingerprint(f, tf);
+		add_run(f, tf);
 	} else if (tf->refused_by_upstream && !tf->answer_sent) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_UPSTREAM_REFUSED);
@@ -1172,5 +1227,6 @@
 	curl_multi_cleanup(cl->multi);
 	apr_pool_destroy(cl->pool);
 	free(cl->probe_answer.body.text);
+	free(cl->check_answer.body.text);
 	free(cl);
 }
--- a/src/eb_crash_detect.c
+++ b/src/eb_crash_detect.c
@@ -8,7 +8,7 @@
 #include "eb_tunables.h"
 
 struct suspect {
-	struct eb_crash_id id;
+	struct eb_crash_run run;
 	int64_t closed_us;
 	int64_t check_us; /* earliest time of a check */
 	uint8_t stopped;  /* here, not by the upstream */
@@ -19,10 +19,13 @@
 	char *upstream;
 	struct suspect suspects[EB_CRASH_DETECT_SUSPECTS_MAX];
 	uint32_t suspect_count;
-	uint32_t crashes;    /* of this upstream */
-	uint32_t changes;    /* of the marks, here or by other daemons */
-	uint32_t generation; /* `changes` after the last one here */
-	int64_t checked_us;  /* when the check was sent; 0: none is pending */
+	uint32_t crashes;      /* of this upstream */
+	uint32_t changes;      /* of the marks, here or by other daemons */
+	uint32_t generation;   /* `changes` after the last one here */
+	int64_t checked_us;    /* when the check was sent; 0: none is pending */
+	int64_t cuts_since_us; /* it closes connections since; 0: it does not */
+	int64_t next_check_us; /* of one that closes connections */
+	uint8_t counted;       /* this outage is counted as a crash */
 };
 
 /* Returns NULL if out of memory. */
@@ -121,11 +124,12 @@
 
 /* Adds a suspect whose run ended because the upstream closed the connection. */
 void eb_crash_detect_closed(struct eb_crash_detect *mk,
-			    const struct eb_crash_id *id, int64_t now_us)
+			    const struct eb_crash_run *run, int64_t now_us)
 {
-	const struct suspect sp = {
-		*id, now_us, now_us + EB_CRASH_DETECT_CHECK_AFTER_MS * 1000LL, 0
-	};
+	const struct suspect sp = { *run, now_us,
+				    now_us + EB_CRASH_DETECT_CHECK_AFTER_MS *
+						     1000LL,
+				    0 };
 
 	add_suspect(mk, &sp);
 }
@@ -135,20 +139,28 @@
  * deadline: an upstream that went silent closes no connection.
  */
 void eb_crash_detect_stopped(struct eb_crash_detect *mk,
-			     const struct eb_crash_id *id, int64_t now_us)
+			     const struct eb_crash_run *run, int64_t now_us)
 {
 	const struct suspect sp = {
-		*id, now_us, now_us + EB_CRASH_DETECT_STOPPED_MS * 1000LL, 1
+		*run, now_us, now_us + EB_CRASH_DETECT_STOPPED_MS * 1000LL, 1
 	};
 
 	add_suspect(mk, &sp);
 }
 
+/* Records that the upstream serves: what it closed before was no outage. */
+static void end_outage(struct eb_crash_detect *mk)
+{
+	mk->cuts_since_us = 0;
+	mk->counted = 0;
+}
+
 /* The upstream has answered: it has not crashed on runs that were stopped. */
 void eb_crash_detect_alive(struct eb_crash_detect *mk)
 {
 	uint32_t i, kept = 0;
 
+	end_outage(mk);
 	for (i = 0; i < mk->suspect_count; i++)
 		if (!mk->suspects[i].stopped)
 			mk->suspects[kept++] = mk->suspects[i];
@@ -164,46 +176,85 @@
 	int pending =
 		mk->checked_us &&
 		now_us - mk->checked_us < EB_CRASH_DETECT_CHECK_LOST_MS * 1000;
+	int due = mk->counted;
 	uint32_t i;
 
-	for (i = 0; i < mk->suspect_count && !pending; i++)
-		if (now_us >= mk->suspects[i].check_us) {
-			mk->checked_us = now_us;
-			return 1;
-		}
-	return 0;
+	if (pending || (mk->cuts_since_us && now_us < mk->next_check_us))
+		return 0;
+	for (i = 0; i < mk->suspect_count && !due; i++)
+		due = now_us >= mk->suspects[i].check_us;
+	if (due)
+		mk->checked_us = now_us;
+	return due;
+}
+
+/*
+ * Handles a check that found the upstream closing connections. Returns 1 once
+ * it has done so for long enough to count as down.
+ */
+static int cuts_too_long(struct eb_crash_detect *mk, int64_t now_us)
+{
+	int64_t next_ms;
+
+	if (!mk->cuts_since_us)
+		mk->cuts_since_us = now_us;
+	mk->counted |=
+		now_us - mk->cuts_since_us >= EB_CRASH_DETECT_CUTS_MS * 1000LL;
+	next_ms = mk->counted ? EB_CRASH_DETECT_BACK_CHECK_MS
+			      : EB_CRASH_DETECT_CUTS_CHECK_MS;
+	mk->next_check_us = now_us + next_ms * 1000;
+	return mk->counted;
+}
+
+/* Tells whether the upstream that answered a check did not run a suspect. */
+static int is_replaced(const struct suspect *sp,
+		       const struct eb_crash_check *result)
+{
+	return sp->run.instance && result->instance &&
+	       sp->run.instance != result->instance;
 }
 
 /*
- * Takes the result of a check. If the upstream is down, all suspects are marked
- * with this crash. If it is up, suspects whose connections were closed at least
+ * Takes the result of a check. If the upstream has crashed, all suspects that
+ * it ran are marked with this crash; one outage counts as one crash. If it is
+ * up, suspects whose connections were closed at least
  * EB_CRASH_DETECT_CHECK_AFTER_MS before the check was sent are dropped; later
  * ones remain for the next check. Returns how many requests were marked.
  */
-uint32_t eb_crash_detect_checked(struct eb_crash_detect *mk, int down,
+uint32_t eb_crash_detect_checked(struct eb_crash_detect *mk,
+				 const struct eb_crash_check *result,
 				 int64_t now_us)
 {
 	int64_t before_us =
 		mk->checked_us - EB_CRASH_DETECT_CHECK_AFTER_MS * 1000;
+	int counted = mk->counted, down = 0;
 	uint32_t i, kept = 0, marked = 0;
+	const struct suspect *sp;
 	char crash[128];
 
 	mk->checked_us = 0;
-	if (down)
-		snprintf(crash, sizeof(crash), "%.100s %u", mk->upstream,
-			 ++mk->crashes);
+	if (result->state == EB_CRASH_STATE_CUTS)
+		down = cuts_too_long(mk, now_us);
+	else
+		end_outage(mk);
+	down |= result->state == EB_CRASH_STATE_DOWN;
+	snprintf(crash, sizeof(crash), "%.100s %u", mk->upstream,
+		 mk->crashes + !counted);
 	for (i = 0; i < mk->suspect_count; i++) {
-		if (down) {
-			eb_crash_report(mk->crash, &mk->suspects[i].id, crash,
-					now_us);
+		sp = &mk->suspects[i];
+		if (down || is_replaced(sp, result)) {
+			eb_crash_report(mk->crash, &sp->run.id, crash, now_us);
 			marked++;
-		} else if (mk->suspects[i].closed_us > before_us) {
-			mk->suspects[kept++] = mk->suspects[i];
+		} else if (result->state == EB_CRASH_STATE_CUTS ||
+			   sp->closed_us > before_us) {
+			mk->suspects[kept++] = *sp;
 		}
 	}
 	mk->suspect_count = kept;
-	if (marked)
+	if (marked) {
+		mk->crashes += !counted;
 		mk->generation = ++mk->changes;
+	}
 	return marked;
 }
 
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -9,6 +9,7 @@
 
 #include "eb_chart.h"
 #include "eb_clock.h"
+#include "eb_claim_wire.h"
 #include "eb_crash.h"
 #include "eb_kept.h"
 #include "eb_overdue.h"
@@ -1251,36 +1252,47 @@
 
 /* ---- Requests that crash upstreams ---- */
 
-/* Checks that the upstream accepts connections, when a crash is suspected. */
+/* Checks that the upstream is there, when a crash is suspected. */
 static void check_upstream(struct eb_gate *gt, int64_t now_us)
 {
+	const struct eb_crash_check lost = { EB_CRASH_STATE_UP, 0 };
 	struct eb_frame *f;
 
 	if (!gt->address || !eb_crash_detect_check_due(gt->marks, now_us))
 		return;
 	f = eb_frame_new(EB_FRAME_PROBE, EB_PROBE_CHECK);
 	if (!f) {
-		eb_crash_detect_checked(gt->marks, 0, now_us);
+		eb_crash_detect_checked(gt->marks, &lost, now_us);
 		return;
 	}
-	f->object = strdup(gt->address);
+	f->object = strdup(gt->probe ? gt->probe : gt->address);
 	f->object_free = free;
 	gt->out.to_client(gt->out.ctx, f);
 }
 
-/* Handles the result of a connection check; marks requests after a crash. */
+/* Handles the result of a check; marks requests after a crash. */
 static void handle_check(struct eb_gate *gt, const struct eb_frame *f,
 			 int64_t now_us)
 {
-	uint32_t n = eb_crash_detect_checked(
-		gt->marks, f->reply->reason == EB_REASON_CONNECT, now_us);
-
-	if (!n)
-		return;
-	eb_metrics_add(gt->config.metrics, EB_METRIC_CRASHES, 1);
-	eb_log_write(gt->log, EB_LOG_WARN, "gate",
-		     "upstream crashed, requests that it ran are marked",
-		     "upstream=%s requests=%u", gt->config.upstream, n);
+	const char *instance = f->object;
+	struct eb_crash_check result = { EB_CRASH_STATE_UP, 0 };
+	uint32_t n;
+
+	if (f->reply->reason == EB_REASON_CONNECT)
+		result.state = EB_CRASH_STATE_DOWN;
+	else if (f->reply->reason == EB_REASON_UPSTREAM_CLOSED)
+		result.state = EB_CRASH_STATE_CUTS;
+	if (instance)
+		result.instance = eb_claim_member(instance);
+	n = eb_crash_detect_checked(gt->marks, &result, now_us);
+	eb_log_write(gt->log, n ? EB_LOG_WARN : EB_LOG_INFO, "gate",
+		     n ? "upstream crashed, requests that it ran are marked"
+		       : "upstream checked, as runs were lost",
+		     "upstream=%s result=%s instance=%s requests=%u",
+		     gt->config.upstream, eb_reason_name(f->reply->reason),
+		     instance ? instance : "", n);
+	if (n)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_CRASHES, 1);
 }
 
 /* Returns the marks of requests that crash upstreams; the gate owns them. */
@@ -1294,6 +1306,7 @@
 {
 	struct key key = { f->target, f->call };
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
+	const struct eb_crash_run *run;
 
 	save_pace(gt, f->reply, now_us);
 	save_answer(gt, f->reply, now_us);
@@ -1313,14 +1326,13 @@
 	}
 	if (f->type == EB_FRAME_RHEAD)
 		eb_crash_detect_alive(gt->marks);
-	/* `object` is the id of a run that ended without a whole answer. */
-	if (f->type == EB_FRAME_ABORT && f->object) {
-		if (f->reply->reason == EB_REASON_UPSTREAM_CLOSED) {
-			log_marked(gt, "run lost its connection", f->object);
-			eb_crash_detect_closed(gt->marks, f->object, now_us);
-		} else {
-			eb_crash_detect_stopped(gt->marks, f->object, now_us);
-		}
+	/* `object` is a run that ended without a whole answer. */
+	run = f->type == EB_FRAME_ABORT ? f->object : NULL;
+	if (run && f->reply->reason == EB_REASON_UPSTREAM_CLOSED) {
+		log_marked(gt, "run lost its connection", &run->id);
+		eb_crash_detect_closed(gt->marks, run, now_us);
+	} else if (run) {
+		eb_crash_detect_stopped(gt->marks, run, now_us);
 	}
 	if (f->type == EB_FRAME_PROBE) {
 		gt->probe_us = 0;
--- a/tests/it_crashes.cc
+++ b/tests/it_crashes.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <future>
 #include <thread>
 
 #include "site.h"
@@ -131,7 +132,8 @@
 	bool queries;  /* another one each time */
 	bool restarts; /* daemons restart one after the other */
 	size_t body_bytes;
-	bool silent; /* the crash leaves its connections open */
+	SiteServer::Crash how;
+	bool at_once; /* another start of the upstream takes over at once */
 };
 
 /*
@@ -141,6 +143,7 @@
 struct CrashesAcrossServices : testing::TestWithParam<again_case> {
 	Site site{ { "near", "near", "near", "far", "far", "far" } };
 	std::atomic<int> crashes{ 0 };
+	std::vector<std::future<void>> takeovers;
 
 	/* Also after an exception, such as that of a wait. */
 	void TearDown() override
@@ -149,6 +152,20 @@
 			site.print_logs();
 	}
 
+	/* Starts an upstream with another id in place of one that crashed. */
+	void take_over(const SiteUpstream *up)
+	{
+		std::string key = up->key();
+		size_t i = 0;
+
+		while (site.upstreams[i].get() != up)
+			i++;
+		site.replace_upstream(i, up->id + "n", up->service);
+		break_upstream(i);
+		site.store->put(site.upstreams[i]->key(),
+				site.upstreams[i]->entry());
+		site.store->remove(key);
+	}
 	void break_upstream(size_t i)
 	{
 		SiteUpstream *up = site.upstreams[i].get();
@@ -156,8 +173,12 @@
 		up->on("/bad",
 		       [this, up](SiteConnection &, const SiteRequest &) {
 			       crashes++;
-			       up->crash(GetParam().silent);
-			       if (GetParam().silent)
+			       up->crash(GetParam().how);
+			       if (GetParam().at_once)
+				       takeovers.push_back(std::async(
+					       std::launch::async,
+					       [this, up] { take_over(up); }));
+			       if (GetParam().how == SiteServer::SILENT)
 				       std::this_thread::sleep_for(
 					       std::chrono::seconds(3));
 		       });
@@ -189,19 +210,25 @@
 INSTANTIATE_TEST_SUITE_P(
 	Requests, CrashesAcrossServices,
 	testing::Values(again_case{ "Plain", "POST", false, false, false, false,
-				    0, false },
+				    0, SiteServer::REFUSES, false },
 			again_case{ "Short", "POST", true, false, false, false,
-				    3000, false },
+				    3000, SiteServer::REFUSES, false },
 			again_case{ "Long", "POST", true, false, false, false,
-				    40000, false },
+				    40000, SiteServer::REFUSES, false },
 			again_case{ "Queries", "GET", false, false, true, false,
-				    0, false },
+				    0, SiteServer::REFUSES, false },
 			again_case{ "Moves", "POST", false, true, false, false,
-				    0, false },
+				    0, SiteServer::REFUSES, false },
 			again_case{ "Silent", "GET", false, false, false, false,
-				    0, true },
+				    0, SiteServer::SILENT, false },
+			again_case{ "Cuts", "GET", false, false, false, false,
+				    0, SiteServer::CUTS, false },
+			again_case{ "CutsOnceOnly", "POST", false, false, false,
+				    false, 0, SiteServer::CUTS, false },
+			again_case{ "BackAtOnce", "POST", false, false, false,
+				    false, 0, SiteServer::REFUSES, true },
 			again_case{ "Restarts", "GET", false, false, false,
-				    true, 0, false }),
+				    true, 0, SiteServer::REFUSES, false }),
 	[](const testing::TestParamInfo<again_case> &info) {
 		return std::string(info.param.name);
 	});
@@ -229,7 +256,10 @@
 		if (crashes == before)
 			continue;
 		std::this_thread::sleep_for(std::chrono::milliseconds(600));
+		takeovers.clear(); /* waits for them */
 		for (size_t i = 0; i < site.upstreams.size(); i++) {
+			if (GetParam().at_once)
+				break;
 			site.restart_upstream(i);
 			break_upstream(i);
 		}
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -191,12 +191,14 @@
 	stop();
 }
 
-void SiteServer::crash(bool silent)
+void SiteServer::crash(Crash how)
 {
 	std::lock_guard<std::mutex> hold(lock_);
 
-	shutdown(fd_, SHUT_RDWR);
-	if (silent)
+	cutting_ = how == CUTS;
+	if (how != CUTS)
+		shutdown(fd_, SHUT_RDWR);
+	if (how == SILENT)
 		return;
 	for (int fd : open_)
 		shutdown(fd, SHUT_RDWR);
@@ -225,8 +227,12 @@
 		open_.insert(fd);
 		threads_.emplace_back([this, fd] {
 			SiteConnection cn(fd);
+			SiteRequest rq;
 
-			handler_(cn);
+			if (cutting_)
+				cn.read(rq, false);
+			else
+				handler_(cn);
 			std::lock_guard<std::mutex> hold2(lock_);
 			open_.erase(fd);
 		});
--- a/tests/site.h
+++ b/tests/site.h
@@ -76,10 +76,14 @@
 	/* Closes all connections, accepts no new ones, joins the threads. */
 	void stop();
 	/*
-	 * Refuses connections and cuts the open ones, unless it is `silent`;
-	 * for use in a handler.
+	 * How a server looks after a crash: it refuses connections, and closes
+	 * the open ones or leaves them open; or something in front of it still
+	 * accepts connections, and closes each one without an answer.
 	 */
-	void crash(bool silent = false);
+	enum Crash { REFUSES, SILENT, CUTS };
+
+	/* For use in a handler. */
+	void crash(Crash how = REFUSES);
 
 	const std::string address;
 
@@ -89,6 +93,7 @@
 	Handler handler_;
 	int fd_ = -1;
 	std::atomic<bool> stopping_{ false };
+	std::atomic<bool> cutting_{ false };
 	std::mutex lock_;
 	std::set<int> open_;
 	std::vector<std::thread> threads_;
@@ -206,9 +211,9 @@
 	int runs();
 	std::map<std::string, SiteRun> all_runs();
 	/* Ends like a process that crashes; for use in a run. */
-	void crash(bool silent = false)
+	void crash(SiteServer::Crash how = SiteServer::REFUSES)
 	{
-		server_->crash(silent);
+		server_->crash(how);
 	}
 	/* Stops the server for good; the record of runs is kept. */
 	void stop()
--- a/tests/test_eb_crash_detect.cc
+++ b/tests/test_eb_crash_detect.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,13 +33,22 @@
 struct marks_case {
 	const char *guards;
 	/*
-	 * Of "closed", "stopped", "alive", "up", "down", "wait MS", "again",
-	 * "answered".
+	 * Of "closed", "stopped", "alive", "wait MS", "again", "answered", and
+	 * the results of checks below.
 	 */
 	std::vector<std::string> events;
 	bool refused;
 };
 
+/* Results of checks; the runs are those of instance 7. */
+const std::map<std::string, struct eb_crash_check> results = {
+	{ "up", { EB_CRASH_STATE_UP, 7 } },
+	{ "other", { EB_CRASH_STATE_UP, 8 } },
+	{ "unnamed", { EB_CRASH_STATE_UP, 0 } },
+	{ "down", { EB_CRASH_STATE_DOWN, 0 } },
+	{ "cuts", { EB_CRASH_STATE_CUTS, 0 } },
+};
+
 const marks_case cases[] = {
 	{ "a run that was cut counts as a crash", { "closed" }, false },
 	{ "a reset of a sound upstream counts as a crash",
@@ -68,6 +78,30 @@
 	  { "closed", "alive", "wait 20", "down", "closed", "alive", "wait 20",
 	    "down" },
 	  true },
+	{ "an upstream that crashes behind an open port is taken for a live "
+	  "one",
+	  { "closed", "wait 20", "cuts", "wait 500", "cuts", "wait 300", "up",
+	    "closed", "wait 20", "cuts", "wait 500", "cuts" },
+	  true },
+	{ "an upstream that cuts connections for a moment counts as crashed",
+	  { "closed", "wait 20", "cuts", "wait 200", "cuts", "wait 100", "up",
+	    "closed", "wait 20", "down" },
+	  false },
+	{ "an upstream that is full counts as crashed",
+	  { "closed", "wait 20", "cuts", "wait 200", "cuts", "alive",
+	    "wait 100", "cuts", "closed", "wait 200", "cuts", "alive",
+	    "wait 200", "cuts" },
+	  false },
+	{ "one outage counts as several crashes",
+	  { "closed", "wait 20", "cuts", "wait 500", "cuts", "closed",
+	    "wait 300", "cuts", "wait 300", "cuts" },
+	  false },
+	{ "another start of the upstream hides a crash",
+	  { "closed", "wait 20", "other", "stopped", "wait 300", "other" },
+	  true },
+	{ "an upstream that does not name itself counts as another one",
+	  { "closed", "wait 20", "unnamed", "closed", "wait 20", "unnamed" },
+	  false },
 	{ "a second run goes on beside the first one of a marked request",
 	  { "closed", "wait 20", "down", "again" },
 	  true },
@@ -79,7 +113,8 @@
 	for (const marks_case &c : cases) {
 		eb_crash_detect *mk = eb_crash_detect_new("agenda-1");
 		eb_frame *f = request("/x", 1);
-		eb_crash_id id = eb_crash_detect_identify(f), got;
+		eb_crash_run id = { eb_crash_detect_identify(f), 7 };
+		eb_crash_id got;
 		int64_t now_us = 1000 * MS;
 
 		SCOPED_TRACE(c.guards);
@@ -93,7 +128,7 @@
 			} else if (ev == "alive") {
 				eb_crash_detect_alive(mk);
 			} else if (ev == "answered") {
-				eb_crash_detect_ended(mk, &id, 1);
+				eb_crash_detect_ended(mk, &id.id, 1);
 			} else if (ev == "again") {
 				EXPECT_EQ(0u, eb_crash_detect_refuse(
 						      mk, f, now_us, &got));
@@ -102,7 +137,7 @@
 			} else {
 				EXPECT_TRUE(
 					eb_crash_detect_check_due(mk, now_us));
-				eb_crash_detect_checked(mk, ev == "down",
+				eb_crash_detect_checked(mk, &results.at(ev),
 							now_us);
 			}
 		}
@@ -117,8 +152,9 @@
 TEST(Marks, ChecksOnceAndNotBeforeTheListenerIsClosed)
 {
 	eb_crash_detect *mk = eb_crash_detect_new("agenda-1");
-	const eb_crash_id a = { 4, 5, 6, 7 }, b = { 8, 9, 10, 11 },
-			  c = { 12, 13, 14, 15 };
+	const eb_crash_run a = { { 4, 5, 6, 7 }, 0 },
+			   b = { { 8, 9, 10, 11 }, 0 },
+			   c = { { 12, 13, 14, 15 }, 0 };
 
 	EXPECT_FALSE(eb_crash_detect_check_due(mk, 100 * MS));
 	eb_crash_detect_closed(mk, &a, 100 * MS);
@@ -127,9 +163,11 @@
 	EXPECT_FALSE(eb_crash_detect_check_due(mk, 130 * MS));
 	/* Closed after the check was sent, so its result does not count. */
 	eb_crash_detect_closed(mk, &b, 121 * MS);
-	EXPECT_EQ(0u, eb_crash_detect_checked(mk, 0, 122 * MS));
+	EXPECT_EQ(0u, eb_crash_detect_checked(mk, &results.at("unnamed"),
+					      122 * MS));
 	EXPECT_TRUE(eb_crash_detect_check_due(mk, 141 * MS));
-	EXPECT_EQ(1u, eb_crash_detect_checked(mk, 1, 142 * MS));
+	EXPECT_EQ(1u,
+		  eb_crash_detect_checked(mk, &results.at("down"), 142 * MS));
 	EXPECT_FALSE(eb_crash_detect_check_due(mk, 200 * MS));
 	EXPECT_EQ(1u, eb_crash_detect_generation(mk));
 	/* A lost result of a check does not prevent the next check. */
@@ -152,12 +190,14 @@
 	std::vector<eb_frame *> others = { request("/x", 1, "bert"),
 					   request("/x", 1),
 					   request("/y", 1, "anna") };
-	eb_crash_id id = eb_crash_detect_identify(bad), got;
+	eb_crash_run id = { eb_crash_detect_identify(bad), 0 };
+	eb_crash_id got;
 
 	for (int n = 0; n < 2; n++) {
 		eb_crash_detect_closed(mk, &id, n * 100 * MS);
 		ASSERT_TRUE(eb_crash_detect_check_due(mk, (n * 100 + 20) * MS));
-		eb_crash_detect_checked(mk, 1, (n * 100 + 20) * MS);
+		eb_crash_detect_checked(mk, &results.at("down"),
+					(n * 100 + 20) * MS);
 	}
 	EXPECT_LT(0u, eb_crash_detect_refuse(mk, bad, 200 * MS, &got));
 	EXPECT_LT(0u, eb_crash_detect_refuse(mk, elsewhere, 200 * MS, &got));
@@ -179,14 +219,15 @@
 	uint32_t from = 0;
 
 	for (uint64_t n = 0; n < 2 * EB_CRASH_DETECT_SUSPECTS_MAX; n++) {
-		const eb_crash_id id = { 4 * n + 4, 4 * n + 5, 4 * n + 6,
-					 4 * n + 7 };
+		const eb_crash_run id = {
+			{ 4 * n + 4, 4 * n + 5, 4 * n + 6, 4 * n + 7 }, 0
+		};
 
 		eb_crash_detect_closed(mk, &id, 0);
 	}
 	ASSERT_TRUE(eb_crash_detect_check_due(mk, 20 * MS));
 	EXPECT_EQ((uint32_t)EB_CRASH_DETECT_SUSPECTS_MAX,
-		  eb_crash_detect_checked(mk, 1, 20 * MS));
+		  eb_crash_detect_checked(mk, &results.at("down"), 20 * MS));
 	do {
 		msgpack_sbuffer sb;
 
