crash: a request that is served all the time is no suspect

Callers saw that a request which many of them send was refused by all daemons, also those of other services, for ten minutes: it ran at two upstreams that crashed for other reasons.

Cause: a request without credentials is the same for all callers, so that a popular one is in flight at every crash. Its marks lasted where it does not run: an answer removes them at one daemon only. A path was refused in the same way after three crashes. Class: what recognises a request took a coincidence for a cause. Change: the gate remembers for 10 s which requests its upstream has answered (below 500); such a request, or path, is not marked by a crash there. The fingerprints are computed for each request, no longer only while there are marks. Marks has three new cases; that two of them fail without the change is read, not run. A request that was answered and then begins to crash upstreams is found 10 s later. One that is rare at each upstream is still refused if it runs at two crashes within ten minutes.

--- a/src/eb_crash.c
+++ b/src/eb_crash.c
@@ -256,11 +256,11 @@
 	return 1;
 }
 
-/* Adds a crash to the mark of one fingerprint. */
+/* Adds a crash to the mark of one fingerprint, if there is one. */
 static void add_crash(struct eb_crash *cr, uint64_t fingerprint,
 		      uint64_t upstream, int64_t now_us)
 {
-	struct mark *mk = make(cr, fingerprint, now_us);
+	struct mark *mk = fingerprint ? make(cr, fingerprint, now_us) : NULL;
 
 	if (!mk)
 		return;
--- a/src/eb_crash_detect.c
+++ b/src/eb_crash_detect.c
@@ -14,9 +14,17 @@
 	uint8_t stopped;  /* here, not by the upstream */
 };
 
+/* A fingerprint of a request that the upstream has answered. */
+struct answer {
+	uint64_t fingerprint; /* 0: none */
+	int64_t answered_us;
+};
+
 struct eb_crash_detect {
 	struct eb_crash *crash;
 	char *upstream;
+	/* By the upper bits of the fingerprint; a newer one overwrites. */
+	struct answer answers[EB_CRASH_DETECT_ANSWERS_MAX];
 	struct suspect suspects[EB_CRASH_DETECT_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	uint32_t crashes;      /* of this upstream */
@@ -79,8 +87,7 @@
 /*
  * Decides whether a request may run. Returns 0 if so, and
  * eb_crash_detect_ended() must follow; else the time in ms after which the
- * request may be sent again. `id` is set to that of the request, or to zeros
- * when no request is marked.
+ * request may be sent again. `id` is set to that of the request.
  */
 uint32_t eb_crash_detect_refuse(struct eb_crash_detect *mk,
 				const struct eb_frame *head, int64_t now_us,
@@ -88,16 +95,70 @@
 {
 	uint32_t wait_ms;
 
-	memset(id, 0, sizeof(*id));
-	if (!eb_crash_detect_count(mk))
-		return 0;
 	*id = eb_crash_detect_identify(head);
-	if (eb_crash_check(mk->crash, id, now_us))
+	if (!eb_crash_detect_count(mk) || eb_crash_check(mk->crash, id, now_us))
 		return 0;
 	wait_ms = eb_crash_wait_ms(mk->crash, id, now_us);
 	return wait_ms ? wait_ms : EB_CRASH_DETECT_TRIAL_WAIT_MS;
 }
 
+static struct answer *answer_of(struct eb_crash_detect *mk,
+				uint64_t fingerprint)
+{
+	return &mk->answers[(fingerprint >> 32) &
+			    (EB_CRASH_DETECT_ANSWERS_MAX - 1)];
+}
+
+static void remember(struct eb_crash_detect *mk, uint64_t fingerprint,
+		     int64_t now_us)
+{
+	struct answer *an = answer_of(mk, fingerprint);
+
+	an->fingerprint = fingerprint;
+	an->answered_us = now_us;
+}
+
+static int is_remembered(struct eb_crash_detect *mk, uint64_t fingerprint,
+			 int64_t now_us)
+{
+	const struct answer *an = answer_of(mk, fingerprint);
+
+	return fingerprint && an->fingerprint == fingerprint &&
+	       now_us - an->answered_us < EB_CRASH_DETECT_ANSWERED_MS * 1000LL;
+}
+
+/*
+ * Remembers that the upstream has answered a request. Without its body, that
+ * says nothing of others with the same target.
+ */
+void eb_crash_detect_answered(struct eb_crash_detect *mk,
+			      const struct eb_crash_id *id, int64_t now_us)
+{
+	remember(mk, id->path, now_us);
+	remember(mk, id->exact ? id->exact : id->open, now_us);
+	if (!id->exact)
+		remember(mk, id->any, now_us);
+}
+
+/*
+ * Reports a crash during a run, except by the fingerprints under which the
+ * upstream has answered requests lately. Returns whether there are others.
+ */
+static int report(struct eb_crash_detect *mk, const struct eb_crash_run *run,
+		  const char *crash, int64_t now_us)
+{
+	struct eb_crash_id id = run->id;
+
+	if (is_remembered(mk, id.exact ? id.exact : id.open, now_us))
+		return 0;
+	if (is_remembered(mk, id.any, now_us))
+		id.any = 0;
+	if (is_remembered(mk, id.path, now_us))
+		id.path = 0;
+	eb_crash_report(mk->crash, &id, crash, now_us);
+	return 1;
+}
+
 /*
  * Ends a run that eb_crash_detect_refuse() allowed. An answer shows that the
  * request does not crash the upstream, so that its mark is removed.
@@ -215,8 +276,8 @@
 }
 
 /*
- * Takes the result of a check. If the upstream has crashed, all suspects that
- * it ran are marked with this crash; one outage counts as one crash. If it is
+ * Takes the result of a check. If the upstream has crashed, the suspects are
+ * marked with this crash; one outage counts as one crash. If it is
  * up, suspects whose connections were closed at least
  * EB_CRASH_DETECT_CHECK_AFTER_MS before the check was sent are dropped; later
  * ones remain for the next check. Returns how many requests were marked.
@@ -243,8 +304,7 @@
 	for (i = 0; i < mk->suspect_count; i++) {
 		sp = &mk->suspects[i];
 		if (down || is_replaced(sp, result)) {
-			eb_crash_report(mk->crash, &sp->run.id, crash, now_us);
-			marked++;
+			marked += report(mk, &sp->run, crash, now_us);
 		} else if (result->state == EB_CRASH_STATE_CUTS ||
 			   sp->closed_us > before_us) {
 			mk->suspects[kept++] = *sp;
--- a/src/eb_crash_detect.h
+++ b/src/eb_crash_detect.h
@@ -56,6 +56,13 @@
 #define EB_CRASH_DETECT_BACK_CHECK_MS 300
 /* A check without a result counts as lost after this; one takes 300 ms. */
 #define EB_CRASH_DETECT_CHECK_LOST_MS 1000
+/*
+ * A request that the upstream has answered within this time is no suspect: many
+ * callers send it, so that it often runs when something else ends the upstream.
+ */
+#define EB_CRASH_DETECT_ANSWERED_MS 10000
+/* Answers that are remembered, a power of two. */
+#define EB_CRASH_DETECT_ANSWERS_MAX 2048
 /* Suspects that are kept at a time. */
 #define EB_CRASH_DETECT_SUSPECTS_MAX 64
 /* Retry delay of a marked request while another run of it is in progress. */
@@ -67,6 +74,8 @@
 uint32_t eb_crash_detect_refuse(struct eb_crash_detect *mk,
 				const struct eb_frame *head, int64_t now_us,
 				struct eb_crash_id *id);
+void eb_crash_detect_answered(struct eb_crash_detect *mk,
+			      const struct eb_crash_id *id, int64_t now_us);
 void eb_crash_detect_ended(struct eb_crash_detect *mk,
 			   const struct eb_crash_id *id, int answered);
 void eb_crash_detect_closed(struct eb_crash_detect *mk,
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -84,7 +84,6 @@
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	uint32_t kind;
-	/* Of a request that eb_crash_detect tracks; else zeros. */
 	struct eb_crash_id crash_id;
 	int64_t arrived_us;
 	int64_t started_us; /* when it got a slot; 0: not yet */
@@ -170,9 +169,8 @@
 	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
 	ca->origin->calls--;
 	gt->held -= ca->held;
-	if (ca->crash_id.any)
-		eb_crash_detect_ended(gt->marks, &ca->crash_id,
-				      ca->outcome == EB_OUTCOME_RAN);
+	eb_crash_detect_ended(gt->marks, &ca->crash_id,
+			      ca->outcome == EB_OUTCOME_RAN);
 	eb_frame_unref(ca->head);
 	free(ca);
 	eb_metrics_add(gt->config.metrics, EB_METRIC_CALLS_ACTIVE, -1);
@@ -728,6 +726,9 @@
 		ca->reason = f->reply->reason;
 		ca->status = f->reply->status;
 	}
+	/* An error may be of something in front of the upstream. */
+	if (ca->outcome == EB_OUTCOME_RAN && ca->status < 500)
+		eb_crash_detect_answered(gt->marks, &ca->crash_id, now_us);
 	eb_metrics_observe(gt->config.metrics, EB_HISTOGRAM_UPSTREAM_US,
 			   now_us - ca->started_us);
 	eb_admit_sample_kind(gt->admit, ca->kind,
--- a/tests/it_crashes.cc
+++ b/tests/it_crashes.cc
@@ -281,4 +281,52 @@
 		EXPECT_EQ(200, site.send(i, "GET", "/near/good", "g").status);
 }
 
+/*
+ * Guards against a request that many callers send and that is refused by all
+ * daemons, since it ran at three upstreams when they crashed for other reasons.
+ */
+TEST(CrashesOfOthers, APopularRequestIsStillServed)
+{
+	Site site{ { "near", "near", "near", "near", "far" } };
+	std::atomic<bool> armed{ false };
+	int n = 0;
+
+	auto send = [&](size_t i, const std::string &path) {
+		return site.send(i, "GET", path, "p-" + std::to_string(n++))
+			.status;
+	};
+
+	site.start_all();
+	for (size_t k = 0; k < 3; k++) {
+		SiteUpstream *up = site.upstreams[k].get();
+		int before = up->runs();
+
+		/* All daemons run it, each upstream within seconds. */
+		for (int i = 0; i < 12; i++)
+			EXPECT_EQ(200, send(4, "/near/popular?page=1"));
+		armed = true;
+		up->on("/popular",
+		       [&, up](SiteConnection &cn, const SiteRequest &rq) {
+			       if (armed.exchange(false))
+				       up->crash();
+			       else
+				       cn.write(up->answer(rq, "x"));
+		       });
+		wait_until("the upstream to run it", [&] {
+			send(4, "/near/popular?page=1");
+			return !armed;
+		});
+		EXPECT_LT(before, up->runs());
+		std::this_thread::sleep_for(std::chrono::milliseconds(600));
+		site.restart_upstream(k);
+		std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+	}
+	for (size_t i = 0; i < site.daemons.size(); i++) {
+		EXPECT_EQ(200, send(i, "/near/popular?page=1")) << i;
+		EXPECT_EQ(200, send(i, "/near/popular?page=2")) << i;
+	}
+	if (HasFailure())
+		site.print_logs();
+}
+
 } // namespace
--- a/tests/test_eb_crash_detect.cc
+++ b/tests/test_eb_crash_detect.cc
@@ -33,8 +33,8 @@
 struct marks_case {
 	const char *guards;
 	/*
-	 * Of "closed", "stopped", "alive", "wait MS", "again", "answered", and
-	 * the results of checks below.
+	 * Of "closed", "stopped", "alive", "wait MS", "again", "answered",
+	 * "served" (another run of it), and the results of checks below.
 	 */
 	std::vector<std::string> events;
 	bool refused;
@@ -102,6 +102,14 @@
 	{ "an upstream that does not name itself counts as another one",
 	  { "closed", "wait 20", "unnamed", "closed", "wait 20", "unnamed" },
 	  false },
+	{ "a request that is served all the time is refused for two crashes",
+	  { "served", "closed", "wait 20", "down", "wait 5000", "served",
+	    "closed", "wait 20", "down" },
+	  false },
+	{ "an answer long ago hides that a request crashes its upstreams",
+	  { "served", "wait 10000", "closed", "wait 20", "down", "closed",
+	    "wait 20", "down" },
+	  true },
 	{ "a second run goes on beside the first one of a marked request",
 	  { "closed", "wait 20", "down", "again" },
 	  true },
@@ -127,6 +135,8 @@
 					mk, now_us + 299 * MS));
 			} else if (ev == "alive") {
 				eb_crash_detect_alive(mk);
+			} else if (ev == "served") {
+				eb_crash_detect_answered(mk, &id.id, now_us);
 			} else if (ev == "answered") {
 				eb_crash_detect_ended(mk, &id.id, 1);
 			} else if (ev == "again") {
@@ -251,4 +261,39 @@
 	eb_crash_detect_free(mk);
 }
 
+/*
+ * Guards against a popular path that is refused since requests to it, each with
+ * another query, ran when upstreams crashed; and against a query that crashes
+ * them and is not refused, as others to that path are served.
+ */
+TEST(Marks, APathThatIsServed)
+{
+	eb_crash_detect *mk = eb_crash_detect_new("agenda-1");
+	eb_frame *good = request("/x?good", 1), *bad = request("/x?bad", 1);
+	const eb_crash_id served = eb_crash_detect_identify(good);
+	eb_crash_id got;
+
+	for (int n = 0; n < 3; n++) {
+		eb_frame *f = request("/x?" + std::to_string(n < 2 ? 0 : 1), 1);
+		const eb_crash_run runs[] = {
+			{ eb_crash_detect_identify(f), 0 },
+			{ eb_crash_detect_identify(bad), 0 },
+		};
+		int64_t now_us = (n + 1) * 1000 * MS;
+
+		eb_crash_detect_answered(mk, &served, now_us);
+		for (const eb_crash_run &run : runs)
+			eb_crash_detect_closed(mk, &run, now_us);
+		ASSERT_TRUE(eb_crash_detect_check_due(mk, now_us + 20 * MS));
+		eb_crash_detect_checked(mk, &results.at("down"),
+					now_us + 20 * MS);
+		eb_frame_unref(f);
+	}
+	EXPECT_EQ(0u, eb_crash_detect_refuse(mk, good, 4000 * MS, &got));
+	EXPECT_LT(0u, eb_crash_detect_refuse(mk, bad, 4000 * MS, &got));
+	eb_frame_unref(good);
+	eb_frame_unref(bad);
+	eb_crash_detect_free(mk);
+}
+
 } // namespace
