crash: an answer of another instance does not clear those that were stopped

A request that crashes an upstream silently was not marked when another start of the upstream answered something before the run was stopped and checked.

Cause: any answer took all stopped runs off the list of suspects. Class: as in, a crash was recognised by one way in which it shows. Change: only an answer of the instance that was to run them does, or one of an instance that is not known.

--- a/src/eb_crash_detect.c
+++ b/src/eb_crash_detect.c
@@ -216,15 +216,27 @@
 	mk->counted = 0;
 }
 
-/* The upstream has answered: it has not crashed on runs that were stopped. */
-void eb_crash_detect_alive(struct eb_crash_detect *mk)
+/* Tells whether an instance that answers is not the one that ran a suspect. */
+static int is_replaced(const struct suspect *sp, uint64_t instance)
 {
+	return sp->run.instance && instance && sp->run.instance != instance;
+}
+
+/*
+ * An instance of the upstream has answered a request, 0 if it is not known
+ * which: it has not crashed on runs that were stopped.
+ */
+void eb_crash_detect_alive(struct eb_crash_detect *mk, uint64_t instance)
+{
+	const struct suspect *sp;
 	uint32_t i, kept = 0;
 
 	end_outage(mk);
-	for (i = 0; i < mk->suspect_count; i++)
-		if (!mk->suspects[i].stopped)
-			mk->suspects[kept++] = mk->suspects[i];
+	for (i = 0; i < mk->suspect_count; i++) {
+		sp = &mk->suspects[i];
+		if (!sp->stopped || is_replaced(sp, instance))
+			mk->suspects[kept++] = *sp;
+	}
 	mk->suspect_count = kept;
 }
 
@@ -267,14 +279,6 @@
 	return mk->counted;
 }
 
-/* Tells whether the upstream that answered a check did not run a suspect. */
-static int is_replaced(const struct suspect *sp,
-		       const struct eb_crash_check *result)
-{
-	return sp->run.instance && result->instance &&
-	       sp->run.instance != result->instance;
-}
-
 /*
  * Takes the result of a check. If the upstream has crashed, the suspects are
  * marked with this crash; one outage counts as one crash. If it is
@@ -303,7 +307,7 @@
 		 mk->crashes + !counted);
 	for (i = 0; i < mk->suspect_count; i++) {
 		sp = &mk->suspects[i];
-		if (down || is_replaced(sp, result)) {
+		if (down || is_replaced(sp, result->instance)) {
 			marked += report(mk, &sp->run, crash, now_us);
 		} else if (result->state == EB_CRASH_STATE_CUTS ||
 			   sp->closed_us > before_us) {
--- a/src/eb_crash_detect.h
+++ b/src/eb_crash_detect.h
@@ -82,7 +82,7 @@
 			    const struct eb_crash_run *run, int64_t now_us);
 void eb_crash_detect_stopped(struct eb_crash_detect *mk,
 			     const struct eb_crash_run *run, int64_t now_us);
-void eb_crash_detect_alive(struct eb_crash_detect *mk);
+void eb_crash_detect_alive(struct eb_crash_detect *mk, uint64_t instance);
 int eb_crash_detect_check_due(struct eb_crash_detect *mk, int64_t now_us);
 uint32_t eb_crash_detect_checked(struct eb_crash_detect *mk,
 				 const struct eb_crash_check *result,
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -85,6 +85,7 @@
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	uint32_t kind;
 	struct eb_crash_id crash_id;
+	uint64_t instance; /* that is to run it, as a hash; 0: any */
 	int64_t arrived_us;
 	int64_t started_us; /* when it got a slot; 0: not yet */
 	int64_t arrived_wall_us;
@@ -644,6 +645,8 @@
 		free(head->head->instance);
 		head->head->instance = NULL;
 	}
+	if (head->head->instance)
+		ca->instance = eb_claim_member(head->head->instance);
 	head->object = strdup(gt->address);
 	head->object_free = free;
 	gt->out.to_client(gt->out.ctx, head);
@@ -1326,7 +1329,7 @@
 		return;
 	}
 	if (f->type == EB_FRAME_RHEAD)
-		eb_crash_detect_alive(gt->marks);
+		eb_crash_detect_alive(gt->marks, ca ? ca->instance : 0);
 	/* `object` is a run that ended without a whole answer. */
 	run = f->type == EB_FRAME_ABORT ? f->object : NULL;
 	if (run && f->reply->reason == EB_REASON_UPSTREAM_CLOSED) {
--- a/tests/test_eb_crash_detect.cc
+++ b/tests/test_eb_crash_detect.cc
@@ -33,8 +33,9 @@
 struct marks_case {
 	const char *guards;
 	/*
-	 * Of "closed", "stopped", "alive", "wait MS", "again", "answered",
-	 * "served" (another run of it), and the results of checks below.
+	 * Of "closed", "stopped", "alive" (as instance 7, or 8), "wait MS",
+	 * "again", "answered", "served" (another run of it), and the results of
+	 * checks below.
 	 */
 	std::vector<std::string> events;
 	bool refused;
@@ -99,6 +100,10 @@
 	{ "another start of the upstream hides a crash",
 	  { "closed", "wait 20", "other", "stopped", "wait 300", "other" },
 	  true },
+	{ "another start that answers others hides a crash",
+	  { "stopped", "alive 8", "wait 300", "other", "stopped", "alive 8",
+	    "wait 300", "other" },
+	  true },
 	{ "an upstream that does not name itself counts as another one",
 	  { "closed", "wait 20", "unnamed", "closed", "wait 20", "unnamed" },
 	  false },
@@ -133,8 +138,9 @@
 				eb_crash_detect_stopped(mk, &id, now_us);
 				EXPECT_FALSE(eb_crash_detect_check_due(
 					mk, now_us + 299 * MS));
-			} else if (ev == "alive") {
-				eb_crash_detect_alive(mk);
+			} else if (ev == "alive" || ev == "alive 8") {
+				eb_crash_detect_alive(mk,
+						      ev == "alive" ? 7 : 8);
 			} else if (ev == "served") {
 				eb_crash_detect_answered(mk, &id.id, now_us);
 			} else if (ev == "answered") {
