feed: the time of reads is looked up only while a removal overrules

Cause: the last read of all members was looked up at every tick, which takes as long as there are daemons. Change: only while a lost removal overrules the source.

--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -611,6 +611,12 @@
 	return 1;
 }
 
+/* Tells whether a lost removal overrules the source. */
+int eb_feed_has_overrules(const struct eb_feed *fd)
+{
+	return fd->overrules_end_us != 0;
+}
+
 /*
  * Records that the source has been watched for some more time, with all its
  * changes applied. Lost removals overrule it for a time that is counted so:
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -106,6 +106,7 @@
 			       const struct eb_feed_change *ch, int64_t now_us,
 			       int *changed);
 int eb_feed_end_hold(struct eb_feed *fd, int64_t now_us);
+int eb_feed_has_overrules(const struct eb_feed *fd);
 int eb_feed_watched(struct eb_feed *fd, int64_t us);
 uint32_t eb_feed_hold_ms(const struct eb_feed *fd, int64_t now_us);
 const struct eb_feed_item *eb_feed_next(const struct eb_feed *fd,
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -1316,15 +1316,20 @@
 }
 
 /*
- * Counts how long the source has been watched, without the gaps between reads
- * that are too far apart, and only up to what this copy has.
+ * Counts how long the source has been watched while lost removals overrule it,
+ * without the gaps between reads that are too far apart, and only up to what
+ * this copy has.
  */
 static void count_watched(struct eb_feed_sync *sp)
 {
-	int64_t read_us = last_read_us(sp);
-	int64_t us = read_us - sp->watched_until_us;
+	int64_t read_us, us;
 
-	if (us <= 0 || sp->behind_since_us || sp->trust != TRUST_VERIFIED)
+	if (!eb_feed_has_overrules(sp->feed) || sp->behind_since_us ||
+	    sp->trust != TRUST_VERIFIED)
+		return;
+	read_us = last_read_us(sp);
+	us = read_us - sp->watched_until_us;
+	if (us <= 0)
 		return;
 	sp->watched_until_us = read_us;
 	if (us <= EB_FEED_SYNC_FRESH_MS * 1000LL &&
