--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -14,8 +14,8 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#include "eb_clock.h"
 #include "eb_claim_wire.h"
+#include "eb_clock.h"
 #include "eb_crash_detect.h"
 #include "eb_dechunk.h"
 #include "eb_fetch.h"
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -36,7 +36,7 @@
 	uint8_t overrules; /* removed, though the source lists an older value */
 	uint8_t left; /* removed, and was so before: a hold is not for it */
 	uint32_t overrules_era;	    /* in which it lists that */
-	uint32_t settled_era;	    /* in which it has done so for long; 0 */
+	uint32_t settled_era;	    /* in which that has ended; 0: none */
 	int64_t overrules_until_us; /* see eb_feed_watched() */
 };
 
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #include "eb_chart.h"
-#include "eb_clock.h"
 #include "eb_claim_wire.h"
+#include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_kept.h"
 #include "eb_overdue.h"
--- a/tests/test_eb_feed.cc
+++ b/tests/test_eb_feed.cc
@@ -496,7 +496,7 @@
 	apply(knows, { 5, 9, false, { { "a", nullptr, 9 } }, 0 }, start,
 	      &changed);
 	apply(knows, source, start, &changed);
-	/* Another read does not extend the time. */
+	/* One that has read the source only knows of no removal. */
 	apply(reads, source, start, &changed);
 	EXPECT_EQ(0, eb_feed_watched(knows, late));
 	join(learns, knows, late);
