--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -130,6 +130,16 @@
 	return cf;
 }
 
+/* Frees a list of strings. */
+static void free_texts(char **texts, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		free(texts[i]);
+	free(texts);
+}
+
 static void free_matches(struct eb_config *cf)
 {
 	uint32_t i;
@@ -138,6 +148,7 @@
 		free(cf->matches[i].name);
 		free(cf->matches[i].host);
 		free(cf->matches[i].prefix);
+		free_texts(cf->matches[i].regions, cf->matches[i].region_count);
 	}
 	free(cf->matches);
 }
@@ -193,6 +204,7 @@
 		eb_config_unref(cf->matches_owner);
 	else
 		free_matches(cf);
+	free_texts(cf->evacuated, cf->evacuated_count);
 	free(cf->rules);
 	free(cf->services);
 	free(cf->upstreams);
@@ -246,6 +258,29 @@
 	return up->start_ms && start_ms && up->start_ms != start_ms;
 }
 
+/* Tells whether the operator has evacuated a failure domain. */
+int eb_config_is_evacuated(const struct eb_config *cf,
+			   const char *failure_domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < cf->evacuated_count; i++)
+		if (!strcmp(cf->evacuated[i], failure_domain))
+			return 1;
+	return 0;
+}
+
+/* Tells whether the requests of a match may be sent to a region. */
+int eb_config_allows_region(const struct eb_match *mt, const char *region)
+{
+	uint32_t i;
+
+	for (i = 0; i < mt->region_count; i++)
+		if (!strcmp(mt->regions[i], region))
+			return 1;
+	return !mt->restricted;
+}
+
 /* Returns the index of a service by its name, or EB_NONE. */
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name)
 {
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -45,6 +45,9 @@
 	char *path_prefix; /* NULL: any */
 	char *rule_name;   /* NULL: defaults */
 	char *probe_path;  /* load probe of its upstreams, or NULL */
+	/* Requests that a cold upstream takes in 1,000 s; 0: no limit. */
+	uint32_t cold_per_s_milli;
+	uint32_t cold_ms; /* an upstream is cold for this long from its start */
 	uint32_t deadline_ms;
 	uint32_t rule; /* index into rules, or EB_NONE */
 };
@@ -93,6 +96,13 @@
 	uint8_t attempts;      /* upstreams that one request may run on */
 	uint8_t priority;      /* 0 is the most urgent */
 	uint8_t idempotent;    /* may run more than once */
+	/*
+	 * With `restricted`, the requests may be sent to and stored in these
+	 * regions only; none if they could not be read.
+	 */
+	uint8_t restricted;
+	char **regions;
+	uint32_t region_count;
 };
 
 /*
@@ -119,6 +129,9 @@
 	uint32_t match_count;
 	/* Owns `matches`, which are shared with it; NULL: this one does. */
 	struct eb_config *matches_owner;
+	/* Failure domains whose upstreams get no new requests. */
+	char **evacuated;
+	uint32_t evacuated_count;
 };
 
 struct eb_config *eb_config_new_empty(void);
@@ -129,6 +142,9 @@
 void *eb_config_item_ref(void *item);
 void eb_config_item_unref(enum eb_item_kind kind, void *item);
 uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name);
+int eb_config_is_evacuated(const struct eb_config *cf,
+			   const char *failure_domain);
+int eb_config_allows_region(const struct eb_match *mt, const char *region);
 int eb_config_is_other_start(const struct eb_upstream *up, const char *instance,
 			     uint64_t start_ms);
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -683,7 +683,8 @@
 		eb_gate_configure(co->gate, n->info,
 				  eb_nodes_rule(co->nodes, sv));
 		if (cf->has_matches)
-			eb_gate_set_leaving(co->gate, n->info->leaving);
+			eb_gate_set_leaving(co->gate,
+					    n->info->leaving || n->evacuated);
 	} else if (cf->has_matches) {
 		/*
 		 * This upstream is no longer listed: its calls are finished,
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -6,9 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_regions.h"
 #include "eb_subset.h"
 #include "eb_tunables.h"
 
+/* A set of regions that has no upstream: the last bit is never given out. */
+#define NO_REGION (UINT64_C(1) << (EB_REGIONS_MAX - 1))
 /* With fewer suspected peers, each of them may have failed on its own. */
 #define CUT_OFF_PEERS_MIN 3
 
@@ -24,7 +27,8 @@
 	apr_hash_t *by_name;	/* name -> node number + 1 */
 	apr_hash_t *by_address; /* daemon's IP:port -> node number + 1 */
 	apr_hash_t *services;	/* name -> struct eb_service_state */
-	uint8_t cut_off;	/* all peers that are up are suspected */
+	struct eb_regions *regions;
+	uint8_t cut_off; /* all peers that are up are suspected */
 };
 
 /* Creates an empty registry. Returns NULL without memory. */
@@ -39,8 +43,11 @@
 	nd->mesh = ms;
 	nd->seed = seed;
 	nd->config = eb_config_new_empty();
-	if (!nd->config || apr_pool_create(&nd->pool, NULL) != APR_SUCCESS) {
+	nd->regions = eb_regions_new();
+	if (!nd->config || !nd->regions ||
+	    apr_pool_create(&nd->pool, NULL) != APR_SUCCESS) {
 		eb_config_unref(nd->config);
+		eb_regions_free(nd->regions);
 		free(nd);
 		return NULL;
 	}
@@ -73,6 +80,7 @@
 	}
 	free(nd->nodes);
 	eb_config_unref(nd->config);
+	eb_regions_free(nd->regions);
 	apr_pool_destroy(nd->pool);
 	free(nd);
 }
@@ -191,6 +199,9 @@
 	n->info = up;
 	n->service = nd->config->upstream_service[i];
 	n->distance = distance_of(nd->settings, up);
+	n->region = eb_regions_bit(nd->regions, up->region);
+	n->evacuated =
+		(uint8_t)eb_config_is_evacuated(nd->config, up->failure_domain);
 	apr_hash_set(nd->by_address, up->daemon, APR_HASH_KEY_STRING,
 		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
 }
@@ -207,7 +218,8 @@
  */
 static int is_routable(const struct eb_nodes *nd, const struct eb_node *n)
 {
-	if (!n->present || n->leaving || n->draining || n->says_leaving)
+	if (!n->present || n->leaving || n->draining || n->says_leaving ||
+	    n->evacuated)
 		return 0;
 	if (n->self)
 		return 1;
@@ -239,6 +251,7 @@
 		ups[i].distance = n->distance;
 		ups[i].leaving = !is_routable(nd, n);
 		ups[i].suspected = (uint8_t)is_suspected(n);
+		ups[i].region = n->region;
 	}
 	eb_route_set_upstreams(sv->route, ups, count, now_us);
 	free(ups);
@@ -573,6 +586,24 @@
 	eb_nodes_changed(nd, id, now_us);
 }
 
+/*
+ * Returns the set of regions in which the requests of a match may run; 0: in
+ * any. A region without a bit is in no set, so that a match whose regions are
+ * all unknown has a set in which no upstream is.
+ */
+uint64_t eb_nodes_allowed_regions(const struct eb_nodes *nd,
+				  const struct eb_match *mt)
+{
+	uint64_t set = 0;
+	uint32_t i;
+
+	if (!mt->restricted)
+		return 0;
+	for (i = 0; i < mt->region_count; i++)
+		set |= eb_regions_bit(nd->regions, mt->regions[i]);
+	return set ? set : NO_REGION;
+}
+
 /* Returns the rule of a service, or the default rule when it has none. */
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
 				    const struct eb_service_state *sv)
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -31,6 +31,8 @@
 	uint8_t draining;	  /* according to its daemon */
 	uint8_t says_leaving;	  /* in an answer of this start */
 	uint8_t distance;	  /* enum eb_distance */
+	uint8_t evacuated;	  /* its failure domain is */
+	uint64_t region;	  /* bit of its region, see eb_regions */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
 	 * when. Claims can be sent over it without a socket to the daemon.
@@ -76,6 +78,8 @@
 void eb_nodes_restarted(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 void eb_nodes_update_vm(struct eb_nodes *nd, const char *address, int leaving,
 			int64_t now_us);
+uint64_t eb_nodes_allowed_regions(const struct eb_nodes *nd,
+				  const struct eb_match *mt);
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
 				    const struct eb_service_state *sv);
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -129,6 +129,7 @@
 	uint32_t retry_after_ms;
 	uint8_t hops;	   /* left for the calls that the upstream makes */
 	uint32_t route;	   /* index in the counts by route */
+	uint64_t regions;  /* in which it may run; 0: in any */
 	int64_t budget_us; /* time that the call may take */
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
@@ -597,6 +598,7 @@
 	q.idempotent = ca->idempotent;
 	q.remaining_us = ca->deadline_us - now_us;
 	q.keep_in_region = ca->streamed && !og->config.uploads_leave_region;
+	q.regions = ca->regions;
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
@@ -1077,8 +1079,10 @@
 		ca->budget_us =
 			cf->services[ca->service->index]->deadline_ms * 1000LL;
 	ca->runs_max = EB_ATTEMPTS_MAX;
-	if (pt)
+	if (pt) {
 		apply_match(ca, pt);
+		ca->regions = eb_nodes_allowed_regions(og->config.nodes, pt);
+	}
 	ca->route =
 		eb_call_stats_route(eb_metrics_call_stats(og->config.metrics),
 				    pt ? pt->name : ca->service->name);
@@ -1483,6 +1487,7 @@
 	    !ca->idempotent || ca->attempts >= EB_ATTEMPTS_MAX ||
 	    ca->runs + 1 >= ca->runs_max || !eb_retry_left(&ca->service->retry))
 		return 0;
+	q.regions = ca->regions;
 	q.tried = ca->tried;
 	q.tried_count = ca->tried_count;
 	return eb_route_has_other(ca->service->route, &q, now_us);
--- /dev/null
+++ b/src/eb_regions.c
@@ -0,0 +1,46 @@
+#include "eb_regions.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct eb_regions {
+	char *names[EB_REGIONS_MAX];
+	uint32_t count;
+};
+
+/* Creates an empty numbering. Returns NULL without memory. */
+struct eb_regions *eb_regions_new(void)
+{
+	return calloc(1, sizeof(struct eb_regions));
+}
+
+/* Frees the numbering; NULL is allowed. */
+void eb_regions_free(struct eb_regions *rg)
+{
+	uint32_t i;
+
+	if (!rg)
+		return;
+	for (i = 0; i < rg->count; i++)
+		free(rg->names[i]);
+	free(rg);
+}
+
+/*
+ * Returns the bit of a region, which keeps it. Returns 0 for the last of
+ * EB_REGIONS_MAX regions and beyond, or without memory: it is in no set.
+ */
+uint64_t eb_regions_bit(struct eb_regions *rg, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < rg->count; i++)
+		if (!strcmp(rg->names[i], name))
+			return UINT64_C(1) << i;
+	if (rg->count == EB_REGIONS_MAX - 1)
+		return 0;
+	rg->names[rg->count] = strdup(name);
+	if (!rg->names[rg->count])
+		return 0;
+	return UINT64_C(1) << rg->count++;
+}
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -373,6 +373,7 @@
 
 	if (up->info.leaving || (up->info.suspected && !q->suspects) ||
 	    (now_us < up->held_until_us && !q->held) ||
+	    (q->regions && !(q->regions & up->info.region)) ||
 	    (keep_in_region(q) && up->info.distance == EB_DISTANCE_FAR))
 		return 0;
 	for (i = 0; i < q->tried_count; i++)
@@ -460,7 +461,8 @@
 {
 	const uint32_t *first = rt->first;
 	/* Allows upstreams that were tried before. */
-	struct eb_route_query relaxed = { .keep_in_region = keep_in_region(q) };
+	struct eb_route_query relaxed = { .keep_in_region = keep_in_region(q),
+					  .regions = q->regions };
 	struct best best = { NULL, 0 };
 	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
 	int full;
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -29,6 +29,8 @@
 	uint8_t distance;  /* enum eb_distance */
 	uint8_t leaving;   /* gets no new requests */
 	uint8_t suspected; /* unresponsive: picked only as a last resort */
+	uint8_t cold;	   /* warming up: it takes few requests */
+	uint64_t region;   /* its bit in `regions` of a query */
 };
 
 /* The constants of the policy; the bench varies them. */
@@ -62,6 +64,7 @@
 	uint8_t suspects;	/* suspected upstreams may be picked */
 	uint8_t held;		/* upstreams at their rate limit, too */
 	uint8_t keep_in_region; /* large body: see eb_route_pick() */
+	uint64_t regions;	/* in which it may run; 0: in any */
 	const uint32_t *tried;	/* upstreams that it was sent to before */
 	uint32_t tried_count;
 };
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -117,6 +117,9 @@
 /* Requests per second; a higher limit is none. */
 #define EB_RATE_MAX 1000000
 
+/* Longest time that an upstream may say that it stays cold. */
+#define EB_COLD_MAX_MS 120000
+
 /* A measured pace of a VM is valid for this long. */
 #define EB_PACE_FRESH_US 25000
 /* A call waits this long for a load probe that measures the pace. */
