origin: requests that come before the configuration wait for it

Cause: after a loss of all machines a daemon with a tenth of a core needs 0.3 s from its start until it may serve. Change: such requests are held, 256 of them for 0.5 s at most, and served in order of arrival with the time that is left; the others are refused as before, with a Retry-After of 0.25 s. A caller that leaves takes its request along.

--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -694,7 +694,7 @@
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
-	eb_origin_serve(co->origin);
+	eb_origin_serve(co->origin, co->loop_us);
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
 		       (int64_t)cf->release);
 	eb_log_write(co->config.log, EB_LOG_INFO, "core", "release in force",
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -22,6 +22,8 @@
 	  "Connections ended because an answer could not be completed")      \
 	X(CALLER_GONE, "callers_gone_total",                                 \
 	  "Callers that hung up before their answer was complete")           \
+	X(EARLY_CALLS, "early_calls_total",                                  \
+	  "Requests held until this daemon may serve")                       \
 	X(CALLERS_LIMITED, "callers_limited_total",                          \
 	  "Requests refused because their caller sends more than its share") \
 	X(CALLS_ACTIVE, "calls_active", "Calls in the table now")            \
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -11,6 +11,7 @@
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
+#include "eb_early.h"
 #include "eb_overdue.h"
 #include "eb_call_stats.h"
 #include "eb_test_off.h"
@@ -154,6 +155,7 @@
 	uint32_t parked;	 /* number of parked calls */
 	uint32_t split_position; /* see pick_service() */
 	int serving;		 /* set by eb_origin_serve() */
+	struct eb_early *early;	 /* requests that came before that */
 };
 
 typedef void action_fn(struct eb_origin *og, struct call *ca,
@@ -185,8 +187,11 @@
 	eb_rand_seed(&og->rand, cf->incarnation);
 	og->split_position = (uint32_t)cf->incarnation;
 	og->chart = eb_chart_load("origin", &names, fs);
-	if (!og->chart || apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
+	og->early = eb_early_new();
+	if (!og->chart || !og->early ||
+	    apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
 		eb_chart_free(og->chart);
+		eb_early_free(og->early);
 		free(og);
 		return NULL;
 	}
@@ -225,19 +230,14 @@
 	}
 	apr_pool_destroy(og->pool);
 	eb_chart_free(og->chart);
+	eb_early_free(og->early);
 	free(og);
 }
 
-/* Accepts requests from now on; before, they are refused as not run. */
-void eb_origin_serve(struct eb_origin *og)
-{
-	og->serving = 1;
-}
-
 /* Returns the number of unfinished calls. */
 uint32_t eb_origin_active(const struct eb_origin *og)
 {
-	return apr_hash_count(og->by_front);
+	return apr_hash_count(og->by_front) + eb_early_count(og->early);
 }
 
 /* Returns the request id from the header that the dialect names, or "-". */
@@ -1005,7 +1005,7 @@
 	out->reply->reason = (uint8_t)reason;
 	out->reply->status = reason_status[reason];
 	out->reply->retry_after_ms = retry_after_ms;
-	if (out->reply->status == 503)
+	if (out->reply->status == 503 && !retry_after_ms)
 		out->reply->retry_after_ms = 1000;
 	og->out.to_front(og->out.ctx, out);
 }
@@ -1057,7 +1057,7 @@
 
 /* Sets the fields of a call from its request; `pt` is NULL without a match. */
 static void init_call(struct eb_origin *og, struct call *ca,
-		      const struct eb_match *pt, int64_t now_us)
+		      const struct eb_match *pt, int64_t received_us)
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
 	const struct eb_rule *rule;
@@ -1086,8 +1086,8 @@
 	ca->route =
 		eb_call_stats_route(eb_metrics_call_stats(og->config.metrics),
 				    pt ? pt->name : ca->service->name);
-	ca->started_us = now_us;
-	ca->deadline_us = now_us + ca->budget_us;
+	ca->started_us = received_us;
+	ca->deadline_us = received_us + ca->budget_us;
 	if (pt)
 		set_goal(og, ca, pt, h->remaining_us);
 	ca->started_wall_us = eb_clock_wall_us();
@@ -1164,8 +1164,12 @@
 	return *sv && (*sv)->limit ? EB_REASON_NONE : EB_REASON_INTERNAL;
 }
 
-/* Creates the call of a request, or refuses the request. */
-static void start_call(struct eb_origin *og, struct eb_frame *f, int64_t now_us)
+/*
+ * Creates the call of a request that came at `received_us`, or refuses the
+ * request.
+ */
+static void start_call(struct eb_origin *og, struct eb_frame *f,
+		       int64_t received_us, int64_t now_us)
 {
 	struct eb_service_state *sv = NULL;
 	const struct eb_match *pt = NULL;
@@ -1192,7 +1196,7 @@
 	ca->head = f;
 	ca->service = sv;
 	f->head->service = strdup(sv->name);
-	init_call(og, ca, pt, now_us);
+	init_call(og, ca, pt, received_us);
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
 	eb_retry_request(&sv->retry);
@@ -1202,6 +1206,40 @@
 		route(og, ca, now_us);
 }
 
+/*
+ * Holds a request that came before the daemon serves; refuses it without room.
+ */
+static void hold_call(struct eb_origin *og, struct eb_frame *f, int64_t now_us)
+{
+	if (eb_early_add(og->early, f, now_us))
+		refuse_request(og, f, NULL, EB_REASON_NO_UPSTREAM,
+			       EB_EARLY_RETRY_MS);
+	else
+		eb_metrics_add(og->config.metrics, EB_METRIC_EARLY_CALLS, 1);
+}
+
+/* Refuses the requests that have been held for EB_EARLY_WAIT_MS. */
+static void expire_early(struct eb_origin *og, int64_t now_us)
+{
+	int64_t until_us = now_us - EB_EARLY_WAIT_MS * 1000LL, received_us;
+	struct eb_frame *f;
+
+	while ((f = eb_early_take(og->early, until_us, &received_us)))
+		refuse_request(og, f, NULL, EB_REASON_NO_UPSTREAM,
+			       EB_EARLY_RETRY_MS);
+}
+
+/* Accepts requests from now on, those first that were held until now. */
+void eb_origin_serve(struct eb_origin *og, int64_t now_us)
+{
+	int64_t received_us;
+	struct eb_frame *f;
+
+	og->serving = 1;
+	while ((f = eb_early_take(og->early, INT64_MAX, &received_us)))
+		start_call(og, f, received_us, now_us);
+}
+
 /* Handles a frame of the front; takes the reference over. */
 void eb_origin_from_front(struct eb_origin *og, struct eb_frame *f,
 			  int64_t now_us)
@@ -1209,9 +1247,14 @@
 	struct call *ca;
 
 	if (f->type == EB_FRAME_HEAD) {
-		start_call(og, f, now_us);
+		if (og->serving)
+			start_call(og, f, now_us, now_us);
+		else
+			hold_call(og, f, now_us);
 		return;
 	}
+	if (f->type == EB_FRAME_CANCEL && eb_early_count(og->early))
+		eb_early_cancel(og->early, f->call);
 	ca = apr_hash_get(og->by_front, &f->call, sizeof(f->call));
 	if (!ca) {
 		do_drop(og, NULL, f, now_us);
@@ -1549,6 +1592,7 @@
 	apr_hash_index_t *hi;
 	struct call *ca;
 
+	expire_early(og, now_us);
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -48,8 +48,8 @@
 				const struct eb_origin_callbacks *out,
 				struct eb_findings *fs);
 void eb_origin_free(struct eb_origin *og);
-/* Until this call requests are refused, as the release may be outdated. */
-void eb_origin_serve(struct eb_origin *og);
+/* Until this call requests are held, as the release may be outdated. */
+void eb_origin_serve(struct eb_origin *og, int64_t now_us);
 void eb_origin_from_front(struct eb_origin *og, struct eb_frame *f,
 			  int64_t now_us);
 void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -125,6 +125,15 @@
 /* A call waits this long for a load probe that measures the pace. */
 #define EB_PACE_WAIT_US 6000
 
+/*
+ * A daemon that starts holds requests until it may serve its configuration:
+ * this many of them, for this long. A VM with a tenth of a core needs 0.3 s.
+ */
+#define EB_EARLY_CALLS_MAX 256
+#define EB_EARLY_WAIT_MS 500
+/* Retry-After of those that cannot wait longer. */
+#define EB_EARLY_RETRY_MS 250
+
 /* A starting daemon waits this long for a first answer of any peer. */
 #define EB_START_WAIT_MS 1500
 
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -72,7 +72,7 @@
 		og = eb_origin_new(&cf, &callbacks, &fs);
 		ASSERT_EQ(0u, fs.count);
 		configure();
-		eb_origin_serve(og);
+		eb_origin_serve(og, now_us);
 		out.clear();
 		numbers.clear();
 		nodes.clear();
