--- a/src/eb_claim_set.c
+++ b/src/eb_claim_set.c
@@ -11,6 +11,31 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
+/*
+ * Tells whether the daemon beside an upstream may hold claims of its service,
+ * which include the responses.
+ */
+static int may_hold(const struct eb_config *cf, uint32_t service,
+		    const struct eb_upstream *up)
+{
+	const struct eb_texts *regions = &cf->services[service]->regions;
+
+	return !regions->count || eb_texts_has(regions, up->region);
+}
+
+/* Returns how many daemons of a service may hold its claims. */
+static uint32_t count_holders(const struct eb_config *cf, uint32_t service)
+{
+	uint32_t i = cf->service_first_upstream[service], n = 0;
+	uint32_t end = i + cf->service_upstream_count[service];
+
+	if (!cf->services[service]->regions.count)
+		return end - i;
+	for (; i < end; i++)
+		n += (uint32_t)may_hold(cf, service, cf->upstreams[i]);
+	return n;
+}
+
 /*
  * Returns the upstream with the highest score that is not chosen yet, or
  * EB_NONE. With `spread`, only from failure domains without a chosen one.
@@ -32,7 +57,7 @@
 			     !strcmp(cf->upstreams[chosen[k]]->failure_domain,
 				     up->failure_domain)))
 				break;
-		if (k < n)
+		if (k < n || !may_hold(cf, service, up))
 			continue;
 		score = XXH3_64bits_withSeed(up->name, strlen(up->name), slot);
 		if (found == EB_NONE || score > top) {
@@ -64,22 +89,24 @@
 
 /*
  * Chooses the holders of a slot by rendezvous hashing over all daemons that
- * the configuration lists for the service, live or not, and in different
- * failure domains while there are enough. With EB_NONE as service the set is
- * empty. Returns EB_ENOMEM, with an empty set.
+ * the configuration lists for the service in the service's regions, live or
+ * not, and in different failure domains while there are enough. With EB_NONE as
+ * service the set is empty. Returns EB_ENOMEM, with an empty set.
  */
 enum eb_status eb_claim_set_make(struct eb_claim_set *st,
 				 const struct eb_config *cf, uint32_t service,
 				 uint32_t slot)
 {
-	uint32_t chosen[EB_CLAIM_HOLDERS_MAX], n = 0, want, i;
+	uint32_t chosen[EB_CLAIM_HOLDERS_MAX], n = 0, want, i, able;
 
 	memset(st, 0, sizeof(*st));
-	if (!cf || service == EB_NONE || !cf->service_upstream_count[service])
+	if (!cf || service == EB_NONE)
+		return EB_OK;
+	able = count_holders(cf, service);
+	if (!able)
 		return EB_OK;
-	want = cf->service_upstream_count[service] >= EB_CLAIM_LARGE_SERVICE
-		       ? EB_CLAIM_HOLDERS_MAX
-		       : EB_CLAIM_HOLDERS;
+	want = able >= EB_CLAIM_LARGE_SERVICE ? EB_CLAIM_HOLDERS_MAX
+					      : EB_CLAIM_HOLDERS;
 	while (n < want) {
 		i = best(cf, service, slot, chosen, n, 1);
 		if (i == EB_NONE)
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -15,6 +15,7 @@
 struct kind_info {
 	size_t bytes;
 	size_t texts[10]; /* offsets of owned strings; ends with 0 */
+	size_t list;	  /* offset of a struct eb_texts, or 0 */
 };
 
 static const struct kind_info kinds[EB_ITEM_KINDS] = {
@@ -26,7 +27,8 @@
 				offsetof(struct eb_service, host),
 				offsetof(struct eb_service, path_prefix),
 				offsetof(struct eb_service, rule_name),
-				offsetof(struct eb_service, probe_path) } },
+				offsetof(struct eb_service, probe_path) },
+			      offsetof(struct eb_service, regions) },
 	[EB_ITEM_UPSTREAM] = { sizeof(struct eb_upstream),
 			       { offsetof(struct eb_upstream, name),
 				 offsetof(struct eb_upstream, service_name),
@@ -64,6 +66,56 @@
 	return it;
 }
 
+/* Appends a copy of a string. Returns EB_ENOMEM, with the list unchanged. */
+enum eb_status eb_texts_add(struct eb_texts *ts, const char *text)
+{
+	char **items = realloc(ts->items, (ts->count + 1) * sizeof(*items));
+
+	if (!items)
+		return EB_ENOMEM;
+	ts->items = items;
+	items[ts->count] = strdup(text);
+	if (!items[ts->count])
+		return EB_ENOMEM;
+	ts->count++;
+	return EB_OK;
+}
+
+/* Frees the strings and empties the list. */
+void eb_texts_clear(struct eb_texts *ts)
+{
+	uint32_t i;
+
+	for (i = 0; i < ts->count; i++)
+		free(ts->items[i]);
+	free(ts->items);
+	memset(ts, 0, sizeof(*ts));
+}
+
+/* Tells whether a list contains a string. */
+int eb_texts_has(const struct eb_texts *ts, const char *text)
+{
+	uint32_t i;
+
+	for (i = 0; i < ts->count; i++)
+		if (!strcmp(ts->items[i], text))
+			return 1;
+	return 0;
+}
+
+/* Replaces a list that shares its strings by a copy; -1 without memory. */
+static int own_texts(struct eb_texts *ts)
+{
+	struct eb_texts from = *ts;
+	uint32_t i;
+
+	memset(ts, 0, sizeof(*ts));
+	for (i = 0; i < from.count; i++)
+		if (eb_texts_add(ts, from.items[i]))
+			return -1;
+	return 0;
+}
+
 /* Copies an item and its strings; returns NULL when out of memory. */
 void *eb_config_item_copy(enum eb_item_kind kind, const void *item)
 {
@@ -83,6 +135,8 @@
 		*text = strdup(*text);
 		failed |= !*text;
 	}
+	if (in->list)
+		failed |= own_texts((struct eb_texts *)(copy + in->list)) != 0;
 	if (!failed)
 		return copy;
 	eb_config_item_unref(kind, copy);
@@ -107,6 +161,8 @@
 		return;
 	for (i = 0; in->texts[i]; i++)
 		free(*(char **)((char *)item + in->texts[i]));
+	if (in->list)
+		eb_texts_clear((struct eb_texts *)((char *)item + in->list));
 	free(item);
 }
 
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -38,6 +38,12 @@
 	char *idempotent_methods;   /* separated by spaces */
 };
 
+/* An owned list of strings. */
+struct eb_texts {
+	char **items;
+	uint32_t count;
+};
+
 struct eb_service {
 	int32_t refs;
 	char *name;
@@ -45,6 +51,9 @@
 	char *path_prefix; /* NULL: any */
 	char *rule_name;   /* NULL: defaults */
 	char *probe_path;  /* load probe of its upstreams, or NULL */
+	/* Its requests run and its claims are held only there; empty: anywhere.
+	 */
+	struct eb_texts regions;
 	/* Requests that a cold upstream takes in 1,000 s; 0: no limit. */
 	uint32_t cold_per_s_milli;
 	uint32_t cold_ms; /* an upstream is cold for this long from its start */
@@ -149,6 +158,9 @@
 			     uint64_t start_ms);
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
 uint32_t eb_config_find_rule(const struct eb_config *cf, const char *name);
+enum eb_status eb_texts_add(struct eb_texts *ts, const char *text);
+void eb_texts_clear(struct eb_texts *ts);
+int eb_texts_has(const struct eb_texts *ts, const char *text);
 const struct eb_rule *eb_config_rule(const struct eb_config *cf,
 				     uint32_t service);
 uint32_t eb_config_match(const struct eb_config *cf, const char *host,
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -694,6 +694,7 @@
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
+	eb_gate_set_config(co->gate, eb_nodes_config(co->nodes));
 	eb_origin_serve(co->origin);
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
 		       (int64_t)cf->release);
--- a/src/eb_fields.c
+++ b/src/eb_fields.c
@@ -96,6 +96,8 @@
 	  .min = 1, .max = 3600000, .value = EB_DEADLINE_DEFAULT_MS },
 	{ "rules", EB_FIELD_TEXT, 0, AT(eb_service, rule_name),
 	  .check = eb_check_name },
+	{ "regions", EB_FIELD_LIST, 0, AT(eb_service, regions),
+	  .max = EB_RELEASE_SERVICE_REGIONS_MAX, .check = eb_check_name },
 	{ 0 }
 };
 
--- a/src/eb_fields.h
+++ b/src/eb_fields.h
@@ -12,6 +12,7 @@
 	EB_FIELD_UINT,	   /* uint32_t */
 	EB_FIELD_BOOL,	   /* uint8_t */
 	EB_FIELD_KEY,	   /* char[41] */
+	EB_FIELD_LIST,	   /* struct eb_texts, not empty if given */
 	EB_FIELD_OBJECT,   /* members are fields of the same struct */
 };
 
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -11,6 +11,7 @@
 #include "eb_claim_wire.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
+#include "eb_gate_check.h"
 #include "eb_kept.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
@@ -85,7 +86,8 @@
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	uint32_t kind;
 	struct eb_crash_id crash_id;
-	uint64_t instance; /* that is to run it, as a hash; 0: any */
+	uint64_t instance;   /* that is to run it, as a hash; 0: any */
+	uint32_t generation; /* of the check that it has passed */
 	int64_t arrived_us;
 	int64_t started_us; /* when it got a slot; 0: not yet */
 	int64_t arrived_wall_us;
@@ -101,23 +103,17 @@
 	struct eb_rand rand; /* for span numbers */
 	struct eb_admit *admit;
 	struct eb_crash_detect *marks;
-	char *address; /* of the upstream; NULL: not configured */
-	char *service;
+	struct eb_gate_check check;
 	char *probe;		/* address and path of load probes, or NULL */
 	int64_t pace_us;	/* when the pace was received; 0: never */
 	int64_t probe_us;	/* when the open probe was sent; 0: none */
 	uint32_t held;		/* number of held calls */
-	char *instance;		/* first start of the upstream that answered */
 	struct eb_log *log;	/* NULL: nothing is logged */
 	const char *request_id; /* header with the request id, or NULL */
-	char *own_service;	/* service of `instance`; NULL: unknown */
-	uint8_t replaced;	/* another start followed `instance` */
 	int draining;
 	int leaving;	     /* the upstream, while this daemon stays */
 	int says_leaving;    /* the upstream, in an answer of this start */
 	uint32_t rate_milli; /* that this start names; 0: none */
-	char *configured;    /* instance in the configuration, or NULL */
-	uint64_t start_ms;   /* of `configured`; 0: unknown */
 	struct eb_feed_state copy; /* see eb_gate_set_copy() */
 	int resumed;		   /* see eb_gate_set_resumed() */
 	struct eb_kept *kept;	   /* answers that were sent to origins */
@@ -148,6 +144,8 @@
 		return NULL;
 	gt->config = *cf;
 	gt->out = *out;
+	gt->check.upstream = cf->upstream;
+	gt->check.metrics = cf->metrics;
 	eb_rand_seed(&gt->rand, cf->incarnation ^ 1);
 	gt->chart = eb_chart_load("gate", &names, fs);
 	gt->admit = eb_admit_new(&none);
@@ -199,12 +197,8 @@
 	eb_admit_free(gt->admit);
 	eb_crash_detect_free(gt->marks);
 	eb_kept_free(gt->kept);
-	free(gt->address);
-	free(gt->service);
+	eb_gate_check_clear(&gt->check);
 	free(gt->probe);
-	free(gt->instance);
-	free(gt->own_service);
-	free(gt->configured);
 	free(gt);
 }
 
@@ -387,27 +381,6 @@
 		     rate_milli);
 }
 
-/*
- * Forgets what the upstream has said in its answers when the configuration
- * names another start of it.
- */
-static void update_start(struct eb_gate *gt, const struct eb_upstream *up)
-{
-	int before = refuses_calls(gt);
-
-	if (!up->instance)
-		return;
-	if (gt->configured &&
-	    eb_config_is_other_start(up, gt->configured, gt->start_ms)) {
-		set_rate(gt, 0, 0);
-		gt->says_leaving = 0;
-		update_draining(gt, before);
-	}
-	free(gt->configured);
-	gt->configured = strdup(up->instance);
-	gt->start_ms = up->start_ms;
-}
-
 /*
  * Sets slots, queue, address and probe of the upstream. `rule` is not used
  * when `up` is NULL.
@@ -416,24 +389,32 @@
 		       const struct eb_rule *rule)
 {
 	struct eb_admit_config cf = { 0 };
+	int before = refuses_calls(gt);
+	int other_start = eb_gate_check_configure(&gt->check, up);
 
-	free(gt->address);
-	free(gt->service);
 	free(gt->probe);
 	gt->probe = NULL;
 	if (up && up->probe_path &&
 	    asprintf(&gt->probe, "%s %s", up->address, up->probe_path) < 0)
 		gt->probe = NULL;
-	gt->address = up ? strdup(up->address) : NULL;
-	gt->service = up ? strdup(up->service_name) : NULL;
 	if (up) {
 		cf.slots = up->slots;
 		cf.queue = rule->queue;
 		cf.watch_bytes_per_s = rule->watch_bytes_per_s;
 	}
 	eb_admit_configure(gt->admit, &cf);
-	if (up)
-		update_start(gt, up);
+	if (!other_start)
+		return;
+	/* What the upstream has said in its answers is void. */
+	set_rate(gt, 0, 0);
+	gt->says_leaving = 0;
+	update_draining(gt, before);
+}
+
+/* Sets the configuration that says where the requests of a route may run. */
+void eb_gate_set_config(struct eb_gate *gt, const struct eb_config *cf)
+{
+	eb_gate_check_set_config(&gt->check, cf);
 }
 
 /*
@@ -553,6 +534,7 @@
 		     const char *request_id)
 {
 	gt->log = lg;
+	gt->check.log = lg;
 	gt->request_id = request_id;
 }
 
@@ -607,19 +589,6 @@
 	eb_frame_unref(f);
 }
 
-/*
- * Tells whether the upstream is still the start beside which this process was
- * started, and belongs to the request's service. Then the request may run even
- * if its origin knows only an earlier start. The check is needed because the
- * address may pass to another service while a call waits.
- */
-static int is_own_instance(const struct eb_gate *gt, const struct eb_head *h)
-{
-	return gt->instance && !gt->replaced && gt->own_service &&
-	       !strcmp(gt->own_service, gt->service) &&
-	       !strcmp(gt->own_service, h->service);
-}
-
 /* Sends the request to the upstream, in the slot that it got. */
 static void do_start(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
 		     int64_t now_us)
@@ -637,9 +606,10 @@
 	eb_trace_new_span(&gt->rand, ca->upstream_span);
 	memcpy(head->head->trace.span, ca->upstream_span, 8);
 	head->head->remaining_us = ca->deadline_us - now_us;
-	if (head->head->instance && is_own_instance(gt, head->head)) {
+	if (head->head->instance &&
+	    eb_gate_check_own_start(&gt->check, head->head)) {
 		free(head->head->instance);
-		head->head->instance = strdup(gt->instance);
+		head->head->instance = strdup(gt->check.instance);
 	}
 	if (eb_test_off("expect-instance")) {
 		free(head->head->instance);
@@ -647,7 +617,7 @@
 	}
 	if (head->head->instance)
 		ca->instance = eb_claim_member(head->head->instance);
-	head->object = strdup(gt->address);
+	head->object = strdup(gt->check.address);
 	head->object_free = free;
 	gt->out.to_client(gt->out.ctx, head);
 }
@@ -818,6 +788,24 @@
 	free_call(gt, ca);
 }
 
+/*
+ * Checks the region of a call once more that waited while the configuration
+ * changed. Refuses a call that is no longer allowed and returns 1.
+ */
+static int refuse_moved(struct eb_gate *gt, struct call *ca, int64_t now_us)
+{
+	static const struct eb_admit_action refusal = {
+		.verdict = EB_ADMIT_REFUSE, .reason = EB_REASON_NO_UPSTREAM
+	};
+
+	if (ca->generation == gt->check.generation ||
+	    eb_gate_check_region(&gt->check, ca->head->head))
+		return 0;
+	ca->verdict = refusal;
+	step(gt, ca, EVENT_REFUSE, NULL, now_us);
+	return 1;
+}
+
 /* Carries out admission's decisions on queued calls. */
 static void run_admission(struct eb_gate *gt, int64_t now_us)
 {
@@ -827,6 +815,11 @@
 	while (eb_admit_next(gt->admit, now_us, &act)) {
 		ca = apr_hash_get(gt->by_id, &act.id, sizeof(act.id));
 		assert(ca);
+		if (act.verdict == EB_ADMIT_RUN &&
+		    refuse_moved(gt, ca, now_us)) {
+			eb_admit_done(gt->admit, act.id, -1, now_us);
+			continue;
+		}
 		ca->verdict = act;
 		step(gt, ca,
 		     act.verdict == EB_ADMIT_RUN ? EVENT_RUN : EVENT_REFUSE,
@@ -844,6 +837,8 @@
 	};
 	struct eb_admit_request rq = { 0 };
 
+	if (refuse_moved(gt, ca, now_us))
+		return;
 	rq.id = ca->id;
 	rq.caller = ca->head->head->caller;
 	rq.deadline_us = ca->deadline_us;
@@ -935,7 +930,7 @@
 	gt->says_leaving = 1;
 	eb_log_write(gt->log, EB_LOG_INFO, "gate",
 		     "answer says that the upstream leaves", "instance=%s",
-		     gt->configured ? gt->configured : "-");
+		     gt->check.configured ? gt->check.configured : "-");
 	update_draining(gt, before);
 }
 
@@ -951,26 +946,14 @@
 
 	if (!f->reply->rate_limit_milli || !instance)
 		return;
-	if (!gt->configured || !strcmp(gt->configured, instance))
+	if (!gt->check.configured || !strcmp(gt->check.configured, instance))
 		set_rate(gt, f->reply->rate_limit_milli, now_us);
 }
 
-/* Stores the start of the upstream that answered a probe; NULL: no answer. */
-static void save_instance(struct eb_gate *gt, const char *instance)
-{
-	if (!instance)
-		return;
-	if (!gt->instance)
-		gt->instance = strdup(instance);
-	else if (strcmp(gt->instance, instance) != 0)
-		gt->replaced = 1;
-}
-
 /* Sets the service that this process was started with; NULL: unknown. */
 void eb_gate_set_service(struct eb_gate *gt, const char *service)
 {
-	free(gt->own_service);
-	gt->own_service = service ? strdup(service) : NULL;
+	eb_gate_check_set_service(&gt->check, service);
 }
 
 /* Carries out admission's decisions that are due, and ends a probe's wait. */
@@ -1107,11 +1090,10 @@
 }
 
 /* Returns the reason to refuse a request before admission, if any. */
-static enum eb_reason check_head(const struct eb_gate *gt,
-				 const struct eb_frame *f)
+static enum eb_reason check_head(struct eb_gate *gt, const struct eb_frame *f)
 {
-	if (!gt->address || strcmp(f->head->upstream, gt->config.upstream) ||
-	    strcmp(f->head->service, gt->service))
+	if (!eb_gate_check_addressed(&gt->check, f->head) ||
+	    !eb_gate_check_region(&gt->check, f->head))
 		return EB_REASON_NO_UPSTREAM;
 	if (gt->resumed)
 		return EB_REASON_DEADLINE;
@@ -1142,6 +1124,7 @@
 	if (f->head->goal_us && f->head->goal_us != INT64_MAX)
 		ca->goal_us = now_us + f->head->goal_us;
 	ca->kind = f->head->kind;
+	ca->generation = gt->check.generation;
 	ca->arrived_us = now_us;
 	ca->arrived_wall_us = eb_clock_wall_us();
 	ca->parent = f->head->trace;
@@ -1262,14 +1245,14 @@
 	const struct eb_crash_check lost = { EB_CRASH_STATE_UP, 0 };
 	struct eb_frame *f;
 
-	if (!gt->address || !eb_crash_detect_check_due(gt->marks, now_us))
+	if (!gt->check.address || !eb_crash_detect_check_due(gt->marks, now_us))
 		return;
 	f = eb_frame_new(EB_FRAME_PROBE, EB_PROBE_CHECK);
 	if (!f) {
 		eb_crash_detect_checked(gt->marks, &lost, now_us);
 		return;
 	}
-	f->object = strdup(gt->probe ? gt->probe : gt->address);
+	f->object = strdup(gt->probe ? gt->probe : gt->check.address);
 	f->object_free = free;
 	gt->out.to_client(gt->out.ctx, f);
 }
@@ -1320,7 +1303,7 @@
 	 */
 	if (f->type == EB_FRAME_REFUSE &&
 	    f->reply->reason == EB_REASON_NO_UPSTREAM) {
-		gt->replaced = gt->instance != NULL;
+		gt->check.replaced = gt->check.instance != NULL;
 		gt->pace_us = 0;
 	}
 	if (f->type == EB_FRAME_PROBE && f->call == EB_PROBE_CHECK) {
@@ -1340,7 +1323,7 @@
 	}
 	if (f->type == EB_FRAME_PROBE) {
 		gt->probe_us = 0;
-		save_instance(gt, f->object);
+		eb_gate_check_answered(&gt->check, f->object);
 		save_probe_limit(gt, f, now_us);
 		eb_frame_unref(f);
 		admit_held(gt, now_us);
@@ -1389,7 +1372,7 @@
 			     sizeof(og->incarnation), NULL);
 		free(og);
 	}
-	if (gt->probe && !gt->instance)
+	if (gt->probe && !gt->check.instance)
 		send_probe(gt, now_us);
 	check_upstream(gt, now_us);
 	eb_crash_detect_read_counters(gt->marks, &ct);
--- /dev/null
+++ b/src/eb_home.c
@@ -0,0 +1,59 @@
+#include "eb_home.h"
+
+#include <string.h>
+
+/* Returns the regions of a match or, when it is NULL, of a service. */
+void eb_home_of(const struct eb_match *mt, const struct eb_service *sv,
+		struct eb_home *hm)
+{
+	if (mt) {
+		hm->regions = mt->regions;
+		hm->count = mt->region_count;
+		hm->restricted = mt->restricted;
+		return;
+	}
+	hm->regions = sv->regions.items;
+	hm->count = sv->regions.count;
+	hm->restricted = sv->regions.count > 0;
+}
+
+/*
+ * Finds the regions of a request whose head names its service. Returns 0 when
+ * the configuration has neither its match nor its service: it says nothing
+ * about the request.
+ */
+int eb_home_find(const struct eb_config *cf, const struct eb_head *h,
+		 struct eb_home *hm)
+{
+	const struct eb_match *mt = NULL;
+	uint32_t service = EB_NONE;
+
+	if (cf->has_matches)
+		mt = eb_config_find_match(
+			cf, eb_headers_find(&h->headers, "Host"), h->target);
+	else
+		service = eb_config_find_service(cf, h->service);
+	if (!mt && service == EB_NONE)
+		return 0;
+	eb_home_of(mt, mt ? NULL : cf->services[service], hm);
+	return 1;
+}
+
+/*
+ * Tells whether a request may run in a region. One that the configuration does
+ * not know may: its route was removed while it was under way, or is so new that
+ * only its origin knows it, which has applied its regions.
+ */
+int eb_home_allows(const struct eb_config *cf, const struct eb_head *h,
+		   const char *region)
+{
+	struct eb_home hm;
+	uint32_t i;
+
+	if (!eb_home_find(cf, h, &hm) || !hm.restricted)
+		return 1;
+	for (i = 0; i < hm.count; i++)
+		if (!strcmp(hm.regions[i], region))
+			return 1;
+	return 0;
+}
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -35,6 +35,10 @@
 	  "Calls this gate refused as not run")                              \
 	X(GATE_RATE_LIMITED, "gate_rate_limited_total",                      \
 	  "Calls this gate refused for the upstream's rate limit")           \
+	X(GATE_REGION_REFUSED, "gate_region_refused_total",                  \
+	  "Calls this gate refused because their route excludes its region") \
+	X(HOME_REFUSED, "home_regions_refused_total",                        \
+	  "Calls refused as no upstream in their route's regions is left")   \
 	X(RATE_LIMIT, "upstream_rate_limit_milli",                           \
 	  "Requests per 1,000 s that the upstream takes, 0 for no limit")    \
 	X(GATE_QUEUED, "gate_queued_total", "Calls that waited for a slot")  \
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -28,7 +28,8 @@
 	apr_hash_t *by_address; /* daemon's IP:port -> node number + 1 */
 	apr_hash_t *services;	/* name -> struct eb_service_state */
 	struct eb_regions *regions;
-	uint8_t cut_off; /* all peers that are up are suspected */
+	uint32_t generation; /* see eb_nodes_generation() */
+	uint8_t cut_off;     /* all peers that are up are suspected */
 };
 
 /* Creates an empty registry. Returns NULL without memory. */
@@ -91,6 +92,12 @@
 	return nd->config;
 }
 
+/* Returns the number of configurations that have come into force. */
+uint32_t eb_nodes_generation(const struct eb_nodes *nd)
+{
+	return nd->generation;
+}
+
 /* Returns the node with a number, or NULL when there is none. */
 struct eb_node *eb_nodes_get(const struct eb_nodes *nd, uint32_t id)
 {
@@ -396,6 +403,7 @@
 	uint32_t i;
 
 	nd->config = eb_config_ref(cf);
+	nd->generation++;
 	apr_hash_clear(nd->by_address);
 	for (i = 0; i < nd->count; i++) {
 		nd->nodes[i]->present_before = nd->nodes[i]->present;
@@ -454,9 +462,12 @@
 /*
  * Tells whether a daemon of the service has a socket but has not answered yet.
  * A daemon that was lost does not count: it is unknown when it will be back.
+ * Neither does one outside `regions`, a set as in eb_nodes_allowed_regions(),
+ * or in an evacuated failure domain: it gets no request when it is up.
  */
 int eb_nodes_first_answer_pending(const struct eb_nodes *nd,
-				  const struct eb_service_state *sv)
+				  const struct eb_service_state *sv,
+				  uint64_t regions)
 {
 	const struct eb_node *n;
 	uint32_t i;
@@ -464,7 +475,8 @@
 	for (i = 0; i < nd->count; i++) {
 		n = nd->nodes[i];
 		if (n->present && n->service == sv->index && !n->leaving &&
-		    !n->draining && !n->says_leaving && n->peer &&
+		    !n->draining && !n->says_leaving && !n->evacuated &&
+		    (!regions || (regions & n->region)) && n->peer &&
 		    !n->peer->up && !n->peer->incarnation)
 			return 1;
 	}
@@ -587,23 +599,31 @@
 }
 
 /*
- * Returns the set of regions in which the requests of a match may run; 0: in
- * any. A region without a bit is in no set, so that a match whose regions are
- * all unknown has a set in which no upstream is.
+ * Returns the set of regions in which requests may run; 0: in any. A region
+ * without a bit is in no set, so that requests whose regions are all unknown
+ * have a set in which no upstream is. Only the regions of upstreams get bits:
+ * those that routes name do not use up the 63 that there are.
  */
 uint64_t eb_nodes_allowed_regions(const struct eb_nodes *nd,
-				  const struct eb_match *mt)
+				  const struct eb_home *hm)
 {
 	uint64_t set = 0;
 	uint32_t i;
 
-	if (!mt->restricted)
+	if (!hm->restricted)
 		return 0;
-	for (i = 0; i < mt->region_count; i++)
-		set |= eb_regions_bit(nd->regions, mt->regions[i]);
+	for (i = 0; i < hm->count; i++)
+		set |= eb_regions_find(nd->regions, hm->regions[i]);
 	return set ? set : NO_REGION;
 }
 
+/* Writes the names of a set of regions for a log line. */
+void eb_nodes_print_regions(const struct eb_nodes *nd, uint64_t regions,
+			    char *out, size_t bytes)
+{
+	eb_regions_print(nd->regions, regions, out, bytes);
+}
+
 /* Returns the rule of a service, or the default rule when it has none. */
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
 				    const struct eb_service_state *sv)
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "eb_config.h"
+#include "eb_home.h"
 #include "eb_limit.h"
 #include "eb_mesh.h"
 #include "eb_retry.h"
@@ -68,7 +69,8 @@
 					  int64_t now_us);
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 int eb_nodes_first_answer_pending(const struct eb_nodes *nd,
-				  const struct eb_service_state *sv);
+				  const struct eb_service_state *sv,
+				  uint64_t regions);
 void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us);
 void eb_nodes_fast_heartbeat(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 void eb_nodes_changed(struct eb_nodes *nd, uint32_t id, int64_t now_us);
@@ -79,7 +81,10 @@
 void eb_nodes_update_vm(struct eb_nodes *nd, const char *address, int leaving,
 			int64_t now_us);
 uint64_t eb_nodes_allowed_regions(const struct eb_nodes *nd,
-				  const struct eb_match *mt);
+				  const struct eb_home *hm);
+uint32_t eb_nodes_generation(const struct eb_nodes *nd);
+void eb_nodes_print_regions(const struct eb_nodes *nd, uint64_t regions,
+			    char *out, size_t bytes);
 const struct eb_rule *eb_nodes_rule(const struct eb_nodes *nd,
 				    const struct eb_service_state *sv);
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -11,6 +11,8 @@
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
+#include "eb_home.h"
+#include "eb_matcher.h"
 #include "eb_overdue.h"
 #include "eb_call_stats.h"
 #include "eb_test_off.h"
@@ -20,8 +22,8 @@
 #define EXPIRE_GRACE_US 50000
 /* Route name under which requests are counted that match no route. */
 #define NO_ROUTE_NAME "(none)"
-/* 2^32 divided by the golden ratio; see pick_service(). */
-#define GOLDEN_RATIO_STEP 2654435769U
+/* Space for the names of a route's regions in a log line. */
+#define REGIONS_TEXT_BYTES 128
 
 /*
  * States and events in the order of their names, which are those of
@@ -127,10 +129,11 @@
 	uint8_t reason;
 	uint16_t status;
 	uint32_t retry_after_ms;
-	uint8_t hops;	   /* left for the calls that the upstream makes */
-	uint32_t route;	   /* index in the counts by route */
-	uint64_t regions;  /* in which it may run; 0: in any */
-	int64_t budget_us; /* time that the call may take */
+	uint8_t hops;	     /* left for the calls that the upstream makes */
+	uint32_t route;	     /* index in the counts by route */
+	uint64_t regions;    /* in which it may run; 0: in any */
+	uint32_t generation; /* of the configuration that `regions` is of */
+	int64_t budget_us;   /* time that the call may take */
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	int64_t started_us;
@@ -151,9 +154,9 @@
 	apr_hash_t *by_number; /* attempt number -> call */
 	apr_hash_t *longest;   /* match name -> longest deadline seen, us */
 	uint64_t next_number;
-	uint32_t parked;	 /* number of parked calls */
-	uint32_t split_position; /* see pick_service() */
-	int serving;		 /* set by eb_origin_serve() */
+	struct eb_matcher matcher;
+	uint32_t parked; /* number of parked calls */
+	int serving;	 /* set by eb_origin_serve() */
 };
 
 typedef void action_fn(struct eb_origin *og, struct call *ca,
@@ -183,7 +186,7 @@
 	og->config = *cf;
 	og->out = *out;
 	eb_rand_seed(&og->rand, cf->incarnation);
-	og->split_position = (uint32_t)cf->incarnation;
+	og->matcher.split_position = (uint32_t)cf->incarnation;
 	og->chart = eb_chart_load("origin", &names, fs);
 	if (!og->chart || apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
 		eb_chart_free(og->chart);
@@ -274,7 +277,10 @@
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
 	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	char regions[REGIONS_TEXT_BYTES];
 
+	eb_nodes_print_regions(og->config.nodes, ca->regions, regions,
+			       sizeof(regions));
 	eb_log_write(og->config.log,
 		     ca->outcome == EB_OUTCOME_RAN && ca->status < 500
 			     ? EB_LOG_INFO
@@ -282,14 +288,14 @@
 		     "origin", "call ended",
 		     "id=%s service=%s upstream=%s distance=%s attempts=%u "
 		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
-		     "last_ms=%lld left_ms=%lld release=%llu",
+		     "last_ms=%lld left_ms=%lld regions=%s release=%llu",
 		     request_id(og, ca->head), ca->service->name,
 		     n ? n->name : "-", n ? eb_distance_name(n->distance) : "-",
 		     ca->attempts, ca->runs, ca->status,
 		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
 		     (long long)(now_us - ca->started_us) / 1000,
 		     (long long)(now_us - ca->attempt_us) / 1000,
-		     (long long)(ca->deadline_us - now_us) / 1000,
+		     (long long)(ca->deadline_us - now_us) / 1000, regions,
 		     (unsigned long long)cf->release);
 }
 
@@ -557,22 +563,40 @@
 	return 0;
 }
 
+/*
+ * Takes the regions of a call from the configuration in force, if that is newer
+ * than the call or its last attempt. One that no longer knows the request
+ * leaves them as they are.
+ */
+static void update_regions(const struct eb_origin *og, struct call *ca)
+{
+	const struct eb_nodes *nd = og->config.nodes;
+	struct eb_home hm;
+
+	if (ca->generation == eb_nodes_generation(nd))
+		return;
+	ca->generation = eb_nodes_generation(nd);
+	if (eb_home_find(eb_nodes_config(nd), ca->head->head, &hm))
+		ca->regions = eb_nodes_allowed_regions(nd, &hm);
+}
+
 /*
  * Tells whether a request may wait, for EB_UPSTREAM_WAIT_MS at most, because a
- * daemon of its service has not answered for the first time yet. After an
- * attempt it waits only if a draining upstream refused that: a refusal for load
- * goes to the caller at once.
+ * daemon of its service and regions has not answered for the first time yet.
+ * After an attempt it waits only if a draining upstream refused that: a refusal
+ * for load goes to the caller at once.
  */
-static int may_park(const struct eb_origin *og, const struct call *ca,
-		    int64_t now_us)
+static int may_park(const struct eb_origin *og, struct call *ca, int64_t now_us)
 {
+	update_regions(og, ca);
 	if (now_us >= ca->deadline_us ||
 	    now_us - ca->started_us >= EB_UPSTREAM_WAIT_MS * 1000LL)
 		return 0;
 	if (ca->attempts && (ca->outcome != EB_OUTCOME_NOT_RUN ||
 			     ca->reason != EB_REASON_DRAINING))
 		return 0;
-	return eb_nodes_first_answer_pending(og->config.nodes, ca->service);
+	return eb_nodes_first_answer_pending(og->config.nodes, ca->service,
+					     ca->regions);
 }
 
 /* Sets whether a call is parked, and counts parked calls. */
@@ -584,6 +608,14 @@
 	og->parked += parked ? 1 : (uint32_t)-1;
 }
 
+/* Tells whether a request has not run because upstreams are missing. */
+static int lacks_upstream(const struct call *ca)
+{
+	return ca->outcome == EB_OUTCOME_NOT_RUN && !ca->maybe_ran &&
+	       (ca->reason == EB_REASON_NO_UPSTREAM ||
+		ca->reason == EB_REASON_DRAINING);
+}
+
 /*
  * Sends the request to the best upstream whose gate can be reached. Without
  * one, the request is parked or answered with the last failure.
@@ -594,6 +626,7 @@
 	uint32_t node;
 
 	park(og, ca, 0);
+	update_regions(og, ca);
 	q.caller = ca->head->head->caller;
 	q.idempotent = ca->idempotent;
 	q.remaining_us = ca->deadline_us - now_us;
@@ -626,6 +659,8 @@
 		ca->reason = EB_REASON_NO_UPSTREAM;
 		ca->retry_after_ms = 1000;
 	}
+	if (ca->regions && lacks_upstream(ca))
+		eb_metrics_add(og->config.metrics, EB_METRIC_HOME_REFUSED, 1);
 	step(og, ca, EVENT_EXHAUSTED, NULL, now_us);
 }
 
@@ -960,21 +995,6 @@
 
 /* ---- Frames of the front ---- */
 
-/* Tells whether `method` is in a list of methods separated by spaces. */
-static int is_idempotent(const char *methods, const char *method)
-{
-	size_t want = strlen(method), n;
-	const char *p;
-
-	for (p = methods; *p; p += n) {
-		p += strspn(p, " ");
-		n = strcspn(p, " ");
-		if (n == want && !strncmp(p, method, n))
-			return 1;
-	}
-	return 0;
-}
-
 /* Refuses a request without creating a call. */
 static void refuse_request(struct eb_origin *og, struct eb_frame *f,
 			   const struct eb_match *pt, enum eb_reason reason,
@@ -1062,12 +1082,13 @@
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
 	const struct eb_rule *rule;
 	struct eb_head *h = ca->head->head;
+	struct eb_home hm;
 
 	rule = eb_nodes_rule(og->config.nodes, ca->service);
 	ca->front_id = ca->head->call;
 	ca->node = EB_NONE;
-	ca->idempotent =
-		(uint8_t)is_idempotent(rule->idempotent_methods, h->method);
+	ca->idempotent = (uint8_t)eb_matcher_idempotent(
+		rule->idempotent_methods, h->method);
 	h->idempotent = ca->idempotent;
 	ca->streamed = h->body_kind == EB_BODY_LENGTH ||
 		       h->body_kind == EB_BODY_CHUNKED;
@@ -1079,10 +1100,11 @@
 		ca->budget_us =
 			cf->services[ca->service->index]->deadline_ms * 1000LL;
 	ca->runs_max = EB_ATTEMPTS_MAX;
-	if (pt) {
+	if (pt)
 		apply_match(ca, pt);
-		ca->regions = eb_nodes_allowed_regions(og->config.nodes, pt);
-	}
+	eb_home_of(pt, cf->services[ca->service->index], &hm);
+	ca->regions = eb_nodes_allowed_regions(og->config.nodes, &hm);
+	ca->generation = eb_nodes_generation(og->config.nodes);
 	ca->route =
 		eb_call_stats_route(eb_metrics_call_stats(og->config.metrics),
 				    pt ? pt->name : ca->service->name);
@@ -1098,43 +1120,6 @@
 	ca->reason = EB_REASON_NO_UPSTREAM;
 }
 
-/*
- * Picks the service of a path whose traffic is split by weight. Stepping the
- * position by the golden ratio of its range spreads the requests evenly over
- * the shares, also in each short sequence of them.
- */
-static uint32_t pick_service(struct eb_origin *og, const struct eb_match *pt)
-{
-	uint64_t sum = 0, at;
-	uint32_t i;
-
-	if (pt->share_count < 2)
-		return pt->share_count ? pt->shares[0].service : EB_NONE;
-	for (i = 0; i < pt->share_count; i++)
-		sum += pt->shares[i].weight;
-	og->split_position += GOLDEN_RATIO_STEP;
-	at = og->split_position * sum >> 32;
-	for (i = 0; i + 1 < pt->share_count; i++) {
-		if (at < pt->shares[i].weight)
-			break;
-		at -= pt->shares[i].weight;
-	}
-	return pt->shares[i].service;
-}
-
-/* Finds the path and the service of a request. */
-static uint32_t find_service(struct eb_origin *og, const struct eb_head *h,
-			     const struct eb_match **pt)
-{
-	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
-	const char *host = eb_headers_find(&h->headers, "Host");
-
-	if (!cf->has_matches)
-		return eb_config_match(cf, host, h->target);
-	*pt = eb_config_find_match(cf, host, h->target);
-	return *pt ? pick_service(og, *pt) : EB_NONE;
-}
-
 /*
  * Finds the path and the service of a request. Returns the reason to refuse
  * it, or EB_REASON_NONE.
@@ -1157,7 +1142,7 @@
 	}
 	if ((!cf->release && !cf->has_matches) || !og->serving)
 		return EB_REASON_NO_UPSTREAM;
-	index = find_service(og, h, pt);
+	index = eb_matcher_service(&og->matcher, cf, h, pt);
 	if (index == EB_NONE)
 		return *pt ? EB_REASON_NO_UPSTREAM : EB_REASON_NO_ROUTE;
 	*sv = eb_nodes_service(og->config.nodes, index, now_us);
@@ -1479,7 +1464,8 @@
  * Tells whether an attempt at an unresponsive gate should be moved: the request
  * is idempotent, the retry limits allow it, and there is another upstream.
  */
-static int should_move(const struct call *ca, uint32_t node, int64_t now_us)
+static int should_move(const struct eb_origin *og, struct call *ca,
+		       uint32_t node, int64_t now_us)
 {
 	struct eb_route_query q = { 0 };
 
@@ -1487,6 +1473,7 @@
 	    !ca->idempotent || ca->attempts >= EB_ATTEMPTS_MAX ||
 	    ca->runs + 1 >= ca->runs_max || !eb_retry_left(&ca->service->retry))
 		return 0;
+	update_regions(og, ca);
 	q.regions = ca->regions;
 	q.tried = ca->tried;
 	q.tried_count = ca->tried_count;
@@ -1503,7 +1490,7 @@
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
-		if (!should_move(ca, node, now_us))
+		if (!should_move(og, ca, node, now_us))
 			continue;
 		do_cancel(og, ca, NULL, now_us);
 		mark_attempt_lost(og, ca, now_us);
--- a/src/eb_plan.c
+++ b/src/eb_plan.c
@@ -24,6 +24,18 @@
 	return ((const struct item *)item)->name;
 }
 
+/* Prints the strings of a list, cut to fit; an empty one prints as none. */
+static void print_list(const struct eb_texts *ts, char out[VALUE_BYTES])
+{
+	size_t used = 0;
+	uint32_t i;
+
+	snprintf(out, VALUE_BYTES, "none");
+	for (i = 0; i < ts->count && used < VALUE_BYTES; i++)
+		used += (size_t)snprintf(out + used, VALUE_BYTES - used, "%s%s",
+					 i ? "," : "", ts->items[i]);
+}
+
 /* Prints the value of a field, cut to fit; an unset text prints as none. */
 static void print_value(const struct eb_field *fd, const char *item,
 			char out[VALUE_BYTES])
@@ -42,6 +54,9 @@
 	case EB_FIELD_KEY:
 		snprintf(out, VALUE_BYTES, "\"%s\"", item + fd->offset);
 		break;
+	case EB_FIELD_LIST:
+		print_list((const struct eb_texts *)(item + fd->offset), out);
+		break;
 	default:
 		text = *(char *const *)(item + fd->offset);
 		snprintf(out, VALUE_BYTES, text ? "\"%s\"" : "none", text);
--- a/src/eb_regions.h
+++ b/src/eb_regions.h
@@ -1,6 +1,7 @@
 #ifndef EB_REGIONS_H
 #define EB_REGIONS_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 /* Bits of a set of regions; the last one belongs to no region. */
@@ -12,5 +13,8 @@
 struct eb_regions *eb_regions_new(void);
 void eb_regions_free(struct eb_regions *rg);
 uint64_t eb_regions_bit(struct eb_regions *rg, const char *name);
+uint64_t eb_regions_find(const struct eb_regions *rg, const char *name);
+void eb_regions_print(const struct eb_regions *rg, uint64_t set, char *out,
+		      size_t bytes);
 
 #endif
--- a/src/eb_release.c
+++ b/src/eb_release.c
@@ -131,6 +131,9 @@
 	case EB_FIELD_KEY:
 		item[fd->offset] = 0;
 		break;
+	case EB_FIELD_LIST:
+		eb_texts_clear((struct eb_texts *)(item + fd->offset));
+		break;
 	default:
 		for (m = fd->members; m->name; m++)
 			set_default(nt, m, item);
@@ -171,6 +174,34 @@
 		*(uint32_t *)(item + fd->offset) = (uint32_t)number;
 }
 
+/* Reads a list of different strings, which must not be empty. */
+static void read_texts(struct note *nt, const struct eb_field *fd,
+		       const json_t *value, const struct eb_json_path *path,
+		       char *item)
+{
+	struct eb_texts *ts = (struct eb_texts *)(item + fd->offset);
+	struct eb_json_path at = { path, NULL, 0 };
+	const char *text, *reason;
+
+	eb_texts_clear(ts);
+	if (!json_is_array(value) || !json_array_size(value) ||
+	    json_array_size(value) > fd->max) {
+		report(nt, path, "expected an array of 1 to %u strings",
+		       fd->max);
+		return;
+	}
+	for (; at.index < json_array_size(value); at.index++) {
+		text = json_string_value(json_array_get(value, at.index));
+		reason = text ? fd->check(text) : "expected a string";
+		if (!reason && eb_texts_has(ts, text))
+			reason = "appears twice in this list";
+		if (reason)
+			report(nt, &at, "%s", reason);
+		else if (eb_texts_add(ts, text))
+			nt->failed = 1;
+	}
+}
+
 static void read_fields(struct note *nt, const struct eb_field *fields,
 			const json_t *json, const struct eb_json_path *path,
 			int partial, char *item);
@@ -189,6 +220,9 @@
 		else
 			report(nt, path, "expected true or false");
 		break;
+	case EB_FIELD_LIST:
+		read_texts(nt, fd, value, path, item);
+		break;
 	case EB_FIELD_OBJECT:
 		if (!json_is_object(value)) {
 			report(nt, path, "expected an object");
@@ -648,6 +682,57 @@
 	}
 }
 
+/* Tells whether any upstream is in a region. */
+static int has_upstream(const struct list *upstreams, const char *region)
+{
+	const struct eb_upstream *up;
+	uint32_t i;
+
+	for (i = 0; i < upstreams->count; i++) {
+		up = upstreams->entries[i].item;
+		if (up->region && !strcmp(up->region, region))
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Checks that the regions that the note gives a service have upstreams, of any
+ * service: those of a new service may follow in a later note. A note that
+ * withdraws the last upstream of a region is not refused for it.
+ */
+static void check_regions(struct note *nt)
+{
+	const struct list *services = &nt->lists[EB_ITEM_SERVICE];
+	struct eb_json_path section = { 0 }, list = { &section, NULL, 0 },
+			    item = { &list, NULL, 0 },
+			    field = { &item, "regions", 0 },
+			    at = { &field, NULL, 0 };
+	const struct change *ch;
+	const json_t *json;
+	const char *region;
+	uint32_t i;
+
+	list.key = eb_item_schemas[EB_ITEM_SERVICE].plural;
+	for (i = 0; i < services->count; i++) {
+		ch = services->entries[i].change;
+		json = ch ? json_object_get(ch->json, "regions") : NULL;
+		section.key = ch ? section_names[ch->section] : NULL;
+		item.index = ch ? ch->index : 0;
+		for (at.index = 0; at.index < json_array_size(json);
+		     at.index++) {
+			region = json_string_value(
+				json_array_get(json, at.index));
+			if (region && !eb_check_name(region) &&
+			    !has_upstream(&nt->lists[EB_ITEM_UPSTREAM], region))
+				report(nt, &at,
+				       "no upstream is in region "
+				       "\"%s\"",
+				       region);
+		}
+	}
+}
+
 static int match_equal(const struct eb_service *x, const struct eb_service *y)
 {
 	if (!x->host != !y->host || !x->path_prefix != !y->path_prefix)
@@ -871,8 +956,10 @@
 		build_list(nt, (enum eb_item_kind)i);
 	if (nt->failed)
 		return;
-	if (nt->base)
+	if (nt->base) {
 		check_references(nt);
+		check_regions(nt);
+	}
 	check_matches(nt);
 	check_addresses(nt, "address", AT(eb_upstream, address));
 	check_addresses(nt, "daemon", AT(eb_upstream, daemon));
--- a/src/eb_release.h
+++ b/src/eb_release.h
@@ -16,6 +16,8 @@
 #define EB_RELEASE_UPSTREAMS_MAX 65536
 #define EB_RELEASE_SERVICES_MAX 4096
 #define EB_RELEASE_RULES_MAX 4096
+/* Bits that eb_regions has for regions. */
+#define EB_RELEASE_SERVICE_REGIONS_MAX 63
 
 /*
  * A release note lists the items that are added, changed and withdrawn.
--- a/tests/test_eb_claim_holder.cc
+++ b/tests/test_eb_claim_holder.cc
@@ -504,6 +504,58 @@
 	}
 }
 
+/*
+ * Guards against claims, which hold responses, outside the regions of their
+ * service, and against sets that are larger than what is left.
+ */
+TEST(Holder, SetsStayInTheRegionsOfTheService)
+{
+	const struct {
+		std::vector<std::string> regions;
+		uint32_t want;
+	} cases[] = {
+		{ {}, 5 },	   { { "r0" }, 3 }, { { "r0", "r1" }, 5 },
+		{ { "gone" }, 0 }, { { "r2" }, 1 },
+	};
+
+	for (const auto &c : cases) {
+		std::vector<int> members;
+
+		for (int i = 0; i < 25; i++)
+			members.push_back(i);
+		test_config tc(members, 5);
+		eb_texts *ts = &tc.cf.services[0]->regions;
+
+		for (const std::string &name : c.regions)
+			ASSERT_EQ(EB_OK, eb_texts_add(ts, name.c_str()));
+		for (uint32_t i = 0; i < 25; i++)
+			tc.cf.upstreams[i]->region = (char *)(i == 24 ? "r2"
+							      : i % 2 ? "r1"
+								      : "r0");
+		for (uint32_t slot = 0; slot < EB_CLAIM_SLOTS; slot++) {
+			eb_claim_set st;
+
+			ASSERT_EQ(EB_OK,
+				  eb_claim_set_make(&st, &tc.cf, 0, slot));
+			EXPECT_EQ(c.want, st.count);
+			for (uint32_t i = 0; i < st.count; i++) {
+				uint32_t id = EB_NONE;
+
+				for (uint32_t k = 0; k < 25; k++)
+					if (!strcmp(st.name[i],
+						    tc.cf.upstreams[k]->name))
+						id = k;
+				ASSERT_NE(EB_NONE, id);
+				EXPECT_TRUE(!ts->count ||
+					    eb_texts_has(ts, tc.cf.upstreams[id]
+								     ->region));
+			}
+			eb_claim_set_clear(&st);
+		}
+		eb_texts_clear(ts);
+	}
+}
+
 std::string sample_message()
 {
 	eb_claim_message m{};
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -73,6 +73,7 @@
 		up.instance = (char *)instance;
 		up.address = strdup("127.0.0.1:1");
 		up.service_name = strdup(service);
+		up.region = (char *)"r";
 		up.slots = 1;
 		rule.queue = 1;
 		eb_gate_configure(gt, &up, &rule);
@@ -116,6 +117,28 @@
 		note(ctx, where.c_str(), f);
 	}
 
+	/* Puts a configuration into force with one route, of these regions. */
+	void allow(const std::vector<std::string> &regions, int restricted = 1,
+		   const char *prefix = "/agenda/")
+	{
+		eb_config *cf = eb_config_new_empty();
+		eb_match *mt = (eb_match *)calloc(1, sizeof(*mt));
+
+		cf->has_matches = 1;
+		cf->matches = mt;
+		cf->match_count = 1;
+		mt->name = strdup("route");
+		mt->host = strdup("");
+		mt->prefix = strdup(prefix);
+		mt->restricted = (uint8_t)restricted;
+		mt->regions =
+			(char **)calloc(regions.size() + 1, sizeof(char *));
+		for (const std::string &name : regions)
+			mt->regions[mt->region_count++] = strdup(name.c_str());
+		eb_gate_set_config(gt, cf);
+		eb_config_unref(cf);
+	}
+
 	/* Events: "origin TYPE CALL", "client TYPE CALL", "wait MS", ... */
 	void run(const std::string &event)
 	{
@@ -131,6 +154,8 @@
 			eb_gate_tick(gt, now_us);
 		} else if (w == "drain") {
 			eb_gate_drain(gt);
+		} else if (w == "allow") {
+			allow({ what });
 		} else if (w == "probe") {
 			eb_frame *f = make("probe", 0);
 
@@ -187,7 +212,7 @@
 				f->head->service = strdup("agenda");
 				f->head->upstream = strdup("agenda-1");
 				f->head->method = strdup("POST");
-				f->head->target = strdup("/agenda");
+				f->head->target = strdup("/agenda/x");
 				f->head->hops = 3;
 				f->head->remaining_us = 100 * MS;
 			}
@@ -343,6 +368,79 @@
 	}
 }
 
+/* The upstream is in region r; the origin knows an older configuration. */
+const scenario homes[] = {
+	{ "a request runs in a region that its route allows",
+	  { "allow r", "origin head 1" },
+	  { "client head 1" } },
+	{ "a request is refused as not run elsewhere",
+	  { "allow s", "origin head 1" },
+	  { "origin refuse 1 not-run no-upstream" } },
+	{ "a queued request is refused if its route has moved",
+	  { "allow r", "origin head 1", "origin head 2", "allow s",
+	    "client rhead 1" },
+	  { "client head 1", "origin rhead 1",
+	    "origin refuse 2 not-run no-upstream" } },
+	{ "the slot that it would have got is free",
+	  { "allow r", "origin head 1", "origin head 2", "allow s",
+	    "client rhead 1", "allow r", "origin head 3" },
+	  { "client head 1", "origin rhead 1",
+	    "origin refuse 2 not-run no-upstream", "client head 3" } },
+	{ "a request that runs goes on",
+	  { "allow r", "origin head 1", "allow s", "client rhead 1" },
+	  { "client head 1", "origin rhead 1" } },
+};
+
+/*
+ * Guards against an origin with an outdated configuration whose requests run
+ * outside the home regions of their route.
+ */
+TEST_F(Gate, HomeRegions)
+{
+	const struct {
+		std::vector<std::string> regions;
+		int restricted;
+		const char *prefix;
+		const char *want;
+	} cases[] = {
+		{ {}, 0, "/agenda/", "client head 1" },
+		{ {}, 1, "/agenda/", "origin refuse 1 not-run no-upstream" },
+		{ { "s", "r" }, 1, "/agenda/", "client head 1" },
+		{ { "s" }, 1, "/other/", "client head 1" },
+	};
+
+	for (const scenario &sc : homes) {
+		SCOPED_TRACE(sc.guards);
+		restart();
+		out.clear();
+		for (const std::string &event : sc.events)
+			run(event);
+		EXPECT_EQ(sc.expected, out);
+		EXPECT_EQ(out.back().find("refuse") != std::string::npos ||
+				  out.size() == 4,
+			  eb_metrics_get(mt, EB_METRIC_GATE_REGION_REFUSED));
+	}
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.want);
+		restart();
+		out.clear();
+		allow(c.regions, c.restricted, c.prefix);
+		run("origin head 1");
+		EXPECT_EQ(std::vector<std::string>{ c.want }, out);
+	}
+	restart();
+	configure("/health");
+	allow({ "r" });
+	run("origin head 1");
+	allow({ "s" });
+	out.clear();
+	run("probe 100");
+	EXPECT_EQ((std::vector<std::string>{
+			  "origin refuse 1 not-run no-upstream" }),
+		  out)
+		<< "a call that waited for a probe";
+}
+
 /* An upstream that answers probes with the pace of its VM. */
 const scenario probed[] = {
 	{ "a request waits for the reply to the probe, then runs",
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -50,6 +50,9 @@
 	std::vector<uint64_t> numbers; /* of the attempts so far */
 	std::vector<uint32_t> nodes;   /* of the attempts so far */
 	int64_t now_us = 1000000;
+	/* Regions of the service, as JSON, and of the second upstream. */
+	std::string regions = "null", second_region = "r";
+	uint32_t retry_after_ms = 0; /* of the last answer */
 
 	void start()
 	{
@@ -90,9 +93,19 @@
 	void configure()
 	{
 		json_t *note = json_loads(NOTE, 0, nullptr);
+		json_t *added = json_object_get(note, "added");
 		eb_config *base = eb_config_new_empty(), *cf = nullptr;
 		eb_findings fs = {};
 
+		if (regions != "null")
+			json_object_set_new(
+				json_array_get(
+					json_object_get(added, "services"), 0),
+				"regions",
+				json_loads(regions.c_str(), 0, nullptr));
+		json_object_set_new(
+			json_array_get(json_object_get(added, "upstreams"), 1),
+			"region", json_string(second_region.c_str()));
 		ASSERT_EQ(EB_OK,
 			  eb_release_apply(base, note, 1, "t", &fs, &cf));
 		eb_nodes_configure(nd, cf, now_us);
@@ -115,6 +128,8 @@
 			line += " " + std::to_string(f->reply->status) + " " +
 				eb_outcome_name(f->reply->outcome) + " " +
 				eb_reason_name(f->reply->reason);
+		if (f->reply)
+			t->retry_after_ms = f->reply->retry_after_ms;
 		t->out.push_back(line);
 		eb_frame_unref(f);
 	}
@@ -204,14 +219,23 @@
 				og,
 				eb_frame_new_data(EB_FRAME_DATA, 40, "x", 1),
 				now_us);
-		else if (ev == "undialled")
+		else if (ev.rfind("home ", 0) == 0) {
+			regions = "[\"" + ev.substr(5) + "\"]";
+			configure();
+		} else if (ev == "undialled")
 			set_second(0, 0);
 		else if (ev == "silent")
 			set_second(0, 7);
 		else if (ev == "reached")
 			set_second(1, 7);
-		else if (ev.rfind("suspect", 0) == 0)
+		else if (ev.rfind("evacuated", 0) == 0) {
+			eb_nodes_get(nd, (uint32_t)n - 1)->evacuated = 1;
+			eb_nodes_changed(nd, (uint32_t)n - 1, now_us);
+		} else if (ev.rfind("suspect", 0) == 0)
 			suspect(nodes.at((size_t)n - 1));
+		else if (ev.rfind("moved", 0) == 0)
+			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
+			     EB_REASON_NO_UPSTREAM, 0);
 		else if (ev.rfind("leaves", 0) == 0)
 			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
 			     EB_REASON_DRAINING, 0);
@@ -390,6 +414,113 @@
 	stop();
 }
 
+struct home_scenario {
+	const char *guards;
+	std::vector<std::string> events;
+	std::vector<std::string> expected;
+	std::vector<uint32_t> nodes; /* of the attempts */
+	int64_t refused;	     /* counted for lack of an upstream */
+};
+
+/* The first upstream is in region r, the second in region s. */
+const home_scenario home_scenarios[] = {
+	{ "a request runs in its home region",
+	  { "home s", "post", "whole 1" },
+	  { "gate head", "front rhead" },
+	  { 1 },
+	  0 },
+	{ "a refused request does not leave it",
+	  { "home s", "get", "refuse 1" },
+	  { "gate head", "front refuse 503 not-run connect-failed" },
+	  { 1 },
+	  0 },
+	{ "nor does one whose upstream leaves",
+	  { "home s", "get", "leaves 1" },
+	  { "gate head", "front refuse 503 not-run draining" },
+	  { 1 },
+	  1 },
+	{ "nor one at a gate that is suspected",
+	  { "home s", "get", "suspect 1", "whole 1" },
+	  { "gate head", "front rhead" },
+	  { 1 },
+	  0 },
+	{ "nor one at a gate that is lost",
+	  { "home s", "get", "silent", "lost 1" },
+	  { "gate head", "front abort 502 unknown lost-peer" },
+	  { 1 },
+	  0 },
+	{ "without an upstream there it is refused at once",
+	  { "silent", "home s", "silent", "post" },
+	  { "front refuse 503 not-run no-upstream" },
+	  {},
+	  1 },
+	{ "also if that is evacuated",
+	  { "home s", "evacuated 2", "post" },
+	  { "front refuse 503 not-run no-upstream" },
+	  {},
+	  1 },
+	{ "it does not wait for a daemon elsewhere that has not answered",
+	  { "home r", "undialled", "evacuated 1", "post" },
+	  { "front refuse 503 not-run no-upstream" },
+	  {},
+	  1 },
+	{ "nor for one in an evacuated failure domain",
+	  { "home s", "undialled", "evacuated 2", "post" },
+	  { "front refuse 503 not-run no-upstream" },
+	  {},
+	  1 },
+	{ "it waits for one at home",
+	  { "home s", "undialled", "post", "reached", "whole 1" },
+	  { "gate head", "front rhead" },
+	  { 1 },
+	  0 },
+	{ "a parked request follows a change of the regions",
+	  { "home s", "undialled", "post", "home r", "wait 1", "whole 1" },
+	  { "gate head", "front rhead" },
+	  { 0 },
+	  0 },
+	{ "a retry uses the regions that are now in force",
+	  { "home r", "post", "home s", "moved 1", "whole 2" },
+	  { "gate head", "gate head", "front rhead" },
+	  { 0, 1 },
+	  0 },
+	{ "a move from a suspected gate uses them, too",
+	  { "home s", "get", "home r", "suspect 1", "whole 2" },
+	  { "gate head", "gate cancel", "gate head", "front rhead" },
+	  { 1, 0 },
+	  0 },
+	{ "a gate that refuses the region ends a call without another one",
+	  { "home s", "post", "moved 1" },
+	  { "gate head", "front refuse 503 not-run no-upstream" },
+	  { 1 },
+	  1 },
+};
+
+/*
+ * Guards against requests that reach upstreams outside the home regions of
+ * their route, and against refusals without a time to come back.
+ */
+TEST_F(Origin, HomeRegions)
+{
+	for (const home_scenario &sc : home_scenarios) {
+		SCOPED_TRACE(sc.guards);
+		regions = "null";
+		second_region = "s";
+		retry_after_ms = 0;
+		start();
+		for (const std::string &event : sc.events)
+			run(event);
+		EXPECT_EQ(sc.expected, out);
+		EXPECT_EQ(sc.nodes, nodes);
+		EXPECT_EQ(sc.refused,
+			  eb_metrics_get(mt, EB_METRIC_HOME_REFUSED));
+		EXPECT_EQ(out.back().find(" 503 ") != std::string::npos ? 1000
+									: 0,
+			  (int)retry_after_ms);
+		stop();
+	}
+}
+
 struct refusal {
 	const char *guards;
 	const char *target;
--- a/tests/test_eb_release.cc
+++ b/tests/test_eb_release.cc
@@ -143,6 +143,37 @@
 	eb_config_unref(next);
 }
 
+/*
+ * Guards against regions of a service that are lost by a note that does not
+ * change them, or shared with an older version that is then changed.
+ */
+TEST_F(Release, RegionsOfAService)
+{
+	const char *region = base->upstreams[0]->region;
+	const std::string notes[] = {
+		std::string(R"({ "release": 2, "builds_on": 1, "changed": {
+			"services": [ { "name": "agenda", "regions": [ ")") +
+			region + "\" ] } ] } }",
+		R"({ "release": 3, "builds_on": 2, "changed": {
+			"services": [ { "name": "agenda",
+			"deadline_ms": 7 } ] } })",
+		R"({ "release": 4, "builds_on": 3, "changed": {
+			"services": [ { "name": "agenda",
+			"regions": null } ] } })",
+	};
+	const uint32_t want[] = { 1, 1, 0 };
+	eb_config *next = nullptr;
+
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(EB_OK, apply(base, notes[i], &fs, &next)) << i;
+		eb_config_unref(base);
+		base = next;
+		eb_texts *ts = &base->services[0]->regions;
+		ASSERT_EQ(want[i], ts->count) << i;
+		EXPECT_EQ(want[i] != 0, eb_texts_has(ts, region));
+	}
+}
+
 /*
  * Guards against daemons with different digests after the same notes, when
  * the texts that they read differ in layout.
@@ -302,6 +333,31 @@
 	    "n:5: changed.upstreams[0].service: there is no service \"gone\"",
 	    "n:6: withdrawn.upstreams[0]: \"a-1\" appears twice in this note",
 	    "n:6: withdrawn.upstreams[1]: there is no \"a-9\"" } },
+	{ "regions",
+	  wrap("\"added\":{\"services\":[\n"
+	       "{\"name\":\"s\",\"match\":{\"path_prefix\":\"/s\"},"
+	       "\"regions\":[]},\n"
+	       "{\"name\":\"t\",\"match\":{\"path_prefix\":\"/t\"},"
+	       "\"regions\":\"eu\"},\n"
+	       "{\"name\":\"u\",\"match\":{\"path_prefix\":\"/u\"},"
+	       "\"regions\":[\"nowhere\",\n1,\n\"a b\"]}]},\n"
+	       "\"changed\":{\"services\":[{\"name\":\"agenda\","
+	       "\"regions\":[\"gone\",\n\"gone\"]}]}"),
+	  { "n:3: added.services[0].regions: "
+	    "expected an array of 1 to 63 strings",
+	    "n:4: added.services[1].regions: "
+	    "expected an array of 1 to 63 strings",
+	    "n:5: added.services[2].regions[0]: "
+	    "no upstream is in region \"nowhere\"",
+	    "n:6: added.services[2].regions[1]: expected a string",
+	    "n:7: added.services[2].regions[2]: "
+	    "a name consists of A-Z a-z 0-9 . _ -",
+	    "n:8: changed.services[0].regions[0]: "
+	    "no upstream is in region \"gone\"",
+	    "n:9: changed.services[0].regions[1]: "
+	    "appears twice in this list",
+	    "n:9: changed.services[0].regions[1]: "
+	    "no upstream is in region \"gone\"" } },
 	{ "withdrawn but in use",
 	  wrap("\"withdrawn\":{\"rules\":[\"spare\",\n\"fast\"],\n"
 	       "\"services\":[\"vitrina\",\n\"agenda\"]}"),
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -568,4 +568,77 @@
 	}
 }
 
+/*
+ * Guards against requests that leave their home regions when those have no
+ * usable upstream: each way on which the router relaxes its choice is tried.
+ */
+TEST(Route, UpstreamsOutsideTheRegionsAreNeverPicked)
+{
+	const uint32_t tried[] = { 0, 1 };
+	const struct {
+		const char *state;
+		uint64_t regions;
+		uint32_t tried;
+		int leaving, suspected, held;
+		int found; /* an upstream of the home region is picked */
+	} cases[] = {
+		{ "usable", 1, 0, 0, 0, 0, 1 },
+		{ "tried", 1, 2, 0, 0, 0, 1 },
+		{ "suspected", 1, 0, 0, 1, 0, 1 },
+		{ "at the rate limit", 1, 0, 0, 0, 1, 1 },
+		{ "leaving", 1, 0, 1, 0, 0, 0 },
+		{ "leaving and tried", 1, 2, 1, 0, 0, 0 },
+		{ "no upstream there", 4, 0, 0, 0, 0, 0 },
+		{ "no region", UINT64_C(1) << 63, 0, 0, 0, 0, 0 },
+	};
+
+	for (const auto &c : cases)
+		for (int flags = 0; flags < 16; flags++) {
+			SCOPED_TRACE(std::string(c.state) + " " +
+				     std::to_string(flags));
+			router r;
+			eb_route_query q = {};
+
+			for (uint32_t i = 0; i < 6; i++) {
+				r.add(i,
+				      i % 2 ? EB_DISTANCE_FAR
+					    : EB_DISTANCE_DOMAIN,
+				      i < 2 && c.leaving);
+				r.ups[i].region = i < 2 ? 1 : 2;
+				r.ups[i].suspected = i < 2 && c.suspected;
+			}
+			r.set();
+			for (uint32_t i = 0; i < 2 && c.held; i++) {
+				eb_route_result rs = {};
+
+				rs.outcome = EB_OUTCOME_NOT_RUN;
+				rs.reason = EB_REASON_HANDED_BACK;
+				rs.rate_wait_ms = 2000;
+				eb_route_sent(r.rt, i, r.now);
+				eb_route_done(r.rt, i, &rs, r.now);
+			}
+			q.regions = c.regions;
+			q.tried = tried;
+			q.tried_count = c.tried;
+			q.remaining_us = 1000000;
+			q.keep_in_region = flags & 1;
+			q.refused = (flags & 2) != 0;
+			q.last = (flags & 4) != 0;
+			q.idempotent = (flags & 8) != 0;
+			for (int n = 0; n < 20; n++) {
+				uint32_t id = UINT32_MAX;
+
+				eb_route_pick(r.rt, &q, r.now, &id);
+				EXPECT_TRUE(id == UINT32_MAX ||
+					    (c.found && id < 2));
+				/* A retry may have nowhere else to go. */
+				EXPECT_TRUE(id != UINT32_MAX || !c.found ||
+					    c.tried);
+			}
+			q.tried_count = 0;
+			EXPECT_EQ(c.found && !c.suspected && !c.held,
+				  eb_route_has_other(r.rt, &q, r.now));
+		}
+}
+
 } // namespace
--- a/tests/test_pf_decode.cc
+++ b/tests/test_pf_decode.cc
@@ -100,6 +100,59 @@
 	EXPECT_EQ(nullptr, decode({ { "op/config", "[" } }));
 }
 
+/*
+ * Guards against home regions that cannot be read and are taken for none: the
+ * route must serve nothing rather than serve everywhere.
+ */
+TEST(PfDecode, AllowedRegions)
+{
+	std::string many = "[\"x0\"";
+
+	for (int i = 1; i < 70; i++)
+		many += ",\"x" + std::to_string(i) + "\"";
+	const struct {
+		std::string value; /* "": absent */
+		int restricted;
+		uint32_t count;
+		int allows_x1, allows_other;
+	} cases[] = {
+		{ "", 0, 0, 1, 1 },
+		{ "null", 0, 0, 1, 1 },
+		{ "[]", 0, 0, 1, 1 },
+		{ "[\"x1\"]", 1, 1, 1, 0 },
+		{ "[\"x0\",\"x1\"]", 1, 2, 1, 0 },
+		{ many + "]", 1, 70, 1, 0 },
+		{ "\"x1\"", 1, 0, 0, 0 },
+		{ "7", 1, 0, 0, 0 },
+		{ "{\"x1\":1}", 1, 0, 0, 0 },
+		{ "[1,2]", 1, 0, 0, 0 },
+		{ "[1,\"x1\"]", 1, 1, 1, 0 },
+	};
+
+	for (const auto &c : cases) {
+		item st = state;
+		const std::string at = "\"kind\":\"safe\"";
+
+		SCOPED_TRACE(c.value);
+		if (!c.value.empty())
+			st.value.insert(st.value.find(at),
+					"\"allowedRegions\":" + c.value + ",");
+		eb_config *cf = decode({ st });
+		ASSERT_NE(nullptr, cf);
+		const eb_match *x =
+			eb_config_find_match(cf, "a.example", "/x/1");
+		const eb_match *y =
+			eb_config_find_match(cf, "a.example", "/y/1");
+		ASSERT_TRUE(x && y) << "nothing else is lost";
+		EXPECT_EQ(c.restricted, x->restricted);
+		EXPECT_EQ(c.count, x->region_count);
+		EXPECT_EQ(c.allows_x1, eb_config_allows_region(x, "x1"));
+		EXPECT_EQ(c.allows_other, eb_config_allows_region(x, "z"));
+		EXPECT_EQ(0, y->restricted);
+		eb_config_unref(cf);
+	}
+}
+
 /*
  * Guards against invalid entries that become upstreams, and against a stale
  * entry that replaces the upstream now at its address: upstreams write the
