--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -8,6 +8,7 @@
 
 #include "eb_regions.h"
 #include "eb_subset.h"
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* A set of regions that has no upstream: the last bit is never given out. */
@@ -610,7 +611,7 @@
 	uint64_t set = 0;
 	uint32_t i;
 
-	if (!hm->restricted)
+	if (!hm->restricted || eb_test_off("origin-regions"))
 		return 0;
 	for (i = 0; i < hm->count; i++)
 		set |= eb_regions_find(nd->regions, hm->regions[i]);
--- a/tests/it_site.cc
+++ b/tests/it_site.cc
@@ -1102,6 +1102,142 @@
 	}
 }
 
+/*
+ * Four machines of one service; 0 and 1 are in region r, 2 and 3 in r-b. The
+ * routes below /home/ may run in the regions of `regions` only.
+ */
+struct HomeSite {
+	Site site{ { "near", "near", "near", "near" } };
+	int version = 1, sent = 0;
+
+	explicit HomeSite(const std::string &test_off = "")
+	{
+		site.test_off = test_off;
+		site.upstreams[2]->zone = site.upstreams[3]->zone = "b";
+		site.start_all();
+	}
+	void publish(const std::string &regions)
+	{
+		site.publish(
+			++version,
+			site.route("home", "/home/", "safe", "near", regions) +
+				"," +
+				site.route("home-once", "/home/once/", "unsafe",
+					   "near", regions));
+	}
+	/* Sends requests through all daemons; counts answers by status. */
+	std::map<long, int> send()
+	{
+		std::map<long, int> count;
+
+		for (size_t i = 0; i < 24; i++) {
+			int64_t from_us = eb_clock_now_us();
+			HttpAnswer a = site.send(
+				i % 4, i % 2 ? "GET" : "POST",
+				i % 2 ? "/home/x" : "/home/once/x",
+				"home-" + std::to_string(sent++), "body");
+
+			count[a.code ? -1 : a.status]++;
+			if (a.status != 503)
+				continue;
+			EXPECT_EQ("not-run", a.outcome());
+			EXPECT_EQ("no-upstream", a.json("error"));
+			EXPECT_EQ(1, atof(a.header("Retry-After").c_str()));
+			EXPECT_GT(1000000, eb_clock_now_us() - from_us);
+		}
+		return count;
+	}
+	/* Runs below /home/ at the machines of one region. */
+	int runs(size_t first)
+	{
+		int n = 0;
+
+		for (size_t i = first; i < first + 2; i++)
+			for (auto &run : site.upstreams[i]->all_runs())
+				if (run.second.target.find("/home/") == 0)
+					n += run.second.count;
+		return n;
+	}
+	void wait_all(const std::string &path, long status)
+	{
+		for (size_t i = 0; i < 4; i++)
+			site.wait_status(i, path, status);
+	}
+	~HomeSite()
+	{
+		if (testing::Test::HasFailure())
+			site.print_logs();
+	}
+};
+
+/*
+ * Guards against requests that leave their home regions when the upstreams
+ * there are evacuated or removed, and against ones that wait then.
+ */
+TEST(SiteHome, RequestsAreRefusedRatherThanSentElsewhere)
+{
+	using counts = std::map<long, int>;
+	HomeSite hs;
+	Site &site = hs.site;
+
+	hs.publish("[\"r-b\",\"unknown\"]");
+	hs.wait_all("/home/x", 200);
+	EXPECT_EQ((counts{ { 200, 24 } }), hs.send());
+	EXPECT_EQ(0, hs.runs(0));
+
+	site.store->put("op/evacuate/b", "{}");
+	hs.wait_all("/home/x", 503);
+	EXPECT_EQ((counts{ { 503, 24 } }), hs.send());
+	hs.wait_all("/near/x", 200);
+	site.store->remove("op/evacuate/b");
+	hs.wait_all("/home/x", 200);
+
+	for (size_t i = 2; i < 4; i++)
+		site.store->remove(site.upstreams[i]->key());
+	hs.wait_all("/home/x", 503);
+	EXPECT_EQ((counts{ { 503, 24 } }), hs.send());
+	EXPECT_LE(24, site.metric(0, "home_regions_refused_total") +
+			      site.metric(1, "home_regions_refused_total") +
+			      site.metric(2, "home_regions_refused_total") +
+			      site.metric(3, "home_regions_refused_total"));
+	for (size_t i = 2; i < 4; i++)
+		site.store->put(site.upstreams[i]->key(),
+				site.upstreams[i]->entry());
+	hs.wait_all("/home/x", 200);
+	EXPECT_EQ((counts{ { 200, 24 } }), hs.send());
+	EXPECT_EQ(0, hs.runs(0));
+
+	hs.publish("\"r\"");
+	hs.wait_all("/home/x", 503);
+	EXPECT_EQ((counts{ { 503, 24 } }), hs.send());
+	EXPECT_EQ(0, hs.runs(0)) << "regions that are no list allow none";
+}
+
+/*
+ * Guards against origins that do not know the regions: here they ignore them,
+ * and only the gates keep requests out of the other region.
+ */
+TEST(SiteHome, GatesRefuseWhatOriginsMustNotSend)
+{
+	HomeSite hs("origin-regions");
+	double refused = 0;
+
+	hs.publish("[\"r-b\"]");
+	for (size_t i = 0; i < 2; i++)
+		wait_until("the gates to refuse", [&] {
+			hs.send();
+			return hs.site.metric(i, "gate_region_refused_total") >
+			       0;
+		});
+	int before = hs.runs(0);
+
+	hs.send();
+	for (size_t i = 0; i < 4; i++)
+		refused += hs.site.metric(i, "gate_region_refused_total");
+	EXPECT_LT(0, refused);
+	EXPECT_EQ(before, hs.runs(0));
+}
+
 /* Guards against a daemon that is ready before it has a configuration. */
 TEST(SiteStart, ADaemonWithoutAStateIsNotReady)
 {
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -564,9 +564,9 @@
 std::string SiteUpstream::entry(const std::string &state, int seq) const
 {
 	return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" +
-	       std::to_string(port_) +
-	       "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" +
-	       state + "\",\"coldLeftMs\":0,\"seq\":" + std::to_string(seq) +
+	       std::to_string(port_) + "\",\"zone\":\"" + zone +
+	       "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + state +
+	       "\",\"coldLeftMs\":0,\"seq\":" + std::to_string(seq) +
 	       ",\"born\":" + std::to_string(born) + "}";
 }
 
@@ -697,16 +697,23 @@
 	auto port = [](uint16_t n) {
 		return ":" + std::to_string(n) + "\"";
 	};
+	const std::string &zone = upstreams[i]->zone;
+	std::string zones = "\"a\":\"r\"";
+
+	for (auto &up : upstreams)
+		if (up->zone != "a")
+			zones = "\"a\":\"r\",\"b\":\"r-b\"";
 	std::ofstream out(dir_ + "/settings-" + std::to_string(net_) + "-" +
 			  std::to_string(i));
 
 	out << "{\"node\":\"machine-" << i << "\",\"ip\":\"" << ip(i)
-	    << "\",\"zone\":\"a\",\"region\":\"r\",\"appAddr\":\"" << ip(i)
+	    << "\",\"zone\":\"" << zone << "\",\"region\":\""
+	    << (zone == "a" ? "r" : "r-b") << "\",\"appAddr\":\"" << ip(i)
 	    << port(upstream_port_) << ",\"service\":\"" << services[i]
 	    << "\",\"listen\":{\"inbound\":\"\",\"outbound\":\"" << ip(i)
 	    << port(listen_port_) << ",\"ready\":\"" << ip(i)
 	    << port(ready_port_) << "},\"portRange\":[" << daemon_port_ << ","
-	    << daemon_port_ << "],\"zones\":{\"a\":\"r\"},"
+	    << daemon_port_ << "],\"zones\":{" << zones << "},"
 	    << "\"platform\":{\"address\":\"" << store_address
 	    << "\"},\"bounds\":{\"graceS\":6}}";
 }
@@ -766,13 +773,15 @@
 }
 
 std::string Site::route(const std::string &name, const std::string &prefix,
-			const std::string &kind, const std::string &service)
+			const std::string &kind, const std::string &service,
+			const std::string &regions)
 {
 	return "\"" + name + "\":{\"host\":\"site.example\",\"prefix\":\"" +
 	       prefix + "\",\"kind\":\"" + kind +
 	       "\",\"timeoutMs\":5000,\"sloMs\":2000,\"priority\":1,"
 	       "\"service\":\"" +
-	       service + "\",\"attempts\":2}";
+	       service + "\",\"allowedRegions\":" + regions +
+	       ",\"attempts\":2}";
 }
 
 void Site::publish(int version, const std::string &more_routes)
--- a/tests/site.h
+++ b/tests/site.h
@@ -244,6 +244,8 @@
 	const std::string ip;
 	const std::string id;
 	const std::string service;
+	/* Zone of its machine; "a" is in region "r", "b" in "r-b". */
+	std::string zone = "a";
 	std::atomic<int> born{ 1000 }; /* time of its start */
 	std::atomic<int> pace{ 100 };  /* percent; part of the load report */
 	/* Header lines of what it says of itself in its answers. */
@@ -288,9 +290,13 @@
 	 * and the routes of `more_routes` (see route()), separated by commas.
 	 */
 	void publish(int version, const std::string &more_routes = "");
-	/* JSON of a route; `kind` is "safe" or "unsafe". */
+	/*
+	 * JSON of a route; `kind` is "safe" or "unsafe", `regions` the JSON
+	 * of its home regions.
+	 */
 	std::string route(const std::string &name, const std::string &prefix,
-			  const std::string &kind, const std::string &service);
+			  const std::string &kind, const std::string &service,
+			  const std::string &regions = "[]");
 	/* Sends a request to the daemon of machine `i`. */
 	HttpAnswer send(size_t i, const std::string &method,
 			const std::string &path, const std::string &id,
