--- a/src/eb_gate_check.c
+++ b/src/eb_gate_check.c
@@ -51,13 +51,17 @@
 	return other;
 }
 
-/* Sets the configuration that allows requests in regions. */
+/*
+ * Sets the configuration that allows requests in regions. One that restricts
+ * none is not kept, which saves the search for the route of each request.
+ */
 void eb_gate_check_set_config(struct eb_gate_check *gc,
 			      const struct eb_config *cf)
 {
 	struct eb_config *old = gc->config;
 
-	gc->config = cf ? eb_config_ref((struct eb_config *)cf) : NULL;
+	gc->config =
+		eb_home_any(cf) ? eb_config_ref((struct eb_config *)cf) : NULL;
 	gc->generation++;
 	eb_config_unref(old);
 }
--- a/src/eb_gate_check.h
+++ b/src/eb_gate_check.h
@@ -10,8 +10,8 @@
 
 /*
  * The upstream that a gate serves, as the configuration and its own answers
- * name it, and the checks of requests against both. The first
- * member and `metrics` must be set; the rest may be zero.
+ * name it, and the checks of requests against both. `upstream` and `metrics`
+ * must be set; the rest may be zero.
  */
 struct eb_gate_check {
 	const char *upstream; /* name; not owned */
--- a/src/eb_home.c
+++ b/src/eb_home.c
@@ -39,6 +39,20 @@
 	return 1;
 }
 
+/* Tells whether a configuration restricts any request to regions. */
+int eb_home_any(const struct eb_config *cf)
+{
+	uint32_t i;
+
+	for (i = 0; i < cf->match_count; i++)
+		if (cf->matches[i].restricted)
+			return 1;
+	for (i = 0; i < cf->service_total && !cf->has_matches; i++)
+		if (cf->services[i]->regions.count)
+			return 1;
+	return 0;
+}
+
 /*
  * Tells whether a request may run in a region. One that the configuration does
  * not know may: its route was removed while it was under way, or is so new that
--- a/src/eb_home.h
+++ b/src/eb_home.h
@@ -18,6 +18,7 @@
 		 struct eb_home *hm);
 void eb_home_of(const struct eb_match *mt, const struct eb_service *sv,
 		struct eb_home *hm);
+int eb_home_any(const struct eb_config *cf);
 int eb_home_allows(const struct eb_config *cf, const struct eb_head *h,
 		   const char *region);
 
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -416,6 +416,7 @@
 		for (const std::string &event : sc.events)
 			run(event);
 		EXPECT_EQ(sc.expected, out);
+		ASSERT_FALSE(out.empty());
 		EXPECT_EQ(out.back().find("refuse") != std::string::npos ||
 				  out.size() == 4,
 			  eb_metrics_get(mt, EB_METRIC_GATE_REGION_REFUSED));
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -519,6 +519,7 @@
 		EXPECT_EQ(sc.nodes, nodes);
 		EXPECT_EQ(sc.refused,
 			  eb_metrics_get(mt, EB_METRIC_HOME_REFUSED));
+		ASSERT_FALSE(out.empty());
 		EXPECT_EQ(out.back().find(" 503 ") != std::string::npos ? 1000
 									: 0,
 			  (int)retry_after_ms);
