warmup: bound what a possibly cold upstream receives

Cause: a cold upstream tolerates coldPerS requests a second and may become cold at any moment, which the gate learns only from a later probe.

Change: the pure module eb_warmup counts the requests since the last probe that found the upstream not cold. At coldPerS / 2 + 4 of them, and while the upstream is or may be cold, requests are paced at coldPerS without a burst. It is not in use yet.

--- /dev/null
+++ b/src/eb_warmup.c
@@ -0,0 +1,229 @@
+#include "eb_warmup.h"
+
+#include "eb_tunables.h"
+
+/* Requests that may be unverified in addition to half of the cold rate. */
+#define ALLOWANCE_EXTRA 4
+/* The bound on cold upstreams holds in each window of this length. */
+#define WINDOW_US 1000000
+/*
+ * Least time between two probes, 40 a second: the platform allows 60 a second
+ * and upstream.
+ */
+#define PROBE_GAP_US 25000
+/* A cold or unresponsive upstream is probed this often under load. */
+#define RECHECK_US 250000
+/* Unanswered probes that are repeated without waiting for RECHECK_US. */
+#define QUICK_RETRIES 2
+/* A request may wait this long for the result of a probe. */
+#define RESULT_WAIT_US EB_PACE_WAIT_US
+
+/* Returns the least time between two requests to a cold upstream. */
+static int64_t interval_us(const struct eb_warmup *wu)
+{
+	return (1000000000 + wu->per_s_milli - 1) / wu->per_s_milli;
+}
+
+/* Returns U: the most requests since the last result "not cold". */
+static uint32_t allowance(const struct eb_warmup *wu)
+{
+	return (uint32_t)(wu->per_s_milli / 2000) + ALLOWANCE_EXTRA;
+}
+
+/* Returns the part of the allowance that an earlier cold time has used. */
+static uint32_t carried(const struct eb_warmup *wu, int64_t now_us)
+{
+	return now_us < wu->carried_until_us ? wu->carried : 0;
+}
+
+/* Returns how many requests may be sent without pacing. */
+static uint32_t left(const struct eb_warmup *wu, int64_t now_us)
+{
+	uint32_t used = wu->sent + carried(wu, now_us);
+
+	if (wu->state != EB_WARMUP_WARM || now_us < wu->entry_until_us ||
+	    used >= allowance(wu))
+		return 0;
+	return allowance(wu) - used;
+}
+
+/*
+ * Stores that the upstream is cold. The requests sent since the last result
+ * "not cold" may have reached it cold, so they count in the window that
+ * follows, also if it becomes warm and cold again within that window.
+ */
+static void set_cold(struct eb_warmup *wu, int64_t cold_ms, int64_t now_us)
+{
+	if (wu->state != EB_WARMUP_COLD) {
+		wu->carried = wu->sent + carried(wu, now_us);
+		wu->carried_until_us = now_us + WINDOW_US;
+	}
+	if (cold_ms > EB_COLD_MAX_MS)
+		cold_ms = EB_COLD_MAX_MS;
+	wu->cold_until_us = now_us + cold_ms * 1000;
+	wu->state = EB_WARMUP_COLD;
+}
+
+/*
+ * Sets the rate of a cold upstream in thousandths of a request per second; 0:
+ * no limit. The first rate starts in the state of a fresh daemon: possibly
+ * cold, with one request that may be sent.
+ */
+void eb_warmup_set_rate(struct eb_warmup *wu, uint32_t per_s_milli,
+			int64_t now_us)
+{
+	if (per_s_milli && !wu->per_s_milli) {
+		wu->state = EB_WARMUP_UNKNOWN;
+		wu->probe_void = wu->probe_open;
+		wu->next_us = now_us;
+	}
+	wu->per_s_milli = per_s_milli;
+}
+
+/*
+ * Sets the time that the upstream stays cold according to its entry. It may be
+ * seconds old, so it only makes the limit stricter: while it lasts, requests
+ * are paced whatever probes say.
+ */
+void eb_warmup_entry(struct eb_warmup *wu, uint32_t cold_ms, int64_t now_us)
+{
+	if (cold_ms > EB_COLD_MAX_MS)
+		cold_ms = EB_COLD_MAX_MS;
+	if (now_us + cold_ms * 1000LL > wu->entry_until_us)
+		wu->entry_until_us = now_us + cold_ms * 1000LL;
+}
+
+/*
+ * To be called when another start of the upstream is known: it may be cold, and
+ * an open probe may have been answered by the earlier start.
+ */
+void eb_warmup_restarted(struct eb_warmup *wu)
+{
+	wu->state = EB_WARMUP_UNKNOWN;
+	wu->unanswered = 0;
+	wu->entry_until_us = 0;
+	wu->probe_void = wu->probe_open;
+}
+
+/* Counts a request that is sent to the upstream now. */
+void eb_warmup_sent(struct eb_warmup *wu, int64_t now_us)
+{
+	if (!wu->per_s_milli)
+		return;
+	wu->sent++;
+	wu->sent_open++;
+	if (wu->next_us < now_us + interval_us(wu))
+		wu->next_us = now_us + interval_us(wu);
+}
+
+/* Records that a probe is sent now. */
+void eb_warmup_probe_sent(struct eb_warmup *wu, int64_t now_us)
+{
+	wu->probe_us = now_us;
+	wu->probed = 1;
+	wu->probe_open = 1;
+	wu->probe_void = 0;
+	wu->sent_open = 0;
+}
+
+/*
+ * Records the result of the open probe: the time that the upstream stays cold,
+ * 0 if it is not cold, or EB_WARMUP_NO_ANSWER. The upstream was in this state
+ * at some time after the probe was sent, so that requests since then remain
+ * unverified.
+ */
+void eb_warmup_probe_result(struct eb_warmup *wu, int64_t cold_ms,
+			    int64_t now_us)
+{
+	if (!wu->probe_open)
+		return;
+	wu->probe_open = 0;
+	if (cold_ms < 0 || wu->probe_void) {
+		wu->state = EB_WARMUP_UNKNOWN;
+		wu->unanswered += wu->unanswered < UINT8_MAX;
+	} else if (cold_ms) {
+		set_cold(wu, cold_ms, now_us);
+		wu->unanswered = 0;
+	} else {
+		wu->state = EB_WARMUP_WARM;
+		wu->unanswered = 0;
+		wu->sent = wu->sent_open;
+	}
+}
+
+/*
+ * Returns how long a request is expected to wait until the result of a probe
+ * renews the allowance of a warm upstream, or INT64_MAX.
+ */
+static int64_t result_wait_us(const struct eb_warmup *wu, int64_t now_us)
+{
+	int64_t at_us = wu->probe_us + RESULT_WAIT_US;
+
+	if (wu->state != EB_WARMUP_WARM || now_us < wu->entry_until_us ||
+	    carried(wu, now_us))
+		return INT64_MAX;
+	if (!wu->probe_open)
+		at_us = wu->probe_us + PROBE_GAP_US + RESULT_WAIT_US;
+	return now_us < at_us ? at_us - now_us : INT64_MAX;
+}
+
+/*
+ * Returns how long a request with `ahead` others before it has to wait. It may
+ * be sent now if the result is 0 with `ahead` 0. While the allowance of a warm
+ * upstream lasts, the requests ahead do not count, as probes renew it.
+ */
+int64_t eb_warmup_wait_us(const struct eb_warmup *wu, uint32_t ahead,
+			  int64_t now_us)
+{
+	int64_t wait_us, result_us;
+
+	if (!wu->per_s_milli || left(wu, now_us))
+		return 0;
+	wait_us = wu->next_us > now_us ? wu->next_us - now_us : 0;
+	wait_us += ahead * interval_us(wu);
+	result_us = result_wait_us(wu, now_us);
+	return result_us < wait_us ? result_us : wait_us;
+}
+
+/*
+ * Returns when a waiting request is to be looked at again if no probe is
+ * answered before; INT64_MAX without a limit.
+ */
+int64_t eb_warmup_wake_us(const struct eb_warmup *wu)
+{
+	return wu->per_s_milli ? wu->next_us : INT64_MAX;
+}
+
+/* Tells whether a probe stays within the limit of probes per second. */
+int eb_warmup_may_probe(const struct eb_warmup *wu, int64_t now_us)
+{
+	return !wu->per_s_milli || !wu->probed ||
+	       now_us - wu->probe_us >= PROBE_GAP_US;
+}
+
+/*
+ * Tells whether a probe should be sent, to be asked after requests have arrived
+ * or were sent, so that an idle upstream is not probed.
+ */
+int eb_warmup_probe_due(const struct eb_warmup *wu, int64_t now_us)
+{
+	int64_t age_us = now_us - wu->probe_us;
+
+	if (!wu->per_s_milli || wu->probe_open ||
+	    !eb_warmup_may_probe(wu, now_us))
+		return 0;
+	if (wu->state == EB_WARMUP_WARM)
+		return wu->sent + carried(wu, now_us) >= allowance(wu) / 2;
+	if (!wu->probed || age_us >= RECHECK_US)
+		return 1;
+	if (wu->state == EB_WARMUP_COLD)
+		return now_us >= wu->cold_until_us;
+	return wu->unanswered <= QUICK_RETRIES;
+}
+
+/* Tells whether requests are paced because the upstream is or may be cold. */
+int eb_warmup_is_cold(const struct eb_warmup *wu, int64_t now_us)
+{
+	return wu->per_s_milli &&
+	       (wu->state != EB_WARMUP_WARM || now_us < wu->entry_until_us);
+}
