gate: limits requests to a cold upstream

Cause: nothing bounded the requests to an upstream that had just started, or that had become cold while it ran.

Change: admission applies eb_warmup beside the rate limit, with the same refusal. A waiting request that can no longer be served in time by a cold upstream is refused at once. Probing moves out of eb_gate.c to eb_gate_probe. A service without a cold rate is not limited.

--- a/src/eb_adapter.h
+++ b/src/eb_adapter.h
@@ -31,6 +31,8 @@
 	uint16_t (*read_pace)(const char *value);
 	/* On an answer: requests per second that the upstream takes. */
 	const char *rate_limit;
+	/* On the answer to a probe: time that the upstream stays cold, ms. */
+	const char *cold_left;
 	/* On an answer: "1" while the upstream leaves. */
 	const char *leaving;
 	/* Whether Retry-After may have a fraction of a second. */
--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -88,7 +88,8 @@
 	int64_t done_us;       /* last completion */
 	int64_t report_tokens; /* millionths of a byte */
 	int64_t report_at_us;
-	struct eb_rate rate;   /* limit that the upstream has named */
+	struct eb_rate rate; /* limit that the upstream has named */
+	struct eb_warmup warmup;
 	uint16_t pace_percent; /* of the VM; 0: unknown */
 	uint8_t draining;
 };
@@ -148,10 +149,29 @@
 	eb_rate_set(&ad->rate, per_s_milli, now_us);
 }
 
-/* Returns how long a request would wait for the upstream's rate limit. */
+/* Returns the limit of a cold upstream; `ad` owns it. */
+struct eb_warmup *eb_admit_warmup(struct eb_admit *ad)
+{
+	return &ad->warmup;
+}
+
+/*
+ * Returns how long a request with `ahead` others before it would wait for the
+ * upstream's rate limit, and while the upstream is cold.
+ */
+static int64_t limit_wait_us(const struct eb_admit *ad, uint32_t ahead,
+			     int64_t now_us)
+{
+	int64_t rate_us = eb_rate_wait_us(&ad->rate, ahead, now_us);
+	int64_t cold_us = eb_warmup_wait_us(&ad->warmup, ahead, now_us);
+
+	return rate_us > cold_us ? rate_us : cold_us;
+}
+
+/* Returns how long a request would wait for the upstream's limits. */
 int64_t eb_admit_limit_wait_us(const struct eb_admit *ad, int64_t now_us)
 {
-	return eb_rate_wait_us(&ad->rate, 0, now_us);
+	return limit_wait_us(ad, 0, now_us);
 }
 
 /* While draining, new requests are refused; those that wait still run. */
@@ -189,12 +209,23 @@
 	act->retry_after_ms = (uint32_t)(wait_us / 1000 + 1);
 }
 
+/* Refuses a request for one of the upstream's limits. */
+static void refuse_limited(const struct eb_admit *ad,
+			   struct eb_admit_action *act, int64_t wait_us,
+			   int64_t now_us)
+{
+	refuse(act, EB_REASON_HANDED_BACK, wait_us);
+	act->rate_limited = 1;
+	act->cold = eb_warmup_wait_us(&ad->warmup, 0, now_us) > 0;
+}
+
 static void run(struct eb_admit *ad, int64_t now_us,
 		struct eb_admit_action *act)
 {
 	update_busy(ad, now_us);
 	ad->in_flight++;
 	eb_rate_take(&ad->rate, now_us);
+	eb_warmup_sent(&ad->warmup, now_us);
 	act->verdict = EB_ADMIT_RUN;
 }
 
@@ -287,7 +318,7 @@
 {
 	uint32_t slots = ad->config.slots;
 	int64_t slot_us = ad->service_us * (ahead + 1) / (slots ? slots : 1);
-	int64_t rate_us = eb_rate_wait_us(&ad->rate, ahead, now_us);
+	int64_t rate_us = limit_wait_us(ad, ahead, now_us);
 
 	return slot_us > rate_us ? slot_us : rate_us;
 }
@@ -370,10 +401,10 @@
 		   (!ad->queued || ad->in_flight >= slots)) {
 		run(ad, now_us, act);
 	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
-		act->rate_limited = (uint8_t)limited;
-		refuse(act,
-		       limited ? EB_REASON_HANDED_BACK : EB_REASON_QUEUE_FULL,
-		       wait_us);
+		if (limited)
+			refuse_limited(ad, act, wait_us, now_us);
+		else
+			refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	} else {
 		act->verdict = EB_ADMIT_WAIT;
 	}
@@ -456,6 +487,32 @@
 	return best;
 }
 
+/*
+ * Whether a waiting request can no longer wait for a cold upstream, because
+ * more urgent ones came or a probe was not answered in time. It is then refused
+ * at once, so that it is tried elsewhere.
+ */
+static int outwaits_cold(const struct eb_admit *ad, const struct waiter *w,
+			 int64_t now_us)
+{
+	int64_t most_us = ad->tune.wait_us << 2 * w->rq.attempt, wait_us;
+	const struct waiter *other;
+	uint32_t ahead = 0;
+
+	if (!eb_warmup_wait_us(&ad->warmup, 0, now_us))
+		return 0;
+	for (other = ad->queue; other < ad->queue + ad->queued; other++)
+		ahead += other < w
+				 ? !goes_before(ad, &w->rq, &other->rq, now_us)
+				 : goes_before(ad, &other->rq, &w->rq, now_us);
+	wait_us = eb_warmup_wait_us(&ad->warmup, ahead, now_us);
+	if (w->rq.goal_us &&
+	    now_us + wait_us + run_us(ad, &w->rq) > w->rq.goal_us)
+		return 1;
+	return w->rq.attempt < ATTEMPT_LAST &&
+	       now_us + wait_us > w->since_us + most_us;
+}
+
 /*
  * Refuses a waiting request that has expired, is handed back, or is late while
  * others wait. Returns 0 when it may stay.
@@ -468,6 +525,8 @@
 
 	if (w->rq.deadline_us <= now_us)
 		refuse(act, EB_REASON_DEADLINE, 0);
+	else if (outwaits_cold(ad, w, now_us))
+		refuse_limited(ad, act, wait_us, now_us);
 	else if (is_late(ad, &w->rq, now_us) && ad->queued > 1)
 		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
@@ -508,12 +567,22 @@
 	return 1;
 }
 
-/* Returns when the rate limit lets the next request run. */
-static int64_t rate_wake_us(const struct eb_admit *ad)
+/*
+ * Returns when the limits let the next request run, or INT64_MAX without a
+ * limit.
+ */
+static int64_t limit_wake_us(const struct eb_admit *ad)
 {
-	int64_t at_us = ad->rate.at_us;
+	int64_t wake_us = ad->rate.at_us, cold_us;
 
-	return at_us + eb_rate_wait_us(&ad->rate, 0, at_us);
+	if (ad->rate.per_s_milli)
+		wake_us += eb_rate_wait_us(&ad->rate, 0, wake_us);
+	else
+		wake_us = 0;
+	cold_us = eb_warmup_wake_us(&ad->warmup);
+	if (cold_us != INT64_MAX && cold_us > wake_us)
+		wake_us = cold_us;
+	return wake_us ? wake_us : INT64_MAX;
 }
 
 /*
@@ -537,9 +606,9 @@
 			wake_us = late_us;
 		early |= ad->queue[i].rq.attempt < ATTEMPT_LAST;
 	}
-	if (ad->queued && ad->rate.per_s_milli &&
-	    ad->in_flight < ad->config.slots && rate_wake_us(ad) < wake_us)
-		wake_us = rate_wake_us(ad);
+	if (ad->queued && ad->in_flight < ad->config.slots &&
+	    limit_wake_us(ad) < wake_us)
+		wake_us = limit_wake_us(ad);
 	if (!early || !ad->in_flight || !ad->service_us ||
 	    !ad->tune.stall_times)
 		return wake_us;
@@ -556,7 +625,7 @@
  */
 static uint32_t requests_ahead(const struct eb_admit *ad, int64_t now_us)
 {
-	int64_t rate_us = eb_rate_wait_us(&ad->rate, ad->queued, now_us);
+	int64_t rate_us = limit_wait_us(ad, ad->queued, now_us);
 	int64_t ahead, slots = ad->config.slots;
 
 	if (!rate_us || !ad->service_us)
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "eb_frame.h"
+#include "eb_warmup.h"
 
 /*
  * Admission at a gate: which request gets a slot of the upstream now, which
@@ -50,6 +51,7 @@
 	uint8_t verdict;      /* enum eb_admit_verdict */
 	uint8_t reason;	      /* enum eb_reason, for EB_ADMIT_REFUSE */
 	uint8_t rate_limited; /* refused for the upstream's rate limit */
+	uint8_t cold;	      /* refused as the upstream is or may be cold */
 	uint32_t retry_after_ms;
 	int64_t waited_us;
 };
@@ -61,6 +63,7 @@
 void eb_admit_pace(struct eb_admit *ad, uint16_t pace_percent);
 void eb_admit_limit_rate(struct eb_admit *ad, uint32_t per_s_milli,
 			 int64_t now_us);
+struct eb_warmup *eb_admit_warmup(struct eb_admit *ad);
 int64_t eb_admit_limit_wait_us(const struct eb_admit *ad, int64_t now_us);
 void eb_admit_drain(struct eb_admit *ad, int draining);
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -101,6 +101,8 @@
 	struct eb_fetch probe_answer;
 	uint16_t probe_pace;
 	uint32_t probe_rate_milli; /* that the answer names; 0: none */
+	uint32_t probe_cold_ms;	   /* that the answer names */
+	uint8_t probe_cold_bad;	   /* its value is invalid */
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probe_running;
 	CURL *check; /* check of the upstream that is running, or NULL */
@@ -744,7 +746,27 @@
 	return 0;
 }
 
-/* Reads a header line of a probe's answer: pace, instance or rate limit. */
+/*
+ * Reads the time that the upstream stays cold, in ms. Of two values the longer
+ * one counts.
+ */
+static void read_cold_ms(struct eb_client *cl, const char *value)
+{
+	size_t n = strspn(value, "0123456789");
+	unsigned long long ms = strtoull(value, NULL, 10);
+
+	if (!n || value[n + strspn(value + n, " \t")])
+		cl->probe_cold_bad = 1;
+	else if (ms > EB_COLD_MAX_MS)
+		cl->probe_cold_ms = EB_COLD_MAX_MS;
+	else if (ms > cl->probe_cold_ms)
+		cl->probe_cold_ms = (uint32_t)ms;
+}
+
+/*
+ * Reads a header line of a probe's answer: pace, instance, rate limit or cold
+ * time.
+ */
 static void read_probe_header(void *ctx, const char *line, size_t n)
 {
 	struct eb_client *cl = ctx;
@@ -759,6 +781,9 @@
 	else if (dl->rate_limit &&
 		 !header_value(line, n, dl->rate_limit, value, sizeof(value)))
 		cl->probe_rate_milli = eb_rate_parse(value);
+	else if (dl->cold_left &&
+		 !header_value(line, n, dl->cold_left, value, sizeof(value)))
+		read_cold_ms(cl, value);
 }
 
 /*
@@ -800,6 +825,8 @@
 	curl_easy_setopt(cl->probe, CURLOPT_PRIVATE, NULL);
 	cl->probe_pace = 0;
 	cl->probe_rate_milli = 0;
+	cl->probe_cold_ms = 0;
+	cl->probe_cold_bad = 0;
 	cl->probe_instance[0] = 0;
 	cl->probe_running = 1;
 	eb_metrics_add(cl->config.metrics, EB_METRIC_PROBES, 1);
@@ -820,6 +847,10 @@
 	f->reply->status = rc ? 0 : (uint16_t)status;
 	f->reply->load.pace_percent = cl->probe_pace;
 	f->reply->rate_limit_milli = rc ? 0 : cl->probe_rate_milli;
+	/* An answer without the header is that of an upstream not cold. */
+	f->reply->cold_ms = cl->probe_cold_ms;
+	f->reply->cold_known = !rc && status == 200 && !cl->probe_cold_bad &&
+			       cl->config.dialect->cold_left;
 	if (!rc && status == 200 && cl->probe_instance[0])
 		f->object = strdup(cl->probe_instance);
 	f->object_free = free;
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -682,6 +682,8 @@
 		sv = eb_nodes_service(co->nodes, n->service, co->loop_us);
 		eb_gate_configure(co->gate, n->info,
 				  eb_nodes_rule(co->nodes, sv));
+		eb_gate_set_warmup(co->gate, cf->services[n->service], n->info,
+				   co->loop_us);
 		if (cf->has_matches)
 			eb_gate_set_leaving(co->gate,
 					    n->info->leaving || n->evacuated);
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -150,6 +150,9 @@
 	uint8_t answered;
 	uint8_t upstream_leaving;
 	uint32_t rate_limit_milli;
+	/* Of PROBE: how long the upstream stays cold; 0: it is not cold. */
+	uint32_t cold_ms;
+	uint8_t cold_known; /* the answer has a valid `cold_ms` */
 };
 
 /*
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -11,6 +11,7 @@
 #include "eb_claim_wire.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
+#include "eb_gate_probe.h"
 #include "eb_kept.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
@@ -103,15 +104,10 @@
 	struct eb_crash_detect *marks;
 	char *address; /* of the upstream; NULL: not configured */
 	char *service;
-	char *probe;		/* address and path of load probes, or NULL */
-	int64_t pace_us;	/* when the pace was received; 0: never */
-	int64_t probe_us;	/* when the open probe was sent; 0: none */
-	uint32_t held;		/* number of held calls */
-	char *instance;		/* first start of the upstream that answered */
+	struct eb_gate_probe probe;
 	struct eb_log *log;	/* NULL: nothing is logged */
 	const char *request_id; /* header with the request id, or NULL */
 	char *own_service;	/* service of `instance`; NULL: unknown */
-	uint8_t replaced;	/* another start followed `instance` */
 	int draining;
 	int leaving;	     /* the upstream, while this daemon stays */
 	int says_leaving;    /* the upstream, in an answer of this start */
@@ -153,6 +149,11 @@
 	gt->admit = eb_admit_new(&none);
 	gt->marks = eb_crash_detect_new(cf->upstream);
 	gt->kept = eb_kept_new();
+	gt->probe.metrics = cf->metrics;
+	gt->probe.to_client = out->to_client;
+	gt->probe.ctx = out->ctx;
+	if (gt->admit)
+		gt->probe.warmup = eb_admit_warmup(gt->admit);
 	if (!gt->chart || !gt->admit || !gt->marks || !gt->kept ||
 	    apr_pool_create(&gt->pool, NULL) != APR_SUCCESS) {
 		eb_gate_free(gt);
@@ -169,7 +170,7 @@
 	apr_hash_set(gt->calls, &ca->key, sizeof(ca->key), NULL);
 	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
 	ca->origin->calls--;
-	gt->held -= ca->held;
+	gt->probe.held -= ca->held;
 	eb_crash_detect_ended(gt->marks, &ca->crash_id,
 			      ca->outcome == EB_OUTCOME_RAN);
 	eb_frame_unref(ca->head);
@@ -201,8 +202,7 @@
 	eb_kept_free(gt->kept);
 	free(gt->address);
 	free(gt->service);
-	free(gt->probe);
-	free(gt->instance);
+	eb_gate_probe_clear(&gt->probe);
 	free(gt->own_service);
 	free(gt->configured);
 	free(gt);
@@ -400,6 +400,7 @@
 	if (gt->configured &&
 	    eb_config_is_other_start(up, gt->configured, gt->start_ms)) {
 		set_rate(gt, 0, 0);
+		eb_warmup_restarted(gt->probe.warmup);
 		gt->says_leaving = 0;
 		update_draining(gt, before);
 	}
@@ -419,11 +420,7 @@
 
 	free(gt->address);
 	free(gt->service);
-	free(gt->probe);
-	gt->probe = NULL;
-	if (up && up->probe_path &&
-	    asprintf(&gt->probe, "%s %s", up->address, up->probe_path) < 0)
-		gt->probe = NULL;
+	eb_gate_probe_configure(&gt->probe, up);
 	gt->address = up ? strdup(up->address) : NULL;
 	gt->service = up ? strdup(up->service_name) : NULL;
 	if (up) {
@@ -436,6 +433,16 @@
 		update_start(gt, up);
 }
 
+/*
+ * Sets the cold rate of the upstream's service and the cold time of its entry.
+ * To be called after eb_gate_configure(), which detects a new start.
+ */
+void eb_gate_set_warmup(struct eb_gate *gt, const struct eb_service *sv,
+			const struct eb_upstream *up, int64_t now_us)
+{
+	eb_gate_probe_set_warmup(&gt->probe, sv, up, now_us);
+}
+
 /*
  * Sets whether the upstream leaves according to the configuration; if so, new
  * calls are refused.
@@ -553,12 +560,12 @@
 		     const char *request_id)
 {
 	gt->log = lg;
+	gt->probe.log = lg;
 	gt->request_id = request_id;
 }
 
 /*
  * Logs that a call got a slot or was refused, with the values that decided it.
- * `pace_age_ms` is the age of the pace, or -1 when none was received yet.
  */
 static void log_verdict(const struct eb_gate *gt, const struct eb_head *h,
 			const char *verdict, unsigned reason, int64_t waited_us,
@@ -580,7 +587,7 @@
 		id ? id : "-", eb_reason_name(reason), h->attempt,
 		(long long)waited_us / 1000, ld.in_flight, ld.queued, ld.slots,
 		ld.pace_percent,
-		gt->pace_us ? (long long)(now_us - gt->pace_us) / 1000 : -1LL,
+		(long long)eb_gate_probe_pace_age_ms(&gt->probe, now_us),
 		h->baseline_pace_percent, (long long)h->remaining_us / 1000,
 		h->goal_us == INT64_MAX ? -1LL : (long long)h->goal_us / 1000,
 		refuses_calls(gt),
@@ -615,7 +622,7 @@
  */
 static int is_own_instance(const struct eb_gate *gt, const struct eb_head *h)
 {
-	return gt->instance && !gt->replaced && gt->own_service &&
+	return gt->probe.instance && !gt->probe.replaced && gt->own_service &&
 	       !strcmp(gt->own_service, gt->service) &&
 	       !strcmp(gt->own_service, h->service);
 }
@@ -639,7 +646,7 @@
 	head->head->remaining_us = ca->deadline_us - now_us;
 	if (head->head->instance && is_own_instance(gt, head->head)) {
 		free(head->head->instance);
-		head->head->instance = strdup(gt->instance);
+		head->head->instance = strdup(gt->probe.instance);
 	}
 	if (eb_test_off("expect-instance")) {
 		free(head->head->instance);
@@ -673,6 +680,9 @@
 		eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_RATE_LIMITED,
 			       1);
 	}
+	if (ca->verdict.cold)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED_COLD,
+			       1);
 	out->reply->retry_after_ms = ca->verdict.retry_after_ms;
 	to_origin(gt, ca, out, now_us);
 }
@@ -865,58 +875,17 @@
 	apr_hash_index_t *hi;
 	struct call *ca;
 
-	for (hi = apr_hash_first(NULL, gt->calls); hi && gt->held;
+	for (hi = apr_hash_first(NULL, gt->calls); hi && gt->probe.held;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
 		if (!ca->held)
 			continue;
 		ca->held = 0;
-		gt->held--;
+		gt->probe.held--;
 		admit(gt, ca, now_us);
 	}
 }
 
-/*
- * Tells whether a call should wait for a load probe, because the known pace is
- * older than EB_PACE_FRESH_US; the pace of a VM changes many times a second. A
- * probe that is not answered holds calls for EB_PACE_WAIT_US at most.
- */
-static int needs_probe(const struct eb_gate *gt, int64_t now_us)
-{
-	if (!gt->probe || refuses_calls(gt))
-		return 0;
-	if (gt->pace_us && now_us - gt->pace_us < EB_PACE_FRESH_US)
-		return 0;
-	return !gt->probe_us || now_us - gt->probe_us < EB_PACE_WAIT_US;
-}
-
-/* Sends a load probe to the upstream, unless one is open. */
-static void send_probe(struct eb_gate *gt, int64_t now_us)
-{
-	struct eb_frame *f;
-
-	if (gt->probe_us)
-		return;
-	f = eb_frame_new(EB_FRAME_PROBE, 0);
-	if (!f)
-		return;
-	f->object = strdup(gt->probe);
-	f->object_free = free;
-	gt->probe_us = now_us;
-	gt->out.to_client(gt->out.ctx, f);
-}
-
-/* Stores the pace from an answer of the upstream, if it has one. */
-static void save_pace(struct eb_gate *gt, const struct eb_reply *r,
-		      int64_t now_us)
-{
-	if (!r || !r->load.pace_percent)
-		return;
-	gt->pace_us = now_us;
-	eb_metrics_stamp(gt->config.metrics, EB_AGE_PACE, now_us);
-	eb_admit_pace(gt->admit, r->load.pace_percent);
-}
-
 /*
  * Stores what the upstream says of itself in an answer: the rate limit that it
  * names, if any, and whether it leaves, which holds until its next start. The
@@ -955,17 +924,6 @@
 		set_rate(gt, f->reply->rate_limit_milli, now_us);
 }
 
-/* Stores the start of the upstream that answered a probe; NULL: no answer. */
-static void save_instance(struct eb_gate *gt, const char *instance)
-{
-	if (!instance)
-		return;
-	if (!gt->instance)
-		gt->instance = strdup(instance);
-	else if (strcmp(gt->instance, instance) != 0)
-		gt->replaced = 1;
-}
-
 /* Sets the service that this process was started with; NULL: unknown. */
 void eb_gate_set_service(struct eb_gate *gt, const char *service)
 {
@@ -976,20 +934,19 @@
 /* Carries out admission's decisions that are due, and ends a probe's wait. */
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us)
 {
-	if (gt->held && now_us - gt->probe_us >= EB_PACE_WAIT_US)
+	if (eb_gate_probe_wait_over(&gt->probe, now_us))
 		admit_held(gt, now_us);
 	run_admission(gt, now_us);
+	eb_gate_probe_poll(&gt->probe, now_us);
 }
 
 /* Returns when eb_gate_poll() is due at the latest, or INT64_MAX. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us)
 {
-	int64_t wake_us = eb_admit_wake_us(gt->admit);
+	int64_t admit_us = eb_admit_wake_us(gt->admit);
+	int64_t probe_us = eb_gate_probe_wake_us(&gt->probe, now_us);
 
-	(void)now_us;
-	if (gt->held && gt->probe_us + EB_PACE_WAIT_US < wake_us)
-		wake_us = gt->probe_us + EB_PACE_WAIT_US;
-	return wake_us;
+	return probe_us < admit_us ? probe_us : admit_us;
 }
 
 /* ---- Frames ---- */
@@ -1185,10 +1142,12 @@
 		ca = new_call(gt, f, back, og, now_us);
 		if (ca) {
 			ca->crash_id = crash_id;
-			if (needs_probe(gt, now_us)) {
+			gt->probe.demand = !refuses_calls(gt);
+			if (gt->probe.demand &&
+			    eb_gate_probe_needed(&gt->probe, now_us)) {
 				ca->held = 1;
-				gt->held++;
-				send_probe(gt, now_us);
+				gt->probe.held++;
+				eb_gate_probe_send(&gt->probe, now_us);
 			} else {
 				admit(gt, ca, now_us);
 			}
@@ -1269,7 +1228,7 @@
 		eb_crash_detect_checked(gt->marks, &lost, now_us);
 		return;
 	}
-	f->object = strdup(gt->probe ? gt->probe : gt->address);
+	f->object = strdup(gt->probe.where ? gt->probe.where : gt->address);
 	f->object_free = free;
 	gt->out.to_client(gt->out.ctx, f);
 }
@@ -1312,17 +1271,12 @@
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 	const struct eb_crash_run *run;
 
-	save_pace(gt, f->reply, now_us);
+	if (eb_gate_probe_save_pace(&gt->probe, f->reply, now_us))
+		eb_admit_pace(gt->admit, f->reply->load.pace_percent);
 	save_answer(gt, f->reply, now_us);
-	/*
-	 * Another start of the upstream answered: the known pace is void, so
-	 * that the next call waits for a probe.
-	 */
 	if (f->type == EB_FRAME_REFUSE &&
-	    f->reply->reason == EB_REASON_NO_UPSTREAM) {
-		gt->replaced = gt->instance != NULL;
-		gt->pace_us = 0;
-	}
+	    f->reply->reason == EB_REASON_NO_UPSTREAM)
+		eb_gate_probe_new_start(&gt->probe);
 	if (f->type == EB_FRAME_PROBE && f->call == EB_PROBE_CHECK) {
 		handle_check(gt, f, now_us);
 		eb_frame_unref(f);
@@ -1339,11 +1293,11 @@
 		eb_crash_detect_stopped(gt->marks, run, now_us);
 	}
 	if (f->type == EB_FRAME_PROBE) {
-		gt->probe_us = 0;
-		save_instance(gt, f->object);
+		eb_gate_probe_answered(&gt->probe, f, now_us);
 		save_probe_limit(gt, f, now_us);
 		eb_frame_unref(f);
 		admit_held(gt, now_us);
+		run_admission(gt, now_us);
 		return;
 	}
 	if (!ca) {
@@ -1389,8 +1343,8 @@
 			     sizeof(og->incarnation), NULL);
 		free(og);
 	}
-	if (gt->probe && !gt->instance)
-		send_probe(gt, now_us);
+	if (gt->probe.where && !gt->probe.instance)
+		eb_gate_probe_send(&gt->probe, now_us);
 	check_upstream(gt, now_us);
 	eb_crash_detect_read_counters(gt->marks, &ct);
 	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKS, (int64_t)ct.marks);
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -45,6 +45,8 @@
 /* `up` is NULL while this upstream is not in the configuration. */
 void eb_gate_configure(struct eb_gate *gt, const struct eb_upstream *up,
 		       const struct eb_rule *rule);
+void eb_gate_set_warmup(struct eb_gate *gt, const struct eb_service *sv,
+			const struct eb_upstream *up, int64_t now_us);
 void eb_gate_drain(struct eb_gate *gt);
 void eb_gate_set_resumed(struct eb_gate *gt, int resumed);
 void eb_gate_set_log(struct eb_gate *gt, struct eb_log *lg,
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -65,6 +65,12 @@
 	X(BYTES_IN, "peer_bytes_in_total", "Bytes received from peers")      \
 	X(BYTES_OUT, "peer_bytes_out_total", "Bytes sent to peers")          \
 	X(PROBES, "probes_total", "Probes of the upstream's pace")           \
+	X(PROBES_COLD, "probes_cold_total",                                  \
+	  "Probes sent to find whether the upstream is cold")                \
+	X(UPSTREAM_COLD, "upstream_cold",                                    \
+	  "1 while the upstream is cold or may be cold, and limited")        \
+	X(GATE_REFUSED_COLD, "gate_refused_cold_total",                      \
+	  "Calls this gate refused as the upstream is or may be cold")       \
 	X(WATCH_BYTES, "watch_bytes_total",                                  \
 	  "Bytes spent on watching the load of upstreams")                   \
 	X(CONTROL_BYTES, "control_bytes_total",                              \
--- a/src/eb_warmup.c
+++ b/src/eb_warmup.c
@@ -83,12 +83,16 @@
 /*
  * Sets the time that the upstream stays cold according to its entry. It may be
  * seconds old, so it only makes the limit stricter: while it lasts, requests
- * are paced whatever probes say.
+ * are paced whatever probes say. The same value once more is of the same entry
+ * and does not extend that time.
  */
 void eb_warmup_entry(struct eb_warmup *wu, uint32_t cold_ms, int64_t now_us)
 {
 	if (cold_ms > EB_COLD_MAX_MS)
 		cold_ms = EB_COLD_MAX_MS;
+	if (cold_ms == wu->entry_ms)
+		return;
+	wu->entry_ms = cold_ms;
 	if (now_us + cold_ms * 1000LL > wu->entry_until_us)
 		wu->entry_until_us = now_us + cold_ms * 1000LL;
 }
@@ -102,6 +106,7 @@
 	wu->state = EB_WARMUP_UNKNOWN;
 	wu->unanswered = 0;
 	wu->entry_until_us = 0;
+	wu->entry_ms = 0;
 	wu->probe_void = wu->probe_open;
 }
 
@@ -202,23 +207,29 @@
 }
 
 /*
- * Tells whether a probe should be sent, to be asked after requests have arrived
- * or were sent, so that an idle upstream is not probed.
+ * Returns when the next probe should be sent if there are requests, or
+ * INT64_MAX. Not to be asked while there are none, so that an idle upstream is
+ * not probed.
  */
-int eb_warmup_probe_due(const struct eb_warmup *wu, int64_t now_us)
+int64_t eb_warmup_probe_due_us(const struct eb_warmup *wu, int64_t now_us)
 {
-	int64_t age_us = now_us - wu->probe_us;
+	int64_t first_us = wu->probe_us + PROBE_GAP_US;
+	int64_t recheck_us = wu->probe_us + RECHECK_US;
 
-	if (!wu->per_s_milli || wu->probe_open ||
-	    !eb_warmup_may_probe(wu, now_us))
-		return 0;
+	if (!wu->per_s_milli || wu->probe_open)
+		return INT64_MAX;
+	if (!wu->probed)
+		return now_us;
+	if (wu->state == EB_WARMUP_UNKNOWN)
+		return wu->unanswered <= QUICK_RETRIES ? first_us : recheck_us;
 	if (wu->state == EB_WARMUP_WARM)
-		return wu->sent + carried(wu, now_us) >= allowance(wu) / 2;
-	if (!wu->probed || age_us >= RECHECK_US)
-		return 1;
-	if (wu->state == EB_WARMUP_COLD)
-		return now_us >= wu->cold_until_us;
-	return wu->unanswered <= QUICK_RETRIES;
+		return wu->sent + carried(wu, now_us) >= allowance(wu) / 2
+			       ? first_us
+			       : INT64_MAX;
+	if (wu->cold_until_us < recheck_us)
+		return wu->cold_until_us > first_us ? wu->cold_until_us
+						    : first_us;
+	return recheck_us;
 }
 
 /* Tells whether requests are paced because the upstream is or may be cold. */
--- a/src/eb_warmup.h
+++ b/src/eb_warmup.h
@@ -26,6 +26,7 @@
 	int64_t cold_until_us;	/* according to the last probe result */
 	int64_t entry_until_us; /* according to the entry */
 	int64_t probe_us;	/* when the last probe was sent */
+	uint32_t entry_ms;	/* last value of the entry */
 	uint8_t state;		/* enum eb_warmup_state */
 	uint8_t probed;		/* a probe was sent before */
 	uint8_t probe_open;	/* its result is awaited */
@@ -48,7 +49,7 @@
 			  int64_t now_us);
 int64_t eb_warmup_wake_us(const struct eb_warmup *wu);
 int eb_warmup_may_probe(const struct eb_warmup *wu, int64_t now_us);
-int eb_warmup_probe_due(const struct eb_warmup *wu, int64_t now_us);
+int64_t eb_warmup_probe_due_us(const struct eb_warmup *wu, int64_t now_us);
 int eb_warmup_is_cold(const struct eb_warmup *wu, int64_t now_us);
 
 #endif
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -613,4 +613,119 @@
 	EXPECT_EQ(EB_ADMIT_RUN, g.offer(5).verdict);
 }
 
+/* A gate whose upstream takes 20 requests a second while it is cold. */
+struct cold_gate : gate {
+	cold_gate() : gate(4)
+	{
+		eb_warmup_set_rate(warmup(), 20000, now);
+	}
+	eb_warmup *warmup()
+	{
+		return eb_admit_warmup(ad);
+	}
+	void probe(int64_t cold_ms)
+	{
+		eb_warmup_probe_sent(warmup(), now);
+		eb_warmup_probe_result(warmup(), cold_ms, now);
+	}
+	uint8_t offer_urgent(uint64_t id, uint8_t priority, int64_t goal_us = 0)
+	{
+		eb_admit_request rq = {};
+		eb_admit_action act;
+
+		rq.id = id;
+		rq.attempt = 3;
+		rq.priority = priority;
+		rq.deadline_us = DEADLINE_US;
+		rq.goal_us = goal_us;
+		eb_admit_offer(ad, &rq, now, &act);
+		return act.verdict;
+	}
+	/* Lets time pass; returns the ids that ran or, negative, were refused.
+	 */
+	std::vector<int> pass(int64_t us)
+	{
+		std::vector<int> ids;
+
+		for (int64_t end = now + us; now < end; now += 1000)
+			for (const auto &act : next()) {
+				int id = (int)act.id;
+				bool ran = act.verdict == EB_ADMIT_RUN;
+
+				ids.push_back(ran ? id : -id);
+				EXPECT_EQ(!ran, act.rate_limited && act.cold);
+				if (ran)
+					eb_admit_done(ad, 0, SERVICE_US, now);
+			}
+		return ids;
+	}
+};
+
+/* Guards against a burst at a cold upstream, and against one that gets none. */
+TEST(Admit, AColdUpstreamTakesNoBurst)
+{
+	cold_gate g;
+	eb_admit_action act;
+	int runs = 0;
+
+	g.probe(5000);
+	for (int i = 0; i < 20; i++) {
+		act = g.offer(i);
+		runs += act.verdict == EB_ADMIT_RUN;
+	}
+	EXPECT_EQ(1, runs);
+	EXPECT_EQ(EB_ADMIT_REFUSE, act.verdict);
+	EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+	EXPECT_EQ(1, act.rate_limited);
+	EXPECT_EQ(1, act.cold);
+	EXPECT_LE(50u, act.retry_after_ms);
+	g.now += 50000;
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(30).verdict);
+}
+
+/*
+ * Guards against a cold upstream that serves less urgent requests first, and
+ * against one that lets a request wait that can no longer be on time.
+ */
+TEST(Admit, AColdUpstreamServesTheMostUrgentFirst)
+{
+	cold_gate g;
+
+	g.probe(5000);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(1).verdict);
+	eb_admit_done(g.ad, 1, SERVICE_US, g.now);
+	for (uint64_t id = 10; id < 12; id++)
+		EXPECT_EQ(EB_ADMIT_WAIT, g.offer_urgent(id, 2));
+	EXPECT_EQ(EB_ADMIT_WAIT, g.offer_urgent(12, 1, g.now + 60000));
+	EXPECT_EQ(EB_ADMIT_REFUSE, g.offer_urgent(13, 1, g.now + 60000));
+	EXPECT_EQ(EB_ADMIT_WAIT, g.offer_urgent(14, 0, g.now + 60000));
+	EXPECT_EQ((std::vector<int>{ -12 }), g.pass(40000));
+	EXPECT_EQ((std::vector<int>{ 14, 10, 11 }), g.pass(200000));
+}
+
+/*
+ * Guards against requests that are refused while a probe would show within
+ * milliseconds that the upstream is warm, and against a wait without limit for
+ * a probe that is not answered.
+ */
+TEST(Admit, RequestsWaitForTheResultOfAProbeForALimitedTime)
+{
+	for (bool answered : { false, true }) {
+		cold_gate g;
+
+		g.probe(0);
+		for (int i = 1; i <= 14; i++) {
+			EXPECT_EQ(EB_ADMIT_RUN, g.offer(i).verdict);
+			eb_admit_done(g.ad, i, SERVICE_US, g.now);
+		}
+		eb_warmup_probe_sent(g.warmup(), g.now);
+		EXPECT_EQ(EB_ADMIT_WAIT, g.offer(20, 1).verdict);
+		EXPECT_EQ((std::vector<int>{}), g.pass(2000));
+		if (answered)
+			eb_warmup_probe_result(g.warmup(), 0, g.now);
+		EXPECT_EQ((std::vector<int>{ answered ? 20 : -20 }),
+			  g.pass(5000));
+	}
+}
+
 } // namespace
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -136,6 +136,21 @@
 
 			f->reply->load.pace_percent = (uint16_t)atoi(what);
 			eb_gate_from_client(gt, f, now_us);
+		} else if (w == "limit") { /* cold rate of the service */
+			eb_service sv = {};
+			eb_upstream up = {};
+
+			sv.cold_per_s_milli = (uint32_t)atoi(what) * 1000;
+			eb_gate_set_warmup(gt, &sv, &up, now_us);
+		} else if (w == "cold") { /* result of a probe */
+			eb_frame *f = make("probe", 0);
+
+			f->reply->load.pace_percent = 100;
+			f->reply->cold_known = 1;
+			f->reply->cold_ms = (uint32_t)atoi(what);
+			f->object = strdup("i-1");
+			f->object_free = free;
+			eb_gate_from_client(gt, f, now_us);
 		} else if (w == "poll") {
 			now_us += atoi(what) * MS;
 			EXPECT_GE(now_us, eb_gate_wake_us(gt, now_us));
@@ -367,6 +382,24 @@
 	  { "origin head 1", "probe 100", "client rhead 1", "origin head 2" },
 	  { "client probe 0 unknown none", "client head 1", "origin rhead 1",
 	    "client head 2" } },
+	{ "a cold upstream gets no more than its cold rate",
+	  { "limit 20", "origin head 1", "cold 5000", "client rhead 1",
+	    "origin head 2", "wait 50", "origin head 3" },
+	  { "client probe 0 unknown none", "client head 1", "origin rhead 1",
+	    "origin refuse 2 not-run handed-back rate-limited",
+	    "client probe 0 unknown none" } },
+	{ "an upstream whose probe has no valid result gets no more than that",
+	  { "limit 20", "origin head 1", "probe 100", "client rhead 1",
+	    "origin head 2" },
+	  { "client probe 0 unknown none", "client head 1", "origin rhead 1",
+	    "origin refuse 2 not-run handed-back rate-limited" } },
+	{ "a warm upstream is probed at half of its allowance, not when idle",
+	  { "limit 1", "origin head 1", "cold 0", "client rhead 1",
+	    "origin head 2", "client rhead 2", "wait 20", "origin head 3",
+	    "poll 5", "cold 0", "client rhead 3", "wait 100", "wait 1000" },
+	  { "client probe 0 unknown none", "client head 1", "origin rhead 1",
+	    "client head 2", "origin rhead 2", "client head 3",
+	    "client probe 0 unknown none", "origin rhead 3" } },
 	{ "a leaving upstream is not probed",
 	  { "drain now", "origin head 1" },
 	  { "origin refuse 1 not-run draining" } },
--- a/tests/test_eb_warmup.cc
+++ b/tests/test_eb_warmup.cc
@@ -176,7 +176,7 @@
 			while (!sent.empty() && sent.front() <= now - SECOND)
 				sent.pop_front();
 			ASSERT_LE(sent.size(), rate * 1.5 + 8);
-			if (!eb_warmup_probe_due(&wu, now))
+			if (eb_warmup_probe_due_us(&wu, now) > now)
 				continue;
 			eb_warmup_probe_sent(&wu, now);
 			seen = now + below(2000);
