routing: a cold upstream gets a small share of the picks

Cause: origins sent a cold upstream its full share, which its gate refuses, so that each such request made a detour.

Change: eb_nodes marks an upstream cold for the time that its entry names, if its service has a cold rate. The router considers it with a tenth of the probability; afterwards the share rises to all within two seconds. When all usable upstreams are cold, requests are spread over all.

--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -176,7 +176,23 @@
 	eb_mesh_close(nd->mesh, pr);
 }
 
-static void update_node(struct eb_nodes *nd, uint32_t i)
+/*
+ * Updates until when an upstream is cold. The same cold time once more, of the
+ * same start, is of the same entry and does not extend that time.
+ */
+static void update_cold(struct eb_nodes *nd, struct eb_node *n, int64_t now_us)
+{
+	const struct eb_service *sv = NULL;
+
+	if (n->service != EB_NONE)
+		sv = nd->config->services[n->service];
+	if (n->replaced || n->info->cold_ms != n->cold_ms)
+		n->cold_until_us = now_us + n->info->cold_ms * 1000LL;
+	n->cold_ms = n->info->cold_ms;
+	n->cold = sv && sv->cold_per_s_milli && now_us < n->cold_until_us;
+}
+
+static void update_node(struct eb_nodes *nd, uint32_t i, int64_t now_us)
 {
 	struct eb_upstream *up = nd->config->upstreams[i];
 	uint32_t id = eb_nodes_find(nd, up->name);
@@ -202,6 +218,7 @@
 	n->region = eb_regions_bit(nd->regions, up->region);
 	n->evacuated =
 		(uint8_t)eb_config_is_evacuated(nd->config, up->failure_domain);
+	update_cold(nd, n, now_us);
 	apr_hash_set(nd->by_address, up->daemon, APR_HASH_KEY_STRING,
 		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
 }
@@ -251,6 +268,7 @@
 		ups[i].distance = n->distance;
 		ups[i].leaving = !is_routable(nd, n);
 		ups[i].suspected = (uint8_t)is_suspected(n);
+		ups[i].cold = n->cold;
 		ups[i].region = n->region;
 	}
 	eb_route_set_upstreams(sv->route, ups, count, now_us);
@@ -403,7 +421,7 @@
 		nd->nodes[i]->present = 0;
 	}
 	for (i = 0; i < cf->upstream_total; i++)
-		update_node(nd, i);
+		update_node(nd, i, now_us);
 	for (i = 0; i < nd->count; i++) {
 		close_stale_peer(nd, nd->nodes[i], now_us);
 		if (!nd->nodes[i]->present)
@@ -473,7 +491,8 @@
 
 /*
  * Closes the sockets to daemons that were removed from the configuration
- * EB_PEER_LINGER_MS ago or earlier. To be called regularly.
+ * EB_PEER_LINGER_MS ago or earlier, and updates the routers of upstreams whose
+ * cold time has ended. To be called regularly.
  */
 void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us)
 {
@@ -482,6 +501,10 @@
 
 	for (i = 0; i < nd->count; i++) {
 		n = nd->nodes[i];
+		if (n->cold && now_us >= n->cold_until_us) {
+			n->cold = 0;
+			eb_nodes_changed(nd, i, now_us);
+		}
 		if (n->present || !n->peer ||
 		    now_us - n->removed_us < EB_PEER_LINGER_MS * 1000LL)
 			continue;
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -32,6 +32,9 @@
 	uint8_t says_leaving;	  /* in an answer of this start */
 	uint8_t distance;	  /* enum eb_distance */
 	uint8_t evacuated;	  /* its failure domain is */
+	uint8_t cold;		  /* it is, and its service has a cold rate */
+	uint32_t cold_ms;	  /* last cold time of its entry */
+	int64_t cold_until_us;	  /* according to its entry */
 	uint64_t region;	  /* bit of its region, see eb_regions */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -65,6 +65,14 @@
 #define LEAVE_US 3000
 #define EJECT_PERMILLE 500
 #define RAMP_US 1000000
+/*
+ * Share of the normal traffic of an upstream that is cold, and the time in
+ * which the share rises to all of it when the upstream is no longer cold. The
+ * gate bounds what a cold upstream gets; the share keeps requests from being
+ * refused there first.
+ */
+#define COLD_SHARE_PERMILLE 100
+#define COLD_RAMP_US 2000000
 
 const struct eb_route_tuning eb_route_tuning_default = {
 	.choices = CHOICES,
@@ -93,6 +101,7 @@
 	int64_t latency_at_us;
 	int64_t failed_at_us;
 	int64_t held_until_us; /* its rate limit is used up until then */
+	int64_t warmed_at_us;  /* when it was no longer cold; 0: never cold */
 	struct eb_eject_state eject;
 };
 
@@ -103,6 +112,7 @@
 	uint32_t *slots;      /* hash of id to index + 1 */
 	uint32_t slot_mask;
 	uint32_t count;
+	uint32_t cold;		   /* upstreams that are cold or were */
 	uint32_t first[TIERS + 1]; /* first upstream of each tier */
 	int64_t expiry_us;
 	int64_t service_us;	   /* smoothed over all upstreams */
@@ -231,12 +241,16 @@
 	}
 	rt->eject.total = count;
 	rt->eject.out = 0;
+	rt->cold = 0;
 	for (i = 0; i < count; i++) {
 		old = find(rt, ups[i].id);
 		if (old)
 			next[i] = *old;
 		else if (rt->count)
 			eb_eject_ramp(&rt->eject, &next[i].eject, now_us);
+		if (old && old->info.cold && !ups[i].cold)
+			next[i].warmed_at_us = now_us;
+		rt->cold += ups[i].cold || next[i].warmed_at_us;
 		next[i].info = ups[i];
 		if (next[i].info.distance >= TIERS)
 			next[i].info.distance = EB_DISTANCE_FAR;
@@ -382,15 +396,47 @@
 	return 1;
 }
 
+/*
+ * Returns the share of its normal traffic, in permille, that an upstream may
+ * get because it is cold or was until recently; never 0.
+ */
+static uint32_t cold_share(const struct upstream *up, int64_t now_us)
+{
+	int64_t age_us = now_us - up->warmed_at_us;
+
+	if (up->info.cold)
+		return COLD_SHARE_PERMILLE;
+	if (!up->warmed_at_us || age_us >= COLD_RAMP_US)
+		return 1000;
+	return (uint32_t)(COLD_SHARE_PERMILLE +
+			  (1000 - COLD_SHARE_PERMILLE) * age_us / COLD_RAMP_US);
+}
+
+/*
+ * Whether cold upstreams get only a share: one that is not cold can be used.
+ * Otherwise requests are spread over all of them.
+ */
+static int spares_cold(const struct eb_route *rt,
+		       const struct eb_route_query *q, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; rt->cold && i < rt->count; i++)
+		if (!rt->ups[i].info.cold && usable(&rt->ups[i], q, now_us))
+			return 1;
+	return 0;
+}
+
 struct best {
 	struct upstream *up;
 	int64_t score_us;
+	int spare_cold; /* see spares_cold() */
 };
 
 /*
  * Scores up to `choices` random upstreams of ups[from..to) and keeps the best
- * in `best`. An upstream that is ejected or ramping up is considered with the
- * probability of its share.
+ * in `best`. An upstream that is ejected, ramping up or cold is considered with
+ * the probability of its share.
  */
 static void sample(struct eb_route *rt, uint32_t from, uint32_t to,
 		   uint32_t choices, const struct eb_route_query *q,
@@ -410,12 +456,13 @@
 		else if (i)
 			at = eb_rand_below(&rt->rand, n);
 		up = &rt->ups[from + at];
-		if (up->eject.phase != EB_EJECT_ACTIVE) {
+		share = 1000;
+		if (up->eject.phase != EB_EJECT_ACTIVE)
 			share = eb_eject_share(&rt->eject, &up->eject, now_us);
-			if (share < 1000 &&
-			    eb_rand_below(&rt->rand, 1000) >= share)
-				continue;
-		}
+		if (best->spare_cold && cold_share(up, now_us) < share)
+			share = cold_share(up, now_us);
+		if (share < 1000 && eb_rand_below(&rt->rand, 1000) >= share)
+			continue;
 		if (!usable(up, q, now_us))
 			continue;
 		score = score_us(rt, up, now_us);
@@ -426,9 +473,13 @@
 	}
 }
 
-/* Returns a usable upstream of the nearest tier, even if ejected, or NULL. */
-static struct upstream *
-any_usable(struct eb_route *rt, const struct eb_route_query *q, int64_t now_us)
+/*
+ * Returns a usable upstream of the nearest tier, even if ejected, or NULL; with
+ * `skip_cold`, one that is not cold.
+ */
+static struct upstream *any_of(struct eb_route *rt,
+			       const struct eb_route_query *q, int skip_cold,
+			       int64_t now_us)
 {
 	uint32_t t, n, i, start;
 	struct upstream *up;
@@ -438,13 +489,20 @@
 		start = n ? eb_rand_below(&rt->rand, n) : 0;
 		for (i = 0; i < n; i++) {
 			up = &rt->ups[rt->first[t] + (start + i) % n];
-			if (usable(up, q, now_us))
+			if (!(skip_cold && up->info.cold) &&
+			    usable(up, q, now_us))
 				return up;
 		}
 	}
 	return NULL;
 }
 
+static struct upstream *
+any_usable(struct eb_route *rt, const struct eb_route_query *q, int64_t now_us)
+{
+	return any_of(rt, q, 0, now_us);
+}
+
 /*
  * Picks the upstream with the least expected time among a few random ones of
  * each tier in the local region, and stores its id. Other regions are
@@ -463,7 +521,7 @@
 	/* Allows upstreams that were tried before. */
 	struct eb_route_query relaxed = { .keep_in_region = keep_in_region(q),
 					  .regions = q->regions };
-	struct best best = { NULL, 0 };
+	struct best best = { NULL, 0, spares_cold(rt, q, now_us) };
 	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
 	int full;
 
@@ -491,7 +549,7 @@
 		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
 		       rt->tune.choices, &relaxed, now_us, &best);
 	if (!best.up)
-		best.up = any_usable(rt, q, now_us);
+		best.up = any_of(rt, q, best.spare_cold, now_us);
 	/* If all upstreams have refused for load, it waits at one of them. */
 	if (!best.up && q->refused)
 		best.up = any_usable(rt, &relaxed, now_us);
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -568,4 +568,62 @@
 	}
 }
 
+/*
+ * Guards against detours to upstreams that are cold, against one that gets
+ * nothing or all of its traffic as soon as its cold time ends, and against
+ * requests that are not spread when all upstreams are cold.
+ */
+TEST(Route, ColdUpstreamsGetAShareThatRises)
+{
+	const struct {
+		const char *name;
+		std::vector<uint32_t> cold;
+		int64_t warm_for_us; /* of upstream 0; -1: it is cold */
+		int least, most;     /* of 6,000 picks */
+	} cases[] = {
+		{ "one is cold", { 0 }, -1, 20, 150 },
+		{ "five are cold", { 0, 1, 2, 3, 4 }, -1, 20, 250 },
+		{ "all are cold", { 0, 1, 2, 3, 4, 5 }, -1, 800, 1200 },
+		{ "just warm", { 0 }, 0, 20, 150 },
+		{ "warm for a second", { 0 }, 1000000, 300, 800 },
+		{ "warm for two seconds", { 0 }, 2000000, 800, 1200 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		even r;
+
+		for (uint32_t id : c.cold)
+			r.ups[id].cold = 1;
+		r.set();
+		if (c.warm_for_us >= 0) {
+			r.ups[0].cold = 0;
+			r.set();
+			r.now += c.warm_for_us;
+		}
+		int n = r.picks(6000)[0];
+		EXPECT_GE(n, c.least);
+		EXPECT_LE(n, c.most);
+	}
+}
+
+/* Guards against requests that find no upstream as the nearest is cold. */
+TEST(Route, ACombinationWithTheRateLimitLeavesAnUpstream)
+{
+	router r;
+	eb_route_result rs = {};
+
+	r.add(0, EB_DISTANCE_DOMAIN);
+	r.add(1, EB_DISTANCE_DOMAIN);
+	r.ups[0].cold = 1;
+	r.set();
+	rs.outcome = EB_OUTCOME_NOT_RUN;
+	rs.reason = EB_REASON_HANDED_BACK;
+	rs.rate_wait_ms = 200;
+	eb_route_sent(r.rt, 1, r.now);
+	eb_route_done(r.rt, 1, &rs, r.now);
+	EXPECT_EQ(200, r.picks(200)[0]);
+	EXPECT_EQ(0u, r.pick({ 1 }));
+}
+
 } // namespace
