--- a/tests/site.cc
+++ b/tests/site.cc
@@ -786,8 +786,9 @@
 			  "," +
 			  route("u-" + name, "/" + name + "/once/", "unsafe",
 				name);
-		list += (list.empty() ? "" : ",") + ("\"" + name) +
-			"\":{\"healthPath\":\"/health\",\"maxConns\":200,"
+		list += (list.empty() ? "" : ",") + ("\"" + name) + "\":{" +
+			more_service +
+			"\"healthPath\":\"/health\",\"maxConns\":200,"
 			"\"protocol\":\"h1\",\"tls\":false}";
 	}
 	if (!more_routes.empty())
--- a/tests/site.h
+++ b/tests/site.h
@@ -316,6 +316,8 @@
 	std::unique_ptr<SiteStore> store;
 	/* Store address in the daemons' settings; may be that of a relay. */
 	std::string store_address;
+	/* Further members of all services, each followed by a comma. */
+	std::string more_service;
 	/* Mechanism that ebonypier-site-test switches off; "": none. */
 	std::string test_off;
 	std::vector<std::unique_ptr<SiteUpstream>> upstreams;
