--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -103,6 +103,7 @@
 	uint32_t probe_rate_milli; /* that the answer names; 0: none */
 	uint32_t probe_cold_ms;	   /* that the answer names */
 	uint8_t probe_cold_bad;	   /* its value is invalid */
+	uint8_t probe_cold_warned; /* logged since the last valid one */
 	char probe_instance[EB_NAME_SPACE_BYTES];
 	uint8_t probe_running;
 	CURL *check; /* check of the upstream that is running, or NULL */
@@ -757,7 +758,18 @@
 
 	if (!n || value[n + strspn(value + n, " \t")])
 		cl->probe_cold_bad = 1;
-	else if (ms > EB_COLD_MAX_MS)
+	else
+		cl->probe_cold_warned = 0;
+	if (cl->probe_cold_bad && !cl->probe_cold_warned) {
+		cl->probe_cold_warned = 1;
+		eb_log_write(cl->config.log, EB_LOG_WARN, "client",
+			     "cold time of the upstream is invalid, it counts "
+			     "as possibly cold",
+			     "value=%s", value);
+	}
+	if (cl->probe_cold_bad)
+		return;
+	if (ms > EB_COLD_MAX_MS)
 		cl->probe_cold_ms = EB_COLD_MAX_MS;
 	else if (ms > cl->probe_cold_ms)
 		cl->probe_cold_ms = (uint32_t)ms;
--- a/src/eb_warmup.c
+++ b/src/eb_warmup.c
@@ -74,6 +74,7 @@
 {
 	if (per_s_milli && !wu->per_s_milli) {
 		wu->state = EB_WARMUP_UNKNOWN;
+		wu->unanswered = 0;
 		wu->probe_void = wu->probe_open;
 		wu->next_us = now_us;
 	}
@@ -93,19 +94,18 @@
 	if (cold_ms == wu->entry_ms)
 		return;
 	wu->entry_ms = cold_ms;
-	if (now_us + cold_ms * 1000LL > wu->entry_until_us)
-		wu->entry_until_us = now_us + cold_ms * 1000LL;
+	wu->entry_until_us = now_us + cold_ms * 1000LL;
 }
 
 /*
  * To be called when another start of the upstream is known: it may be cold, and
- * an open probe may have been answered by the earlier start.
+ * an open probe may have been answered by the earlier start. The time of the
+ * entry stays in force, as the entry may already be that of the new start.
  */
 void eb_warmup_restarted(struct eb_warmup *wu)
 {
 	wu->state = EB_WARMUP_UNKNOWN;
 	wu->unanswered = 0;
-	wu->entry_until_us = 0;
 	wu->entry_ms = 0;
 	wu->probe_void = wu->probe_open;
 }
--- a/tests/it_cold.cc
+++ b/tests/it_cold.cc
@@ -104,4 +104,40 @@
 		site.print_logs();
 }
 
+/*
+ * Guards against a limit on an upstream that does not send the header, and
+ * against an invalid or endless cold time that is taken for "not cold".
+ */
+TEST(Cold, TheHeaderOfTheHealthCheckIsRead)
+{
+	const struct {
+		const char *header;
+		int cold;
+	} cases[] = {
+		{ "", 0 },
+		{ "Ebonypier-Cold-Ms: 300\r\n", 1 },
+		{ "ebonypier-cold-ms: 0\r\n", 0 },
+		{ "Ebonypier-Cold-Ms: soon\r\n", 1 },
+		{ "Ebonypier-Cold-Ms: 0\r\n", 0 },
+		{ "Ebonypier-Cold-Ms: -1\r\n", 1 },
+		{ "Ebonypier-Cold-Ms: 0\r\nEbonypier-Cold-Ms: 9\r\n", 1 },
+		{ "Ebonypier-Cold-Ms: 99999999999999999999999\r\n", 1 },
+	};
+	Site site{ { "near" } };
+	int id = 0;
+
+	site.more_service = "\"coldPerS\":20,";
+	site.start_all();
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.header);
+		site.upstreams[0]->say(c.header);
+		wait_until("the upstream to be cold or not", [&] {
+			site.send(0, "GET", "/near/x", std::to_string(id++));
+			return site.metric(0, "upstream_cold") == c.cold;
+		});
+	}
+	if (HasFailure())
+		site.print_logs();
+}
+
 } // namespace
