--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -47,6 +47,8 @@
 		       const struct eb_rule *rule);
 /* The gate keeps a reference to the configuration. */
 void eb_gate_set_config(struct eb_gate *gt, const struct eb_config *cf);
+void eb_gate_set_warmup(struct eb_gate *gt, const struct eb_service *sv,
+			const struct eb_upstream *up, int64_t now_us);
 void eb_gate_drain(struct eb_gate *gt);
 void eb_gate_set_resumed(struct eb_gate *gt, int resumed);
 void eb_gate_set_log(struct eb_gate *gt, struct eb_log *lg,
