outflow: bound streamed answers by the bandwidth of the link

Cause: each streamed answer gets 256 KB of credit whatever the link is. On a link of 13 Mbit/s that is 160 ms of queue in front of each short answer, heartbeat and request on the same link.

--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -7,6 +7,27 @@
 #define EB_CHUNK_BYTES 65536
 /* Bytes of a body in flight for each call and direction. */
 #define EB_CREDIT_WINDOW_BYTES 262144
+/*
+ * Bytes of a streamed answer that are granted at once: what curl passes on at
+ * once at most (CURL_MAX_WRITE_SIZE), so that one grant always allows progress.
+ */
+#define EB_OUTFLOW_GRANT_BYTES 16384
+/* Streamed answers fill the link to other daemons for at most this long. */
+#define EB_OUTFLOW_QUEUE_MS 10
+/*
+ * Least window of a streamed answer: origins of earlier versions confirm bytes
+ * in batches of 64 KB, and one grant more must fit on each side of a batch.
+ */
+#define EB_OUTFLOW_WINDOW_MIN_BYTES 98304
+/* Grants in the queue of a link; a link of 1 Gbit/s has 77. */
+#define EB_OUTFLOW_ENTRIES_MAX 512
+/* Kinds of request whose answers' size an origin knows. */
+#define EB_SIZES_KINDS 256
+/*
+ * Answers above this size are large: their transfer counts in routing. Smaller
+ * ones are sent in one frame.
+ */
+#define EB_ANSWER_LARGE_BYTES EB_INLINE_BODY_BYTES
 /*
  * Calls of at least this age are listed in heartbeats. Longer than most calls
  * take, and longer than a frame takes to arrive.
