answers: bounded in flight and in memory, routed by their size

Cause: a streamed answer had a window of 256 KB whatever the link; nothing bounded the sum of what a daemon holds of answers; a caller that stopped reading kept its run, slot and memory; and large answers crossed failure domains and regions like small ones. The origin learns the size of answers by kind, and the router adds the time on the gate's link, and the way to another failure domain or region, to the scores for an answer of more than 16 KB.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -625,7 +625,8 @@
 	tf->head = f;
 	tf->key.origin = f->sender;
 	tf->key.call = f->call;
-	tf->credit_bytes = EB_CREDIT_WINDOW_BYTES;
+	/* The gate grants the rest, see eb_outflow. */
+	tf->credit_bytes = EB_OUTFLOW_GRANT_BYTES;
 	tf->progress_us = eb_clock_now_us();
 	tf->easy = cl->idle_handle_count
 			   ? cl->idle_handles[--cl->idle_handle_count]
@@ -712,7 +713,8 @@
 static void resume(struct transfer *tf)
 {
 	int send = tf->send_paused && (tf->first || tf->body_ended);
-	int receive = tf->receive_paused && tf->credit_bytes >= EB_CHUNK_BYTES;
+	int receive =
+		tf->receive_paused && tf->credit_bytes >= CURL_MAX_WRITE_SIZE;
 
 	if (!send && !receive)
 		return;
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -1111,8 +1111,14 @@
 	struct eb_gate_callbacks gate_out = { send_client, send_origin, co };
 	struct eb_origin_callbacks origin_out = { send_front, send_gate,
 						  send_heartbeat, co };
-	struct eb_gate_config gate = { cf->settings->upstream, co->incarnation,
-				       cf->metrics, cf->tracer };
+	struct eb_gate_config gate = {
+		cf->settings->upstream,
+		co->incarnation,
+		cf->metrics,
+		cf->tracer,
+		cf->settings->link_mbps,
+		eb_settings_answers_max_bytes(cf->settings) / 2
+	};
 	struct eb_origin_config origin = { co->incarnation,
 					   NULL,
 					   cf->metrics,
@@ -1120,7 +1126,8 @@
 					   NULL,
 					   cf->log,
 					   cf->adapter->dialect,
-					   cf->settings->uploads_leave };
+					   cf->settings->uploads_leave,
+					   cf->settings->link_mbps };
 	struct eb_feed_sync_callbacks feed_sync_out = {
 		send_gossip,
 		is_reachable,
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -27,14 +28,18 @@
 #include "eb_stream.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
+#include "eb_unread.h"
 
 #define EPOLL_WAIT_MAX_MS 500
 #define EVENTS_MAX 64
 #define INPUT_MAX_BYTES 65536
 /* No more of an answer is written while this much output is pending. */
 #define OUTPUT_PENDING_MAX_BYTES 65536
-/* Credit for written answer bytes is granted in batches of this size. */
-#define CREDIT_BATCH_BYTES 65536
+/*
+ * Credit for written answer bytes is granted in batches of this size. Gates of
+ * earlier versions grant further bytes in parts of 64 KB.
+ */
+#define CREDIT_BATCH_BYTES EB_OUTFLOW_GRANT_BYTES
 /* Time for a caller to read its last answer before the connection is closed. */
 #define LINGER_US 1000000
 
@@ -92,6 +97,8 @@
 	size_t in_space;
 	struct eb_answer_buffer out;
 	uint32_t events;
+	struct eb_unread_reader reader;
+	size_t out_held_bytes; /* of `out`, counted in `reader` */
 	int64_t active_us;
 	int64_t linger_until_us; /* 0: not lingering */
 	uint8_t caller_closed;
@@ -108,6 +115,7 @@
 	apr_pool_t *pool;
 	apr_thread_t *thread;
 	apr_hash_t *requests;
+	struct eb_unread unread;
 	struct connection *connections;
 	uint32_t connection_count;
 	uint64_t next_id;
@@ -314,6 +322,12 @@
 	return rq->answer_whole && rq->phase == PHASE_ANSWER;
 }
 
+/* Counts bytes of answers that are held for a connection. */
+static void hold(struct connection *cn, int64_t bytes)
+{
+	eb_unread_hold(&cn->front->unread, &cn->reader, bytes);
+}
+
 /* Frees the oldest request; the core receives CANCEL if it is not complete. */
 static void drop_first_request(struct connection *cn)
 {
@@ -328,9 +342,12 @@
 	}
 	while ((qd = rq->first)) {
 		rq->first = qd->next;
+		hold(cn, -(int64_t)qd->frame->data_bytes);
 		eb_frame_unref(qd->frame);
 		free(qd);
 	}
+	if (rq->answer)
+		hold(cn, -(int64_t)rq->answer->data_bytes);
 	if (cn->reading == rq)
 		cn->reading = NULL;
 	cn->first = rq->next;
@@ -639,6 +656,7 @@
 		else
 			failed |= eb_answer_append(&cn->out, qd->frame->data,
 						   qd->frame->data_bytes);
+		hold(cn, -(int64_t)qd->frame->data_bytes);
 		grant_credit(rq, qd->frame->data_bytes);
 		eb_frame_unref(qd->frame);
 		free(qd);
@@ -757,13 +775,16 @@
 static void update_events(struct connection *cn)
 {
 	struct epoll_event ev = { .data.ptr = cn };
+	size_t pending = eb_answer_pending(&cn->out);
 
+	hold(cn, (int64_t)pending - (int64_t)cn->out_held_bytes);
+	cn->out_held_bytes = pending;
 	if (!cn->caller_closed)
 		ev.events |= EPOLLRDHUP;
 	if (!cn->caller_closed &&
 	    (cn->linger_until_us || cn->in_bytes < INPUT_MAX_BYTES))
 		ev.events |= EPOLLIN;
-	if (eb_answer_pending(&cn->out))
+	if (pending)
 		ev.events |= cn->write_wants_read ? EPOLLIN : EPOLLOUT;
 	if (ev.events == cn->events)
 		return;
@@ -778,6 +799,7 @@
 
 	while (cn->first)
 		drop_first_request(cn);
+	eb_unread_end(&ft->unread, &cn->reader);
 	if (cn->previous)
 		cn->previous->next = cn->next;
 	else
@@ -796,8 +818,9 @@
 }
 
 /* Writes pending output until the socket is full. */
-static void write_out(struct connection *cn)
+static void write_out(struct connection *cn, int64_t now_us)
 {
+	struct eb_unread *un = &cn->front->unread;
 	enum eb_stream_wait wait = EB_STREAM_WRITABLE;
 	const void *data;
 	size_t bytes;
@@ -808,10 +831,14 @@
 		if (n < 0) {
 			cn->dead |= wait == EB_STREAM_FAILED;
 			cn->write_wants_read = wait == EB_STREAM_READABLE;
+			eb_unread_blocked(un, &cn->reader, now_us);
 			return;
 		}
 		eb_answer_consume(&cn->out, (size_t)n);
+		if (n)
+			eb_unread_progress(un, &cn->reader);
 	}
+	eb_unread_progress(un, &cn->reader);
 	cn->write_wants_read = 0;
 }
 
@@ -820,13 +847,13 @@
  * more. Nothing else wakes the connection for parts that are left, once the
  * answer has arrived completely.
  */
-static void write_answers(struct connection *cn)
+static void write_answers(struct connection *cn, int64_t now_us)
 {
 	do {
 		answer(cn);
 		if (!eb_answer_pending(&cn->out))
 			return;
-		write_out(cn);
+		write_out(cn, now_us);
 	} while (!cn->dead && !eb_answer_pending(&cn->out));
 }
 
@@ -929,7 +956,7 @@
 	if (cn->caller_closed && !cn->dead && !cn->closing &&
 	    (!readable_bytes(cn) || cn->in_bytes == before))
 		handle_caller_close(cn);
-	write_answers(cn);
+	write_answers(cn, now_us);
 	linger(cn, now_us);
 	if (cn->dead ||
 	    (cn->closing && cn->caller_closed && !eb_answer_pending(&cn->out)))
@@ -1045,6 +1072,34 @@
 	count_open(ft, -1);
 }
 
+/* Gives up answers that their callers do not read, see eb_unread. */
+static void abandon_unread(struct eb_front *ft, int64_t now_us)
+{
+	struct eb_unread_reader *rd;
+	enum eb_metric reason;
+	struct connection *cn;
+
+	while ((rd = eb_unread_next(&ft->unread, now_us, &reason))) {
+		cn = (struct connection *)((char *)rd -
+					   offsetof(struct connection, reader));
+		eb_metrics_add(ft->config.metrics, reason, 1);
+		eb_metrics_add(ft->config.metrics, EB_METRIC_ANSWER_CUT, 1);
+		eb_log_write(ft->config.log, EB_LOG_WARN, "front",
+			     "answer abandoned",
+			     "reason=%s caller=%016llx held_bytes=%lld "
+			     "blocked_ms=%lld all_held_bytes=%lld",
+			     reason == EB_METRIC_ANSWERS_UNREAD ? "unread"
+								: "memory",
+			     (unsigned long long)cn->caller,
+			     (long long)rd->held_bytes,
+			     (long long)(now_us - rd->blocked_us) / 1000,
+			     (long long)ft->unread.held_bytes);
+		free_connection(cn);
+	}
+	eb_metrics_set(ft->config.metrics, EB_METRIC_ANSWERS_HELD,
+		       ft->unread.held_bytes);
+}
+
 /* Closes connections whose idle or linger time is over. */
 static void check_timeouts(struct eb_front *ft, int64_t now_us)
 {
@@ -1075,6 +1130,7 @@
 		return;
 	}
 	qd->frame = f;
+	hold(rq->connection, f->data_bytes);
 	if (rq->last)
 		rq->last->next = qd;
 	else
@@ -1098,6 +1154,7 @@
 	rq->ended = 1;
 	if (!rq->answer) {
 		rq->answer = f;
+		hold(rq->connection, f->data_bytes);
 		return;
 	}
 	rq->failed |= !rq->answer_whole;
@@ -1143,6 +1200,7 @@
 	case EB_FRAME_RHEAD:
 		assert(!rq->answer);
 		rq->answer = f;
+		hold(rq->connection, f->data_bytes);
 		rq->ended = eb_frame_ends_answer(f) != 0;
 		break;
 	case EB_FRAME_RDATA:
@@ -1178,6 +1236,7 @@
 		n = eb_ring_pop(ft->config.in, items, EB_BATCH_FRAMES);
 		for (i = 0; i < n; i++)
 			handle_frame(ft, items[i], now_us);
+		abandon_unread(ft, now_us);
 	} while (n == EB_BATCH_FRAMES);
 }
 
@@ -1283,6 +1342,8 @@
 		return NULL;
 	}
 	ft->config = *cf;
+	eb_unread_init(&ft->unread, eb_settings_answers_max_bytes(se) / 2,
+		       se->answer_unread_ms);
 	ft->requests = apr_hash_make(ft->pool);
 	ft->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	ft->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -3,6 +3,7 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <assert.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_kept.h"
+#include "eb_outflow.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -89,6 +91,7 @@
 	int64_t arrived_us;
 	int64_t started_us; /* when it got a slot; 0: not yet */
 	int64_t arrived_wall_us;
+	struct eb_outflow_stream answer; /* while it is streamed */
 	struct eb_trace_id parent;
 	uint8_t gate_span[8];
 	uint8_t upstream_span[8];
@@ -121,6 +124,7 @@
 	struct eb_feed_state copy; /* see eb_gate_set_copy() */
 	int resumed;		   /* see eb_gate_set_resumed() */
 	struct eb_kept *kept;	   /* answers that were sent to origins */
+	struct eb_outflow outflow; /* of streamed answers */
 	uint64_t next_id;
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
@@ -153,6 +157,9 @@
 	gt->admit = eb_admit_new(&none);
 	gt->marks = eb_crash_detect_new(cf->upstream);
 	gt->kept = eb_kept_new();
+	eb_outflow_init(&gt->outflow, cf->link_mbps,
+			cf->answers_max_bytes ? cf->answers_max_bytes
+					      : INT64_MAX);
 	if (!gt->chart || !gt->admit || !gt->marks || !gt->kept ||
 	    apr_pool_create(&gt->pool, NULL) != APR_SUCCESS) {
 		eb_gate_free(gt);
@@ -170,6 +177,7 @@
 	apr_hash_set(gt->by_id, &ca->id, sizeof(ca->id), NULL);
 	ca->origin->calls--;
 	gt->held -= ca->held;
+	eb_outflow_close(&gt->outflow, &ca->answer);
 	eb_crash_detect_ended(gt->marks, &ca->crash_id,
 			      ca->outcome == EB_OUTCOME_RAN);
 	eb_frame_unref(ca->head);
@@ -495,9 +503,43 @@
 	}
 }
 
-static void to_origin(struct eb_gate *gt, const struct call *ca,
-		      struct eb_frame *f, int64_t now_us)
+/* Hands the client thread the grants for which the link has room now. */
+static void run_outflow(struct eb_gate *gt, int64_t now_us)
 {
+	struct eb_outflow_stream *st;
+	struct eb_frame *f;
+	struct call *ca;
+
+	while ((st = eb_outflow_next(&gt->outflow, now_us))) {
+		ca = (struct call *)((char *)st -
+				     offsetof(struct call, answer));
+		f = eb_frame_new(EB_FRAME_RCREDIT, ca->key.call);
+		if (!f)
+			return;
+		f->sender = ca->key.origin;
+		f->credit_bytes = EB_OUTFLOW_GRANT_BYTES;
+		gt->out.to_client(gt->out.ctx, f);
+	}
+}
+
+/* Counts a frame of an answer that is sent to its origin. */
+static void count_outflow(struct eb_gate *gt, struct call *ca,
+			  const struct eb_frame *f, int64_t now_us)
+{
+	if (f->type == EB_FRAME_RHEAD && !eb_frame_ends_answer(f) &&
+	    !ca->answer.open)
+		eb_outflow_open(&gt->outflow, &ca->answer, ca->local, now_us);
+	else if (f->type == EB_FRAME_RDATA)
+		eb_outflow_sent(&gt->outflow, &ca->answer, f->data_bytes);
+	else if (!ca->local)
+		eb_outflow_other(&gt->outflow, f->data_bytes, now_us);
+	run_outflow(gt, now_us);
+}
+
+static void to_origin(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
+	count_outflow(gt, ca, f, now_us);
 	f->call = ca->key.call;
 	f->target = ca->key.origin;
 	f->sender = gt->config.incarnation;
@@ -694,6 +736,13 @@
 		ca->body_done = 1;
 		ca->deadline_us = now_us + ca->budget_us;
 	}
+	if (f->type == EB_FRAME_RCREDIT) {
+		eb_outflow_confirmed(&gt->outflow, &ca->answer, f->credit_bytes,
+				     now_us);
+		eb_frame_unref(f);
+		run_outflow(gt, now_us);
+		return;
+	}
 	gt->out.to_client(gt->out.ctx, f);
 }
 
@@ -754,8 +803,9 @@
 {
 	struct eb_frame *out = eb_frame_new(EB_FRAME_CANCEL, ca->key.call);
 
-	(void)now_us;
 	eb_frame_unref(f);
+	eb_outflow_close(&gt->outflow, &ca->answer);
+	run_outflow(gt, now_us);
 	if (!out)
 		return;
 	out->sender = ca->key.origin;
@@ -973,20 +1023,27 @@
 	gt->own_service = service ? strdup(service) : NULL;
 }
 
-/* Carries out admission's decisions that are due, and ends a probe's wait. */
+/*
+ * Carries out what is due: decisions of admission, the end of a probe's wait,
+ * and grants for answers.
+ */
 void eb_gate_poll(struct eb_gate *gt, int64_t now_us)
 {
 	if (gt->held && now_us - gt->probe_us >= EB_PACE_WAIT_US)
 		admit_held(gt, now_us);
 	run_admission(gt, now_us);
+	run_outflow(gt, now_us);
 }
 
 /* Returns when eb_gate_poll() is due at the latest, or INT64_MAX. */
 int64_t eb_gate_wake_us(const struct eb_gate *gt, int64_t now_us)
 {
 	int64_t wake_us = eb_admit_wake_us(gt->admit);
+	int64_t link_us = eb_outflow_wake_us(&gt->outflow);
 
 	(void)now_us;
+	if (link_us < wake_us)
+		wake_us = link_us;
 	if (gt->held && gt->probe_us + EB_PACE_WAIT_US < wake_us)
 		wake_us = gt->probe_us + EB_PACE_WAIT_US;
 	return wake_us;
@@ -1392,6 +1449,8 @@
 	if (gt->probe && !gt->instance)
 		send_probe(gt, now_us);
 	check_upstream(gt, now_us);
+	eb_metrics_set(gt->config.metrics, EB_METRIC_ANSWERS_IN_FLIGHT,
+		       gt->outflow.held_bytes);
 	eb_crash_detect_read_counters(gt->marks, &ct);
 	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKS, (int64_t)ct.marks);
 	eb_metrics_set(gt->config.metrics, EB_METRIC_MARKED_CRASHES,
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -36,6 +36,8 @@
 	uint64_t incarnation;
 	struct eb_metrics *metrics;
 	struct eb_tracer *tracer;
+	uint32_t link_mbps;	   /* bandwidth of the link; 0: unknown */
+	int64_t answers_max_bytes; /* unread bytes of answers; 0: no bound */
 };
 
 struct eb_gate *eb_gate_new(const struct eb_gate_config *cf,
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -20,6 +20,23 @@
 	  "lost or when it asked")                                           \
 	X(ANSWER_CUT, "answers_cut_total",                                   \
 	  "Connections ended because an answer could not be completed")      \
+	X(ANSWER_BYTES_SELF, "answer_bytes_total{distance=\"self\"}",        \
+	  "Bytes of answers to callers, by distance of the upstream")        \
+	X(ANSWER_BYTES_DOMAIN, "answer_bytes_total{distance=\"domain\"}",    \
+	  "Bytes of answers to callers, by distance of the upstream")        \
+	X(ANSWER_BYTES_REGION, "answer_bytes_total{distance=\"region\"}",    \
+	  "Bytes of answers to callers, by distance of the upstream")        \
+	X(ANSWER_BYTES_FAR, "answer_bytes_total{distance=\"far\"}",          \
+	  "Bytes of answers to callers, by distance of the upstream")        \
+	X(ANSWERS_UNREAD, "answers_abandoned_total{reason=\"unread\"}",      \
+	  "Answers given up because of their caller")                        \
+	X(ANSWERS_MEMORY, "answers_abandoned_total{reason=\"memory\"}",      \
+	  "Answers given up because of their caller")                        \
+	X(ANSWERS_HELD, "answers_held_bytes",                                \
+	  "Bytes of answers that callers have yet to read")                  \
+	X(ANSWERS_IN_FLIGHT, "answers_in_flight_bytes",                      \
+	  "Bytes of streamed answers of the upstream that are granted and "  \
+	  "not confirmed")                                                   \
 	X(CALLER_GONE, "callers_gone_total",                                 \
 	  "Callers that hung up before their answer was complete")           \
 	X(CALLERS_LIMITED, "callers_limited_total",                          \
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -252,6 +252,7 @@
 		ups[i].leaving = !is_routable(nd, n);
 		ups[i].suspected = (uint8_t)is_suspected(n);
 		ups[i].region = n->region;
+		ups[i].link_mbps = n->link_mbps;
 	}
 	eb_route_set_upstreams(sv->route, ups, count, now_us);
 	free(ups);
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -33,6 +33,7 @@
 	uint8_t distance;	  /* enum eb_distance */
 	uint8_t evacuated;	  /* its failure domain is */
 	uint64_t region;	  /* bit of its region, see eb_regions */
+	uint32_t link_mbps;	  /* of its VM, in heartbeats; 0: unknown */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
 	 * when. Claims can be sent over it without a socket to the daemon.
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -12,6 +12,7 @@
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_overdue.h"
+#include "eb_sizes.h"
 #include "eb_call_stats.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -127,10 +128,11 @@
 	uint8_t reason;
 	uint16_t status;
 	uint32_t retry_after_ms;
-	uint8_t hops;	   /* left for the calls that the upstream makes */
-	uint32_t route;	   /* index in the counts by route */
-	uint64_t regions;  /* in which it may run; 0: in any */
-	int64_t budget_us; /* time that the call may take */
+	uint8_t hops;	       /* left for the calls that the upstream makes */
+	uint32_t route;	       /* index in the counts by route */
+	uint64_t regions;      /* in which it may run; 0: in any */
+	uint64_t answer_bytes; /* of the body, passed to the front */
+	int64_t budget_us;     /* time that the call may take */
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	int64_t started_us;
@@ -149,6 +151,7 @@
 	apr_pool_t *pool;
 	apr_hash_t *by_front;  /* call number of the front -> call */
 	apr_hash_t *by_number; /* attempt number -> call */
+	struct eb_sizes sizes; /* of answers by kind */
 	apr_hash_t *longest;   /* match name -> longest deadline seen, us */
 	uint64_t next_number;
 	uint32_t parked;	 /* number of parked calls */
@@ -282,7 +285,8 @@
 		     "origin", "call ended",
 		     "id=%s service=%s upstream=%s distance=%s attempts=%u "
 		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
-		     "last_ms=%lld left_ms=%lld release=%llu",
+		     "last_ms=%lld left_ms=%lld release=%llu answer_bytes=%llu "
+		     "expected_bytes=%u",
 		     request_id(og, ca->head), ca->service->name,
 		     n ? n->name : "-", n ? eb_distance_name(n->distance) : "-",
 		     ca->attempts, ca->runs, ca->status,
@@ -290,7 +294,32 @@
 		     (long long)(now_us - ca->started_us) / 1000,
 		     (long long)(now_us - ca->attempt_us) / 1000,
 		     (long long)(ca->deadline_us - now_us) / 1000,
-		     (unsigned long long)cf->release);
+		     (unsigned long long)cf->release,
+		     (unsigned long long)ca->answer_bytes,
+		     eb_sizes_expected(&og->sizes, ca->head->head->kind));
+}
+
+/* Learns the size of a successful answer, and counts its way. */
+static void count_answer(struct eb_origin *og, const struct call *ca,
+			 int64_t now_us)
+{
+	static const enum eb_metric ways[] = {
+		EB_METRIC_ANSWER_BYTES_SELF,
+		EB_METRIC_ANSWER_BYTES_DOMAIN,
+		EB_METRIC_ANSWER_BYTES_REGION,
+		EB_METRIC_ANSWER_BYTES_FAR,
+	};
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+
+	if (n && ca->answer_bytes)
+		eb_metrics_add(og->config.metrics, ways[n->distance],
+			       (int64_t)ca->answer_bytes);
+	/* An error or an answer without its body does not show the usual size.
+	 */
+	if (ca->outcome == EB_OUTCOME_RAN && ca->status >= 200 &&
+	    ca->status < 300 && strcmp(ca->head->head->method, "HEAD") != 0)
+		eb_sizes_add(&og->sizes, ca->head->head->kind, ca->answer_bytes,
+			     now_us);
 }
 
 /* Adds a finished call to the counts of its route. */
@@ -390,9 +419,10 @@
 	ca->retry_after_ms = r->retry_after_ms;
 }
 
-static void to_front(struct eb_origin *og, const struct call *ca,
-		     struct eb_frame *f)
+static void to_front(struct eb_origin *og, struct call *ca, struct eb_frame *f)
 {
+	if (f->type == EB_FRAME_RHEAD || f->type == EB_FRAME_RDATA)
+		ca->answer_bytes += f->data_bytes;
 	f->call = ca->front_id;
 	og->out.to_front(og->out.ctx, f);
 }
@@ -599,6 +629,8 @@
 	q.remaining_us = ca->deadline_us - now_us;
 	q.keep_in_region = ca->streamed && !og->config.uploads_leave_region;
 	q.regions = ca->regions;
+	q.answer_bytes = eb_sizes_expected(&og->sizes, ca->head->head->kind);
+	q.link_mbps = og->config.link_mbps;
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
@@ -952,6 +984,7 @@
 	end_attempt(og, ca, now_us);
 	log_call(og, ca, now_us);
 	count_call(og, ca, now_us);
+	count_answer(og, ca, now_us);
 	settle_claim(og, ca, NULL, now_us);
 	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
 		 ca->started_us, now_us);
@@ -1327,6 +1360,18 @@
 		eb_route_load(sv->route, node, ld, now_us);
 }
 
+/* Stores the bandwidth of a gate's link, which heartbeat replies carry. */
+static void save_link(struct eb_origin *og, uint32_t node, uint32_t link_mbps,
+		      int64_t now_us)
+{
+	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
+
+	if (!n || n->link_mbps == link_mbps)
+		return;
+	n->link_mbps = link_mbps;
+	eb_nodes_changed(og->config.nodes, node, now_us);
+}
+
 /*
  * Stops the use of an upstream whose answer says that it leaves. Its gate
  * refuses calls as well, but has forgotten that after a restart.
@@ -1422,6 +1467,7 @@
 
 	if (f->type == EB_FRAME_HELLO) {
 		apply_load(og, node, NULL, &f->reply->load, now_us);
+		save_link(og, node, f->reply->status, now_us);
 		cancel_unknown_calls(og, node, f);
 		eb_frame_unref(f);
 		return;
--- a/src/eb_origin.h
+++ b/src/eb_origin.h
@@ -42,6 +42,7 @@
 	const struct eb_dialect *dialect;
 	/* Streamed bodies may go to other regions if the local one is full. */
 	uint8_t uploads_leave_region;
+	uint32_t link_mbps; /* bandwidth of the link; 0: unknown */
 };
 
 struct eb_origin *eb_origin_new(const struct eb_origin_config *cf,
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -6,6 +6,7 @@
 
 #include "eb_eject.h"
 #include "eb_rand.h"
+#include "eb_tunables.h"
 
 #define TIERS (EB_DISTANCE_FAR + 1)
 /* Random candidates of each tier that is searched. */
@@ -77,6 +78,13 @@
 	.ramp_us = RAMP_US,
 };
 
+/*
+ * Bytes to another failure domain are expensive, and regions share one link for
+ * all traffic: there a large answer counts as if its bytes took the link of
+ * this VM so many times more.
+ */
+static const int64_t way_times[] = { 0, 0, 1, 3 };
+
 /* Round trips to each tier. */
 static const int64_t distance_us[TIERS] = { 0, 200, 2000, 20000 };
 
@@ -357,6 +365,39 @@
 	       penalty_us(rt, up, now_us);
 }
 
+/* Returns how long a link takes for so many bytes; 0 if it is not known. */
+static int64_t link_us(uint32_t bytes, uint32_t mbps)
+{
+	return mbps ? (int64_t)bytes * 1000 / (mbps * EB_LINK_BYTES_PER_MS) : 0;
+}
+
+static int is_large(const struct eb_route_query *q)
+{
+	return q->answer_bytes > EB_ANSWER_LARGE_BYTES;
+}
+
+/* Returns how long the link of this VM takes for the expected answer. */
+static int64_t own_link_us(const struct eb_route_query *q)
+{
+	return link_us(q->answer_bytes,
+		       q->link_mbps ? q->link_mbps : EB_LINK_DEFAULT_MBPS);
+}
+
+/*
+ * Returns what the expected answer adds to the score of an upstream: the time
+ * that its bytes take on the upstream's link, and the cost of the way from
+ * another failure domain or region. Nothing for a small answer, or if it does
+ * not leave this VM.
+ */
+static int64_t transfer_us(const struct eb_route_query *q,
+			   const struct upstream *up)
+{
+	if (!is_large(q) || up->info.distance == EB_DISTANCE_SELF)
+		return 0;
+	return link_us(q->answer_bytes, up->info.link_mbps) +
+	       way_times[up->info.distance] * own_link_us(q);
+}
+
 /*
  * Whether a large body must stay in the local region: on the first attempt, and
  * while the last attempt was refused for load.
@@ -418,7 +459,7 @@
 		}
 		if (!usable(up, q, now_us))
 			continue;
-		score = score_us(rt, up, now_us);
+		score = score_us(rt, up, now_us) + transfer_us(q, up);
 		if (!best->up || score < best->score_us) {
 			best->up = up;
 			best->score_us = score;
@@ -452,7 +493,9 @@
  * below its rate limit, or for a retry while the local region refuses much of
  * its load. A large body (`keep_in_region`) is sent to another region only when
  * its last attempt failed for another reason than load or no local upstream is
- * usable, as traffic between regions is billed. Returns EB_ENOTFOUND when no
+ * usable, as traffic between regions is billed. A large answer stays in the
+ * failure domain while its transfer from elsewhere takes longer than the wait
+ * there. Returns EB_ENOTFOUND when no
  * upstream can be used.
  */
 enum eb_status eb_route_pick(struct eb_route *rt,
@@ -462,13 +505,19 @@
 	const uint32_t *first = rt->first;
 	/* Allows upstreams that were tried before. */
 	struct eb_route_query relaxed = { .keep_in_region = keep_in_region(q),
-					  .regions = q->regions };
+					  .regions = q->regions,
+					  .answer_bytes = q->answer_bytes,
+					  .link_mbps = q->link_mbps };
 	struct best best = { NULL, 0 };
 	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
 	int full;
 
 	if (!rt->count)
 		return EB_ENOTFOUND;
+	/* The transfer of a large answer does not show that upstreams are full.
+	 */
+	if (is_large(q))
+		enough += own_link_us(q);
 	sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_REGION],
 	       rt->tune.choices, q, now_us, &best);
 	sample(rt, first[EB_DISTANCE_REGION], first[EB_DISTANCE_FAR],
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -26,11 +26,12 @@
 struct eb_route_upstream {
 	uint32_t id;
 	uint16_t slots;
-	uint8_t distance;  /* enum eb_distance */
-	uint8_t leaving;   /* gets no new requests */
-	uint8_t suspected; /* unresponsive: picked only as a last resort */
-	uint8_t cold;	   /* warming up: it takes few requests */
-	uint64_t region;   /* its bit in `regions` of a query */
+	uint8_t distance;   /* enum eb_distance */
+	uint8_t leaving;    /* gets no new requests */
+	uint8_t suspected;  /* unresponsive: picked only as a last resort */
+	uint8_t cold;	    /* warming up: it takes few requests */
+	uint64_t region;    /* its bit in `regions` of a query */
+	uint32_t link_mbps; /* bandwidth of its VM's link; 0: unknown */
 };
 
 /* The constants of the policy; the bench varies them. */
@@ -65,6 +66,8 @@
 	uint8_t held;		/* upstreams at their rate limit, too */
 	uint8_t keep_in_region; /* large body: see eb_route_pick() */
 	uint64_t regions;	/* in which it may run; 0: in any */
+	uint32_t answer_bytes;	/* expected; 0: unknown */
+	uint32_t link_mbps;	/* of this daemon's VM; 0: unknown */
 	const uint32_t *tried;	/* upstreams that it was sent to before */
 	uint32_t tried_count;
 };
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <zmq.h>
@@ -18,6 +19,9 @@
 /* A day: longer than any upload, and within the range of the timers. */
 #define DRAIN_TIMEOUT_MAX_MS 86400000
 #define LINK_MAX_MBPS 1000000
+#define ANSWERS_MAX_MB 1000000
+/* Answers get this part of the memory, as a VM also holds its upstream. */
+#define ANSWERS_MEMORY_SHARE 8
 
 enum setting_type {
 	SETTING_TEXT = 0,  /* char * */
@@ -30,6 +34,7 @@
 	SETTING_PORT,	   /* uint16_t */
 	SETTING_MS,	   /* uint32_t, milliseconds */
 	SETTING_MBPS,	   /* uint32_t, Mbit/s */
+	SETTING_MB,	   /* uint32_t, MB of 1,000,000 bytes */
 	SETTING_LEVEL,	   /* enum eb_log_level */
 	SETTING_SWITCH,	   /* uint8_t; its flag takes no value */
 };
@@ -101,6 +106,13 @@
 	{ "link-mbps", SETTING_MBPS, 0, AT(link_mbps), "12", "MBPS",
 	  "bandwidth of this machine's link, of which large configurations "
 	  "use half (default 12)" },
+	{ "answers-max-mb", SETTING_MB, 0, AT(answers_max_mb), "0", "MB",
+	  "bound of the bytes of answers held in this daemon (default 0: an "
+	  "eighth of the memory of the machine or control group)" },
+	{ "answer-unread-ms", SETTING_MS, 0, AT(answer_unread_ms), "60000",
+	  "MS",
+	  "an answer of which the caller reads nothing for this long is given "
+	  "up (default 60000; 0: never)" },
 	{ "log-level", SETTING_LEVEL, 0, AT(log_level), "info", "LEVEL",
 	  "error, warn, info or debug (default info)" },
 };
@@ -226,6 +238,8 @@
 		return read_number(text, 0, DRAIN_TIMEOUT_MAX_MS, dest);
 	case SETTING_MBPS:
 		return read_number(text, 1, LINK_MAX_MBPS, dest);
+	case SETTING_MB:
+		return read_number(text, 0, ANSWERS_MAX_MB, dest);
 	case SETTING_SWITCH:
 		return read_switch(text, dest);
 	case SETTING_LEVEL:
@@ -477,6 +491,52 @@
 	return result;
 }
 
+/* Returns the limit of a resource of this process, or `other` without one. */
+static int64_t least_limit(int resource, int64_t other)
+{
+	struct rlimit rl;
+
+	if (getrlimit(resource, &rl) || rl.rlim_cur == RLIM_INFINITY ||
+	    rl.rlim_cur >= (uint64_t)other)
+		return other;
+	return (int64_t)rl.rlim_cur;
+}
+
+/* Returns the limit that a file of a control group has, or `other`. */
+static int64_t group_limit(const char *file, int64_t other)
+{
+	FILE *in = fopen(file, "r");
+	long long bytes = 0;
+
+	if (!in)
+		return other;
+	/* The text is "max" without a limit. */
+	if (fscanf(in, "%lld", &bytes) != 1)
+		bytes = 0;
+	fclose(in);
+	return bytes > 0 && bytes < other ? bytes : other;
+}
+
+/*
+ * Returns the bound of the bytes of answers that this daemon holds: one half
+ * for those of its upstream, one for those to its callers. Without the setting
+ * it is an eighth of the memory: of the machine, or less if the limits of the
+ * process or its control group are lower.
+ */
+int64_t eb_settings_answers_max_bytes(const struct eb_settings *se)
+{
+	int64_t memory =
+		(int64_t)sysconf(_SC_PHYS_PAGES) * sysconf(_SC_PAGESIZE);
+
+	if (se->answers_max_mb)
+		return se->answers_max_mb * INT64_C(1000000);
+	memory = least_limit(RLIMIT_AS, memory);
+	memory = group_limit("/sys/fs/cgroup/memory.max", memory);
+	memory = group_limit("/sys/fs/cgroup/memory/memory.limit_in_bytes",
+			     memory);
+	return memory / ANSWERS_MEMORY_SHARE;
+}
+
 /* Frees all values, after overwriting the secret key, and empties `se`. */
 void eb_settings_clear(struct eb_settings *se)
 {
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -36,6 +36,8 @@
 	uint32_t drain_announce_ms;  /* --drain-announce-ms, default 1500 */
 	uint32_t entry_lapse_ms;     /* --entry-lapse-ms, default 4500 */
 	uint32_t link_mbps;	     /* --link-mbps, default 12 */
+	uint32_t answers_max_mb;     /* --answers-max-mb, 0: from memory */
+	uint32_t answer_unread_ms;   /* --answer-unread-ms, default 60000 */
 	enum eb_log_level log_level; /* --log-level */
 };
 
@@ -47,6 +49,7 @@
 
 enum eb_settings_result eb_settings_read(struct eb_settings *se, int argc,
 					 char **argv, struct eb_findings *fs);
+int64_t eb_settings_answers_max_bytes(const struct eb_settings *se);
 void eb_settings_clear(struct eb_settings *se);
 
 #endif
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -36,7 +36,7 @@
 
 	void SetUp() override
 	{
-		eb_gate_config cf = { "agenda-1", 5, mt, tr };
+		eb_gate_config cf = { "agenda-1", 5, mt, tr, 0, 0 };
 		eb_gate_callbacks callbacks = { to_client, to_origin, this };
 		eb_findings fs = {};
 
@@ -140,6 +140,10 @@
 			now_us += atoi(what) * MS;
 			EXPECT_GE(now_us, eb_gate_wake_us(gt, now_us));
 			eb_gate_poll(gt, now_us);
+		} else if (w == "turn") {
+			/* A turn of the loop, whether or not one is due. */
+			now_us += atoi(what) * MS;
+			eb_gate_poll(gt, now_us);
 		} else if (w == "resumed") {
 			eb_gate_set_resumed(gt, atoi(what));
 		} else if (w == "connect") {
@@ -164,6 +168,8 @@
 					   : t == "upload" ? "head"
 							   : t,
 					   (uint64_t)n);
+			if (t == "rcredit")
+				f->credit_bytes = EB_OUTFLOW_GRANT_BYTES;
 			if (t == "part")
 				f->reply->body_kind = EB_BODY_CHUNKED;
 			if (t == "upload")
@@ -182,7 +188,13 @@
 		for (int i = 1; i <= EB_FRAME_TYPE_MAX; i++) {
 			if (type != eb_frame_type_name((unsigned)i))
 				continue;
-			eb_frame *f = eb_frame_new((eb_frame_type)i, call);
+			std::string data(i == EB_FRAME_RDATA
+						 ? EB_OUTFLOW_GRANT_BYTES
+						 : 0,
+					 'x');
+			eb_frame *f = eb_frame_new_data((eb_frame_type)i, call,
+							data.data(),
+							(uint32_t)data.size());
 			if (f->head) {
 				f->head->service = strdup("agenda");
 				f->head->upstream = strdup("agenda-1");
@@ -322,6 +334,22 @@
 	  { "origin head 1", "client part 1", "wait 2000", "origin lists 1" },
 	  { "client head 1", "origin rhead 1",
 	    "origin hello 0 has 1 unknown none" } },
+	{ "an answer is read on when its origin has confirmed a part of it",
+	  { "origin head 1", "client part 1", "client rdata 1",
+	    "client rdata 1", "origin rcredit 1" },
+	  { "client head 1", "origin rhead 1", "client rcredit 1",
+	    "origin rdata 1", "origin rdata 1", "client rcredit 1" } },
+	{ "or, if the confirmation is lost, when the link has sent a part",
+	  { "origin head 1", "client part 1", "client rdata 1",
+	    "client rdata 1", "poll 11" },
+	  { "client head 1", "origin rhead 1", "client rcredit 1",
+	    "origin rdata 1", "origin rdata 1", "client rcredit 1" } },
+	{ "but not after its call has ended",
+	  { "origin head 1", "client part 1", "client rdata 1",
+	    "client rdata 1", "origin cancel 1", "turn 11",
+	    "origin rcredit 1" },
+	  { "client head 1", "origin rhead 1", "client rcredit 1",
+	    "origin rdata 1", "origin rdata 1", "client cancel 1" } },
 	{ "heartbeats are answered",
 	  { "origin hello 0" },
 	  { "origin hello 0 unknown none" } },
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -67,8 +67,8 @@
 		ms = eb_mesh_new(&se, 5, mt, nullptr, &err);
 		ASSERT_NE(nullptr, ms) << err.message;
 		nd = eb_nodes_new(&se, ms, 1);
-		eb_origin_config cf = { 5,	 nd,	  mt,	   tr,
-					nullptr, nullptr, nullptr, 0 };
+		eb_origin_config cf = { 5,	 nd,	  mt, tr, nullptr,
+					nullptr, nullptr, 0,  0 };
 		og = eb_origin_new(&cf, &callbacks, &fs);
 		ASSERT_EQ(0u, fs.count);
 		configure();
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -486,6 +486,150 @@
 	}
 }
 
+/*
+ * Guards against large answers that cross failure domains or a narrow link
+ * although an upstream nearby or behind a wide one is as free, and against ones
+ * that stay where the wait is longer than the way.
+ */
+TEST(Route, LargeAnswersStayInTheirDomainUnlessItIsFull)
+{
+	const int DOMAIN_ = EB_DISTANCE_DOMAIN, REGION = EB_DISTANCE_REGION;
+	const struct {
+		const char *name;
+		uint32_t answer_bytes;
+		int distance[2];
+		uint32_t link_mbps[2];
+		int load[2];
+		int least, most; /* picks of the first in 100 */
+	} cases[] = {
+		{ "small",
+		  400,
+		  { DOMAIN_, REGION },
+		  { 0, 0 },
+		  { 20, 0 },
+		  0,
+		  20 },
+		{ "large",
+		  90000,
+		  { DOMAIN_, REGION },
+		  {},
+		  { 20, 0 },
+		  100,
+		  100 },
+		{ "large and full",
+		  90000,
+		  { DOMAIN_, REGION },
+		  {},
+		  { 150, 0 },
+		  0,
+		  5 },
+		{ "equal", 90000, { REGION, REGION }, { 50, 50 }, {}, 20, 80 },
+		{ "narrow link",
+		  90000,
+		  { DOMAIN_, DOMAIN_ },
+		  { 10, 200 },
+		  {},
+		  0,
+		  0 },
+		{ "small, narrow link",
+		  400,
+		  { DOMAIN_, DOMAIN_ },
+		  { 10, 200 },
+		  {},
+		  20,
+		  80 },
+		{ "narrow domain",
+		  90000,
+		  { DOMAIN_, REGION },
+		  { 10, 200 },
+		  {},
+		  0,
+		  0 },
+		{ "itself",
+		  90000,
+		  { EB_DISTANCE_SELF, DOMAIN_ },
+		  { 10, 200 },
+		  {},
+		  100,
+		  100 },
+		{ "another region",
+		  90000,
+		  { EB_DISTANCE_FAR, REGION },
+		  { 200, 10 },
+		  { 0, 9 },
+		  0,
+		  0 },
+	};
+
+	for (const auto &c : cases) {
+		router r;
+		int picked = 0;
+
+		for (int i = 0; i < 2; i++) {
+			r.add(1 + i, c.distance[i]);
+			r.ups[i].link_mbps = c.link_mbps[i];
+		}
+		r.set();
+		for (int i = 0; i < 100; i++) {
+			eb_route_query q = {};
+			uint32_t id = 0;
+
+			for (int n = 0; n < 2; n++)
+				r.load(1 + n, c.load[n]);
+			q.remaining_us = 1000000;
+			q.answer_bytes = c.answer_bytes;
+			q.link_mbps = 60;
+			ASSERT_EQ(EB_OK, eb_route_pick(r.rt, &q, r.now, &id));
+			picked += id == 1;
+			r.now += 1000;
+		}
+		EXPECT_LE(c.least, picked) << c.name;
+		EXPECT_GE(c.most, picked) << c.name;
+	}
+}
+
+/*
+ * Guards against another routing of small answers or unknown sizes, whatever is
+ * known of the links.
+ */
+TEST(Route, SmallAnswersAreRoutedAsWithoutASize)
+{
+	router before, after;
+
+	for (router *r : { &before, &after }) {
+		for (uint32_t i = 0; i < 24; i++) {
+			r->add(i, i % 4);
+			r->ups[i].link_mbps = r == &after ? 10 + i : 0;
+		}
+		r->set();
+	}
+	for (uint32_t i = 0; i < 20000; i++) {
+		uint32_t id[2] = {}, n = 0, tried = i % 24;
+
+		for (router *r : { &before, &after }) {
+			eb_route_query q = {};
+
+			q.remaining_us = 1000000;
+			q.tried = &tried;
+			q.tried_count = i % 3 == 0;
+			if (r == &after) {
+				q.answer_bytes = i % 16385;
+				q.link_mbps = 10;
+			}
+			eb_route_pick(r->rt, &q, r->now, &id[n]);
+			eb_route_sent(r->rt, id[n], r->now);
+			r->load(id[n], (int)(i % 13));
+			if (i % 5)
+				r->good(id[n]);
+			else
+				r->refuse(id[n], EB_REASON_QUEUE_FULL);
+			r->now += 500;
+			n++;
+		}
+		ASSERT_EQ(id[0], id[1]) << i;
+	}
+}
+
 /*
  * Guards against callers that retry early in a long overload, to be refused
  * again, and against a long backoff in a short one.
