--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -37,6 +37,7 @@
 	uint32_t cold_ms;	  /* last cold time of its entry */
 	int64_t cold_until_us;	  /* according to its entry */
 	uint64_t region;	  /* bit of its region, see eb_regions */
+	uint32_t link_mbps;	  /* of its VM, in heartbeats; 0: unknown */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
 	 * when. Claims can be sent over it without a socket to the daemon.
