tests: all upstreams cold, and the share of a cold one

Cause: nothing tested that origins take the cold time from the entry, and which requests are served when all upstreams are cold.

Change: a test with real processes of the share before, during and after the cold time of an entry, and an admission test with 2.5 times the load that the cold upstreams can serve.

--- a/tests/it_cold.cc
+++ b/tests/it_cold.cc
@@ -140,4 +140,60 @@
 		site.print_logs();
 }
 
+/*
+ * Guards against origins that send a cold upstream its full share, or none, or
+ * do not return to the full share after the cold time.
+ */
+TEST(Cold, AnUpstreamWhoseEntryIsColdGetsASmallShare)
+{
+	Site site{ { "near", "far", "far" } };
+	SiteUpstream &up = *site.upstreams[2];
+	std::string entry = up.entry();
+	std::atomic<int> id{ 0 };
+	/*
+	 * One by one, all requests would go to the faster upstream; with more
+	 * at a time than the warm upstream has slots, the rest would go to the
+	 * cold one.
+	 */
+	auto share_permille = [&](int n) {
+		std::vector<std::thread> callers;
+		int before = up.runs();
+
+		for (int t = 0; t < 3; t++)
+			callers.emplace_back([&] {
+				for (int i = 0; i < n / 3; i++)
+					site.send(0, "GET", "/far/slow",
+						  "share-" +
+							  std::to_string(id++));
+			});
+		for (std::thread &t : callers)
+			t.join();
+		return 1000 * (up.runs() - before) / n;
+	};
+
+	for (auto &each : site.upstreams)
+		each->on("/slow",
+			 [&](SiteConnection &cn, const SiteRequest &rq) {
+				 usleep(5000);
+				 cn.write(each->answer(rq, "slow"));
+			 });
+	/* A rate that the gate's limit does not reach in this test. */
+	site.more_service = "\"coldPerS\":5000,";
+	site.start_all();
+	wait_until("both upstreams to share",
+		   [&] { return share_permille(120) > 300; });
+	entry.replace(entry.find("\"coldLeftMs\":0"), 14,
+		      "\"coldLeftMs\":4000");
+	site.store->put(up.key(), entry);
+	wait_until("the share to fall",
+		   [&] { return share_permille(60) < 200; });
+	int cold = share_permille(300);
+	EXPECT_GT(cold, 0);
+	EXPECT_LT(cold, 200);
+	wait_until("the share to rise",
+		   [&] { return share_permille(120) > 300; });
+	if (HasFailure())
+		site.print_logs();
+}
+
 } // namespace
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -728,4 +728,38 @@
 	}
 }
 
+/*
+ * Guards against a service that, while all of its upstreams are cold, serves
+ * less urgent requests before more urgent ones, or fewer than it could: then
+ * requests come as last attempts, here 2.5 times as many as can be served.
+ */
+TEST(Admit, AllColdServesByUrgencyAndUsesTheWholeRate)
+{
+	cold_gate g;
+	int sent[3] = {}, served[3] = {};
+	std::vector<int> ids;
+
+	g.probe(60000);
+	for (int i = 0; i < 500; i++) {
+		uint8_t priority = (uint8_t)(i * 7 % 3);
+		uint64_t id = 1 + priority + 3 * (uint64_t)i;
+
+		sent[priority]++;
+		if (g.offer_urgent(id, priority, g.now + 400000) ==
+		    EB_ADMIT_RUN) {
+			ids.push_back((int)id);
+			eb_admit_done(g.ad, 0, SERVICE_US, g.now);
+		}
+		for (int ran : g.pass(20000))
+			ids.push_back(ran);
+	}
+	for (int id : ids)
+		if (id > 0)
+			served[(id - 1) % 3]++;
+	EXPECT_GE(served[0], sent[0] - 2);
+	EXPECT_LE(served[2], sent[2] / 10);
+	EXPECT_GE(served[0] + served[1] + served[2], 195);
+	EXPECT_LE(served[0] + served[1] + served[2], 202);
+}
+
 } // namespace
