warmup: a known cold upstream gets a quarter more than its stated rate

Cause: after a loss of all machines every upstream is cold for 3 s. Change: once a probe has said cold and what was sent before no longer counts, the pace is 1.25 times the stated rate. The bound stays: at most 1.5 times the rate and 8 in any second, which the randomized test checks as before.

--- a/src/eb_warmup.c
+++ b/src/eb_warmup.c
@@ -4,6 +4,13 @@
 
 /* Requests that may be unverified in addition to half of the cold rate. */
 #define ALLOWANCE_EXTRA 4
+/*
+ * Pace of a known cold upstream, of its rate. Operators state the rate that it
+ * bears for long, and allow half as much again in any second.
+ */
+#define PACE_PERMILLE 1250
+/* Unverified requests that leave room for the full pace. */
+#define CARRIED_LOW 4
 /* The bound on cold upstreams holds in each window of this length. */
 #define WINDOW_US 1000000
 /*
@@ -18,12 +25,6 @@
 /* A request may wait this long for the result of a probe. */
 #define RESULT_WAIT_US EB_PACE_WAIT_US
 
-/* Returns the least time between two requests to a cold upstream. */
-static int64_t interval_us(const struct eb_warmup *wu)
-{
-	return (1000000000 + wu->per_s_milli - 1) / wu->per_s_milli;
-}
-
 /* Returns U: the most requests since the last result "not cold". */
 static uint32_t allowance(const struct eb_warmup *wu)
 {
@@ -36,6 +37,20 @@
 	return now_us < wu->carried_until_us ? wu->carried : 0;
 }
 
+/*
+ * Returns the least time between two requests to a cold upstream. An upstream
+ * that is known to be cold gets the full pace once what was sent before the
+ * notice no longer counts; one that may be cold gets its stated rate.
+ */
+static int64_t interval_us(const struct eb_warmup *wu, int64_t now_us)
+{
+	int64_t rate = wu->per_s_milli;
+
+	if (wu->state == EB_WARMUP_COLD && carried(wu, now_us) <= CARRIED_LOW)
+		rate = rate * PACE_PERMILLE / 1000;
+	return (1000000000 + rate - 1) / rate;
+}
+
 /* Returns how many requests may be sent without pacing. */
 static uint32_t left(const struct eb_warmup *wu, int64_t now_us)
 {
@@ -117,8 +132,8 @@
 		return;
 	wu->sent++;
 	wu->sent_open++;
-	if (wu->next_us < now_us + interval_us(wu))
-		wu->next_us = now_us + interval_us(wu);
+	if (wu->next_us < now_us + interval_us(wu, now_us))
+		wu->next_us = now_us + interval_us(wu, now_us);
 }
 
 /* Records that a probe is sent now. */
@@ -131,6 +146,22 @@
 	wu->sent_open = 0;
 }
 
+/*
+ * Lets what the full pace has sent beyond the stated rate count for a second
+ * against the requests that a warm upstream may get unverified: it may be cold
+ * again at once.
+ */
+static void keep_excess(struct eb_warmup *wu, int64_t now_us)
+{
+	uint32_t excess =
+		(uint32_t)(wu->per_s_milli * (PACE_PERMILLE - 1000) / 1000000);
+
+	if (carried(wu, now_us) >= excess)
+		return;
+	wu->carried = excess;
+	wu->carried_until_us = now_us + WINDOW_US;
+}
+
 /*
  * Records the result of the open probe: the time that the upstream stays cold,
  * 0 if it is not cold, or EB_WARMUP_NO_ANSWER. The upstream was in this state
@@ -150,6 +181,8 @@
 		set_cold(wu, cold_ms, now_us);
 		wu->unanswered = 0;
 	} else {
+		if (wu->state == EB_WARMUP_COLD)
+			keep_excess(wu, now_us);
 		wu->state = EB_WARMUP_WARM;
 		wu->unanswered = 0;
 		wu->sent = wu->sent_open;
@@ -185,7 +218,7 @@
 	if (!wu->per_s_milli || left(wu, now_us))
 		return 0;
 	wait_us = wu->next_us > now_us ? wu->next_us - now_us : 0;
-	wait_us += ahead * interval_us(wu);
+	wait_us += ahead * interval_us(wu, now_us);
 	result_us = result_wait_us(wu, now_us);
 	return result_us < wait_us ? result_us : wait_us;
 }
