evacuation: gates hand back what waits, and the state outlives a lost key

Cause: the configuration names evacuated domains, but calls that waited at such a gate still ran there, an origin waited for the first answer of an evacuated daemon, a key that the store lost ended the evacuation, entries of other writers counted, and upstreams came back with their whole load. Change: a gate refuses what waits for a slot; origins leave evacuated upstreams out of the router, which then compares usable ones only, and ramp them up again; an evacuation that the store has lost stays for 120 s of watching or until its removal is named; values that are no JSON object and odd keys are counted once. eb_evacuation records what is in force. Metrics, /status, log lines, operators' page.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -91,6 +91,7 @@
 	struct eb_rate rate;   /* limit that the upstream has named */
 	uint16_t pace_percent; /* of the VM; 0: unknown */
 	uint8_t draining;
+	uint8_t evacuated;
 };
 
 /* Creates the admission state of an upstream. Returns NULL if out of memory. */
@@ -160,6 +161,16 @@
 	ad->draining = draining != 0;
 }
 
+/*
+ * While the upstream is evacuated, eb_admit_next() refuses the requests that
+ * wait: a drained upstream runs them, which can take as long as their
+ * deadlines. To be used together with eb_admit_drain().
+ */
+void eb_admit_evacuate(struct eb_admit *ad, int evacuated)
+{
+	ad->evacuated = evacuated != 0;
+}
+
 static int64_t busy_us(const struct eb_admit *ad, int64_t now_us)
 {
 	return ad->busy_us + ad->in_flight * (now_us - ad->busy_at_us);
@@ -443,7 +454,7 @@
 {
 	uint32_t i, best = ad->queued;
 
-	if (eb_admit_limit_wait_us(ad, now_us))
+	if (ad->evacuated || eb_admit_limit_wait_us(ad, now_us))
 		return best;
 	for (i = 0; i < ad->queued; i++) {
 		if (!has_slot(ad, &ad->queue[i].rq))
@@ -468,6 +479,8 @@
 
 	if (w->rq.deadline_us <= now_us)
 		refuse(act, EB_REASON_DEADLINE, 0);
+	else if (ad->evacuated)
+		refuse(act, EB_REASON_DRAINING, 0);
 	else if (is_late(ad, &w->rq, now_us) && ad->queued > 1)
 		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
 	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -63,6 +63,7 @@
 			 int64_t now_us);
 int64_t eb_admit_limit_wait_us(const struct eb_admit *ad, int64_t now_us);
 void eb_admit_drain(struct eb_admit *ad, int draining);
+void eb_admit_evacuate(struct eb_admit *ad, int evacuated);
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act);
 void eb_admit_done(struct eb_admit *ad, uint64_t id, int64_t service_us,
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -205,6 +205,7 @@
 	else
 		free_matches(cf);
 	free_texts(cf->evacuated, cf->evacuated_count);
+	free(cf->evacuation_invalid);
 	free(cf->rules);
 	free(cf->services);
 	free(cf->upstreams);
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -132,6 +132,9 @@
 	/* Failure domains whose upstreams get no new requests. */
 	char **evacuated;
 	uint32_t evacuated_count;
+	/* Entries among the evacuations that are none, and one of them. */
+	uint32_t evacuations_invalid;
+	char *evacuation_invalid;
 };
 
 struct eb_config *eb_config_new_empty(void);
--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -12,6 +12,7 @@
 
 #include "eb_claim_roles.h"
 #include "eb_clock.h"
+#include "eb_evacuation.h"
 #include "eb_gate.h"
 #include "eb_mesh.h"
 #include "eb_nodes.h"
@@ -56,6 +57,7 @@
 	struct eb_mesh *mesh;
 	struct eb_mesh_sink sink;
 	struct eb_nodes *nodes;
+	struct eb_evacuation *evacuation;
 	struct eb_gate *gate;
 	struct eb_origin *origin;
 	struct eb_claim_roles *claims; /* NULL if `feed_sync` is used */
@@ -683,8 +685,7 @@
 		eb_gate_configure(co->gate, n->info,
 				  eb_nodes_rule(co->nodes, sv));
 		if (cf->has_matches)
-			eb_gate_set_leaving(co->gate,
-					    n->info->leaving || n->evacuated);
+			eb_gate_set_leaving(co->gate, n->info->leaving);
 	} else if (cf->has_matches) {
 		/*
 		 * This upstream is no longer listed: its calls are finished,
@@ -694,6 +695,15 @@
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
+	/* Its calls may still wait when this upstream is no longer listed. */
+	if (cf->has_matches)
+		eb_gate_set_evacuated(
+			co->gate,
+			(n && n->present && n->evacuated) ||
+				eb_config_is_evacuated(
+					cf,
+					co->config.settings->failure_domain),
+			co->loop_us);
 	eb_origin_serve(co->origin);
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
 		       (int64_t)cf->release);
@@ -745,6 +755,7 @@
 			     "cannot set the holders of claims: out of memory",
 			     NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
+	eb_evacuation_update(co->evacuation, cf, co->loop_us);
 	eb_metrics_stamp(co->config.metrics, EB_AGE_CONFIG, co->loop_us);
 	if (!co->feed_sync)
 		eb_gate_set_copy(co->gate, &release);
@@ -879,7 +890,9 @@
 {
 	const char *state = "down";
 
-	if (n->leaving)
+	if (n->evacuated)
+		state = "evacuated";
+	else if (n->leaving)
 		state = "leaving";
 	else if (n->draining)
 		state = "draining";
@@ -894,6 +907,7 @@
 {
 	const struct eb_config *cf = eb_nodes_config(co->nodes);
 	const struct eb_settings *se = co->config.settings;
+	const struct eb_node *self = eb_nodes_get(co->nodes, co->self);
 	json_t *nodes = json_array();
 	uint32_t claims_held = 0, claims_able = 0;
 	struct eb_load ld = { 0 };
@@ -908,21 +922,26 @@
 		if (n->present && (n->self || n->peer))
 			json_array_append_new(nodes, node_status(n));
 	}
-	return json_pack("{ss ss ss sI sI ss sb si si si si si si si si so}",
-			 "upstream", se->upstream, "region", se->region,
-			 "failure_domain", se->failure_domain, "release",
-			 (json_int_t)cf->release, "index",
-			 (json_int_t)cf->index, "state",
-			 co->draining  ? "draining"
-			 : co->serving ? "serving"
-				       : "waiting",
-			 "known", co->self != EB_NONE, "in_flight",
-			 (int)ld.in_flight, "queued", (int)ld.queued, "slots",
-			 (int)ld.slots, "service_us", (int)ld.service_us,
-			 "calls_origin", (int)eb_origin_active(co->origin),
-			 "calls_gate", (int)eb_gate_active(co->gate),
-			 "claim_slots_held", (int)claims_held,
-			 "claim_slots_able", (int)claims_able, "peers", nodes);
+	return json_pack(
+		"{ss ss ss sI sI ss sb si si si si si si si si so so so}",
+		"upstream", se->upstream, "region", se->region,
+		"failure_domain", se->failure_domain, "release",
+		(json_int_t)cf->release, "index", (json_int_t)cf->index,
+		"state",
+		co->draining				 ? "draining"
+		: co->serving && self && self->evacuated ? "evacuated"
+		: co->serving				 ? "serving"
+							 : "waiting",
+		"known", co->self != EB_NONE, "in_flight", (int)ld.in_flight,
+		"queued", (int)ld.queued, "slots", (int)ld.slots, "service_us",
+		(int)ld.service_us, "calls_origin",
+		(int)eb_origin_active(co->origin), "calls_gate",
+		(int)eb_gate_active(co->gate), "claim_slots_held",
+		(int)claims_held, "claim_slots_able", (int)claims_able, "peers",
+		nodes, "evacuations",
+		eb_evacuation_status(co->evacuation, co->loop_us),
+		"evacuation_changes",
+		eb_evacuation_changes(co->evacuation, co->loop_us));
 }
 
 /* Drops a reference to a query; the last one frees it. */
@@ -1150,6 +1169,7 @@
 				       cf->settings->entry_lapse_ms);
 	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
+	co->evacuation = eb_evacuation_new(cf->log, cf->metrics);
 	if (!co->feed_sync)
 		co->claims = eb_claim_roles_new(cf->settings->upstream,
 						co->incarnation);
@@ -1236,6 +1256,7 @@
 	eb_gate_free(co->gate);
 	eb_feed_sync_free(co->feed_sync);
 	eb_nodes_free(co->nodes);
+	eb_evacuation_free(co->evacuation);
 	eb_mesh_free(co->mesh);
 	if (co->epoll_fd >= 0)
 		close(co->epoll_fd);
--- a/src/eb_feed.c
+++ b/src/eb_feed.c
@@ -189,10 +189,26 @@
 	return &fd->items[at];
 }
 
-/* Tells whether an item of this kind stays when the source has lost it. */
+/* Returns how an item compares to its absence in a list of the source. */
+static enum eb_feed_age lost_age(const struct eb_feed *fd,
+				 const struct eb_feed_item *it)
+{
+	return fd->compare ? fd->compare(NULL, it) : EB_FEED_NEWER;
+}
+
+/* Tells whether an item stays, at least for a time, when the source lost it. */
 static int is_lasting(const struct eb_feed *fd, const struct eb_feed_item *it)
 {
-	return fd->compare && fd->compare(NULL, it) == EB_FEED_OLDER;
+	enum eb_feed_age age = lost_age(fd, it);
+
+	return age == EB_FEED_OLDER || age == EB_FEED_SAME;
+}
+
+/* Has eb_feed_watched() look at an item at a time at the latest. */
+static void end_at(struct eb_feed *fd, int64_t until_us)
+{
+	if (!fd->overrules_end_us || until_us < fd->overrules_end_us)
+		fd->overrules_end_us = until_us;
 }
 
 /* Compares the values of an item, of which both must be known. */
@@ -234,9 +250,7 @@
 	it->overrules = 1;
 	it->overrules_era = era;
 	it->overrules_until_us = fd->watched_us + fd->overrule_us;
-	if (!fd->overrules_end_us ||
-	    it->overrules_until_us < fd->overrules_end_us)
-		fd->overrules_end_us = it->overrules_until_us;
+	end_at(fd, it->overrules_until_us);
 }
 
 /* Tells whether a removal may still overrule an item of the copy. */
@@ -269,8 +283,10 @@
 {
 	enum eb_feed_age age;
 
+	/* A removal that the source names ends an item that is kept for a time.
+	 */
 	if (from->removed && !is_overruling(from))
-		return !is_lasting(fd, it);
+		return lost_age(fd, it) != EB_FEED_OLDER;
 	age = compare(fd, from, it);
 	if (it->removed && !from->removed && age == EB_FEED_SAME)
 		return is_held(fd, it, now_us) ||
@@ -360,6 +376,7 @@
 	it->left = from->removed && it->removed && !is_held(fd, it, now_us);
 	it->removed = from->removed;
 	it->revision = from->revision;
+	it->kept_until_us = 0;
 	if (!is_overruling(from))
 		it->overrules = 0;
 	else
@@ -500,6 +517,27 @@
 	return EB_OK;
 }
 
+/*
+ * Sets how long items stay that the source has lost, those that are not kept
+ * for ever. The time begins when this copy first finds them so.
+ */
+static void keep_lost(struct eb_feed *fd)
+{
+	uint32_t era = eb_feed_era(fd->revision), i;
+	struct eb_feed_item *it;
+
+	for (i = 0; era && i < fd->count; i++) {
+		it = &fd->items[i];
+		if (it->removed || it->kept_until_us ||
+		    eb_feed_era(it->revision) >= era ||
+		    lost_age(fd, it) != EB_FEED_SAME)
+			continue;
+		it->kept_until_us =
+			fd->watched_us + EB_FEED_LOST_KEEP_MS * 1000LL;
+		end_at(fd, it->kept_until_us);
+	}
+}
+
 /*
  * Applies a change to the copy and sets `*changed` to 1 when an item differs,
  * else to 0. Returns EB_EAGAIN when the change starts after the copy's
@@ -520,6 +558,7 @@
 		return EB_EAGAIN;
 	if (ch->revision <= fd->revision) {
 		st = join(fd, ch, now_us, changed);
+		keep_lost(fd);
 		return st ? st : EB_ENOTFOUND;
 	}
 	if (ch->hold_ms)
@@ -538,6 +577,7 @@
 		fd->dropped_revision = ch->revision;
 	}
 	fd->revision = ch->revision;
+	keep_lost(fd);
 	drop_removed(fd);
 	return EB_OK;
 }
@@ -611,22 +651,33 @@
 	return 1;
 }
 
-/* Tells whether a lost removal overrules the source. */
+/* Tells whether a lost removal or a lost item overrules the source. */
 int eb_feed_has_overrules(const struct eb_feed *fd)
 {
 	return fd->overrules_end_us != 0;
 }
 
+/* Removes an item that the source has lost, and that has stayed long enough. */
+static void end_lost(struct eb_feed *fd, struct eb_feed_item *it)
+{
+	it->removed = 1;
+	it->kept_until_us = 0;
+	/* A copy that still has it, of an earlier era, must not return it. */
+	it->revision = fd->revision;
+	it->left = 1;
+	fd->digest = 0;
+}
+
 /*
  * Records that the source has been watched for some more time, with all its
- * changes applied. Lost removals overrule it for a time that is counted so:
- * what it lists after that is there. Returns 1 when an item has come back, else
- * 0.
+ * changes applied. Lost removals overrule it, and lost items stay, for a time
+ * that is counted so: after that, the source is right. Returns 1 when an item
+ * has come back or has ended, else 0.
  */
 int eb_feed_watched(struct eb_feed *fd, int64_t us)
 {
 	struct eb_feed_item *it;
-	int64_t end_us = 0;
+	int64_t end_us = 0, until_us;
 	int changed = 0;
 	uint32_t i;
 
@@ -635,18 +686,24 @@
 		return 0;
 	for (i = 0; i < fd->count; i++) {
 		it = &fd->items[i];
-		if (!it->removed || !it->overrules)
+		until_us = it->removed ? it->overrules_until_us
+				       : it->kept_until_us;
+		if (it->removed ? !it->overrules : !until_us)
+			continue;
+		if (fd->watched_us < until_us) {
+			if (!end_us || until_us < end_us)
+				end_us = until_us;
 			continue;
-		if (fd->watched_us < it->overrules_until_us) {
-			if (!end_us || it->overrules_until_us < end_us)
-				end_us = it->overrules_until_us;
+		}
+		changed = 1;
+		if (!it->removed) {
+			end_lost(fd, it);
 			continue;
 		}
 		it->removed = 0;
 		it->overrules = 0;
 		it->settled_era = eb_feed_era(it->revision);
 		fd->digest = 0;
-		changed = 1;
 	}
 	fd->overrules_end_us = end_us;
 	return changed;
--- a/src/eb_feed.h
+++ b/src/eb_feed.h
@@ -18,7 +18,9 @@
  * was lost keep it, with their revision of the earlier era, until the source
  * has one that is not older. Items whose removal was lost stay removed until
  * then, or until the source has been seen to list them for longer than one
- * lasts that is not renewed.
+ * lasts that is not renewed. Of items that are written without a version, such
+ * as evacuations, a lost one stays for EB_FEED_LOST_KEEP_MS of watching or
+ * until the source names its removal.
  */
 struct eb_feed;
 
@@ -38,6 +40,7 @@
 	uint32_t overrules_era;	    /* in which it lists that */
 	uint32_t settled_era;	    /* in which that has ended; 0: none */
 	int64_t overrules_until_us; /* see eb_feed_watched() */
+	int64_t kept_until_us; /* it is lost, and stays until then; 0: none */
 };
 
 /* What the values of an item say of their order. */
@@ -51,7 +54,8 @@
 /*
  * Tells whether a value that the source shows is older than one that it had
  * shown in an earlier era. `shown` is NULL for an item that it does not list:
- * EB_FEED_OLDER means that such items are never removed.
+ * EB_FEED_OLDER means that such items are never removed, EB_FEED_SAME that they
+ * stay for a time, in which they can be written again.
  */
 typedef enum eb_feed_age (*eb_feed_compare)(const struct eb_feed_item *shown,
 					    const struct eb_feed_item *known);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -115,6 +115,7 @@
 	int draining;
 	int leaving;	     /* the upstream, while this daemon stays */
 	int says_leaving;    /* the upstream, in an answer of this start */
+	int evacuated;	     /* the upstream's failure domain */
 	uint32_t rate_milli; /* that this start names; 0: none */
 	char *configured;    /* instance in the configuration, or NULL */
 	uint64_t start_ms;   /* of `configured`; 0: unknown */
@@ -128,6 +129,8 @@
 	apr_hash_t *origins; /* incarnation -> struct origin */
 };
 
+static void run_admission(struct eb_gate *gt, int64_t now_us);
+
 typedef void action_fn(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
 		       int64_t now_us);
 
@@ -211,7 +214,7 @@
 /* Tells whether new calls are refused because the upstream or daemon leaves. */
 static int refuses_calls(const struct eb_gate *gt)
 {
-	return gt->draining || gt->leaving || gt->says_leaving;
+	return gt->draining || gt->leaving || gt->says_leaving || gt->evacuated;
 }
 
 /*
@@ -448,6 +451,20 @@
 	update_draining(gt, before);
 }
 
+/*
+ * Sets whether the upstream's failure domain is evacuated. If so, new calls and
+ * those that wait for a slot are refused; calls that run are finished.
+ */
+void eb_gate_set_evacuated(struct eb_gate *gt, int evacuated, int64_t now_us)
+{
+	int before = refuses_calls(gt);
+
+	gt->evacuated = evacuated != 0;
+	eb_admit_evacuate(gt->admit, evacuated);
+	update_draining(gt, before);
+	run_admission(gt, now_us);
+}
+
 /* Refuses new calls from now on; calls that have arrived are finished. */
 void eb_gate_drain(struct eb_gate *gt)
 {
@@ -664,6 +681,9 @@
 	ca->outcome = EB_OUTCOME_NOT_RUN;
 	ca->reason = ca->verdict.reason;
 	eb_metrics_add(gt->config.metrics, EB_METRIC_GATE_REFUSED, 1);
+	if (gt->evacuated && ca->reason == EB_REASON_DRAINING)
+		eb_metrics_add(gt->config.metrics, EB_METRIC_EVACUATED_REFUSED,
+			       1);
 	if (!out)
 		return;
 	out->reply->outcome = EB_OUTCOME_NOT_RUN;
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -33,6 +33,12 @@
 	X(GATE_ADMITTED, "gate_admitted_total", "Calls that got a slot")     \
 	X(GATE_REFUSED, "gate_refused_total",                                \
 	  "Calls this gate refused as not run")                              \
+	X(EVACUATED_REFUSED, "evacuated_refused_total",                      \
+	  "Calls refused as not run because of an evacuation")               \
+	X(EVACUATED_DOMAINS, "evacuated_domains",                            \
+	  "Failure domains whose evacuation is in force")                    \
+	X(EVACUATIONS_IGNORED, "evacuations_ignored_total",                  \
+	  "Entries that name no known failure domain to evacuate")           \
 	X(GATE_RATE_LIMITED, "gate_rate_limited_total",                      \
 	  "Calls this gate refused for the upstream's rate limit")           \
 	X(RATE_LIMIT, "upstream_rate_limit_milli",                           \
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -180,6 +180,7 @@
 {
 	struct eb_upstream *up = nd->config->upstreams[i];
 	uint32_t id = eb_nodes_find(nd, up->name);
+	uint8_t evacuated;
 	struct eb_node *n;
 
 	n = id == EB_NONE ? add_node(nd, up->name) : nd->nodes[id];
@@ -200,8 +201,10 @@
 	n->service = nd->config->upstream_service[i];
 	n->distance = distance_of(nd->settings, up);
 	n->region = eb_regions_bit(nd->regions, up->region);
-	n->evacuated =
+	evacuated =
 		(uint8_t)eb_config_is_evacuated(nd->config, up->failure_domain);
+	n->taken_back = n->evacuated && !evacuated;
+	n->evacuated = evacuated;
 	apr_hash_set(nd->by_address, up->daemon, APR_HASH_KEY_STRING,
 		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
 }
@@ -226,12 +229,16 @@
 	return n->peer && n->peer->up && !(nd->cut_off && is_suspected(n));
 }
 
-/* Passes the upstreams of a service and their states to its router. */
+/*
+ * Passes the upstreams of a service and their states to its router. Those that
+ * are evacuated are left out: the router chooses among a few random upstreams,
+ * and would choose among fewer while a whole failure domain is unusable.
+ */
 static void update_route(struct eb_nodes *nd, struct eb_service_state *sv,
 			 int64_t now_us)
 {
 	struct eb_route_upstream *ups;
-	uint32_t first, count, i, id;
+	uint32_t first, count, i, id, used = 0;
 	struct eb_node *n;
 
 	if (sv->index == EB_NONE) {
@@ -246,14 +253,16 @@
 	for (i = 0; i < count; i++) {
 		id = eb_nodes_find(nd, nd->config->upstreams[first + i]->name);
 		n = nd->nodes[id];
-		ups[i].id = id;
-		ups[i].slots = (uint16_t)n->info->slots;
-		ups[i].distance = n->distance;
-		ups[i].leaving = !is_routable(nd, n);
-		ups[i].suspected = (uint8_t)is_suspected(n);
-		ups[i].region = n->region;
+		if (n->evacuated)
+			continue;
+		ups[used].id = id;
+		ups[used].slots = (uint16_t)n->info->slots;
+		ups[used].distance = n->distance;
+		ups[used].leaving = !is_routable(nd, n);
+		ups[used].suspected = (uint8_t)is_suspected(n);
+		ups[used++].region = n->region;
 	}
-	eb_route_set_upstreams(sv->route, ups, count, now_us);
+	eb_route_set_upstreams(sv->route, ups, used, now_us);
 	free(ups);
 }
 
@@ -400,6 +409,7 @@
 	for (i = 0; i < nd->count; i++) {
 		nd->nodes[i]->present_before = nd->nodes[i]->present;
 		nd->nodes[i]->replaced = 0;
+		nd->nodes[i]->taken_back = 0;
 		nd->nodes[i]->present = 0;
 	}
 	for (i = 0; i < cf->upstream_total; i++)
@@ -415,7 +425,7 @@
 		for (i = 0; i < cf->service_total; i++)
 			eb_nodes_service(nd, i, now_us);
 	for (i = 0; i < nd->count; i++)
-		if (nd->nodes[i]->replaced)
+		if (nd->nodes[i]->replaced || nd->nodes[i]->taken_back)
 			eb_nodes_restarted(nd, i, now_us);
 	eb_config_unref(old);
 	return st;
@@ -464,13 +474,26 @@
 	for (i = 0; i < nd->count; i++) {
 		n = nd->nodes[i];
 		if (n->present && n->service == sv->index && !n->leaving &&
-		    !n->draining && !n->says_leaving && n->peer &&
-		    !n->peer->up && !n->peer->incarnation)
+		    !n->evacuated && !n->draining && !n->says_leaving &&
+		    n->peer && !n->peer->up && !n->peer->incarnation)
 			return 1;
 	}
 	return 0;
 }
 
+/* Tells whether an upstream of the service is in an evacuated domain. */
+int eb_nodes_has_evacuated(const struct eb_nodes *nd,
+			   const struct eb_service_state *sv)
+{
+	uint32_t i;
+
+	for (i = 0; i < nd->count; i++)
+		if (nd->nodes[i]->present && nd->nodes[i]->evacuated &&
+		    nd->nodes[i]->service == sv->index)
+			return 1;
+	return 0;
+}
+
 /*
  * Closes the sockets to daemons that were removed from the configuration
  * EB_PEER_LINGER_MS ago or earlier. To be called regularly.
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -32,6 +32,7 @@
 	uint8_t says_leaving;	  /* in an answer of this start */
 	uint8_t distance;	  /* enum eb_distance */
 	uint8_t evacuated;	  /* its failure domain is */
+	uint8_t taken_back;	  /* was evacuated until this configuration */
 	uint64_t region;	  /* bit of its region, see eb_regions */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
@@ -67,6 +68,8 @@
 struct eb_service_state *eb_nodes_service(struct eb_nodes *nd, uint32_t index,
 					  int64_t now_us);
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
+int eb_nodes_has_evacuated(const struct eb_nodes *nd,
+			   const struct eb_service_state *sv);
 int eb_nodes_first_answer_pending(const struct eb_nodes *nd,
 				  const struct eb_service_state *sv);
 void eb_nodes_tick(struct eb_nodes *nd, int64_t now_us);
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -625,6 +625,9 @@
 		ca->outcome = EB_OUTCOME_NOT_RUN;
 		ca->reason = EB_REASON_NO_UPSTREAM;
 		ca->retry_after_ms = 1000;
+		if (eb_nodes_has_evacuated(og->config.nodes, ca->service))
+			eb_metrics_add(og->config.metrics,
+				       EB_METRIC_EVACUATED_REFUSED, 1);
 	}
 	step(og, ca, EVENT_EXHAUSTED, NULL, now_us);
 }
--- a/src/eb_tool_admin.c
+++ b/src/eb_tool_admin.c
@@ -18,7 +18,7 @@
 };
 
 static const struct column columns[] = {
-	{ "UPSTREAM", "upstream", -16 }, { "STATE", "state", -8 },
+	{ "UPSTREAM", "upstream", -16 }, { "STATE", "state", -9 },
 	{ "RELEASE", "release", 7 },	 { "IN_FLIGHT", "in_flight", 9 },
 	{ "QUEUED", "queued", 6 },	 { "SLOTS", "slots", 5 },
 	{ "CALLS", "calls_origin", 6 },	 { "PEERS", "peers", 5 },
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -120,6 +120,11 @@
 /* Longest time that an upstream may say that it stays cold. */
 #define EB_COLD_MAX_MS 120000
 
+/* Evacuations that are read; another writer could add any number of them. */
+#define EB_EVACUATIONS_MAX 1024
+/* Changes of evacuations that /status lists. */
+#define EB_EVACUATION_CHANGES_MAX 16
+
 /* A measured pace of a VM is valid for this long. */
 #define EB_PACE_FRESH_US 25000
 /* A call waits this long for a load probe that measures the pace. */
@@ -153,6 +158,11 @@
 #define EB_ENTRY_LAPSE_DEFAULT_MS 4500
 /* Added to that time for leases that start anew, and for late reads. */
 #define EB_FEED_OVERRULE_MARGIN_MS 3000
+/*
+ * How long an evacuation stays that the source has lost: an operator or a tool
+ * has time to write it again, and one that nobody wants ends.
+ */
+#define EB_FEED_LOST_KEEP_MS 120000
 
 /* Daemons of the whole fleet that normally read the source. */
 #define EB_FEED_SYNC_READERS 2
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -564,9 +564,9 @@
 std::string SiteUpstream::entry(const std::string &state, int seq) const
 {
 	return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" +
-	       std::to_string(port_) +
-	       "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" +
-	       state + "\",\"coldLeftMs\":0,\"seq\":" + std::to_string(seq) +
+	       std::to_string(port_) + "\",\"zone\":\"" + zone +
+	       "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + state +
+	       "\",\"coldLeftMs\":0,\"seq\":" + std::to_string(seq) +
 	       ",\"born\":" + std::to_string(born) + "}";
 }
 
@@ -701,12 +701,13 @@
 			  std::to_string(i));
 
 	out << "{\"node\":\"machine-" << i << "\",\"ip\":\"" << ip(i)
-	    << "\",\"zone\":\"a\",\"region\":\"r\",\"appAddr\":\"" << ip(i)
+	    << "\",\"zone\":\"" << upstreams[i]->zone
+	    << "\",\"region\":\"r\",\"appAddr\":\"" << ip(i)
 	    << port(upstream_port_) << ",\"service\":\"" << services[i]
 	    << "\",\"listen\":{\"inbound\":\"\",\"outbound\":\"" << ip(i)
 	    << port(listen_port_) << ",\"ready\":\"" << ip(i)
 	    << port(ready_port_) << "},\"portRange\":[" << daemon_port_ << ","
-	    << daemon_port_ << "],\"zones\":{\"a\":\"r\"},"
+	    << daemon_port_ << "],\"zones\":{\"a\":\"r\",\"b\":\"r\"},"
 	    << "\"platform\":{\"address\":\"" << store_address
 	    << "\"},\"bounds\":{\"graceS\":6}}";
 }
--- a/tests/site.h
+++ b/tests/site.h
@@ -244,6 +244,7 @@
 	const std::string ip;
 	const std::string id;
 	const std::string service;
+	std::string zone = "a";	       /* its failure domain */
 	std::atomic<int> born{ 1000 }; /* time of its start */
 	std::atomic<int> pace{ 100 };  /* percent; part of the load report */
 	/* Header lines of what it says of itself in its answers. */
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -211,6 +211,32 @@
 	EXPECT_EQ(EB_ADMIT_RUN, all[0].verdict);
 }
 
+/*
+ * Guards against requests that wait at the gate of an evacuated upstream and
+ * run there long after the order.
+ */
+TEST(Admit, AnEvacuationRefusesWhatWaits)
+{
+	gate g(1);
+
+	g.fill(1);
+	g.offer(1);
+	g.offer(2, 4);
+	eb_admit_drain(g.ad, 1);
+	eb_admit_evacuate(g.ad, 1);
+	std::vector<eb_admit_action> all = g.next();
+	ASSERT_EQ(2u, all.size());
+	for (const eb_admit_action &act : all) {
+		EXPECT_EQ(EB_ADMIT_REFUSE, act.verdict);
+		EXPECT_EQ(EB_REASON_DRAINING, act.reason);
+	}
+	eb_admit_done(g.ad, 100, SERVICE_US, g.now);
+	EXPECT_EQ(0u, g.next().size());
+	eb_admit_drain(g.ad, 0);
+	eb_admit_evacuate(g.ad, 0);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(3).verdict);
+}
+
 /* Guards against a cancelled request that still takes a slot. */
 TEST(Admit, CancelledRequestDoesNotRun)
 {
--- a/tests/test_eb_feed.cc
+++ b/tests/test_eb_feed.cc
@@ -249,7 +249,9 @@
 	int a, b;
 
 	if (!shown)
-		return *known->key == '!' ? EB_FEED_OLDER : EB_FEED_NEWER;
+		return *known->key == '!'   ? EB_FEED_OLDER
+		       : *known->key == '~' ? EB_FEED_SAME
+					    : EB_FEED_NEWER;
 	a = atoi(std::string((const char *)shown->value, shown->value_bytes)
 			 .c_str());
 	b = atoi(std::string((const char *)known->value, known->value_bytes)
@@ -565,6 +567,96 @@
 	}
 }
 
+/*
+ * Guards against an evacuation that ends because the source has lost it, one
+ * that stays for ever, and copies that give it to each other on and on.
+ */
+TEST(Feed, ALostItemStaysForATime)
+{
+	const int64_t whole = EB_FEED_LOST_KEEP_MS * MS;
+	const change source = { 0, later(4), true, { { "a", "1", later(3) } } };
+	eb_feed *knows = eb_feed_new(), *learns = eb_feed_new();
+	int changed;
+
+	for (eb_feed *fd : { knows, learns })
+		eb_feed_set_compare(fd, compare_numbers);
+	apply(knows, { 0, 9, true, { { "a", "1", 3 }, { "~b", "{}", 9 } } }, 0,
+	      &changed);
+	EXPECT_EQ(0, eb_feed_has_overrules(knows));
+	apply(knows, source, 0, &changed);
+	EXPECT_EQ("a=1 ~b={} ", content(knows));
+	EXPECT_EQ(0, eb_feed_watched(knows, whole / 2));
+	/* A daemon that starts takes it over, and has the time for itself. */
+	join(learns, knows, 0);
+	EXPECT_EQ("a=1 ~b={} ", content(learns));
+	EXPECT_EQ(0, eb_feed_watched(knows, whole / 2 - 1));
+	EXPECT_EQ(1, eb_feed_watched(knows, 1));
+	EXPECT_EQ("a=1 ", content(knows));
+	join(knows, learns, 0);
+	EXPECT_EQ("a=1 ", content(knows));
+	EXPECT_EQ(0, eb_feed_watched(learns, whole - 1));
+	EXPECT_EQ(1, eb_feed_watched(learns, 1));
+	EXPECT_EQ("a=1 ", content(learns));
+	EXPECT_EQ(eb_feed_digest(knows), eb_feed_digest(learns));
+	for (eb_feed *fd : { knows, learns })
+		eb_feed_free(fd);
+}
+
+/* Guards against a lost item that can't be removed, or is once it is back. */
+TEST(Feed, WhatIsWrittenAfterTheLossCounts)
+{
+	const struct {
+		const char *name;
+		std::vector<change> changes;
+		const char *content; /* after the time of lost items */
+	} cases[] = {
+		{ "removed",
+		  { { later(4),
+		      later(5),
+		      false,
+		      { { "~b", nullptr, later(5) } } } },
+		  "" },
+		{ "written again",
+		  { { later(4),
+		      later(5),
+		      false,
+		      { { "~b", "{}", later(5) } } } },
+		  "~b={} " },
+		{ "written again and removed",
+		  { { later(4), later(5), false, { { "~b", "{}", later(5) } } },
+		    { 0, later(6), true, { { "a", "1", later(6) } } } },
+		  "a=1 " },
+		{ "lost in two eras",
+		  { { 0, eb_feed_make_revision(2, 3), true, {} } },
+		  "" },
+		{ "a removal that is lost: the source lists it again",
+		  { { later(4),
+		      later(5),
+		      false,
+		      { { "~b", nullptr, later(5) } } },
+		    { 0,
+		      eb_feed_make_revision(2, 4),
+		      true,
+		      { { "~b", "{}", eb_feed_make_revision(2, 3) } } } },
+		  "~b={} " },
+	};
+
+	for (const auto &c : cases) {
+		eb_feed *fd = eb_feed_new();
+		int changed;
+
+		eb_feed_set_compare(fd, compare_numbers);
+		apply(fd, { 0, 9, true, { { "~b", "{}", 9 } } }, 0, &changed);
+		apply(fd, { 0, later(4), true, {} }, 0, &changed);
+		EXPECT_EQ("~b={} ", content(fd)) << c.name;
+		for (const change &ch : c.changes)
+			EXPECT_EQ(EB_OK, apply(fd, ch, 0, &changed)) << c.name;
+		eb_feed_watched(fd, EB_FEED_LOST_KEEP_MS * MS);
+		EXPECT_EQ(c.content, content(fd)) << c.name;
+		eb_feed_free(fd);
+	}
+}
+
 /*
  * Guards against a daemon without knowledge of eras, whose revisions are all of
  * the first one: its changes must not replace what was read later.
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -129,6 +129,8 @@
 		if (w == "wait") {
 			now_us += atoi(what) * MS;
 			eb_gate_tick(gt, now_us);
+		} else if (w == "evacuated") {
+			eb_gate_set_evacuated(gt, atoi(what), now_us);
 		} else if (w == "drain") {
 			eb_gate_drain(gt);
 		} else if (w == "probe") {
@@ -269,6 +271,14 @@
 	    "origin rhead 2",
 	    "origin refuse 3 not-run handed-back rate-limited",
 	    "client head 4" } },
+	{ "an evacuated upstream finishes what runs and gets nothing that "
+	  "waits",
+	  { "origin head 1", "origin head 2", "evacuated 1", "origin head 3",
+	    "client rhead 1", "evacuated 0", "origin head 4" },
+	  { "client head 1", "origin hello 0 unknown none",
+	    "origin refuse 2 not-run draining",
+	    "origin refuse 3 not-run draining", "origin rhead 1",
+	    "origin hello 0 unknown none", "client head 4" } },
 	{ "an idle origin is notified at once that the upstream leaves",
 	  { "origin hello 0", "drain now" },
 	  { "origin hello 0 unknown none", "origin hello 0 unknown none" } },
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -26,7 +26,7 @@
 	"\"failure_domain\":\"d\",\"slots\":1,\"connections\":9},"
 	"{\"name\":\"a-2\",\"service\":\"agenda\",\"address\":\"127.0.0.1:3\","
 	"\"daemon\":\"127.0.0.1:4\",\"key\":\"\",\"region\":\"r\","
-	"\"failure_domain\":\"d\",\"slots\":1,\"connections\":9}]}}";
+	"\"failure_domain\":\"e\",\"slots\":1,\"connections\":9}]}}";
 
 /*
  * An origin without an upstream of its own, and two peers that are up. The
@@ -87,7 +87,8 @@
 		eb_metrics_free(mt);
 	}
 
-	void configure()
+	/* Puts NOTE in force; upstreams are in failure domains d and e. */
+	void configure(const std::vector<std::string> &evacuated = {})
 	{
 		json_t *note = json_loads(NOTE, 0, nullptr);
 		eb_config *base = eb_config_new_empty(), *cf = nullptr;
@@ -95,6 +96,11 @@
 
 		ASSERT_EQ(EB_OK,
 			  eb_release_apply(base, note, 1, "t", &fs, &cf));
+		cf->evacuated =
+			(char **)calloc(evacuated.size() + 1, sizeof(char *));
+		for (const std::string &domain : evacuated)
+			cf->evacuated[cf->evacuated_count++] =
+				strdup(domain.c_str());
 		eb_nodes_configure(nd, cf, now_us);
 		for (uint32_t i = 0; i < eb_nodes_count(nd); i++) {
 			eb_nodes_get(nd, i)->peer->up = 1;
@@ -390,6 +396,46 @@
 	stop();
 }
 
+/*
+ * Guards against requests that are sent to evacuated upstreams, that wait for
+ * the first answer of one, and against a sudden return of its load.
+ */
+TEST_F(Origin, EvacuatedUpstreamsAreLeftOut)
+{
+	int early = 0, late = 0;
+	auto call = [this] {
+		run("post");
+		gate(EB_FRAME_RHEAD, (int)numbers.size(), EB_OUTCOME_RAN,
+		     EB_REASON_NONE, EB_BODY_INLINE);
+		return nodes.back() == 1;
+	};
+
+	start();
+	configure({ "e", "unknown" });
+	for (int i = 0; i < 100; i++)
+		EXPECT_FALSE(call());
+	configure({ "d", "e" });
+	set_second(0, 0);
+	out.clear();
+	run("post");
+	EXPECT_EQ((std::vector<std::string>{
+			  "front refuse 503 not-run no-upstream" }),
+		  out);
+	EXPECT_EQ(1, eb_metrics_get(mt, EB_METRIC_EVACUATED_REFUSED));
+	configure({ "e" });
+	EXPECT_FALSE(call());
+	run("wait 2000");
+	configure();
+	for (int i = 0; i < 100; i++)
+		early += call();
+	run("wait 2000");
+	for (int i = 0; i < 100; i++)
+		late += call();
+	EXPECT_LT(early, 15);
+	EXPECT_GT(late, 30);
+	stop();
+}
+
 struct refusal {
 	const char *guards;
 	const char *target;
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -306,6 +306,58 @@
 	EXPECT_NE(UINT32_MAX, r.pick());
 }
 
+/*
+ * Guards against load of an evacuated domain that crowds single upstreams: they
+ * were listed as leaving, so that the router often compared one upstream only.
+ * Counts the requests, of 20,000, that find all slots of their upstream taken.
+ */
+int crowded(bool listed)
+{
+	const int64_t service_us = 90000, gap_us = service_us / 36;
+	std::multimap<int64_t, uint32_t> ends;
+	std::map<uint32_t, uint16_t> running;
+	int count = 0;
+	router r;
+
+	for (uint32_t id = 0; id < 16; id++)
+		if (id < 8 || listed)
+			r.add(id, EB_DISTANCE_REGION, id >= 8);
+	r.set();
+	for (int i = 0; i < 20000; i++) {
+		r.now += gap_us;
+		while (!ends.empty() && ends.begin()->first <= r.now) {
+			uint32_t id = ends.begin()->second;
+			eb_route_result rs = {};
+			eb_load ld = {};
+
+			ends.erase(ends.begin());
+			ld.in_flight = --running[id];
+			ld.slots = 6;
+			rs.outcome = EB_OUTCOME_RAN;
+			rs.status = 200;
+			rs.elapsed_us = service_us;
+			eb_route_done(r.rt, id, &rs, r.now);
+			eb_route_load(r.rt, id, &ld, r.now);
+		}
+		uint32_t id = r.pick();
+
+		count += running[id] >= 6;
+		running[id]++;
+		eb_route_sent(r.rt, id, r.now);
+		ends.emplace(r.now + service_us, id);
+	}
+	return count;
+}
+
+TEST(Route, UnusableUpstreamsThatAreLeftOutSpreadTheLoadBetter)
+{
+	int listed = crowded(true), left_out = crowded(false);
+
+	RecordProperty("listed", listed);
+	RecordProperty("left_out", left_out);
+	EXPECT_LT(2 * left_out, listed) << left_out << " " << listed;
+}
+
 /* Guards against picks that one seed and sequence of events do not repeat. */
 TEST(Route, EqualSeedsGiveEqualPicks)
 {
--- a/tests/test_pf_compare.cc
+++ b/tests/test_pf_compare.cc
@@ -52,6 +52,12 @@
 		  EB_FEED_AGE_UNKNOWN },
 		{ "servers/a", "\xff", "{\"born\":5,\"seq\":1}",
 		  EB_FEED_AGE_UNKNOWN },
+		/* The store may list again what was withdrawn. */
+		{ "op/evacuate/b", "{}", "{}", EB_FEED_AGE_UNKNOWN },
+		{ "op/evacuate/b", "{\"born\":4,\"seq\":1}",
+		  "{\"born\":5,\"seq\":1}", EB_FEED_AGE_UNKNOWN },
+		/* One that is lost stays for a time. */
+		{ "op/evacuate/b", nullptr, "{}", EB_FEED_SAME },
 		{ "servers/a", nullptr, "{\"born\":5,\"seq\":1}",
 		  EB_FEED_NEWER },
 	};
--- a/tests/test_pf_decode.cc
+++ b/tests/test_pf_decode.cc
@@ -100,6 +100,43 @@
 	EXPECT_EQ(nullptr, decode({ { "op/config", "[" } }));
 }
 
+/*
+ * Guards against entries of other writers that count as evacuations, and
+ * against an evacuation that is not read.
+ */
+TEST(PfDecode, Evacuations)
+{
+	const struct {
+		item it;
+		const char *domain; /* NULL: none */
+	} cases[] = {
+		{ { "op/evacuate/z1", "{}" }, "z1" },
+		{ { "op/evacuate/z1", " {\"by\":\"x\"} " }, "z1" },
+		{ { "op/evacuate/unknown", "{}" }, "unknown" },
+		{ { "op/evacuate/z1", "" }, nullptr },
+		{ { "op/evacuate/z1", "[]" }, nullptr },
+		{ { "op/evacuate/z1", "{" }, nullptr },
+		{ { "op/evacuate/z1", "\xff" }, nullptr },
+		{ { "op/evacuate/", "{}" }, nullptr },
+		{ { "op/evacuate/z1/", "{}" }, nullptr },
+		{ { "op/evacuate/z 1", "{}" }, nullptr },
+		{ { "op/evacuate/" + std::string(80, 'z'), "{}" }, nullptr },
+	};
+
+	for (const auto &c : cases) {
+		eb_config *cf = decode({ state, c.it });
+
+		ASSERT_NE(nullptr, cf) << c.it.key;
+		ASSERT_EQ(c.domain ? 1u : 0u, cf->evacuated_count) << c.it.key;
+		EXPECT_EQ(c.domain ? 0u : 1u, cf->evacuations_invalid);
+		if (c.domain)
+			EXPECT_STREQ(c.domain, cf->evacuated[0]);
+		else
+			EXPECT_EQ(c.it.key, cf->evacuation_invalid);
+		eb_config_unref(cf);
+	}
+}
+
 /*
  * Guards against invalid entries that become upstreams, and against a stale
  * entry that replaces the upstream now at its address: upstreams write the
