--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -180,7 +180,6 @@
 {
 	struct eb_upstream *up = nd->config->upstreams[i];
 	uint32_t id = eb_nodes_find(nd, up->name);
-	uint8_t evacuated;
 	struct eb_node *n;
 
 	n = id == EB_NONE ? add_node(nd, up->name) : nd->nodes[id];
@@ -201,10 +200,8 @@
 	n->service = nd->config->upstream_service[i];
 	n->distance = distance_of(nd->settings, up);
 	n->region = eb_regions_bit(nd->regions, up->region);
-	evacuated =
+	n->evacuated =
 		(uint8_t)eb_config_is_evacuated(nd->config, up->failure_domain);
-	n->taken_back = n->evacuated && !evacuated;
-	n->evacuated = evacuated;
 	apr_hash_set(nd->by_address, up->daemon, APR_HASH_KEY_STRING,
 		     (void *)(uintptr_t)(eb_nodes_find(nd, up->name) + 1));
 }
@@ -232,7 +229,8 @@
 /*
  * Passes the upstreams of a service and their states to its router. Those that
  * are evacuated are left out: the router chooses among a few random upstreams,
- * and would choose among fewer while a whole failure domain is unusable.
+ * and would choose among fewer while a whole failure domain is unusable. An
+ * upstream that is taken back is new to the router, which ramps it up.
  */
 static void update_route(struct eb_nodes *nd, struct eb_service_state *sv,
 			 int64_t now_us)
@@ -409,7 +407,6 @@
 	for (i = 0; i < nd->count; i++) {
 		nd->nodes[i]->present_before = nd->nodes[i]->present;
 		nd->nodes[i]->replaced = 0;
-		nd->nodes[i]->taken_back = 0;
 		nd->nodes[i]->present = 0;
 	}
 	for (i = 0; i < cf->upstream_total; i++)
@@ -425,7 +422,7 @@
 		for (i = 0; i < cf->service_total; i++)
 			eb_nodes_service(nd, i, now_us);
 	for (i = 0; i < nd->count; i++)
-		if (nd->nodes[i]->replaced || nd->nodes[i]->taken_back)
+		if (nd->nodes[i]->replaced)
 			eb_nodes_restarted(nd, i, now_us);
 	eb_config_unref(old);
 	return st;
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -32,7 +32,6 @@
 	uint8_t says_leaving;	  /* in an answer of this start */
 	uint8_t distance;	  /* enum eb_distance */
 	uint8_t evacuated;	  /* its failure domain is */
-	uint8_t taken_back;	  /* was evacuated until this configuration */
 	uint64_t region;	  /* bit of its region, see eb_regions */
 	/*
 	 * The incoming connection that the daemon last sent claims over, and
--- a/tests/it_evacuation.cc
+++ b/tests/it_evacuation.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
 #include <chrono>
 #include <thread>
 
@@ -212,6 +214,37 @@
 	wait_until("domain a", [&] { return get(3, "/far/a").status == 200; });
 }
 
+/*
+ * Guards against requests that a daemon runs right after a pause, in which the
+ * domain of its upstream was evacuated.
+ */
+TEST_F(Evacuation, AfterAPauseNothingRunsByTheOldConfiguration)
+{
+	const size_t paused = 3;
+	std::vector<std::thread> callers;
+	int before;
+
+	site.daemons[paused]->signal(SIGSTOP);
+	evacuate("b");
+	sleep_for(EVAC_MS);
+	before = runs_in_b();
+	for (int i = 0; i < 16; i++)
+		callers.emplace_back([this, i] {
+			for (int k = 0; k < 40; k++)
+				site.send(paused, "GET", "/far/a",
+					  "p-" + std::to_string(i * 40 + k));
+		});
+	sleep_for(300);
+	site.daemons[paused]->signal(SIGCONT);
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_EQ(before, runs_in_b());
+	site.wait_status(paused, "/far/a", 200);
+	site.store->remove("op/evacuate/b");
+	wait_in_force(0);
+	wait_used_again();
+}
+
 /* Guards against entries of another writer that take upstreams out of use. */
 TEST_F(Evacuation, OtherEntriesHaveNoEffect)
 {
--- a/tests/test_eb_tool.cc
+++ b/tests/test_eb_tool.cc
@@ -233,7 +233,7 @@
 	EXPECT_EQ(0, out.status);
 	EXPECT_NE(std::string::npos, out.output.find("ADDRESS"));
 	EXPECT_NE(std::string::npos,
-		  out.output.find("agenda-1         serving        7         "
+		  out.output.find("agenda-1         serving         7         "
 				  "-      3     -      -     2\n"))
 		<< out.output;
 	EXPECT_NE(std::string::npos, out.output.find("\n" + address[1]));
