--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -30,6 +30,11 @@
 #define MARKS_REPEAT_INTERVAL_US 2000000
 /* A longer gap between two iterations of the loop is a pause of the process. */
 #define PAUSE_MIN_US 1000000
+/*
+ * After a longer pause the configuration is confirmed again before the gate
+ * serves: changes of that time must take effect within seconds.
+ */
+#define PAUSE_CONFIRM_US 2000000
 #define IDLE_WAIT_MS 100
 
 enum query_kind { QUERY_STATUS, QUERY_DRAIN, QUERY_OPEN_CLAIMS };
@@ -77,6 +82,8 @@
 	 * peer is known to have a newer one: the platform may be stale.
 	 */
 	int serving;
+	uint8_t paused;		   /* see PAUSE_CONFIRM_US */
+	uint8_t unconfirmed;	   /* since then, until others confirm it */
 	int peer_answered;	   /* a peer answered since the first release */
 	uint64_t peer_index;	   /* newest release that a peer knows */
 	int64_t configured_us;	   /* when the first release came; 0: not yet */
@@ -860,6 +867,13 @@
 	eb_gate_set_copy(co->gate, &state);
 	if (co->items_changed)
 		apply_items(co);
+	if (co->unconfirmed && !co->paused &&
+	    eb_feed_sync_confirmed(co->feed_sync)) {
+		co->unconfirmed = 0;
+		eb_gate_set_unconfirmed(co->gate, 0, co->loop_us);
+		eb_log_write(co->config.log, EB_LOG_INFO, "core",
+			     "configuration confirmed after a pause", NULL);
+	}
 }
 
 /* Starts to drain: new calls are refused, and others are finished. */
@@ -1041,6 +1055,17 @@
 	co->loop_us = now_us;
 	if (before_us && now_us - before_us > PAUSE_MIN_US)
 		eb_gate_set_resumed(co->gate, 1);
+	if (before_us && now_us - before_us > PAUSE_CONFIRM_US &&
+	    co->feed_sync && co->serving) {
+		co->paused = 1;
+		co->unconfirmed = 1;
+		eb_gate_set_unconfirmed(co->gate, 1, now_us);
+		eb_log_write(co->config.log, EB_LOG_WARN, "core",
+			     "paused; nothing runs until the configuration is "
+			     "confirmed",
+			     "pause_ms=%lld",
+			     (long long)(now_us - before_us) / 1000);
+	}
 	do {
 		more = take_frames(co);
 		more |= eb_mesh_receive(co->mesh, &co->sink, co->loop_us);
@@ -1053,6 +1078,10 @@
 	} while (more && co->loop_us - co->tick_us < EB_CORE_TICK_MS * 1000);
 	if (!more)
 		eb_gate_set_resumed(co->gate, 0);
+	if (!more && co->paused) {
+		co->paused = 0;
+		eb_feed_sync_resumed(co->feed_sync, co->loop_us);
+	}
 	eb_gate_poll(co->gate, co->loop_us);
 	if (co->loop_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->loop_us;
--- a/src/eb_feed_sync.c
+++ b/src/eb_feed_sync.c
@@ -65,6 +65,9 @@
 	uint32_t own_rank; /* members before this daemon in the order */
 	uint32_t link_mbps;
 	int64_t start_us;
+	int64_t confirm_from_us;  /* the start, or the end of a pause */
+	int64_t resumed_us;	  /* the end of a pause; 0: there was none */
+	uint8_t old_call;	  /* a call may be from before the pause */
 	int64_t read_us;	  /* last read that succeeded; 0: none */
 	int64_t watched_until_us; /* see count_watched() */
 	int64_t failing_since_us; /* since when reads fail; 0: they do not */
@@ -108,6 +111,7 @@
 	sp->first_start = first_start != 0;
 	sp->confirmed = first_start != 0;
 	sp->start_us = now_us;
+	sp->confirm_from_us = now_us;
 	sp->requested_node = EB_NONE;
 	sp->link_mbps = EB_LINK_DEFAULT_MBPS;
 	sp->feed = eb_feed_new();
@@ -732,6 +736,7 @@
 
 	record_result(sp, rp->failed, rp->stale, now_us);
 	if (rp->failed) {
+		sp->old_call = 0;
 		if (!sp->failing_since_us)
 			sp->failing_since_us = now_us;
 		return;
@@ -752,7 +757,8 @@
 		sp->refuted_us = 0;
 		refute(sp, now_us);
 	} else if (!rp->stale) {
-		sp->confirmed = 1;
+		sp->confirmed |= !sp->old_call;
+		sp->old_call = 0;
 	}
 	if (st)
 		return;
@@ -1253,7 +1259,8 @@
 static int is_confirmed_by(const struct eb_feed_sync *sp,
 			   const struct member *mb, int64_t now_us)
 {
-	if (!mb->heard_us || mb->unverified || sp->trust == TRUST_REFUTED ||
+	if (!mb->heard_us || mb->heard_us <= sp->resumed_us || mb->unverified ||
+	    sp->trust == TRUST_REFUTED ||
 	    mb->revision > eb_feed_revision(sp->feed))
 		return 0;
 	if (mb->digest && sp->trust != TRUST_VERIFIED && !sp->last_failed)
@@ -1277,10 +1284,23 @@
 	for (i = 0; i < sp->count && !sp->confirmed; i++)
 		sp->confirmed =
 			(uint8_t)is_confirmed_by(sp, &sp->members[i], now_us);
-	if (now_us - sp->start_us >= EB_FEED_SYNC_START_MS * 1000LL)
+	if (now_us - sp->confirm_from_us >= EB_FEED_SYNC_START_MS * 1000LL)
 		sp->confirmed = 1;
 }
 
+/*
+ * To be called after a pause of this process, when what had waited in its
+ * sockets was read: the copy must be confirmed again as after a start. The
+ * source may have answered a call in flight before changes of that time.
+ */
+void eb_feed_sync_resumed(struct eb_feed_sync *sp, int64_t now_us)
+{
+	sp->confirmed = 0;
+	sp->confirm_from_us = now_us;
+	sp->resumed_us = now_us;
+	sp->old_call = 1;
+}
+
 /*
  * Tells whether this copy may be served: after a start, a read that may be
  * stale is not enough, since an upstream or a route in it may be gone.
@@ -1299,7 +1319,8 @@
 /* Tells whether to ask the source because no other daemon has confirmed. */
 static int must_confirm(const struct eb_feed_sync *sp, int64_t now_us)
 {
-	return !sp->confirmed && now_us - sp->start_us >= confirm_delay_us(sp);
+	return !sp->confirmed &&
+	       now_us - sp->confirm_from_us >= confirm_delay_us(sp);
 }
 
 /* Returns when the source was last read, as this daemon knows; 0: never. */
--- a/src/eb_feed_sync.h
+++ b/src/eb_feed_sync.h
@@ -70,6 +70,7 @@
 void eb_feed_sync_state(const struct eb_feed_sync *sp, int64_t now_us,
 			struct eb_feed_state *out);
 int eb_feed_sync_confirmed(const struct eb_feed_sync *sp);
+void eb_feed_sync_resumed(struct eb_feed_sync *sp, int64_t now_us);
 uint32_t eb_feed_sync_refutations(const struct eb_feed_sync *sp);
 int eb_feed_sync_is_reader(const struct eb_feed_sync *sp, uint32_t node);
 void eb_feed_sync_tick(struct eb_feed_sync *sp, int64_t now_us);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -116,6 +116,7 @@
 	int leaving;	     /* the upstream, while this daemon stays */
 	int says_leaving;    /* the upstream, in an answer of this start */
 	int evacuated;	     /* the upstream's failure domain */
+	int unconfirmed;     /* see eb_gate_set_unconfirmed() */
 	uint32_t rate_milli; /* that this start names; 0: none */
 	char *configured;    /* instance in the configuration, or NULL */
 	uint64_t start_ms;   /* of `configured`; 0: unknown */
@@ -214,7 +215,8 @@
 /* Tells whether new calls are refused because the upstream or daemon leaves. */
 static int refuses_calls(const struct eb_gate *gt)
 {
-	return gt->draining || gt->leaving || gt->says_leaving || gt->evacuated;
+	return gt->draining || gt->leaving || gt->says_leaving ||
+	       gt->evacuated || gt->unconfirmed;
 }
 
 /*
@@ -460,7 +462,22 @@
 	int before = refuses_calls(gt);
 
 	gt->evacuated = evacuated != 0;
-	eb_admit_evacuate(gt->admit, evacuated);
+	eb_admit_evacuate(gt->admit, gt->evacuated || gt->unconfirmed);
+	update_draining(gt, before);
+	run_admission(gt, now_us);
+}
+
+/*
+ * Sets whether the configuration may have changed during a pause of this
+ * process. Until it is confirmed the gate refuses as if it were evacuated.
+ */
+void eb_gate_set_unconfirmed(struct eb_gate *gt, int unconfirmed,
+			     int64_t now_us)
+{
+	int before = refuses_calls(gt);
+
+	gt->unconfirmed = unconfirmed != 0;
+	eb_admit_evacuate(gt->admit, gt->evacuated || gt->unconfirmed);
 	update_draining(gt, before);
 	run_admission(gt, now_us);
 }
--- a/src/eb_gate.h
+++ b/src/eb_gate.h
@@ -56,6 +56,8 @@
 void eb_gate_set_service(struct eb_gate *gt, const char *service);
 /* To be called when the upstream starts or stops leaving on its own. */
 void eb_gate_set_leaving(struct eb_gate *gt, int leaving);
+void eb_gate_set_unconfirmed(struct eb_gate *gt, int unconfirmed,
+			     int64_t now_us);
 void eb_gate_set_evacuated(struct eb_gate *gt, int evacuated, int64_t now_us);
 /* What heartbeat replies say of this daemon's copy, or of its release. */
 void eb_gate_set_copy(struct eb_gate *gt, const struct eb_feed_state *state);
