--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -12,6 +12,7 @@
 
 #include "eb_claim_roles.h"
 #include "eb_clock.h"
+#include "eb_evacuation.h"
 #include "eb_gate.h"
 #include "eb_mesh.h"
 #include "eb_nodes.h"
@@ -29,6 +30,11 @@
 #define MARKS_REPEAT_INTERVAL_US 2000000
 /* A longer gap between two iterations of the loop is a pause of the process. */
 #define PAUSE_MIN_US 1000000
+/*
+ * After a longer pause the configuration is confirmed again before the gate
+ * serves: changes of that time must take effect within seconds.
+ */
+#define PAUSE_CONFIRM_US 2000000
 #define IDLE_WAIT_MS 100
 
 enum query_kind { QUERY_STATUS, QUERY_DRAIN, QUERY_OPEN_CLAIMS };
@@ -56,6 +62,7 @@
 	struct eb_mesh *mesh;
 	struct eb_mesh_sink sink;
 	struct eb_nodes *nodes;
+	struct eb_evacuation *evacuation;
 	struct eb_gate *gate;
 	struct eb_origin *origin;
 	struct eb_claim_roles *claims; /* NULL if `feed_sync` is used */
@@ -75,6 +82,8 @@
 	 * peer is known to have a newer one: the platform may be stale.
 	 */
 	int serving;
+	uint8_t paused;		   /* see PAUSE_CONFIRM_US */
+	uint8_t unconfirmed;	   /* since then, until others confirm it */
 	int peer_answered;	   /* a peer answered since the first release */
 	uint64_t peer_index;	   /* newest release that a peer knows */
 	int64_t configured_us;	   /* when the first release came; 0: not yet */
@@ -685,8 +694,7 @@
 		eb_gate_set_warmup(co->gate, cf->services[n->service], n->info,
 				   co->loop_us);
 		if (cf->has_matches)
-			eb_gate_set_leaving(co->gate,
-					    n->info->leaving || n->evacuated);
+			eb_gate_set_leaving(co->gate, n->info->leaving);
 	} else if (cf->has_matches) {
 		/*
 		 * This upstream is no longer listed: its calls are finished,
@@ -696,6 +704,15 @@
 	} else {
 		eb_gate_configure(co->gate, NULL, NULL);
 	}
+	/* Its calls may still wait when this upstream is no longer listed. */
+	if (cf->has_matches)
+		eb_gate_set_evacuated(
+			co->gate,
+			(n && n->present && n->evacuated) ||
+				eb_config_is_evacuated(
+					cf,
+					co->config.settings->failure_domain),
+			co->loop_us);
 	eb_gate_set_config(co->gate, eb_nodes_config(co->nodes));
 	eb_origin_serve(co->origin, co->loop_us);
 	eb_metrics_set(co->config.metrics, EB_METRIC_RELEASE,
@@ -748,6 +765,7 @@
 			     "cannot set the holders of claims: out of memory",
 			     NULL);
 	co->self = eb_nodes_find(co->nodes, co->config.settings->upstream);
+	eb_evacuation_update(co->evacuation, cf, co->loop_us);
 	eb_metrics_stamp(co->config.metrics, EB_AGE_CONFIG, co->loop_us);
 	if (!co->feed_sync)
 		eb_gate_set_copy(co->gate, &release);
@@ -852,6 +870,13 @@
 	eb_gate_set_copy(co->gate, &state);
 	if (co->items_changed)
 		apply_items(co);
+	if (co->unconfirmed && !co->paused &&
+	    eb_feed_sync_confirmed(co->feed_sync)) {
+		co->unconfirmed = 0;
+		eb_gate_set_unconfirmed(co->gate, 0, co->loop_us);
+		eb_log_write(co->config.log, EB_LOG_INFO, "core",
+			     "configuration confirmed after a pause", NULL);
+	}
 }
 
 /* Starts to drain: new calls are refused, and others are finished. */
@@ -882,7 +907,9 @@
 {
 	const char *state = "down";
 
-	if (n->leaving)
+	if (n->evacuated)
+		state = "evacuated";
+	else if (n->leaving)
 		state = "leaving";
 	else if (n->draining)
 		state = "draining";
@@ -897,6 +924,7 @@
 {
 	const struct eb_config *cf = eb_nodes_config(co->nodes);
 	const struct eb_settings *se = co->config.settings;
+	const struct eb_node *self = eb_nodes_get(co->nodes, co->self);
 	json_t *nodes = json_array();
 	uint32_t claims_held = 0, claims_able = 0;
 	struct eb_load ld = { 0 };
@@ -911,21 +939,26 @@
 		if (n->present && (n->self || n->peer))
 			json_array_append_new(nodes, node_status(n));
 	}
-	return json_pack("{ss ss ss sI sI ss sb si si si si si si si si so}",
-			 "upstream", se->upstream, "region", se->region,
-			 "failure_domain", se->failure_domain, "release",
-			 (json_int_t)cf->release, "index",
-			 (json_int_t)cf->index, "state",
-			 co->draining  ? "draining"
-			 : co->serving ? "serving"
-				       : "waiting",
-			 "known", co->self != EB_NONE, "in_flight",
-			 (int)ld.in_flight, "queued", (int)ld.queued, "slots",
-			 (int)ld.slots, "service_us", (int)ld.service_us,
-			 "calls_origin", (int)eb_origin_active(co->origin),
-			 "calls_gate", (int)eb_gate_active(co->gate),
-			 "claim_slots_held", (int)claims_held,
-			 "claim_slots_able", (int)claims_able, "peers", nodes);
+	return json_pack(
+		"{ss ss ss sI sI ss sb si si si si si si si si so so so}",
+		"upstream", se->upstream, "region", se->region,
+		"failure_domain", se->failure_domain, "release",
+		(json_int_t)cf->release, "index", (json_int_t)cf->index,
+		"state",
+		co->draining				 ? "draining"
+		: co->serving && self && self->evacuated ? "evacuated"
+		: co->serving				 ? "serving"
+							 : "waiting",
+		"known", co->self != EB_NONE, "in_flight", (int)ld.in_flight,
+		"queued", (int)ld.queued, "slots", (int)ld.slots, "service_us",
+		(int)ld.service_us, "calls_origin",
+		(int)eb_origin_active(co->origin), "calls_gate",
+		(int)eb_gate_active(co->gate), "claim_slots_held",
+		(int)claims_held, "claim_slots_able", (int)claims_able, "peers",
+		nodes, "evacuations",
+		eb_evacuation_status(co->evacuation, co->loop_us),
+		"evacuation_changes",
+		eb_evacuation_changes(co->evacuation, co->loop_us));
 }
 
 /* Drops a reference to a query; the last one frees it. */
@@ -1025,6 +1058,17 @@
 	co->loop_us = now_us;
 	if (before_us && now_us - before_us > PAUSE_MIN_US)
 		eb_gate_set_resumed(co->gate, 1);
+	if (before_us && now_us - before_us > PAUSE_CONFIRM_US &&
+	    co->feed_sync && co->serving) {
+		co->paused = 1;
+		co->unconfirmed = 1;
+		eb_gate_set_unconfirmed(co->gate, 1, now_us);
+		eb_log_write(co->config.log, EB_LOG_WARN, "core",
+			     "paused; nothing runs until the configuration is "
+			     "confirmed",
+			     "pause_ms=%lld",
+			     (long long)(now_us - before_us) / 1000);
+	}
 	do {
 		more = take_frames(co);
 		more |= eb_mesh_receive(co->mesh, &co->sink, co->loop_us);
@@ -1037,6 +1081,10 @@
 	} while (more && co->loop_us - co->tick_us < EB_CORE_TICK_MS * 1000);
 	if (!more)
 		eb_gate_set_resumed(co->gate, 0);
+	if (!more && co->paused) {
+		co->paused = 0;
+		eb_feed_sync_resumed(co->feed_sync, co->loop_us);
+	}
 	eb_gate_poll(co->gate, co->loop_us);
 	if (co->loop_us - co->tick_us >= EB_CORE_TICK_MS * 1000) {
 		co->tick_us = co->loop_us;
@@ -1160,6 +1208,7 @@
 				       cf->settings->entry_lapse_ms);
 	}
 	co->nodes = eb_nodes_new(cf->settings, co->mesh, co->incarnation);
+	co->evacuation = eb_evacuation_new(cf->log, cf->metrics);
 	if (!co->feed_sync)
 		co->claims = eb_claim_roles_new(cf->settings->upstream,
 						co->incarnation);
@@ -1246,6 +1295,7 @@
 	eb_gate_free(co->gate);
 	eb_feed_sync_free(co->feed_sync);
 	eb_nodes_free(co->nodes);
+	eb_evacuation_free(co->evacuation);
 	eb_mesh_free(co->mesh);
 	if (co->epoll_fd >= 0)
 		close(co->epoll_fd);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -251,12 +251,17 @@
 	return n->peer && n->peer->up && !(nd->cut_off && is_suspected(n));
 }
 
-/* Passes the upstreams of a service and their states to its router. */
+/*
+ * Passes the upstreams of a service and their states to its router. Those that
+ * are evacuated are left out: the router chooses among a few random upstreams,
+ * and would choose among fewer while a whole failure domain is unusable. An
+ * upstream that is taken back is new to the router, which ramps it up.
+ */
 static void update_route(struct eb_nodes *nd, struct eb_service_state *sv,
 			 int64_t now_us)
 {
 	struct eb_route_upstream *ups;
-	uint32_t first, count, i, id;
+	uint32_t first, count, i, id, used = 0;
 	struct eb_node *n;
 
 	if (sv->index == EB_NONE) {
@@ -271,16 +276,18 @@
 	for (i = 0; i < count; i++) {
 		id = eb_nodes_find(nd, nd->config->upstreams[first + i]->name);
 		n = nd->nodes[id];
-		ups[i].id = id;
-		ups[i].slots = (uint16_t)n->info->slots;
-		ups[i].distance = n->distance;
-		ups[i].leaving = !is_routable(nd, n);
-		ups[i].suspected = (uint8_t)is_suspected(n);
-		ups[i].cold = n->cold;
-		ups[i].region = n->region;
-		ups[i].link_mbps = n->link_mbps;
+		if (n->evacuated)
+			continue;
+		ups[used].id = id;
+		ups[used].slots = (uint16_t)n->info->slots;
+		ups[used].distance = n->distance;
+		ups[used].leaving = !is_routable(nd, n);
+		ups[used].suspected = (uint8_t)is_suspected(n);
+		ups[used].cold = n->cold;
+		ups[used].region = n->region;
+		ups[used++].link_mbps = n->link_mbps;
 	}
-	eb_route_set_upstreams(sv->route, ups, count, now_us);
+	eb_route_set_upstreams(sv->route, ups, used, now_us);
 	free(ups);
 }
 
@@ -503,6 +510,19 @@
 	return 0;
 }
 
+/* Tells whether an upstream of the service is in an evacuated domain. */
+int eb_nodes_has_evacuated(const struct eb_nodes *nd,
+			   const struct eb_service_state *sv)
+{
+	uint32_t i;
+
+	for (i = 0; i < nd->count; i++)
+		if (nd->nodes[i]->present && nd->nodes[i]->evacuated &&
+		    nd->nodes[i]->service == sv->index)
+			return 1;
+	return 0;
+}
+
 /*
  * Closes the sockets to daemons that were removed from the configuration
  * EB_PEER_LINGER_MS ago or earlier, and updates the routers of upstreams whose
