--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -612,6 +612,9 @@
 	free(tf);
 }
 
+_Static_assert(EB_OUTFLOW_GRANT_BYTES >= CURL_MAX_WRITE_SIZE,
+	       "a paused transfer could not go on after one grant");
+
 /* Starts a request; the frame's `object` is the address of the upstream. */
 static void start_transfer(struct eb_client *cl, struct eb_frame *f)
 {
