--- a/src/eb_core.c
+++ b/src/eb_core.c
@@ -1203,7 +1203,10 @@
 			cf->settings->first_start, eb_clock_now_us());
 		if (!co->feed_sync)
 			return eb_error_set(err, EB_ENOMEM, "out of memory");
-		eb_feed_sync_set_link(co->feed_sync, cf->settings->link_mbps);
+		eb_feed_sync_set_link(co->feed_sync,
+				      cf->settings->link_mbps
+					      ? cf->settings->link_mbps
+					      : EB_LINK_DEFAULT_MBPS);
 		eb_feed_sync_set_lapse(co->feed_sync,
 				       cf->settings->entry_lapse_ms);
 	}
--- a/src/eb_outflow.c
+++ b/src/eb_outflow.c
@@ -3,13 +3,19 @@
 #include <assert.h>
 #include <string.h>
 
-/* Sets the bandwidth of the link and the bound of all calls' unread bytes. */
+/* An unknown link is taken for one that is never full. */
+#define UNKNOWN_LINK_MBPS 1000000
+
+/*
+ * Sets the bandwidth of the link, 0 if it is unknown, and the bound of all
+ * calls' unread bytes.
+ */
 void eb_outflow_init(struct eb_outflow *of, uint32_t link_mbps,
 		     int64_t held_max_bytes)
 {
 	memset(of, 0, sizeof(*of));
 	of->bytes_per_ms =
-		(int64_t)(link_mbps ? link_mbps : EB_LINK_DEFAULT_MBPS) *
+		(int64_t)(link_mbps ? link_mbps : UNKNOWN_LINK_MBPS) *
 		EB_LINK_BYTES_PER_MS;
 	of->held_max_bytes = held_max_bytes;
 }
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -393,8 +393,7 @@
 /* Returns how long the link of this VM takes for the expected answer. */
 static int64_t own_link_us(const struct eb_route_query *q)
 {
-	return link_us(q->answer_bytes,
-		       q->link_mbps ? q->link_mbps : EB_LINK_DEFAULT_MBPS);
+	return link_us(q->answer_bytes, q->link_mbps);
 }
 
 /*
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -103,9 +103,9 @@
 	{ "entry-lapse-ms", SETTING_MS, 0, AT(entry_lapse_ms), "4500", "MS",
 	  "how long the source lists an entry that is not renewed (default "
 	  "4500)" },
-	{ "link-mbps", SETTING_MBPS, 0, AT(link_mbps), "12", "MBPS",
-	  "bandwidth of this machine's link, of which large configurations "
-	  "use half (default 12)" },
+	{ "link-mbps", SETTING_MBPS, 0, AT(link_mbps), NULL, "MBPS",
+	  "bandwidth of this machine's link; bounds large answers and "
+	  "configurations on it (default: unknown)" },
 	{ "answers-max-mb", SETTING_MB, 0, AT(answers_max_mb), "0", "MB",
 	  "bound of the bytes of answers held in this daemon (default 0: an "
 	  "eighth of the memory of the machine or control group)" },
