admission: urgency first, with reserved slots and fairness among callers

Cause: With several priorities on one service, long and less urgent requests took every slot of a gate, so that a short urgent request waited or was refused; a full queue refused any arrival whatever its priority; a caller that retried at once got most of the places.

Change: eb_reserve keeps slots free for more urgent kinds, sized by their recent load (eb_urgency) and at most half of the slots. A full queue gives way to a more urgent arrival: the least urgent, youngest waiter is refused as not run. The queue order, the service times by kind and the budget of load reports become modules of their own.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -4,7 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_admit_queue.h"
+#include "eb_caller_share.h"
+#include "eb_kind_times.h"
 #include "eb_rate.h"
+#include "eb_report_budget.h"
+#include "eb_reserve.h"
 
 /*
  * Smoothing weight of the mean service time. It grows with the time since the
@@ -48,46 +53,32 @@
 #define ATTEMPT_LAST (EB_ATTEMPTS_MAX - 1)
 /* Longest wait for a rate limit in a load report, in slots. */
 #define AHEAD_TIMES_MAX 16
-/* Unused budget of load reports is kept for a tenth of a second. */
-#define REPORT_BURST_US 100000
-#define REPORT_GAP_MAX_US 100000000 /* keeps the product in 64 bits */
-
+/*
+ * Share of the slots that more urgent kinds can reserve at most, so that less
+ * urgent ones are still served while those need more than the upstream has.
+ */
+#define RESERVE_MAX_PERMILLE 500
 const struct eb_admit_tuning eb_admit_tuning_default = {
 	.stall_times = STALL_TIMES,
 	.wait_us = WAIT_US,
-};
-
-/* Kinds of requests whose service times are kept. */
-#define KINDS_MAX 32
-/* Smoothing shift of a kind's service time. */
-#define KIND_SHIFT 3
-
-struct kind {
-	uint32_t kind; /* 0: free */
-	int64_t service_us;
-};
-
-struct waiter {
-	struct eb_admit_request rq;
-	int64_t since_us;
+	.reserve_max_permille = RESERVE_MAX_PERMILLE,
+	.urgency = 1,
 };
 
 struct eb_admit {
 	struct eb_admit_config config;
 	struct eb_admit_tuning tune;
-	struct waiter *queue; /* oldest first */
-	uint32_t queued;
-	uint32_t space;
+	struct eb_admit_queue queue;
+	struct eb_caller_share callers;
+	struct eb_reserve reserve;
 	uint32_t in_flight;
 	uint32_t slots_all; /* as configured; config.slots leaves some free */
 	int64_t service_us;
-	struct kind kinds[KINDS_MAX];
-	uint32_t kind_next;    /* index of the entry to reuse next */
-	int64_t busy_us;       /* slot time since the last completion */
-	int64_t busy_at_us;    /* time up to which busy_us counts */
-	int64_t done_us;       /* last completion */
-	int64_t report_tokens; /* millionths of a byte */
-	int64_t report_at_us;
+	struct eb_kind_times kinds;
+	int64_t busy_us;    /* slot time since the last completion */
+	int64_t busy_at_us; /* time up to which busy_us counts */
+	int64_t done_us;    /* last completion */
+	struct eb_report_budget reports;
 	struct eb_rate rate;   /* limit that the upstream has named */
 	uint16_t pace_percent; /* of the VM; 0: unknown */
 	uint8_t draining;
@@ -101,6 +92,7 @@
 	if (!ad)
 		return NULL;
 	ad->tune = eb_admit_tuning_default;
+	eb_reserve_init(&ad->reserve);
 	eb_admit_configure(ad, cf);
 	return ad;
 }
@@ -110,7 +102,8 @@
 {
 	if (!ad)
 		return;
-	free(ad->queue);
+	eb_admit_queue_free(&ad->queue);
+	eb_reserve_free(&ad->reserve);
 	free(ad);
 }
 
@@ -189,127 +182,95 @@
 	act->retry_after_ms = (uint32_t)(wait_us / 1000 + 1);
 }
 
-static void run(struct eb_admit *ad, int64_t now_us,
-		struct eb_admit_action *act)
+static void run(struct eb_admit *ad, const struct eb_admit_request *rq,
+		int64_t now_us, struct eb_admit_action *act)
 {
 	update_busy(ad, now_us);
 	ad->in_flight++;
+	eb_reserve_start(&ad->reserve, rq->id, rq->priority);
 	eb_rate_take(&ad->rate, now_us);
 	act->verdict = EB_ADMIT_RUN;
 }
 
-/* Returns the index of a kind, or KINDS_MAX if it has no entry. */
-static uint32_t find_kind(const struct eb_admit *ad, uint32_t kind)
+/* Returns how long a request is expected to run. */
+static int64_t run_us(const struct eb_admit *ad, uint32_t kind)
+{
+	int64_t us = eb_kind_times_get(&ad->kinds, kind);
+
+	return us ? us : ad->service_us;
+}
+
+/* Updates the expected times of waiting requests. */
+static void update_run_us(struct eb_admit *ad)
 {
 	uint32_t i;
 
-	for (i = 0; kind && i < KINDS_MAX; i++)
-		if (ad->kinds[i].kind == kind)
-			return i;
-	return KINDS_MAX;
+	for (i = 0; i < ad->queue.count; i++)
+		ad->queue.items[i].run_us =
+			run_us(ad, ad->queue.items[i].rq.kind);
 }
 
 /* Updates the service time of a kind; samples of zero or less are ignored. */
 void eb_admit_sample_kind(struct eb_admit *ad, uint32_t kind,
 			  int64_t service_us)
 {
-	uint32_t i = find_kind(ad, kind);
-	struct kind *kn;
-
-	if (!kind || service_us <= 0)
-		return;
-	kn = &ad->kinds[i < KINDS_MAX ? i : ad->kind_next++ % KINDS_MAX];
-	if (i == KINDS_MAX) {
-		kn->kind = kind;
-		kn->service_us = service_us;
-	}
-	kn->service_us += (service_us - kn->service_us) / (1 << KIND_SHIFT);
+	eb_kind_times_sample(&ad->kinds, kind, service_us);
+	update_run_us(ad);
 }
 
-/* How long a request is expected to run. */
-static int64_t run_us(const struct eb_admit *ad,
-		      const struct eb_admit_request *rq)
+/* Returns how many slots more urgent requests can reserve. */
+static uint32_t reserve_max(const struct eb_admit *ad)
 {
-	uint32_t i = find_kind(ad, rq->kind);
-
-	return i < KINDS_MAX ? ad->kinds[i].service_us : ad->service_us;
+	return ad->tune.urgency
+		       ? ad->config.slots * ad->tune.reserve_max_permille / 1000
+		       : 0;
 }
 
-/* Whether a slot is free for a request; short kinds may use all slots. */
+/*
+ * Whether a slot is free for a request. Less urgent ones leave the reserved
+ * slots free; short kinds may use all others.
+ */
 static int has_slot(const struct eb_admit *ad,
-		    const struct eb_admit_request *rq)
+		    const struct eb_admit_request *rq, int64_t now_us)
 {
-	uint32_t i = find_kind(ad, rq->kind);
+	int64_t kind_us = eb_kind_times_get(&ad->kinds, rq->kind);
+	uint32_t used =
+		ad->in_flight + eb_reserve_unused(&ad->reserve, rq->priority,
+						  reserve_max(ad), now_us);
 
-	if (ad->in_flight < ad->config.slots)
+	if (used < ad->config.slots)
 		return 1;
-	return i < KINDS_MAX && ad->in_flight < ad->slots_all &&
-	       ad->kinds[i].service_us * SHORT_TIMES <= ad->service_us;
-}
-
-/* Whether the answer would be too late even if the request ran now. */
-static int is_late(const struct eb_admit *ad, const struct eb_admit_request *rq,
-		   int64_t now_us)
-{
-	return rq->goal_us && now_us + run_us(ad, rq) > rq->goal_us;
+	return kind_us && used < ad->slots_all &&
+	       kind_us * SHORT_TIMES <= ad->service_us;
 }
 
 /*
- * Whether request a runs before b whatever their order of arrival: one that can
- * be on time before a late one, then the more urgent one. Equal requests run in
- * order of arrival.
+ * Whether a request that cannot wait may use a slot that is normally left free:
+ * it would otherwise be refused although a less urgent request runs. Some work
+ * is slowed down then, which costs less than the refusal.
  */
-static int goes_before(const struct eb_admit *ad,
-		       const struct eb_admit_request *a,
-		       const struct eb_admit_request *b, int64_t now_us)
-{
-	int late_a = is_late(ad, a, now_us), late_b = is_late(ad, b, now_us);
-
-	if (late_a != late_b)
-		return late_b;
-	return a->priority < b->priority;
-}
-
-/* Number of waiting requests that would run before a new one. */
-static uint32_t count_ahead(const struct eb_admit *ad,
-			    const struct eb_admit_request *rq, int64_t now_us)
+static int may_overrun(const struct eb_admit *ad,
+		       const struct eb_admit_request *rq)
 {
-	uint32_t i, n = 0;
-
-	for (i = 0; i < ad->queued; i++)
-		n += !goes_before(ad, rq, &ad->queue[i].rq, now_us);
-	return n;
+	return ad->tune.urgency && ad->in_flight < ad->slots_all &&
+	       eb_reserve_runs_less_urgent(&ad->reserve, rq->priority);
 }
 
-/* Expected wait of a request with `ahead` requests before it. */
-static int64_t expected_wait_us(const struct eb_admit *ad, uint32_t ahead,
-				int64_t now_us)
+/*
+ * Expected wait of a request of this priority with `ahead` requests before it.
+ */
+static int64_t expected_wait_us(const struct eb_admit *ad, uint8_t priority,
+				uint32_t ahead, int64_t now_us)
 {
 	uint32_t slots = ad->config.slots;
-	int64_t slot_us = ad->service_us * (ahead + 1) / (slots ? slots : 1);
-	int64_t rate_us = eb_rate_wait_us(&ad->rate, ahead, now_us);
+	int64_t rate_us = eb_rate_wait_us(&ad->rate, ahead, now_us), slot_us;
 
+	slots -= eb_reserve_slots(&ad->reserve, priority, reserve_max(ad),
+				  now_us);
+	slot_us = ad->service_us * (ahead + 1) / (slots ? slots : 1);
 	return slot_us > rate_us ? slot_us : rate_us;
 }
 
-static int append(struct eb_admit *ad, const struct eb_admit_request *rq,
-		  int64_t now_us)
-{
-	uint32_t space = ad->space ? ad->space * 2 : 16;
-	struct waiter *q;
-
-	if (ad->queued == ad->space) {
-		q = realloc(ad->queue, space * sizeof(*q));
-		if (!q)
-			return -1;
-		ad->queue = q;
-		ad->space = space;
-	}
-	ad->queue[ad->queued].rq = *rq;
-	ad->queue[ad->queued++].since_us = now_us;
-	return 0;
-}
-
 /*
  * Whether a request may wait. The expected wait is bounded, because another
  * upstream might run the request at once; not so for a last attempt, and for
@@ -317,16 +278,16 @@
  * A request that would miss its goal or its deadline is refused now, so that
  * its caller can retry.
  */
-static int may_wait(const struct eb_admit *ad,
-		    const struct eb_admit_request *rq, int64_t now_us)
+static int may_wait(const struct eb_admit *ad, const struct eb_admit_waiter *w,
+		    int64_t now_us)
 {
-	uint32_t ahead = count_ahead(ad, rq, now_us);
-	int64_t wait_us = expected_wait_us(ad, ahead, now_us);
+	const struct eb_admit_request *rq = &w->rq;
+	uint32_t ahead = eb_admit_queue_ahead(&ad->queue, w, now_us);
+	int64_t wait_us = expected_wait_us(ad, rq->priority, ahead, now_us);
 
-	if (ad->queued >= ad->config.queue ||
-	    now_us + wait_us > rq->deadline_us)
+	if (now_us + wait_us > rq->deadline_us)
 		return 0;
-	if (rq->goal_us && now_us + wait_us + run_us(ad, rq) > rq->goal_us)
+	if (rq->goal_us && now_us + wait_us + w->run_us > rq->goal_us)
 		return 0;
 	if (!ahead && !eb_admit_limit_wait_us(ad, now_us))
 		return 1;
@@ -334,6 +295,26 @@
 	       wait_us <= ad->tune.wait_us << 2 * rq->attempt;
 }
 
+/*
+ * Queues a request. In a full queue a less urgent one gives way, which
+ * eb_admit_next() then refuses. Returns -1 if there is no room.
+ */
+static int enqueue(struct eb_admit *ad, const struct eb_admit_waiter *w)
+{
+	uint32_t i = ad->queue.count;
+	int full = i - ad->queue.evicted >= ad->config.queue;
+
+	if (full && ad->tune.urgency)
+		i = eb_admit_queue_victim(&ad->queue, w);
+	if (full && i == ad->queue.count)
+		return -1;
+	if (eb_admit_queue_append(&ad->queue, w))
+		return -1;
+	if (full)
+		eb_admit_queue_evict(&ad->queue, i);
+	return 0;
+}
+
 /*
  * Whether the VM is slow compared to those of the service's upstreams. When all
  * of them are slow, as after a restart of all, no other one would be faster.
@@ -347,16 +328,60 @@
 	return ad->pace_percent >= PACE_SLOW_TIMES * baseline;
 }
 
+/* Refuses a request for load or for the upstream's rate limit. */
+static void refuse_for_load(struct eb_admit *ad,
+			    const struct eb_admit_request *rq, int limited,
+			    int64_t now_us, struct eb_admit_action *act)
+{
+	int64_t wait_us =
+		expected_wait_us(ad, rq->priority, ad->queue.count, now_us);
+
+	act->rate_limited = (uint8_t)limited;
+	refuse(act, limited ? EB_REASON_HANDED_BACK : EB_REASON_QUEUE_FULL,
+	       wait_us);
+	eb_caller_share_refused(&ad->callers, rq->caller, rq->priority, now_us);
+}
+
+/* Counts an arrival, and fills in what is known of it. */
+static void count_arrival(struct eb_admit *ad,
+			  const struct eb_admit_request *rq, int64_t now_us,
+			  struct eb_admit_waiter *w)
+{
+	w->rq = *rq;
+	w->since_us = now_us;
+	w->run_us = run_us(ad, rq->kind);
+	if (!ad->tune.urgency)
+		return;
+	eb_urgency_record(&ad->reserve.recent, rq->priority, w->run_us, now_us);
+	eb_caller_share_offered(&ad->callers, rq->caller, rq->priority, now_us);
+	w->excessive = (uint8_t)eb_caller_share_excessive(
+		&ad->callers, rq->caller, rq->priority, now_us);
+}
+
+/*
+ * Whether a new request runs before those that wait: none is as urgent, or
+ * they do not fit into the slots that it may use.
+ */
+static int runs_first(const struct eb_admit *ad,
+		      const struct eb_admit_request *rq)
+{
+	return ad->in_flight >= ad->config.slots ||
+	       eb_admit_queue_only_less_urgent(&ad->queue, rq->priority);
+}
+
 /* Decides on a request that has just arrived. */
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act)
 {
 	uint32_t slots = ad->config.slots;
-	int64_t wait_us = expected_wait_us(ad, ad->queued, now_us);
+	int64_t wait_us =
+		expected_wait_us(ad, rq->priority, ad->queue.count, now_us);
 	int limited = eb_admit_limit_wait_us(ad, now_us) > 0;
+	struct eb_admit_waiter w = { 0 };
 
 	memset(act, 0, sizeof(*act));
 	act->id = rq->id;
+	count_arrival(ad, rq, now_us, &w);
 	if (ad->draining) {
 		refuse(act, EB_REASON_DRAINING, 0);
 	} else if (rq->deadline_us <= now_us) {
@@ -366,16 +391,14 @@
 	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
 		   stalled(ad, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (has_slot(ad, rq) && !limited &&
-		   (!ad->queued || ad->in_flight >= slots)) {
-		run(ad, now_us, act);
-	} else if (!may_wait(ad, rq, now_us) || append(ad, rq, now_us)) {
-		act->rate_limited = (uint8_t)limited;
-		refuse(act,
-		       limited ? EB_REASON_HANDED_BACK : EB_REASON_QUEUE_FULL,
-		       wait_us);
-	} else {
+	} else if (has_slot(ad, rq, now_us) && !limited && runs_first(ad, rq)) {
+		run(ad, rq, now_us, act);
+	} else if (may_wait(ad, &w, now_us) && !enqueue(ad, &w)) {
 		act->verdict = EB_ADMIT_WAIT;
+	} else if (!limited && may_overrun(ad, rq)) {
+		run(ad, rq, now_us, act);
+	} else {
+		refuse_for_load(ad, rq, limited, now_us, act);
 	}
 }
 
@@ -400,10 +423,10 @@
 	int64_t max_us = ad->service_us * SAMPLE_MAX_TIMES;
 	int64_t weight = weight_permille(now_us - ad->done_us);
 
-	(void)id;
 	assert(ad->in_flight);
 	update_busy(ad, now_us);
 	ad->in_flight--;
+	eb_reserve_end(&ad->reserve, id);
 	if (service_us < 0)
 		return;
 	ad->busy_us = 0;
@@ -415,61 +438,53 @@
 	if (max_us && service_us > max_us)
 		service_us = max_us;
 	ad->service_us += (service_us - ad->service_us) * weight / 1000;
-}
-
-static void remove_waiter(struct eb_admit *ad, uint32_t i)
-{
-	ad->queued--;
-	memmove(&ad->queue[i], &ad->queue[i + 1],
-		(ad->queued - i) * sizeof(*ad->queue));
+	update_run_us(ad);
 }
 
 /* Removes a cancelled request; returns 1 if it was waiting, else 0. */
 int eb_admit_cancel(struct eb_admit *ad, uint64_t id)
 {
-	uint32_t i;
+	uint32_t i = eb_admit_queue_find(&ad->queue, id);
 
-	for (i = 0; i < ad->queued; i++) {
-		if (ad->queue[i].rq.id != id)
-			continue;
-		remove_waiter(ad, i);
-		return 1;
-	}
-	return 0;
+	if (i == ad->queue.count)
+		return 0;
+	eb_admit_queue_remove(&ad->queue, i);
+	return 1;
 }
 
-/* Returns the index of the request that runs next, or `queued` for none. */
+/* Returns the index of the request that runs next, or `count` for none. */
 static uint32_t first_to_run(const struct eb_admit *ad, int64_t now_us)
 {
-	uint32_t i, best = ad->queued;
+	const struct eb_admit_waiter *q = ad->queue.items;
+	uint32_t i, n = ad->queue.count, best = n;
 
 	if (eb_admit_limit_wait_us(ad, now_us))
 		return best;
-	for (i = 0; i < ad->queued; i++) {
-		if (!has_slot(ad, &ad->queue[i].rq))
+	for (i = 0; i < n; i++) {
+		if (q[i].evicted || !has_slot(ad, &q[i].rq, now_us))
 			continue;
-		if (best == ad->queued ||
-		    goes_before(ad, &ad->queue[i].rq, &ad->queue[best].rq,
-				now_us))
+		if (best == n || eb_admit_goes_before(&q[i], &q[best], now_us))
 			best = i;
 	}
 	return best;
 }
 
 /*
- * Refuses a waiting request that has expired, is handed back, or is late while
- * others wait. Returns 0 when it may stay.
+ * Refuses a waiting request that has given way to another one, has expired, is
+ * handed back, or is late while others wait. Returns 0 when it may stay.
  */
-static int refuse_waiter(const struct eb_admit *ad, const struct waiter *w,
+static int refuse_waiter(struct eb_admit *ad, const struct eb_admit_waiter *w,
 			 int hand_back, int64_t now_us,
 			 struct eb_admit_action *act)
 {
-	int64_t wait_us = expected_wait_us(ad, ad->queued, now_us);
+	int64_t wait_us =
+		expected_wait_us(ad, w->rq.priority, ad->queue.count, now_us);
 
 	if (w->rq.deadline_us <= now_us)
 		refuse(act, EB_REASON_DEADLINE, 0);
-	else if (is_late(ad, &w->rq, now_us) && ad->queued > 1)
-		refuse(act, EB_REASON_QUEUE_FULL, wait_us);
+	else if (w->evicted ||
+		 (eb_admit_is_late(w, now_us) && ad->queue.count > 1))
+		refuse_for_load(ad, &w->rq, 0, now_us, act);
 	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	else
@@ -486,25 +501,25 @@
 {
 	int hand_back =
 		stalled(ad, now_us) && ad->in_flight >= ad->config.slots;
-	uint32_t i = first_to_run(ad, now_us), n = ad->queued;
+	uint32_t i = first_to_run(ad, now_us), n = ad->queue.count;
+	const struct eb_admit_waiter *q = ad->queue.items;
 
 	memset(act, 0, sizeof(*act));
 	if (i < n) {
-		if (ad->queue[i].rq.deadline_us <= now_us)
+		if (q[i].rq.deadline_us <= now_us)
 			refuse(act, EB_REASON_DEADLINE, 0);
 		else
-			run(ad, now_us, act);
+			run(ad, &q[i].rq, now_us, act);
 	} else {
 		for (i = 0; i < n; i++)
-			if (refuse_waiter(ad, &ad->queue[i], hand_back, now_us,
-					  act))
+			if (refuse_waiter(ad, &q[i], hand_back, now_us, act))
 				break;
 		if (i == n)
 			return 0;
 	}
-	act->id = ad->queue[i].rq.id;
-	act->waited_us = now_us - ad->queue[i].since_us;
-	remove_waiter(ad, i);
+	act->id = q[i].rq.id;
+	act->waited_us = now_us - q[i].since_us;
+	eb_admit_queue_remove(&ad->queue, i);
 	return 1;
 }
 
@@ -524,20 +539,22 @@
 int64_t eb_admit_wake_us(const struct eb_admit *ad)
 {
 	int64_t wake_us = INT64_MAX, left_us, stall_us, late_us;
+	const struct eb_admit_waiter *w;
+	uint32_t i, n = ad->queue.count;
 	int early = 0;
-	uint32_t i;
 
-	for (i = 0; i < ad->queued; i++) {
-		if (ad->queue[i].rq.deadline_us < wake_us)
-			wake_us = ad->queue[i].rq.deadline_us;
-		late_us = ad->queue[i].rq.goal_us -
-			  run_us(ad, &ad->queue[i].rq) + 1;
-		if (ad->queue[i].rq.goal_us && ad->queued > 1 &&
-		    late_us < wake_us)
+	if (ad->queue.evicted)
+		return 0;
+	for (i = 0; i < n; i++) {
+		w = &ad->queue.items[i];
+		if (w->rq.deadline_us < wake_us)
+			wake_us = w->rq.deadline_us;
+		late_us = w->rq.goal_us - w->run_us + 1;
+		if (w->rq.goal_us && n > 1 && late_us < wake_us)
 			wake_us = late_us;
-		early |= ad->queue[i].rq.attempt < ATTEMPT_LAST;
+		early |= w->rq.attempt < ATTEMPT_LAST;
 	}
-	if (ad->queued && ad->rate.per_s_milli &&
+	if (ad->queue.count && ad->rate.per_s_milli &&
 	    ad->in_flight < ad->config.slots && rate_wake_us(ad) < wake_us)
 		wake_us = rate_wake_us(ad);
 	if (!early || !ad->in_flight || !ad->service_us ||
@@ -556,22 +573,22 @@
  */
 static uint32_t requests_ahead(const struct eb_admit *ad, int64_t now_us)
 {
-	int64_t rate_us = eb_rate_wait_us(&ad->rate, ad->queued, now_us);
+	int64_t rate_us = eb_rate_wait_us(&ad->rate, ad->queue.count, now_us);
 	int64_t ahead, slots = ad->config.slots;
 
 	if (!rate_us || !ad->service_us)
-		return ad->queued;
+		return ad->queue.count;
 	ahead = slots * rate_us / ad->service_us + slots - ad->in_flight;
 	if (ahead > AHEAD_TIMES_MAX * slots)
 		ahead = AHEAD_TIMES_MAX * slots;
-	return ahead > ad->queued ? (uint32_t)ahead : ad->queued;
+	return ahead > ad->queue.count ? (uint32_t)ahead : ad->queue.count;
 }
 
 /* Fills in a load report regardless of the budget. */
 void eb_admit_load(const struct eb_admit *ad, struct eb_load *ld)
 {
 	ld->in_flight = (uint16_t)ad->in_flight;
-	ld->queued = (uint16_t)ad->queued;
+	ld->queued = (uint16_t)ad->queue.count;
 	ld->slots = (uint16_t)ad->config.slots;
 	ld->draining = ad->draining;
 	ld->service_us = (uint32_t)ad->service_us;
@@ -585,23 +602,10 @@
  */
 void eb_admit_report(struct eb_admit *ad, int64_t now_us, struct eb_load *ld)
 {
-	/* With the burst, each window of two seconds stays within budget. */
-	int64_t rate = ad->config.watch_bytes_per_s * 95LL / 100;
-	int64_t cost = EB_ADMIT_REPORT_BYTES * 1000000LL;
-	int64_t max = rate * REPORT_BURST_US + cost;
-	int64_t gap_us = now_us - ad->report_at_us;
-
 	memset(ld, 0, sizeof(*ld));
-	if (gap_us > REPORT_GAP_MAX_US)
-		gap_us = REPORT_GAP_MAX_US;
-	/* In millionths of a byte, so that a slow rate is not rounded away. */
-	ad->report_tokens += gap_us * rate;
-	if (ad->report_tokens > max)
-		ad->report_tokens = max;
-	ad->report_at_us = now_us;
-	if (ad->report_tokens < cost)
+	if (!eb_report_budget_take(&ad->reports, EB_ADMIT_REPORT_BYTES,
+				   ad->config.watch_bytes_per_s, now_us))
 		return;
-	ad->report_tokens -= cost;
 	eb_admit_load(ad, ld);
 	ld->queued = (uint16_t)requests_ahead(ad, now_us);
 }
--- a/src/eb_admit.h
+++ b/src/eb_admit.h
@@ -23,6 +23,9 @@
 	/* In mean service times of busy slots; 0: no stall is detected. */
 	int64_t stall_times;
 	int64_t wait_us; /* longest expected wait of a first attempt */
+	/* Most slots that more urgent kinds reserve, of all that are used. */
+	uint32_t reserve_max_permille;
+	uint8_t urgency; /* 0: no reserve, no eviction, equal callers */
 };
 
 extern const struct eb_admit_tuning eb_admit_tuning_default;
