origin: urgent requests compare all local upstreams and keep re-routes

Cause: A request with a short objective was sent to the best of a few random upstreams and had no time for a detour after a refusal; less urgent requests could use up the re-routes of its service. Refused callers were all told the same time to return.

Change: An origin counts the recent requests of a service by priority (eb_urgency). Those ranked first, of which there are at most half, compare all local upstreams; those ranked last leave five re-routes to others and queue earlier. eb_backoff spreads Retry-After by up to half of the expected wait and at most 500 ms. With a single priority the rank is plain and picks and budgets are as before.

Result: build/tests/test_eb_urgency (8 tests), test_eb_retry (7), test_eb_route (19), test_eb_origin (3), test_eb_gate (5) pass.

--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -14,6 +14,11 @@
 #define NO_REGION (UINT64_C(1) << (EB_REGIONS_MAX - 1))
 /* With fewer suspected peers, each of them may have failed on its own. */
 #define CUT_OFF_PEERS_MIN 3
+/*
+ * Window of the requests by urgency: an origin of 60 sees one or two requests
+ * of a kind per second.
+ */
+#define URGENCY_WINDOW_US 10000000
 
 struct eb_nodes {
 	const struct eb_settings *settings;
@@ -354,6 +359,7 @@
 	sv->limit = eb_limit_new(&limit);
 	rule = eb_nodes_rule(nd, sv);
 	eb_retry_init(&sv->retry, rule->retry_permille);
+	eb_urgency_init(&sv->urgency, URGENCY_WINDOW_US);
 	eb_retry_limit(&sv->retry, rule->retry_permille, rule->retry_burst);
 	dial_service(nd, sv, now_us);
 	update_route(nd, sv, now_us);
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -7,6 +7,7 @@
 #include "eb_limit.h"
 #include "eb_mesh.h"
 #include "eb_retry.h"
+#include "eb_urgency.h"
 #include "eb_route.h"
 #include "eb_settings.h"
 #include "eb_tunables.h"
@@ -50,9 +51,10 @@
 	char *name;
 	struct eb_route *route;
 	struct eb_retry retry;
-	struct eb_limit *limit; /* of each caller */
-	uint32_t index;		/* in the configuration in force, or EB_NONE */
-	int64_t dialled_us;	/* 0: not in use yet */
+	struct eb_urgency urgency; /* of the requests from here */
+	struct eb_limit *limit;	   /* of each caller */
+	uint32_t index;	    /* in the configuration in force, or EB_NONE */
+	int64_t dialled_us; /* 0: not in use yet */
 };
 
 struct eb_nodes *eb_nodes_new(const struct eb_settings *se, struct eb_mesh *ms,
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -8,10 +8,12 @@
 #include <string.h>
 #include <strings.h>
 
+#include "eb_backoff.h"
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_overdue.h"
+#include "eb_rand.h"
 #include "eb_call_stats.h"
 #include "eb_test_off.h"
 #include "eb_tunables.h"
@@ -505,6 +507,13 @@
 	return f;
 }
 
+/* Returns the urgency of a call among the recent ones to its service. */
+static enum eb_urgency_rank rank_of(const struct call *ca, int64_t now_us)
+{
+	return eb_urgency_rank_of(&ca->service->urgency,
+				  ca->head->head->priority, now_us);
+}
+
 /* Sets the fields of HEAD that differ by attempt; NULL without memory. */
 static struct eb_frame *prepare_head(struct eb_origin *og, struct call *ca,
 				     uint32_t node, int64_t now_us)
@@ -518,8 +527,8 @@
 	f->head->upstream = strdup(n->name);
 	free(f->head->instance);
 	f->head->instance = n->instance[0] ? strdup(n->instance) : NULL;
-	f->head->attempt =
-		eb_retry_next_attempt(&ca->service->retry, ca->attempts);
+	f->head->attempt = eb_retry_next_attempt_of(
+		&ca->service->retry, ca->attempts, rank_of(ca, now_us));
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
@@ -590,6 +599,7 @@
  */
 static void route(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
+	enum eb_urgency_rank rank = rank_of(ca, now_us);
 	struct eb_route_query q = { 0 };
 	uint32_t node;
 
@@ -602,8 +612,9 @@
 	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
-	q.last = eb_retry_next_attempt(&ca->service->retry, ca->attempts) >=
-		 EB_ATTEMPTS_MAX - 1;
+	q.urgent = rank == EB_URGENCY_FIRST;
+	q.last = eb_retry_next_attempt_of(&ca->service->retry, ca->attempts,
+					  rank) >= EB_ATTEMPTS_MAX - 1;
 	while (ca->tried_count < EB_TRIED_MAX) {
 		q.tried_count = ca->tried_count;
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
@@ -708,8 +719,10 @@
 	out->reply->retry_after_ms = ca->retry_after_ms;
 	if (ca->reason == EB_REASON_QUEUE_FULL ||
 	    ca->reason == EB_REASON_HANDED_BACK)
-		out->reply->retry_after_ms +=
-			eb_route_extra_backoff_ms(ca->service->route);
+		out->reply->retry_after_ms = eb_backoff_ms(
+			ca->retry_after_ms,
+			eb_route_extra_backoff_ms(ca->service->route),
+			eb_rand_below(&og->rand, 1001));
 	/* Clients retry on 503, which is safe only if nothing ran. */
 	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
 		out->reply->status = 502;
@@ -770,6 +783,7 @@
 	at.attempts = ca->attempts;
 	at.mark = ca->mark;
 	at.remaining_us = ca->deadline_us - now_us;
+	at.rank = rank_of(ca, now_us);
 	if (ca->runs < ca->runs_max && !may_crash_upstreams(ca) &&
 	    eb_retry_allow(&ca->service->retry, &at)) {
 		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
@@ -1196,6 +1210,8 @@
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
 	eb_retry_request(&sv->retry);
+	eb_urgency_record(&sv->urgency, ca->head->head->priority,
+			  EB_URGENCY_REQUEST, now_us);
 	if (needs_claim(og, ca))
 		start_claim(og, ca, now_us);
 	else
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -13,6 +13,11 @@
 #define REROUTE_PERMILLE 1000
 #define REROUTE_TOKENS_MAX 20000
 #define REROUTE_TOKENS_LOW 5000 /* below this, attempts count as the last */
+/*
+ * Re-routes that the least urgent requests leave to more urgent ones, whose
+ * objectives are too short to wait in the queue of the first gate.
+ */
+#define REROUTE_TOKENS_URGENT 5000
 
 /* Starts with a full budget; `retry_permille` retries for 1000 successes. */
 void eb_retry_init(struct eb_retry *rb, uint32_t retry_permille)
@@ -63,7 +68,27 @@
  */
 uint8_t eb_retry_next_attempt(const struct eb_retry *rb, uint8_t attempts)
 {
-	if (rb->reroute_tokens < REROUTE_TOKENS_LOW)
+	return eb_retry_next_attempt_of(rb, attempts, EB_URGENCY_PLAIN);
+}
+
+/* Returns the re-route tokens that a request leaves to more urgent ones. */
+static int64_t tokens_kept(uint8_t rank)
+{
+	return rank == EB_URGENCY_LAST ? REROUTE_TOKENS_URGENT : 0;
+}
+
+/*
+ * As eb_retry_next_attempt(), for a request of this rank. One that is ranked
+ * first uses up the re-routes, as it has no time to wait in a queue.
+ */
+uint8_t eb_retry_next_attempt_of(const struct eb_retry *rb, uint8_t attempts,
+				 enum eb_urgency_rank rank)
+{
+	int64_t low = rank == EB_URGENCY_FIRST
+			      ? TOKENS_PER_RETRY
+			      : REROUTE_TOKENS_LOW + tokens_kept(rank);
+
+	if (rb->reroute_tokens < low)
 		return EB_ATTEMPTS_MAX - 1;
 	return attempts;
 }
@@ -80,9 +105,10 @@
 	return rb->reroute_tokens / TOKENS_PER_RETRY;
 }
 
-static int take_token(int64_t *tokens)
+/* Takes a token unless only `kept` or fewer would be left. */
+static int take_token(int64_t *tokens, int64_t kept)
 {
-	if (*tokens < TOKENS_PER_RETRY)
+	if (*tokens < TOKENS_PER_RETRY + kept)
 		return 0;
 	*tokens -= TOKENS_PER_RETRY;
 	return 1;
@@ -113,12 +139,12 @@
 	    !eb_test_off("retry-rule"))
 		return 0;
 	if (!is_refusal(at))
-		return take_token(&rb->tokens);
+		return take_token(&rb->tokens, 0);
 	/*
 	 * Past the budget, a refused request is sent once more as a last
 	 * attempt, so that it may wait in a queue. Without this, a burst on a
 	 * service with one upstream was refused while the queue had room.
 	 */
-	return take_token(&rb->reroute_tokens) ||
+	return take_token(&rb->reroute_tokens, tokens_kept(at->rank)) ||
 	       at->mark < EB_ATTEMPTS_MAX - 1;
 }
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -3,6 +3,8 @@
 
 #include <stdint.h>
 
+#include "eb_urgency.h"
+
 /*
  * Retry budget of a daemon for one service, as two token buckets. A retry
  * follows a failed attempt; successes refill its bucket, so a service that is
@@ -24,6 +26,7 @@
 	uint8_t attempts;  /* made so far */
 	uint8_t mark;	   /* eb_retry_next_attempt() of the last one */
 	uint8_t body_sent; /* a body that cannot be sent again has begun */
+	uint8_t rank;	   /* enum eb_urgency_rank of the request */
 	int64_t remaining_us;
 };
 
@@ -33,6 +36,8 @@
 void eb_retry_limit(struct eb_retry *rb, uint32_t retry_permille,
 		    uint32_t burst);
 uint8_t eb_retry_next_attempt(const struct eb_retry *rb, uint8_t attempts);
+uint8_t eb_retry_next_attempt_of(const struct eb_retry *rb, uint8_t attempts,
+				 enum eb_urgency_rank rank);
 int64_t eb_retry_left(const struct eb_retry *rb);
 int64_t eb_retry_reroutes_left(const struct eb_retry *rb);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -452,8 +452,10 @@
  * below its rate limit, or for a retry while the local region refuses much of
  * its load. A large body (`keep_in_region`) is sent to another region only when
  * its last attempt failed for another reason than load or no local upstream is
- * usable, as traffic between regions is billed. Returns EB_ENOTFOUND when no
- * upstream can be used.
+ * usable, as traffic between regions is billed. An urgent request compares all
+ * local upstreams, as it has no time to be refused first; only the lesser part
+ * of a service's requests is urgent, so that they do not all meet at one
+ * upstream. Returns EB_ENOTFOUND when no upstream can be used.
  */
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
@@ -465,24 +467,25 @@
 					  .regions = q->regions };
 	struct best best = { NULL, 0 };
 	int64_t enough = mean_us(rt) * 2 + distance_us[EB_DISTANCE_REGION];
+	uint32_t choices = q->urgent ? rt->count : rt->tune.choices;
 	int full;
 
 	if (!rt->count)
 		return EB_ENOTFOUND;
-	sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_REGION],
-	       rt->tune.choices, q, now_us, &best);
-	sample(rt, first[EB_DISTANCE_REGION], first[EB_DISTANCE_FAR],
-	       rt->tune.choices, q, now_us, &best);
-	if (!best.up || best.score_us > enough)
+	sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_REGION], choices,
+	       q, now_us, &best);
+	sample(rt, first[EB_DISTANCE_REGION], first[EB_DISTANCE_FAR], choices,
+	       q, now_us, &best);
+	if (!q->urgent && (!best.up || best.score_us > enough))
 		sample(rt, first[EB_DISTANCE_SELF], first[EB_DISTANCE_FAR],
 		       2 * rt->tune.choices, q, now_us, &best);
-	full = q->tried_count &&
+	full = (q->tried_count || q->urgent) &&
 	       rt->refusal_permille > rt->tune.full_permille &&
 	       rt->far_in_flight < rt->far_window &&
 	       now_us >= rt->far_hold_until_us;
 	if (!best.up || full)
-		sample(rt, first[EB_DISTANCE_FAR], first[TIERS],
-		       rt->tune.choices, q, now_us, &best);
+		sample(rt, first[EB_DISTANCE_FAR], first[TIERS], choices, q,
+		       now_us, &best);
 	/*
 	 * The last attempt may wait in a queue, also at an upstream that has
 	 * refused the request. An earlier attempt would be refused again.
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -64,6 +64,7 @@
 	uint8_t suspects;	/* suspected upstreams may be picked */
 	uint8_t held;		/* upstreams at their rate limit, too */
 	uint8_t keep_in_region; /* large body: see eb_route_pick() */
+	uint8_t urgent;		/* most others are less urgent */
 	uint64_t regions;	/* in which it may run; 0: in any */
 	const uint32_t *tried;	/* upstreams that it was sent to before */
 	uint32_t tried_count;
--- a/src/eb_urgency.h
+++ b/src/eb_urgency.h
@@ -11,6 +11,8 @@
 
 /* Priorities from the last level on count as that level. */
 #define EB_URGENCY_LEVELS 8
+/* Work of a request where requests are counted rather than their time. */
+#define EB_URGENCY_REQUEST 1000
 
 struct eb_urgency_level {
 	int64_t work_us; /* of recent requests, decaying */
--- a/tests/test_eb_urgency.cc
+++ b/tests/test_eb_urgency.cc
@@ -6,6 +6,9 @@
 
 extern "C" {
 #include "eb_admit.h"
+#include "eb_backoff.h"
+#include "eb_retry.h"
+#include "eb_route.h"
 #include "eb_urgency.h"
 }
 
@@ -297,4 +300,106 @@
 	}
 }
 
+/*
+ * Guards against an urgent request that finds no re-route left because less
+ * urgent ones have used them all, and against a changed budget without them.
+ */
+TEST(Urgency, LessUrgentRequestsLeaveReroutes)
+{
+	const struct {
+		const char *name;
+		eb_urgency_rank rank;
+		int64_t left; /* re-routes */
+		uint8_t mark; /* of the next attempt, then */
+	} cases[] = {
+		{ "plain", EB_URGENCY_PLAIN, 0, EB_ATTEMPTS_MAX - 1 },
+		{ "last", EB_URGENCY_LAST, 5, EB_ATTEMPTS_MAX - 1 },
+		{ "first", EB_URGENCY_FIRST, 0, EB_ATTEMPTS_MAX - 1 },
+	};
+
+	for (const auto &c : cases) {
+		eb_retry_attempt at = {};
+		eb_retry rb;
+
+		eb_retry_init(&rb, 100);
+		at.outcome = EB_OUTCOME_NOT_RUN;
+		at.reason = EB_REASON_QUEUE_FULL;
+		at.attempts = 1;
+		at.mark = EB_ATTEMPTS_MAX - 1;
+		at.remaining_us = 1000;
+		at.rank = (uint8_t)c.rank;
+		while (eb_retry_allow(&rb, &at))
+			;
+		EXPECT_EQ(c.left, eb_retry_reroutes_left(&rb)) << c.name;
+		EXPECT_EQ(c.mark, eb_retry_next_attempt_of(&rb, 1, c.rank))
+			<< c.name;
+		at.rank = EB_URGENCY_FIRST;
+		EXPECT_EQ(c.left > 0 ? 1 : EB_ATTEMPTS_MAX - 1,
+			  eb_retry_next_attempt_of(&rb, 1, EB_URGENCY_FIRST))
+			<< c.name;
+		EXPECT_EQ(c.left > 0, eb_retry_allow(&rb, &at)) << c.name;
+	}
+}
+
+/*
+ * Guards against an urgent request that is sent to a busy upstream although one
+ * of many is free.
+ */
+TEST(Urgency, AnUrgentRequestGoesToTheFreeUpstream)
+{
+	const uint32_t N = 13, FREE = 7;
+	eb_route_upstream ups[N] = {};
+	eb_route *rt = eb_route_new(1);
+	eb_route_query q = {};
+	uint32_t id, found[2] = {};
+
+	for (uint32_t u = 0; u < N; u++) {
+		ups[u].id = u;
+		ups[u].slots = 6;
+		ups[u].distance = EB_DISTANCE_REGION;
+	}
+	ASSERT_EQ(EB_OK, eb_route_set_upstreams(rt, ups, N, 0));
+	for (uint32_t u = 0; u < N; u++) {
+		eb_load ld = {};
+
+		ld.slots = 6;
+		ld.in_flight = u == FREE ? 1 : 6;
+		ld.queued = u == FREE ? 0 : 3;
+		ld.service_us = 30000;
+		eb_route_load(rt, u, &ld, 1000);
+	}
+	q.remaining_us = 100000;
+	for (int i = 0; i < 200; i++) {
+		q.urgent = i & 1;
+		ASSERT_EQ(EB_OK, eb_route_pick(rt, &q, 2000, &id));
+		found[q.urgent] += id == FREE;
+	}
+	EXPECT_EQ(100u, found[1]);
+	EXPECT_LT(found[0], 100u);
+	eb_route_free(rt);
+}
+
+/* Guards against refused callers that all return at the same moment. */
+TEST(Urgency, RefusedCallersReturnSpreadOut)
+{
+	const struct {
+		uint32_t wait_ms, extra_ms, least_ms, most_ms;
+	} cases[] = {
+		{ 0, 0, 0, 0 },
+		{ 1, 0, 1, 1 },
+		{ 100, 0, 100, 150 },
+		{ 2000, 0, 2000, 2500 },
+		{ 100, 400, 400, 650 },
+		{ 0, 900, 675, 1125 },
+		{ UINT32_MAX, 900, UINT32_MAX / 4, UINT32_MAX / 4 },
+	};
+
+	for (const auto &c : cases) {
+		EXPECT_EQ(c.least_ms, eb_backoff_ms(c.wait_ms, c.extra_ms, 0))
+			<< c.wait_ms;
+		EXPECT_EQ(c.most_ms, eb_backoff_ms(c.wait_ms, c.extra_ms, 1000))
+			<< c.wait_ms;
+	}
+}
+
 } // namespace
