--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -65,6 +65,7 @@
 	uint8_t suspects;	/* suspected upstreams may be picked */
 	uint8_t held;		/* upstreams at their rate limit, too */
 	uint8_t keep_in_region; /* large body: see eb_route_pick() */
+	uint8_t urgent;		/* most others are less urgent */
 	uint64_t regions;	/* in which it may run; 0: in any */
 	uint32_t answer_bytes;	/* expected; 0: unknown */
 	uint32_t link_mbps;	/* of this daemon's VM; 0: unknown */
