Untrusted answers: strict status lines, resets, early answers

Cause: an answer without a length that broke off ended in order, so callers of HTTP/1.0 took it for whole. Statuses of 600 and above were passed on, and 200a was read as 200. A 2xx without a length that ended while the request was being sent counted as whole.

Change: eb_status_line is the only reader of status lines; a bad one becomes 502, outcome unknown, and is counted. A socket whose answer the end of the connection delimits has SO_LINGER 0 until the answer is written; any other answer that breaks off ends with a reset too. A 2xx without a length is whole only if the request was sent completely. Odd statuses of older daemons are decoded as aborts. The listener and the set of curl's sockets have moved to modules of their own.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -21,13 +21,13 @@
 #include "eb_fetch.h"
 #include "eb_http.h"
 #include "eb_rate.h"
+#include "eb_sockets.h"
+#include "eb_status_line.h"
 #include "eb_trace.h"
 #include "eb_tunables.h"
 
 #define POLL_MS 1000
 #define IDLE_HANDLES_MAX 64
-/* Descriptors below this are tracked: twice what the largest VM may open. */
-#define SOCKETS_MAX 16384
 /* A middlebox may have dropped the state of an older idle connection. */
 #define IDLE_CONNECTION_MAX_S 15
 /* A connection closes when sent bytes are not acknowledged within this. */
@@ -76,7 +76,7 @@
 	uint8_t refused_by_upstream;
 	uint8_t mismatched; /* the answer belongs to another request */
 	uint8_t chunked;    /* the body is decoded by `chunks` */
-	uint16_t status;
+	struct eb_status_line line;
 	uint16_t pace_percent;
 	uint8_t upstream_leaving;
 	uint32_t rate_limit_milli;
@@ -110,8 +110,7 @@
 	uint32_t idle_handle_count;
 	int stopping;
 	int64_t transfers_checked_us;
-	/* Bit set of descriptors opened by curl; some are closed by now. */
-	uint8_t sockets[SOCKETS_MAX / 8];
+	struct eb_sockets sockets;	      /* opened by curl */
 	uint8_t content[CURL_MAX_WRITE_SIZE]; /* a decoded part of a body */
 };
 
@@ -142,7 +141,7 @@
 		return NULL;
 	f->reply->outcome = (uint8_t)outcome;
 	f->reply->reason = (uint8_t)reason;
-	f->reply->status = tf->status;
+	f->reply->status = tf->line.status;
 	f->reply->load.pace_percent = tf->pace_percent;
 	f->reply->answered = tf->answer_head && !tf->answer_invalid;
 	f->reply->upstream_leaving = tf->upstream_leaving;
@@ -246,7 +245,7 @@
 	const char *te = eb_headers_find(&tf->answer, "Transfer-Encoding");
 	const char *cl = eb_headers_find(&tf->answer, "Content-Length");
 	int no_body = !strcmp(tf->head->head->method, "HEAD") ||
-		      tf->status == 204 || tf->status == 304;
+		      tf->line.status == 204 || tf->line.status == 304;
 
 	tf->answer_head = 1;
 	tf->chunked = te && !strcasecmp(te, "chunked");
@@ -342,7 +341,7 @@
  */
 static void push_early_answer(struct transfer *tf)
 {
-	if (tf->end_sent || tf->status >= 300 || !is_answer_whole(tf) ||
+	if (tf->end_sent || tf->line.status >= 300 || !is_answer_whole(tf) ||
 	    !is_sending(tf))
 		return;
 	if (!tf->answer_sent) {
@@ -379,16 +378,22 @@
 		return 0;
 	memcpy(line, buf, len);
 	line[len] = 0;
-	if (!strncmp(line, "HTTP/", 5)) {
+	switch (eb_status_line_read(&tf->line, line, len)) {
+	case EB_HEAD_LINE_BAD:
+		return 0;
+	case EB_HEAD_LINE_STATUS:
 		eb_headers_clear(&tf->answer);
 		tf->refused_by_upstream = 0;
 		tf->rate_limit_milli = 0;
 		tf->upstream_leaving = 0;
-		tf->status = (uint16_t)atoi(line + strcspn(line, " "));
-	} else if (len) {
+		break;
+	case EB_HEAD_LINE_FIELD:
 		if (add_answer_header(tf, line))
 			return 0;
-	} else if (tf->status >= 200) {
+		break;
+	case EB_HEAD_LINE_END:
+		if (!eb_status_is_final(tf->line.status))
+			break;
 		answer_head_complete(tf);
 		if (tf->answer_invalid)
 			return 0;
@@ -396,6 +401,7 @@
 		    tf->body_kind == EB_BODY_CHUNKED)
 			push_answer_head(tf);
 		push_early_answer(tf);
+		break;
 	}
 	return n;
 }
@@ -475,8 +481,7 @@
 	unsigned int ms = UNACKNOWLEDGED_MAX_MS;
 	struct eb_client *cl = data;
 
-	if (fd >= 0 && fd < SOCKETS_MAX)
-		cl->sockets[fd / 8] |= (uint8_t)(1 << fd % 8);
+	eb_sockets_add(&cl->sockets, fd);
 	if (purpose == CURLSOCKTYPE_IPCXN)
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	return CURL_SOCKOPT_OK;
@@ -727,21 +732,14 @@
 
 /* ---- Load probes of the upstream ---- */
 
-/* Copies the value of a header line. Returns -1 for another header. */
-static int header_value(const char *line, size_t n, const char *name,
-			char *value, size_t bytes)
+/* Counts an answer with a bad status line. Returns 1 for one. */
+static int count_bad_status(struct eb_client *cl,
+			    const struct eb_status_line *sl, CURLcode rc)
 {
-	size_t at = strlen(name), len;
-
-	if (n <= at || strncasecmp(line, name, at) != 0 || line[at] != ':')
-		return -1;
-	for (at++; at < n && line[at] == ' ';)
-		at++;
-	len = n - at < bytes ? n - at : bytes - 1;
-	memcpy(value, line + at, len);
-	value[len] = 0;
-	value[strcspn(value, "\r\n")] = 0;
-	return 0;
+	if (!eb_status_line_is_bad(sl, rc))
+		return 0;
+	eb_metrics_add(cl->config.metrics, EB_METRIC_UPSTREAM_BAD_STATUS, 1);
+	return 1;
 }
 
 /* Reads a header line of a probe's answer: pace, instance or rate limit. */
@@ -751,13 +749,14 @@
 	const struct eb_dialect *dl = cl->config.dialect;
 	char value[EB_NAME_SPACE_BYTES];
 
-	if (!header_value(line, n, dl->load, value, sizeof(value)))
+	if (!eb_fetch_header_value(line, n, dl->load, value, sizeof(value)))
 		cl->probe_pace = dl->read_pace(value);
-	else if (dl->instance &&
-		 !header_value(line, n, dl->instance, value, sizeof(value)))
+	else if (dl->instance && !eb_fetch_header_value(line, n, dl->instance,
+							value, sizeof(value)))
 		memcpy(cl->probe_instance, value, sizeof(value));
 	else if (dl->rate_limit &&
-		 !header_value(line, n, dl->rate_limit, value, sizeof(value)))
+		 !eb_fetch_header_value(line, n, dl->rate_limit, value,
+					sizeof(value)))
 		cl->probe_rate_milli = eb_rate_parse(value);
 }
 
@@ -815,6 +814,7 @@
 	curl_easy_getinfo(cl->probe, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(cl->multi, cl->probe);
 	cl->probe_running = 0;
+	count_bad_status(cl, &cl->probe_answer.line, rc);
 	if (!f)
 		return;
 	f->reply->status = rc ? 0 : (uint16_t)status;
@@ -855,7 +855,7 @@
 	const char *name = cl->config.dialect->instance;
 	char value[EB_NAME_SPACE_BYTES];
 
-	if (name && !header_value(line, n, name, value, sizeof(value)))
+	if (name && !eb_fetch_header_value(line, n, name, value, sizeof(value)))
 		memcpy(cl->check_instance, value, sizeof(value));
 }
 
@@ -919,6 +919,7 @@
 	enum eb_reason reason = judge_check(cl, rc);
 
 	curl_multi_remove_handle(cl->multi, cl->check);
+	count_bad_status(cl, &cl->check_answer.line, rc);
 	curl_easy_cleanup(cl->check);
 	cl->check = NULL;
 	report_check(cl, reason);
@@ -982,16 +983,24 @@
 /* Another instance now has the address; it answered 421 and ran nothing. */
 static int is_misdirected(const struct transfer *tf)
 {
-	return tf->answer_head && tf->status == 421 &&
+	return tf->answer_head && tf->line.status == 421 &&
 	       tf->client->config.dialect->expect_instance &&
 	       tf->head->head->instance && !tf->mismatched;
 }
 
-/* Tells whether a chunked body lacks its end, whatever curl makes of it. */
+/*
+ * Tells whether a body lacks its end, whatever curl makes of it. The end of the
+ * connection ends a body without a length. Before the request is sent it proves
+ * nothing for a 2xx: a failed upstream closes in the same way. With a status
+ * from 300 on, the upstream says itself that it may not read the request.
+ */
 static int is_body_cut(const struct transfer *tf)
 {
-	return tf->chunked && tf->body_kind == EB_BODY_CHUNKED &&
-	       !tf->chunks.done;
+	if (tf->body_kind != EB_BODY_CHUNKED)
+		return 0;
+	if (tf->chunked)
+		return !tf->chunks.done;
+	return tf->line.status < 300 && is_sending(tf);
 }
 
 /* Sends the last frame of a transfer that curl has ended, and frees it. */
@@ -1015,7 +1024,10 @@
 		   !tf->answer_head || is_body_cut(tf)) {
 		f = reply_frame(tf, EB_FRAME_ABORT, EB_OUTCOME_UNKNOWN,
 				EB_REASON_UPSTREAM_CLOSED);
-		add_run(f, tf);
+		if (count_bad_status(cl, &tf->line, rc))
+			f->reply->status = 0;
+		else
+			add_run(f, tf);
 	} else if (tf->refused_by_upstream && !tf->answer_sent) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_UPSTREAM_REFUSED);
@@ -1059,28 +1071,6 @@
 	}
 }
 
-/*
- * Returns the socket of a transfer, or -1. libcurl reports the socket only
- * after the transfer; the local port is known from the start.
- */
-static int find_socket(const struct transfer *tf)
-{
-	struct sockaddr_in sin = { 0 };
-	socklen_t n;
-	int fd;
-
-	for (fd = 0; tf->local_port && fd < SOCKETS_MAX; fd++) {
-		if (!(tf->client->sockets[fd / 8] & 1 << fd % 8))
-			continue;
-		n = sizeof(sin);
-		if (!getsockname(fd, (struct sockaddr *)&sin, &n) &&
-		    sin.sin_family == AF_INET &&
-		    ntohs(sin.sin_port) == tf->local_port)
-			return fd;
-	}
-	return -1;
-}
-
 /*
  * Ends a transfer whose upstream has closed the connection before the request
  * body is complete. libcurl no longer polls a socket at its end, and would wait
@@ -1089,7 +1079,7 @@
 static void check_closed(struct transfer *tf)
 {
 	CURLcode rc = CURLE_RECV_ERROR;
-	int fd = find_socket(tf);
+	int fd = eb_sockets_find(&tf->client->sockets, tf->local_port);
 	ssize_t n;
 	char byte;
 
@@ -1099,10 +1089,8 @@
 	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
 		return;
-	/* The end of the connection ends an answer without a length. */
-	if (is_answer_whole(tf) ||
-	    (!n && tf->answer_head && tf->body_kind == EB_BODY_CHUNKED &&
-	     !tf->chunked))
+	if (is_answer_whole(tf) || (!n && tf->answer_head && !is_body_cut(tf) &&
+				    tf->body_kind == EB_BODY_CHUNKED))
 		rc = CURLE_OK;
 	finish_transfer(tf, rc);
 }
--- a/src/eb_fetch.c
+++ b/src/eb_fetch.c
@@ -26,8 +26,15 @@
 	ft->head_bytes += n;
 	if (ft->head_bytes > EB_FETCH_HEAD_MAX_BYTES)
 		return 0;
-	if (n >= 5 && !strncmp(buf, "HTTP/", 5))
+	switch (eb_status_line_read(&ft->line, buf, n)) {
+	case EB_HEAD_LINE_BAD:
+		return 0;
+	case EB_HEAD_LINE_STATUS:
 		ft->chunked = 0;
+		break;
+	default:
+		break;
+	}
 	if (is_chunked(buf, n)) {
 		ft->chunked = 1;
 		eb_dechunk_init(&ft->chunks);
@@ -74,4 +81,22 @@
 	ft->body.bytes = 0;
 	ft->head_bytes = 0;
 	ft->chunked = 0;
+	memset(&ft->line, 0, sizeof(ft->line));
+}
+
+/* Copies the value of a header line. Returns -1 for another header. */
+int eb_fetch_header_value(const char *line, size_t n, const char *name,
+			  char *value, size_t bytes)
+{
+	size_t at = strlen(name), len;
+
+	if (n <= at || strncasecmp(line, name, at) != 0 || line[at] != ':')
+		return -1;
+	for (at++; at < n && line[at] == ' ';)
+		at++;
+	len = n - at < bytes ? n - at : bytes - 1;
+	memcpy(value, line + at, len);
+	value[len] = 0;
+	value[strcspn(value, "\r\n")] = 0;
+	return 0;
 }
--- a/src/eb_fetch.h
+++ b/src/eb_fetch.h
@@ -5,6 +5,7 @@
 
 #include "eb_body.h"
 #include "eb_dechunk.h"
+#include "eb_status_line.h"
 
 /*
  * Receives an answer of the platform, of an upstream's load probe or of a
@@ -22,10 +23,13 @@
 	void *ctx;
 	struct eb_dechunk chunks;
 	size_t head_bytes;
+	struct eb_status_line line;
 	uint8_t chunked;
 };
 
 void eb_fetch_attach(struct eb_fetch *ft, CURL *easy);
 void eb_fetch_reset(struct eb_fetch *ft);
+int eb_fetch_header_value(const char *line, size_t n, const char *name,
+			  char *value, size_t bytes);
 
 #endif
--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -3,7 +3,6 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <apr_thread_proc.h>
-#include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -23,6 +22,7 @@
 #include "eb_clock.h"
 #include "eb_frame.h"
 #include "eb_http.h"
+#include "eb_listen.h"
 #include "eb_parse.h"
 #include "eb_stream.h"
 #include "eb_trace.h"
@@ -98,6 +98,7 @@
 	uint8_t stop_reading;
 	uint8_t closing; /* once the output is written */
 	uint8_t dead;
+	uint8_t cut; /* an answer that has begun will not be complete */
 	uint8_t write_wants_read; /* TLS must read before it can write */
 	uint8_t parse_again;	  /* held-back input may be parsed now */
 };
@@ -607,6 +608,9 @@
 	if (f->reply->body_kind == EB_BODY_CHUNKED && !rq->http11)
 		rq->close = 1;
 	ah.close = rq->close;
+	/* The end of the connection may be all that ends this answer. */
+	if (rq->close && !rq->http11)
+		eb_stream_set_reset(cn->stream, 1);
 	rq->chunked = f->reply->body_kind == EB_BODY_CHUNKED && rq->http11;
 	rq->head_written = 1;
 	count_answer(cn->front, EB_OUTCOME_RAN);
@@ -776,6 +780,9 @@
 {
 	struct eb_front *ft = cn->front;
 
+	if (cn->cut || eb_answer_pending(&cn->out) ||
+	    (cn->first && cn->first->head_written))
+		eb_stream_set_reset(cn->stream, 1);
 	while (cn->first)
 		drop_first_request(cn);
 	if (cn->previous)
@@ -840,6 +847,11 @@
 	if (!cn->closing || cn->linger_until_us || cn->dead ||
 	    eb_answer_pending(&cn->out))
 		return;
+	if (cn->cut) {
+		cn->dead = 1;
+		return;
+	}
+	eb_stream_set_reset(cn->stream, 0);
 	if (cn->caller_closed) {
 		cn->dead = 1;
 		return;
@@ -859,6 +871,7 @@
 	if (cn->first && cn->first->phase != PHASE_REJECTED)
 		eb_metrics_add(cn->front->config.metrics, EB_METRIC_CALLER_GONE,
 			       1);
+	cn->cut |= cn->first && cn->first->head_written;
 	while (cn->first && cn->first->phase != PHASE_REJECTED)
 		drop_first_request(cn);
 	cn->stop_reading = 1;
@@ -1225,34 +1238,6 @@
 	return NULL;
 }
 
-/* Opens a listening socket on IP:port. Returns -1 on failure. */
-static int open_listener(const char *address, struct eb_error *err)
-{
-	struct sockaddr_in sa = { .sin_family = AF_INET };
-	char ip[64], *colon;
-	int fd, one = 1;
-
-	snprintf(ip, sizeof(ip), "%s", address);
-	colon = strrchr(ip, ':');
-	if (colon)
-		*colon = 0;
-	if (!colon || inet_pton(AF_INET, ip, &sa.sin_addr) != 1) {
-		eb_error_set(err, EB_EINVAL, "%s is not IP:port", address);
-		return -1;
-	}
-	sa.sin_port = htons((uint16_t)atoi(colon + 1));
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(fd, 1024)) {
-		eb_error_set(err, EB_EIO, "cannot listen on %s", address);
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static int register_events(struct eb_front *ft)
 {
 	struct epoll_event listener = { .events = EPOLLIN,
@@ -1286,7 +1271,7 @@
 	ft->requests = apr_hash_make(ft->pool);
 	ft->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	ft->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	ft->listen_fd = open_listener(se->listen_address, err);
+	ft->listen_fd = eb_listen_open(se->listen_address, err);
 	if (ft->listen_fd < 0)
 		goto fail;
 	if (se->tls_certificate) {
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -84,6 +84,8 @@
 	  "Connections opened to the upstream")                              \
 	X(UPSTREAM_RESENDS_STOPPED, "upstream_resends_stopped_total",        \
 	  "Second sends of one request that were prevented")                 \
+	X(UPSTREAM_BAD_STATUS, "upstream_bad_status_total",                  \
+	  "Answers of the upstream without a valid status line")             \
 	X(UPSTREAM_CANCELLED, "upstream_cancelled_total",                    \
 	  "Requests cancelled at the upstream")                              \
 	X(PLATFORM_CALLS, "platform_calls_total",                            \
@@ -96,6 +98,8 @@
 	  "Calls to the platform that wait for a change")                    \
 	X(PLATFORM_FAILED, "platform_failed_total",                          \
 	  "Platform calls that failed")                                      \
+	X(PLATFORM_BAD_STATUS, "platform_bad_status_total",                  \
+	  "Platform calls answered without a valid status line")             \
 	X(LOG_LINES_DROPPED, "log_lines_dropped_total",                      \
 	  "Log lines that the limit of lines a second turned away")          \
 	X(RELEASE, "release", "Number of the release in force")              \
--- a/src/eb_platform.c
+++ b/src/eb_platform.c
@@ -195,6 +195,9 @@
 	curl_easy_getinfo(ft->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(pl->multi, ft->easy);
 	ft->busy = 0;
+	if (eb_status_line_is_bad(&ft->answer.line, rc))
+		eb_metrics_add(pl->config.metrics,
+			       EB_METRIC_PLATFORM_BAD_STATUS, 1);
 	if (!rc && status == 200)
 		root = json_loadb(
 			ft->answer.body.text ? ft->answer.body.text : "",
--- a/src/eb_stream.c
+++ b/src/eb_stream.c
@@ -143,6 +143,17 @@
 	       gnutls_record_check_pending(sm->session) > 0;
 }
 
+/*
+ * Makes the close of the connection send a reset, or an orderly end again. The
+ * kernel does so as well when it closes the connection of a killed process.
+ */
+void eb_stream_set_reset(struct eb_stream *sm, int on)
+{
+	struct linger lg = { .l_onoff = on, .l_linger = 0 };
+
+	setsockopt(sm->fd, SOL_SOCKET, SO_LINGER, &lg, sizeof(lg));
+}
+
 /* Shuts down sending, with the close alert of TLS first. */
 void eb_stream_shutdown_write(struct eb_stream *sm)
 {
--- a/src/eb_stream.h
+++ b/src/eb_stream.h
@@ -24,6 +24,7 @@
 ssize_t eb_stream_write(struct eb_stream *sm, const void *buf, size_t bytes,
 			enum eb_stream_wait *wait);
 int eb_stream_has_buffered(const struct eb_stream *sm);
+void eb_stream_set_reset(struct eb_stream *sm, int on);
 void eb_stream_shutdown_write(struct eb_stream *sm);
 
 #endif
--- a/src/eb_tool_http.c
+++ b/src/eb_tool_http.c
@@ -54,7 +54,11 @@
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &cl);
 		if (msg->data.result) {
-			if (!cl->error[0])
+			if (eb_status_line_is_bad(&cl->answer.line,
+						  msg->data.result))
+				snprintf(cl->error, sizeof(cl->error),
+					 "answered without a valid status");
+			else if (!cl->error[0])
 				snprintf(cl->error, sizeof(cl->error), "%s",
 					 curl_easy_strerror(msg->data.result));
 			continue;
--- a/src/eb_wire.c
+++ b/src/eb_wire.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_status_line.h"
+
 #define COMMON_FIELDS 6
 #define HEAD_FIELDS 21
 #define REPLY_FIELDS 13
@@ -252,6 +254,31 @@
 	read_headers(rd, &r->headers);
 }
 
+/*
+ * Replaces a status that no answer may have: older daemons pass on up to 999.
+ * An answer with one ends as an abort, so that its call does not wait for it.
+ */
+static void check_status(struct eb_frame *f)
+{
+	struct eb_reply *r = f->reply;
+
+	if (eb_status_is_final(r->status) ||
+	    (!r->status && f->type != EB_FRAME_RHEAD))
+		return;
+	r->status = 0;
+	if (f->type != EB_FRAME_RHEAD)
+		return;
+	f->type = EB_FRAME_ABORT;
+	r->outcome = EB_OUTCOME_UNKNOWN;
+	r->reason = EB_REASON_UPSTREAM_CLOSED;
+	r->body_kind = EB_BODY_NONE;
+	r->body_bytes = 0;
+	eb_headers_clear(&r->headers);
+	free(f->data);
+	f->data = NULL;
+	f->data_bytes = 0;
+}
+
 static enum eb_status decode_array(const msgpack_object *o,
 				   struct eb_frame **out)
 {
@@ -290,6 +317,8 @@
 		eb_frame_unref(f);
 		return EB_EPARSE;
 	}
+	if (f->reply)
+		check_status(f);
 	*out = f;
 	return EB_OK;
 }
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -599,6 +599,7 @@
 	do {
 		n = recv(fd_, &out[0], max, 0);
 	} while (n < 0 && errno == EINTR);
+	was_reset_ = n < 0 && errno == ECONNRESET;
 	out.resize(n > 0 ? (size_t)n : 0);
 	return out;
 }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -180,6 +180,11 @@
 	bool readable();
 	/* Whether the peer closes before it sends anything more. */
 	bool at_end();
+	/* Whether the last receive() ended with a TCP reset. */
+	bool was_reset() const
+	{
+		return was_reset_;
+	}
 	/* Shuts down the sending side. */
 	void finish_sending();
 	void close();
@@ -188,6 +193,7 @@
 
 private:
 	int fd_ = -1;
+	bool was_reset_ = false;
 	std::string left_;
 };
 
--- a/tests/test_eb_wire.cc
+++ b/tests/test_eb_wire.cc
@@ -47,6 +47,27 @@
 	return out;
 }
 
+/*
+ * Guards against an older daemon's answer with a status that does not exist:
+ * passed on as it is, or lost so that its call waits.
+ */
+TEST(Wire, AnswersWithABadStatusAreAborts)
+{
+	for (uint16_t status : { 0, 99, 101, 199, 600, 999 }) {
+		eb_frame *f = sample(EB_FRAME_RHEAD), *g = nullptr;
+
+		f->reply->status = status;
+		std::string bytes = encode(f);
+		ASSERT_EQ(EB_OK,
+			  eb_wire_decode(bytes.data(), bytes.size(), &g));
+		EXPECT_EQ(EB_FRAME_ABORT, g->type) << status;
+		EXPECT_EQ(EB_OUTCOME_UNKNOWN, g->reply->outcome) << status;
+		EXPECT_EQ(0, g->reply->status) << status;
+		eb_frame_unref(f);
+		eb_frame_unref(g);
+	}
+}
+
 /*
  * Guards against daemons that do not understand each other while a fleet is
  * updated, and against bodies of the first version that are taken for ones
