Client: no request on a connection with unread bytes

Cause: libcurl reads only the length that an answer names. Bytes that an upstream sent after it stayed in the socket and became the answer to the next request on the connection: with upstreams without request ids another caller got them, with request ids the next caller got 502.

Change: before a request is sent, the client looks for bytes on its connection (eb_sockets_peek). If there are some, the transfer starts again on a new connection, and upstream_stray_input_total counts the old one. Tests of bytes after an answer: 1xx, 204, 304, HEAD, a second answer.

--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -5,7 +5,6 @@
 #include <apr_thread_proc.h>
 #include <assert.h>
 #include <curl/curl.h>
-#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -66,6 +65,7 @@
 	uint8_t window_granted;
 	int local_port;
 	uint8_t send_count; /* how often curl was about to send the request */
+	uint8_t restart;    /* on a new connection: 1 is due, 2 was done */
 	/* The answer. */
 	uint8_t answer_head; /* the final head is complete */
 	uint8_t answer_sent; /* RHEAD was pushed */
@@ -457,7 +457,8 @@
  * Called just before curl sends a request. libcurl retries a request on its
  * own when a reused connection closes without an answer; the second call
  * for one transfer stops that, since the upstream may have run the first
- * request.
+ * request. A connection on which bytes wait before the request is not used:
+ * they would be taken for its answer.
  */
 static int before_send(void *data, char *ip, char *local_ip, int port,
 		       int local_port)
@@ -468,6 +469,12 @@
 	(void)local_ip;
 	(void)port;
 	tf->local_port = local_port;
+	if (!tf->restart && !tf->send_count &&
+	    eb_sockets_peek(&tf->client->sockets, local_port) ==
+		    EB_SOCKETS_INPUT_BYTES) {
+		tf->restart = 1;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	if (tf->send_count++ == 0)
 		return CURL_PREREQFUNC_OK;
 	eb_metrics_add(tf->client->config.metrics,
@@ -1014,6 +1021,14 @@
 	eb_metrics_add(cl->config.metrics, EB_METRIC_UPSTREAM_CONNECTIONS,
 		       connects);
 	curl_multi_remove_handle(cl->multi, tf->easy);
+	if (tf->restart == 1) {
+		tf->restart = 2;
+		eb_metrics_add(cl->config.metrics,
+			       EB_METRIC_UPSTREAM_STRAY_INPUT, 1);
+		curl_easy_setopt(tf->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_multi_add_handle(cl->multi, tf->easy);
+		return;
+	}
 	if (!tf->send_count) {
 		f = reply_frame(tf, EB_FRAME_REFUSE, EB_OUTCOME_NOT_RUN,
 				EB_REASON_CONNECT);
@@ -1079,18 +1094,15 @@
 static void check_closed(struct transfer *tf)
 {
 	CURLcode rc = CURLE_RECV_ERROR;
-	int fd = eb_sockets_find(&tf->client->sockets, tf->local_port);
-	ssize_t n;
-	char byte;
+	enum eb_sockets_input input =
+		eb_sockets_peek(&tf->client->sockets, tf->local_port);
 
 	/* libcurl may hold a paused answer after the socket has closed. */
-	if (fd < 0 || tf->receive_paused)
-		return;
-	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
+	if (input < EB_SOCKETS_INPUT_END || tf->receive_paused)
 		return;
-	if (is_answer_whole(tf) || (!n && tf->answer_head && !is_body_cut(tf) &&
-				    tf->body_kind == EB_BODY_CHUNKED))
+	if (is_answer_whole(tf) ||
+	    (input == EB_SOCKETS_INPUT_END && tf->answer_head &&
+	     !is_body_cut(tf) && tf->body_kind == EB_BODY_CHUNKED))
 		rc = CURLE_OK;
 	finish_transfer(tf, rc);
 }
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -82,6 +82,8 @@
 	  "Connections of peers refused because of their key")               \
 	X(UPSTREAM_CONNECTIONS, "upstream_connections_total",                \
 	  "Connections opened to the upstream")                              \
+	X(UPSTREAM_STRAY_INPUT, "upstream_stray_input_total",                \
+	  "Connections not used again, as input had arrived on them")        \
 	X(UPSTREAM_RESENDS_STOPPED, "upstream_resends_stopped_total",        \
 	  "Second sends of one request that were prevented")                 \
 	X(UPSTREAM_BAD_STATUS, "upstream_bad_status_total",                  \
--- a/tests/it_untrusted.cc
+++ b/tests/it_untrusted.cc
@@ -327,4 +327,123 @@
 	});
 }
 
+/*
+ * Guards against bytes after an answer that become the answer to the next
+ * request on the connection, or part of this one.
+ */
+TEST_F(Untrusted, BytesAfterAnAnswerReachNobody)
+{
+	const std::string other = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n";
+	const struct {
+		const char *name, *method;
+		std::string head, more;
+		int status;
+		std::string body;
+	} cases[] = {
+		{ "1xx after the final answer", "POST",
+		  "200 OK\r\nContent-Length: 2\r\n",
+		  "okHTTP/1.1 102 Processing\r\n\r\n", 200, "ok" },
+		{ "204 with a body", "POST", "204 A\r\nContent-Length: 7\r\n",
+		  "foreign", 204, "" },
+		{ "204 with chunks", "POST",
+		  "204 A\r\nTransfer-Encoding: chunked\r\n",
+		  "7\r\nforeign\r\n0\r\n\r\n", 204, "" },
+		{ "304 with a body", "GET", "304 A\r\nContent-Length: 7\r\n",
+		  "foreign", 304, "" },
+		{ "HEAD with a body", "HEAD", "200 A\r\nContent-Length: 7\r\n",
+		  "foreign", 200, "" },
+		{ "two answers", "POST", "200 OK\r\nContent-Length: 2\r\n",
+		  "ok" + other + "%s\r\nforeign", 200, "ok" },
+	};
+	int n = 0;
+
+	for (const auto &c : cases)
+		for (const std::string &service : services)
+			for (int split_ms : { 0, 30 }) {
+				std::string path = service + "after-" +
+						   std::to_string(n++);
+				RawSocket s(site.listen_port(), 0, site.ip(0));
+				std::atomic<bool> written{ false };
+				std::string got;
+
+				SCOPED_TRACE(c.name + path);
+				on(path, [&](SiteConnection &cn,
+					     const SiteRequest &rq) {
+					std::string more = c.more;
+					size_t at = more.find("%s");
+
+					cn.read_body(
+						const_cast<SiteRequest &>(rq));
+					/* The id of the next request. */
+					if (at != std::string::npos)
+						more.replace(
+							at, 2,
+							"Ebonypier-Request-Id:"
+							" next-" +
+								path + "\r\n");
+					cn.write("HTTP/1.1 " + c.head +
+						 id_line(rq) + "\r\n" +
+						 (split_ms ? "" : more));
+					sleep_ms(split_ms);
+					if (split_ms)
+						cn.write(more);
+					written = true;
+				});
+				s.send(head("HTTP/1.1", c.method, path));
+				got = s.receive_answer(c.body.empty());
+				EXPECT_EQ(c.status, raw_status(got));
+				EXPECT_EQ(std::string::npos,
+					  got.find("foreign"));
+				/* What comes after the next request may answer
+				 * it. */
+				wait_until("all bytes",
+					   [&] { return written.load(); });
+				sleep_ms(20);
+				HttpAnswer a =
+					site.send(0, "POST", service + "plain",
+						  "next-" + path);
+				EXPECT_NE("foreign", a.body);
+				EXPECT_EQ(200, a.status);
+			}
+}
+
+/*
+ * The same without request ids, by which the platform's upstreams tell their
+ * answers apart.
+ */
+TEST(UntrustedPlain, ASecondAnswerReachesNobody)
+{
+	Fleet fleet;
+	std::atomic<int> written{ 0 };
+
+	fleet.start();
+	fleet[0].upstream->kill();
+	SiteServer upstream(
+		"127.0.0.1", fleet[0].upstream_port, [&](SiteConnection &cn) {
+			const std::string head = "HTTP/1.1 200 OK\r\n"
+						 "Content-Length: 7\r\n\r\n";
+			SiteRequest rq;
+
+			while (cn.read(rq)) {
+				cn.write(head);
+				sleep_ms(30);
+				cn.write("correct" + head + "foreign");
+				written++;
+			}
+		});
+	wait_until("an answer", [&] {
+		return http_post(fleet[0].url("/agenda/x"), "").complete(200);
+	});
+	for (int i = 0; i < 5; i++) {
+		int before = written;
+		HttpAnswer a = http_post(fleet[0].url("/agenda/x"), "");
+
+		EXPECT_TRUE(a.complete(200)) << a.status;
+		EXPECT_EQ("correct", a.body);
+		wait_until("the second answer",
+			   [&] { return written > before; });
+		sleep_ms(20);
+	}
+}
+
 } // namespace
