Tests: the close alert of TLS, and the store's status line

Cause: a break of an answer without a length over TLS and the store's status line were not tested with real daemons.

Change: two tests; the callers of HTTP/1.0 over TLS see an error if and only if the answer broke off, and a bad status of the store is counted and not used.

--- a/tests/it_tls.cc
+++ b/tests/it_tls.cc
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 
-#include "harness.h"
+#include "site.h"
 
 namespace
 {
@@ -54,6 +54,12 @@
 		return curl_easy_perform(curl);
 	}
 
+	void use_http10()
+	{
+		curl_easy_setopt(curl, CURLOPT_HTTP_VERSION,
+				 CURL_HTTP_VERSION_1_0);
+	}
+
 	long connects()
 	{
 		long n = 0;
@@ -134,6 +140,38 @@
 	EXPECT_EQ(CURLE_OK, TlsCaller(dir + "/first.pem").get(url(fleet)));
 }
 
+/*
+ * Guards against an answer without a length that looks complete to a caller of
+ * HTTP/1.0, though it broke off, and against one without the close alert that
+ * shows that it is complete.
+ */
+TEST_F(Tls, TheCloseAlertFollowsOnlyAWholeAnswer)
+{
+	Fleet fleet(op);
+	std::atomic<bool> breaks{ true };
+
+	fleet.start();
+	fleet[0].upstream->kill();
+	SiteServer upstream("127.0.0.1", fleet[0].upstream_port,
+			    [&](SiteConnection &cn) {
+				    SiteRequest rq;
+
+				    cn.read(rq);
+				    cn.write("HTTP/1.1 200 OK\r\n\r\n" +
+					     std::string(200000, 'x'));
+				    sleep_ms(50);
+				    if (breaks)
+					    cn.reset();
+			    });
+	for (int i = 0; i < 10; i++) {
+		TlsCaller caller(dir + "/first.pem");
+
+		breaks = i % 2 == 0;
+		caller.use_http10();
+		EXPECT_EQ(!breaks, caller.get(url(fleet)) == CURLE_OK);
+	}
+}
+
 /* Guards against plain HTTP being answered on the port for HTTPS. */
 TEST_F(Tls, PlainHttpIsNotAnswered)
 {
--- a/tests/it_untrusted.cc
+++ b/tests/it_untrusted.cc
@@ -104,6 +104,30 @@
 	}
 }
 
+/*
+ * Guards against a store's answer with such a status that is used, and against
+ * its loss in the metrics.
+ */
+TEST_F(Untrusted, TheStoreNeedsAStatusToo)
+{
+	for (const char *line : { "HTTP/1.1 200a", "HTTP/1.1 600 A" }) {
+		double before = site.metric(0, "platform_bad_status_total");
+
+		site.store->set_endless([&](SiteConnection &cn) {
+			cn.write(std::string(line) +
+				 "\r\nContent-Length: 2\r\n\r\n{}");
+		});
+		wait_until("the count", [&] {
+			return site.metric(0, "platform_bad_status_total") >
+			       before + 1;
+		});
+		EXPECT_EQ(200, site.send(0, "GET", "/near/x", line).status);
+		site.store->set_endless(nullptr);
+	}
+	site.publish(2, site.route("late", "/late/", "safe", "near"));
+	site.wait_status(0, "/late/x", 200);
+}
+
 /* How an answer to a caller that speaks HTTP/1.0 breaks off. */
 enum break_off {
 	UPSTREAM_RESETS,
