Tests: the admin client's status line

Cause: the admin client's reader of a status line had no test.

Change: one test with raw answers.

Result: it_untrusted TheClientNeedsAStatusToo passes.

--- a/tests/it_untrusted.cc
+++ b/tests/it_untrusted.cc
@@ -7,6 +7,10 @@
 
 #include "site.h"
 
+extern "C" {
+#include "eb_tool_http.h"
+}
+
 namespace
 {
 
@@ -128,6 +132,28 @@
 	site.wait_status(0, "/late/x", 200);
 }
 
+/* Guards against an admin client that takes such an answer for a success. */
+TEST(UntrustedAdmin, TheClientNeedsAStatusToo)
+{
+	for (const char *line :
+	     { "HTTP/1.1 200a", "HTTP/1.1 600 A", "HTTP/1.1 099 A" }) {
+		uint16_t port = free_port();
+		SiteServer server("127.0.0.1", port, [&](SiteConnection &cn) {
+			SiteRequest rq;
+
+			cn.read(rq);
+			cn.write(std::string(line) +
+				 "\r\nContent-Length: 2\r\n\r\n{}");
+		});
+		eb_tool_request *rq = (eb_tool_request *)calloc(1, sizeof(*rq));
+
+		rq->address = server.address.c_str();
+		EXPECT_EQ(0, eb_tool_http_run(rq, 1, "GET", "/status")) << line;
+		EXPECT_STREQ("answered without a valid status", rq->error);
+		eb_tool_http_free(rq, 1);
+	}
+}
+
 /* How an answer to a caller that speaks HTTP/1.0 breaks off. */
 enum break_off {
 	UPSTREAM_RESETS,
