Front: the close alert also after a caller's half-close

Cause: a caller over TLS that had closed its side got a whole answer without the close alert, which then looked cut.

Change: linger() shuts down sending before it closes such a connection.

Result: it_untrusted 9, it_tls 4, it_shutdown 7 and it_path 38 tests pass. No test covers the order itself.

--- a/src/eb_front.c
+++ b/src/eb_front.c
@@ -852,11 +852,11 @@
 		return;
 	}
 	eb_stream_set_reset(cn->stream, 0);
+	eb_stream_shutdown_write(cn->stream);
 	if (cn->caller_closed) {
 		cn->dead = 1;
 		return;
 	}
-	eb_stream_shutdown_write(cn->stream);
 	cn->linger_until_us = now_us + LINGER_US;
 	cn->in_bytes = 0;
 	count_open(cn->front, -1);
