--- a/src/eb_client.c
+++ b/src/eb_client.c
@@ -804,8 +804,8 @@
 		 !eb_fetch_header_value(line, n, dl->rate_limit, value,
 					sizeof(value)))
 		cl->probe_rate_milli = eb_rate_parse(value);
-	else if (dl->cold_left &&
-		 !header_value(line, n, dl->cold_left, value, sizeof(value)))
+	else if (dl->cold_left && !eb_fetch_header_value(line, n, dl->cold_left,
+							 value, sizeof(value)))
 		read_cold_ms(cl, value);
 }
 
