origin: a request for a large answer with time to spare waits near its caller

Change: with 0.5 s or more until its objective, such a request waits at the first gate, behind more urgent ones, as a last attempt does.

--- a/src/eb_home.c
+++ b/src/eb_home.c
@@ -33,10 +33,11 @@
 			cf, eb_headers_find(&h->headers, "Host"), h->target);
 	else
 		service = eb_config_find_service(cf, h->service);
-	if (!mt && service == EB_NONE)
-		return 0;
-	eb_home_of(mt, mt ? NULL : cf->services[service], hm);
-	return 1;
+	if (mt)
+		eb_home_of(mt, NULL, hm);
+	else if (service != EB_NONE)
+		eb_home_of(NULL, cf->services[service], hm);
+	return mt || service != EB_NONE;
 }
 
 /* Tells whether a configuration restricts any request to regions. */
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -565,6 +565,9 @@
 	f->head->instance = n->instance[0] ? strdup(n->instance) : NULL;
 	f->head->attempt = eb_retry_next_attempt_of(
 		&ca->service->retry, ca->attempts, rank_of(ca, now_us));
+	if (ca->goal_us &&
+	    eb_sizes_may_wait(&og->sizes, f->head->kind, ca->goal_us - now_us))
+		f->head->attempt = EB_ATTEMPTS_MAX - 1;
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
--- a/src/eb_sizes.c
+++ b/src/eb_sizes.c
@@ -56,3 +56,15 @@
 	}
 	return 0;
 }
+
+/*
+ * Tells whether a request should rather wait at the first gate than go on to
+ * another one: its answer is large, and `left_us` until its objective is long.
+ * Each detour ends farther away, at the cost of a link that urgent requests
+ * need.
+ */
+int eb_sizes_may_wait(const struct eb_sizes *sz, uint32_t kind, int64_t left_us)
+{
+	return eb_sizes_expected(sz, kind) > EB_ANSWER_LARGE_BYTES &&
+	       left_us >= EB_ANSWER_WAIT_MS * 1000LL;
+}
--- a/src/eb_sizes.h
+++ b/src/eb_sizes.h
@@ -21,6 +21,8 @@
 
 void eb_sizes_add(struct eb_sizes *sz, uint32_t kind, uint64_t bytes,
 		  int64_t now_us);
+int eb_sizes_may_wait(const struct eb_sizes *sz, uint32_t kind,
+		      int64_t left_us);
 uint32_t eb_sizes_expected(const struct eb_sizes *sz, uint32_t kind);
 
 #endif
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -28,6 +28,8 @@
  * ones are sent in one frame.
  */
 #define EB_ANSWER_LARGE_BYTES EB_INLINE_BODY_BYTES
+/* A request for a large answer waits where it is with this much time left. */
+#define EB_ANSWER_WAIT_MS 500
 /*
  * Calls of at least this age are listed in heartbeats. Longer than most calls
  * take, and longer than a frame takes to arrive.
--- a/tests/test_eb_sizes.cc
+++ b/tests/test_eb_sizes.cc
@@ -59,4 +59,29 @@
 	}
 }
 
+/*
+ * Guards against large answers that leave their failure domain though they have
+ * time, and against short or urgent ones that wait where they could go on.
+ */
+TEST(Sizes, OnlyLargeAnswersWithTimeWait)
+{
+	const struct {
+		uint64_t bytes; /* of the answers so far; 0: none */
+		int64_t left_ms;
+		int waits;
+	} cases[] = {
+		{ 0, 5000, 0 },	   { 400, 5000, 0 },   { 90000, 499, 0 },
+		{ 90000, 500, 1 }, { 90000, 5000, 1 }, { 90000, -10, 0 },
+	};
+
+	for (const auto &c : cases) {
+		eb_sizes sz = {};
+
+		for (int i = 0; c.bytes && i < 50; i++)
+			eb_sizes_add(&sz, 7, c.bytes, i * 1000);
+		EXPECT_EQ(c.waits, eb_sizes_may_wait(&sz, 7, c.left_ms * 1000))
+			<< c.bytes << " " << c.left_ms;
+	}
+}
+
 } // namespace
