relay stand-in: open links go silent in one direction

Cause: a connection that is silent in one direction only, while new ones work, could not be played.

Change: /control/silence_open takes the directions as /control/fault does.

--- a/standins/relay.c
+++ b/standins/relay.c
@@ -47,7 +47,7 @@
 	struct flow flow[2];
 	int64_t next_byte_us[2]; /* with `byte_us`: not before this */
 	uint8_t open;
-	uint8_t silent; /* blocked for good by /control/silence_open */
+	uint8_t silent[2]; /* blocked for good by /control/silence_open */
 };
 
 /* The faults in force; control_fault() describes each of them. */
@@ -175,7 +175,7 @@
 /* Returns 1 if a direction of a link passes nothing on. */
 static int is_blocked(const struct relay *re, const struct link *ln, int dir)
 {
-	return ln->silent || re->fault.silent[dir];
+	return ln->silent[dir] || re->fault.silent[dir];
 }
 
 /*
@@ -341,6 +341,17 @@
 	return NULL;
 }
 
+/* Reads "forward", "backward" or "both" from a member of a JSON object. */
+static void read_silent(json_t *js, uint8_t silent[2])
+{
+	const char *s = json_string_value(json_object_get(js, "silent"));
+
+	if (!s)
+		s = "";
+	silent[FORWARD] = !strcmp(s, "forward") || !strcmp(s, "both");
+	silent[BACKWARD] = !strcmp(s, "backward") || !strcmp(s, "both");
+}
+
 /*
  * Replaces the faults in force with those of a JSON object, {} for none:
  * silent: "forward", "backward" or "both"; passes nothing on in that direction
@@ -351,16 +362,10 @@
 static enum MHD_Result control_fault(struct relay *re,
 				     struct MHD_Connection *cn, json_t *js)
 {
-	const char *silent = json_string_value(json_object_get(js, "silent"));
 	struct faults ft = { 0 };
 	int ok = 1;
 
-	if (!silent)
-		silent = "";
-	ft.silent[FORWARD] =
-		!strcmp(silent, "forward") || !strcmp(silent, "both");
-	ft.silent[BACKWARD] =
-		!strcmp(silent, "backward") || !strcmp(silent, "both");
+	read_silent(js, ft.silent);
 	ft.delay_us =
 		json_integer_value(json_object_get(js, "delay_ms")) * 1000;
 	ft.jitter_us =
@@ -384,9 +389,12 @@
 	return standin_reply_json(cn, 200, json_object());
 }
 
-/* Resets all open links (`cut`), or blocks them for good. */
+/*
+ * Blocks all open links for good in the directions of `js`, or resets them
+ * without it.
+ */
 static enum MHD_Result control_links(struct relay *re,
-				     struct MHD_Connection *cn, int cut)
+				     struct MHD_Connection *cn, json_t *js)
 {
 	int i, n = 0;
 
@@ -395,10 +403,10 @@
 		if (!re->links[i].open)
 			continue;
 		n++;
-		if (cut)
-			close_link(&re->links[i], 1);
+		if (js)
+			read_silent(js, re->links[i].silent);
 		else
-			re->links[i].silent = 1;
+			close_link(&re->links[i], 1);
 	}
 	pthread_mutex_unlock(&re->lock);
 	wake(re);
@@ -446,17 +454,17 @@
 		return MHD_YES;
 	}
 	if (!strcmp(url, "/control/cut"))
-		return control_links(cls, cn, 1);
-	if (!strcmp(url, "/control/silence_open"))
-		return control_links(cls, cn, 0);
+		return control_links(cls, cn, NULL);
 	if (!strcmp(url, "/control/stats"))
 		return control_stats(cls, cn);
-	if (strcmp(url, "/control/fault") != 0)
+	if (strcmp(url, "/control/fault") != 0 &&
+	    strcmp(url, "/control/silence_open") != 0)
 		return standin_reply_error(cn, 404, "no such path");
 	js = json_loads(rq->body.text ? rq->body.text : "{}", 0, NULL);
 	if (!js)
 		return standin_reply_error(cn, 400, "bad JSON");
-	ok = control_fault(cls, cn, js);
+	ok = strcmp(url, "/control/fault") ? control_links(cls, cn, js)
+					   : control_fault(cls, cn, js);
 	json_decref(js);
 	return ok;
 }
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -828,10 +828,10 @@
 	http_post("http://" + loopback(control_port) + "/control/cut", "");
 }
 
-void Relay::silence_open()
+void Relay::silence_open(const std::string &directions)
 {
 	http_post("http://" + loopback(control_port) + "/control/silence_open",
-		  "");
+		  "{\"silent\":\"" + directions + "\"}");
 }
 
 int64_t Relay::stat(const std::string &field)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -286,8 +286,11 @@
 	void fault(const std::string &json);
 	/* Resets all open connections. */
 	void cut();
-	/* Forwards no more bytes on open connections; new ones work. */
-	void silence_open();
+	/*
+	 * Forwards no more bytes on open connections, in one or both
+	 * directions; new ones work.
+	 */
+	void silence_open(const std::string &directions = "both");
 	/* A number of the relay's statistics. */
 	int64_t stat(const std::string &field);
 
