--- a/src/eb_frame.c
+++ b/src/eb_frame.c
@@ -86,6 +86,36 @@
 	return f;
 }
 
+/*
+ * Returns a HEAD with a single reference, so that it may be changed for another
+ * attempt: the frame itself, or a copy without `upstream` and `instance` that
+ * takes its place. Returns NULL, and keeps the reference, without memory.
+ */
+struct eb_frame *eb_frame_unshare_head(struct eb_frame *old)
+{
+	struct eb_head *from = old->head, *to;
+	struct eb_frame *f;
+
+	if (__atomic_load_n(&old->refs, __ATOMIC_ACQUIRE) == 1)
+		return old;
+	f = eb_frame_new_data(EB_FRAME_HEAD, 0, old->data, old->data_bytes);
+	if (!f)
+		return NULL;
+	to = f->head;
+	*to = *from;
+	memset(&to->headers, 0, sizeof(to->headers));
+	to->service = strdup(from->service);
+	to->upstream = NULL;
+	to->method = strdup(from->method);
+	to->target = strdup(from->target);
+	to->key = from->key ? strdup(from->key) : NULL;
+	to->instance = NULL;
+	eb_headers_load(&to->headers, from->headers.block,
+			from->headers.used_bytes);
+	eb_frame_unref(old);
+	return f;
+}
+
 /* Adds a reference and returns the frame. */
 struct eb_frame *eb_frame_ref(struct eb_frame *f)
 {
--- a/src/eb_frame.h
+++ b/src/eb_frame.h
@@ -48,6 +48,15 @@
 #define EB_HELLO_UNVERIFIED 1
 /* Of a sender that can read a source which has lost changes. */
 #define EB_HELLO_KNOWS_ERAS 2
+/*
+ * `credit_bytes` of a HELLO from an origin: it comes on a second connection,
+ * and answers still go back on the first one; or this connection replaces the
+ * first one, and the list has all calls that wait for this gate.
+ */
+#define EB_HELLO_CHECK 3
+#define EB_HELLO_REPLACES 4
+/* `body_kind` of a HELLO from a gate that understands these two. */
+#define EB_HELLO_KNOWS_CHECKS 1
 /* `offset_bytes` of a frame whose sender does not name it. */
 #define EB_OFFSET_UNKNOWN UINT64_MAX
 /* Largest bandwidth of a link that `status` of a HELLO names, in Mbit/s. */
@@ -159,7 +168,10 @@
 struct eb_frame {
 	int32_t refs;
 	uint8_t type;
-	uint64_t call;	       /* id assigned by the origin */
+	/*
+	 * Number that the origin gave; of its HELLO: the last that it gave.
+	 */
+	uint64_t call;
 	uint64_t sender;       /* incarnation of the sending daemon */
 	uint64_t target;       /* incarnation of the receiver; 0: any */
 	uint64_t credit_bytes; /* of HELLO: EB_HELLO_..., or 0 */
@@ -180,6 +192,7 @@
 struct eb_frame *eb_frame_new(enum eb_frame_type type, uint64_t call);
 struct eb_frame *eb_frame_new_data(enum eb_frame_type type, uint64_t call,
 				   const void *data, uint32_t bytes);
+struct eb_frame *eb_frame_unshare_head(struct eb_frame *f);
 struct eb_frame *eb_frame_ref(struct eb_frame *f);
 void eb_frame_unref(struct eb_frame *f);
 int eb_frame_ends_answer(const struct eb_frame *f);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -12,6 +12,7 @@
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_gate_check.h"
+#include "eb_gate_origin.h"
 #include "eb_kept.h"
 #include "eb_overdue.h"
 #include "eb_test_off.h"
@@ -57,20 +58,10 @@
 	uint64_t call;	 /* number that the origin gave */
 };
 
-/* An origin from which frames came; kept to detect its failure. */
-struct origin {
-	uint64_t incarnation;
-	int64_t received_us; /* time of its last frame */
-	uint32_t calls;
-	uint8_t local;
-	struct eb_routing_id back;   /* of its newest connection */
-	struct eb_routing_id before; /* of the connection before that */
-};
-
 struct call {
 	struct key key;
 	uint64_t id; /* for admission */
-	struct origin *origin;
+	struct eb_gate_origin *origin;
 	struct eb_frame *head; /* until the request starts */
 	struct eb_admit_action verdict;
 	uint8_t state;
@@ -121,7 +112,7 @@
 	apr_pool_t *pool;
 	apr_hash_t *calls;   /* struct key -> struct call */
 	apr_hash_t *by_id;   /* id for admission -> struct call */
-	apr_hash_t *origins; /* incarnation -> struct origin */
+	apr_hash_t *origins; /* incarnation -> struct eb_gate_origin */
 };
 
 typedef void action_fn(struct eb_gate *gt, struct call *ca, struct eb_frame *f,
@@ -217,17 +208,22 @@
 	gt->copy = *state;
 }
 
-/* Adds an origin's calls that have been here for long to a heartbeat reply. */
-static void add_overdue_calls(const struct eb_gate *gt, uint64_t incarnation,
-			      struct eb_frame *f, int64_t now_us)
+/*
+ * Adds the calls of the origin of a heartbeat to its reply that have been here
+ * for long, or all of them if the origin has replaced its connection.
+ */
+static void add_overdue_calls(const struct eb_gate *gt,
+			      const struct eb_frame *hello, struct eb_frame *f,
+			      int64_t now_us)
 {
+	int all = hello->credit_bytes == EB_HELLO_REPLACES;
 	apr_hash_index_t *hi;
 	const struct call *ca;
 
 	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
-		if (ca->key.origin == incarnation && ca->state != STOPPING &&
-		    eb_overdue(ca->arrived_us, now_us) &&
+		if (ca->key.origin == hello->sender && ca->state != STOPPING &&
+		    (all || eb_overdue(ca->arrived_us, now_us)) &&
 		    eb_overdue_add(f, ca->key.call))
 			return;
 	}
@@ -247,6 +243,7 @@
 	out->target = incarnation;
 	out->sender = gt->config.incarnation;
 	eb_gate_load(gt, &out->reply->load);
+	out->reply->body_kind = EB_HELLO_KNOWS_CHECKS;
 	out->reply->body_bytes = gt->copy.revision;
 	out->reply->retry_after_ms = gt->copy.read_age_ms;
 	out->offset_bytes = gt->copy.digest;
@@ -288,34 +285,46 @@
 /*
  * Ends the calls in an origin's heartbeat that this gate does not have, as the
  * frame that started or ended them was lost: by their answer if it is still
- * kept, or else as unknown.
+ * kept, or else as unknown. When the origin has replaced its connection, kept
+ * answers were sent again already, calls that are being stopped are ended too,
+ * and calls that have never arrived are refused and will not be accepted.
  */
 static void end_unknown_calls(struct eb_gate *gt, const struct eb_frame *f,
+			      struct eb_gate_origin *og,
 			      const struct eb_routing_id *back, int64_t now_us)
 {
+	int all = f->credit_bytes == EB_HELLO_REPLACES, never;
 	struct key key = { f->sender, 0 };
 	uint32_t i, n = eb_overdue_count(f);
+	const struct call *ca;
 	struct eb_frame *out;
 
 	for (i = 0; i < n; i++) {
 		key.call = eb_overdue_at(f, i);
-		if (apr_hash_get(gt->calls, &key, sizeof(key)))
+		ca = apr_hash_get(gt->calls, &key, sizeof(key));
+		if (ca && !(all && ca->state == STOPPING))
 			continue;
 		out = eb_kept_find(gt->kept, f->sender, key.call);
 		if (out) {
-			send_again(gt, out, back, now_us);
+			if (!all)
+				send_again(gt, out, back, now_us);
 			continue;
 		}
-		out = eb_frame_new(EB_FRAME_ABORT, key.call);
+		never = all && og && eb_arrivals_void(&og->arrivals, key.call);
+		out = eb_frame_new(never ? EB_FRAME_REFUSE : EB_FRAME_ABORT,
+				   key.call);
 		if (!out)
 			return;
 		out->target = f->sender;
 		out->sender = gt->config.incarnation;
-		out->reply->outcome = EB_OUTCOME_UNKNOWN;
+		out->reply->outcome =
+			never ? EB_OUTCOME_NOT_RUN : EB_OUTCOME_UNKNOWN;
 		out->reply->reason = EB_REASON_LOST_PEER;
 		eb_log_write(gt->log, EB_LOG_WARN, "gate",
-			     "origin lists a call unknown to this daemon, "
-			     "aborting it",
+			     never ? "origin lists a call that has not "
+				     "arrived, refusing it"
+				   : "origin lists a call unknown to this "
+				     "daemon, aborting it",
 			     "call=%llu", (unsigned long long)key.call);
 		/* If this is lost, the next heartbeat lists the call again. */
 		gt->out.to_origin(gt->out.ctx, back, out);
@@ -325,17 +334,24 @@
 /*
  * Replies to a heartbeat. Frames that were sent before it on the same
  * connection have arrived, so that each side can tell which calls the other has
- * lost.
+ * lost. A check on a second connection says nothing about those on the first.
  */
 static void reply_to_heartbeat(struct eb_gate *gt, const struct eb_frame *f,
+			       struct eb_gate_origin *og,
 			       const struct eb_routing_id *back, int64_t now_us)
 {
 	struct eb_frame *out = new_load_report(gt, f->sender);
+	int check = f->credit_bytes == EB_HELLO_CHECK;
 
-	end_unknown_calls(gt, f, back, now_us);
+	if (!check) {
+		if (og)
+			eb_arrivals_heartbeat(&og->arrivals, f->call);
+		end_unknown_calls(gt, f, og, back, now_us);
+	}
 	if (!out)
 		return;
-	add_overdue_calls(gt, f->sender, out, now_us);
+	if (!check)
+		add_overdue_calls(gt, f, out, now_us);
 	gt->out.to_origin(gt->out.ctx, back, out);
 }
 
@@ -348,7 +364,7 @@
 {
 	apr_hash_index_t *hi;
 	struct eb_frame *out;
-	struct origin *og;
+	struct eb_gate_origin *og;
 
 	for (hi = apr_hash_first(NULL, gt->origins); hi;
 	     hi = apr_hash_next(hi)) {
@@ -977,20 +993,13 @@
 
 /* ---- Frames ---- */
 
-static int is_same_way(const struct eb_routing_id *a,
-		       const struct eb_routing_id *b)
-{
-	return a->used_bytes == b->used_bytes &&
-	       !memcmp(a->bytes, b->bytes, a->used_bytes);
-}
-
 /*
  * Ends the calls that exchange frames with an origin whose connection was
  * replaced: some may be lost, credit too, and their sender does not repeat
  * them. A call that only waits for a short answer goes on.
  */
-static void end_broken_calls(struct eb_gate *gt, const struct origin *og,
-			     int64_t now_us)
+static void end_broken_calls(struct eb_gate *gt,
+			     const struct eb_gate_origin *og, int64_t now_us)
 {
 	apr_hash_index_t *hi;
 	struct call *ca;
@@ -1006,7 +1015,7 @@
 }
 
 /* Sends the answers that may have been lost with an origin's connection. */
-static void send_kept(struct eb_gate *gt, const struct origin *og,
+static void send_kept(struct eb_gate *gt, const struct eb_gate_origin *og,
 		      int64_t now_us)
 {
 	struct eb_frame *f;
@@ -1018,53 +1027,23 @@
 }
 
 /*
- * Stores the connection that a frame of an origin came by. Frames of the one
- * before it may still be read after its first.
+ * Returns the entry of a frame's origin; see eb_gate_origin_find(). Handles a
+ * connection that has replaced another one.
  */
-static void update_way_back(struct eb_gate *gt, struct origin *og,
-			    const struct eb_routing_id *back, int64_t now_us)
+static struct eb_gate_origin *find_origin(struct eb_gate *gt,
+					  const struct eb_frame *f,
+					  const struct eb_routing_id *back,
+					  int64_t now_us)
 {
-	if (is_same_way(&og->back, back)) {
-		og->back.wire_version = back->wire_version;
-		return;
-	}
-	if (is_same_way(&og->before, back))
-		return;
-	og->before = og->back;
-	og->back = *back;
-	if (!og->before.used_bytes)
-		return;
+	struct eb_gate_origin *og;
+	int replaced;
+
+	og = eb_gate_origin_find(gt->origins, f, back, now_us, &replaced);
+	if (!replaced)
+		return og;
 	send_kept(gt, og, now_us);
 	if (og->calls)
 		end_broken_calls(gt, og, now_us);
-}
-
-/*
- * Returns the entry of an origin, with the time and the way back of its frame;
- * adds an unknown origin. NULL when EB_ORIGINS_MAX are known, or without
- * memory.
- */
-static struct origin *find_origin(struct eb_gate *gt, uint64_t incarnation,
-				  const struct eb_routing_id *back,
-				  int64_t now_us)
-{
-	struct origin *og;
-
-	og = apr_hash_get(gt->origins, &incarnation, sizeof(incarnation));
-	if (!og) {
-		if (apr_hash_count(gt->origins) >= EB_ORIGINS_MAX)
-			return NULL;
-		og = calloc(1, sizeof(*og));
-		if (!og)
-			return NULL;
-		og->incarnation = incarnation;
-		og->local = back == NULL;
-		apr_hash_set(gt->origins, &og->incarnation,
-			     sizeof(og->incarnation), og);
-	}
-	og->received_us = now_us;
-	if (back)
-		update_way_back(gt, og, back, now_us);
 	return og;
 }
 
@@ -1104,7 +1083,7 @@
 
 static struct call *new_call(struct eb_gate *gt, struct eb_frame *f,
 			     const struct eb_routing_id *back,
-			     struct origin *og, int64_t now_us)
+			     struct eb_gate_origin *og, int64_t now_us)
 {
 	struct call *ca = calloc(1, sizeof(*ca));
 
@@ -1148,8 +1127,8 @@
 
 /* Creates the call of a request and hands it to admission, or refuses it. */
 static void accept_call(struct eb_gate *gt, struct eb_frame *f,
-			const struct eb_routing_id *back, struct origin *og,
-			int64_t now_us)
+			const struct eb_routing_id *back,
+			struct eb_gate_origin *og, int64_t now_us)
 {
 	enum eb_reason reason = check_head(gt, f);
 	struct eb_crash_id crash_id = { 0 };
@@ -1191,16 +1170,20 @@
 			 const struct eb_routing_id *back, int64_t now_us)
 {
 	struct key key = { f->sender, f->call };
-	struct origin *og = find_origin(gt, f->sender, back, now_us);
+	struct eb_gate_origin *og = find_origin(gt, f, back, now_us);
 	/* After find_origin(), which may end calls. */
 	struct call *ca = apr_hash_get(gt->calls, &key, sizeof(key));
 
 	if (f->type == EB_FRAME_HELLO) {
 		/* The table of origins owns `og`. */
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-		reply_to_heartbeat(gt, f, back, now_us);
+		reply_to_heartbeat(gt, f, og, back, now_us);
 		eb_frame_unref(f);
 	} else if (f->type == EB_FRAME_HEAD && !ca) {
+		if (og && !eb_arrivals_accept(&og->arrivals, f->call)) {
+			do_drop(gt, NULL, f, now_us);
+			return;
+		}
 		if (og) {
 			accept_call(gt, f, back, og, now_us);
 			return;
@@ -1356,22 +1339,12 @@
 {
 	struct eb_crash_counters ct;
 	apr_hash_index_t *hi;
-	struct origin *og;
 
 	eb_kept_expire(gt->kept, now_us);
 	for (hi = apr_hash_first(NULL, gt->calls); hi; hi = apr_hash_next(hi)) {
 		check_timeouts(gt, apr_hash_this_val(hi), now_us);
 	}
-	for (hi = apr_hash_first(NULL, gt->origins); hi;
-	     hi = apr_hash_next(hi)) {
-		og = apr_hash_this_val(hi);
-		if (og->calls ||
-		    now_us - og->received_us < EB_ORIGIN_IDLE_MS * 1000LL)
-			continue;
-		apr_hash_set(gt->origins, &og->incarnation,
-			     sizeof(og->incarnation), NULL);
-		free(og);
-	}
+	eb_gate_origin_expire(gt->origins, now_us);
 	if (gt->probe && !gt->check.instance)
 		send_probe(gt, now_us);
 	check_upstream(gt, now_us);
--- a/src/eb_liveness.c
+++ b/src/eb_liveness.c
@@ -79,14 +79,16 @@
 
 /*
  * Whether the peer should be sent a heartbeat because of a call: nothing was
- * received from it since the call was sent EB_PEER_CHECK_MS or more ago, and no
- * heartbeat is without an answer.
+ * received from it since the call was sent EB_PEER_CHECK_MS or more ago, or for
+ * EB_PEER_CHECK_AGAIN_MS, and no heartbeat is without an answer.
  */
 int eb_liveness_check_due(const struct eb_liveness *si, int64_t sent_us,
 			  int64_t now_us)
 {
-	return !si->asked_us && si->heard_us < sent_us &&
-	       now_us - sent_us >= EB_PEER_CHECK_MS * 1000LL;
+	if (si->asked_us || now_us - sent_us < EB_PEER_CHECK_MS * 1000LL)
+		return 0;
+	return si->heard_us < sent_us ||
+	       now_us - si->heard_us >= EB_PEER_CHECK_AGAIN_MS * 1000LL;
 }
 
 /*
--- a/src/eb_mesh.c
+++ b/src/eb_mesh.c
@@ -1,7 +1,5 @@
 #include "eb_mesh.h"
 
-#include <apr_hash.h>
-#include <apr_pools.h>
 #include <assert.h>
 #include <errno.h>
 #include <stdio.h>
@@ -12,11 +10,9 @@
 #include <zmq.h>
 
 #include "eb_wire.h"
+#include "eb_zap.h"
+#include "eb_zmq.h"
 
-#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
-#define ZAP_PARTS_MAX 8
-#define ZAP_PART_BYTES 256
-#define KEY_BYTES 32
 #define EVENTS_MAX 64
 
 struct eb_mesh {
@@ -26,16 +22,13 @@
 	uint64_t incarnation;
 	void *zmq;
 	void *router;
-	void *zap; /* NULL without CURVE */
+	struct eb_zap *zap; /* NULL without CURVE */
 	int epoll_fd;
 	struct eb_peer *peers[EB_PEERS_MAX];
 	uint32_t peer_count;
 	struct eb_liveness_clock clock;
 	uint8_t router_readable; /* may have messages to read */
 	uint8_t zap_readable;
-	apr_pool_t *pool;
-	apr_pool_t *key_pool;
-	apr_hash_t *keys; /* public keys that may connect, 32 bytes each */
 	msgpack_sbuffer out;
 };
 
@@ -56,55 +49,15 @@
 	return epoll_ctl(ms->epoll_fd, EPOLL_CTL_ADD, fd, &ev);
 }
 
-static void set_int(void *socket, int option, int value)
-{
-	int rc = zmq_setsockopt(socket, option, &value, sizeof(value));
-
-	assert(!rc);
-	(void)rc;
-}
-
-static void set_common(void *socket)
-{
-	set_int(socket, ZMQ_LINGER, 0);
-	set_int(socket, ZMQ_SNDHWM, EB_PEER_HIGH_WATER_MESSAGES);
-	set_int(socket, ZMQ_RCVHWM, EB_PEER_HIGH_WATER_MESSAGES);
-	set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
-}
-
-/*
- * Sets the daemon's own key pair. Without `server_key` the socket is the CURVE
- * server, which checks the keys of its peers by ZAP. Returns 0, or -1 with
- * errno.
- */
-static int set_curve(struct eb_mesh *ms, void *socket, const char *server_key)
-{
-	const struct eb_settings *se = ms->settings;
-
-	if (se->plain_peers)
-		return 0;
-	if (zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, se->curve_public, 41) ||
-	    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, se->curve_secret, 41))
-		return -1;
-	if (server_key)
-		return zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, server_key,
-				      41);
-	set_int(socket, ZMQ_CURVE_SERVER, 1);
-	return zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, "ebonypier", 9);
-}
-
 static int open_zap(struct eb_mesh *ms)
 {
 	if (ms->settings->plain_peers)
 		return 0;
-	ms->zap = zmq_socket(ms->zmq, ZMQ_REP);
+	ms->zap = eb_zap_new(ms->zmq, ms->metrics, ms->log);
 	if (!ms->zap)
 		return -1;
-	set_int(ms->zap, ZMQ_LINGER, 0);
-	if (zmq_bind(ms->zap, ZAP_ENDPOINT))
-		return -1;
 	ms->zap_readable = 1;
-	return add_to_epoll(ms, ms->zap, (void *)TAG_ZAP);
+	return add_to_epoll(ms, eb_zap_socket(ms->zap), (void *)TAG_ZAP);
 }
 
 static int open_router(struct eb_mesh *ms)
@@ -114,9 +67,9 @@
 	ms->router = zmq_socket(ms->zmq, ZMQ_ROUTER);
 	if (!ms->router)
 		return -1;
-	set_common(ms->router);
-	set_int(ms->router, ZMQ_ROUTER_MANDATORY, 1);
-	if (set_curve(ms, ms->router, NULL))
+	eb_zmq_set_common(ms->router);
+	eb_zmq_set_int(ms->router, ZMQ_ROUTER_MANDATORY, 1);
+	if (eb_zmq_set_curve(ms->router, ms->settings, NULL))
 		return -1;
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s",
 		 ms->settings->daemon_address);
@@ -145,11 +98,10 @@
 	ms->log = lg;
 	ms->incarnation = incarnation;
 	msgpack_sbuffer_init(&ms->out);
-	apr_pool_create(&ms->pool, NULL);
 	ms->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	ms->zmq = zmq_ctx_new();
 	if (ms->zmq)
-		zmq_ctx_set(ms->zmq, ZMQ_MAX_SOCKETS, EB_PEERS_MAX + 16);
+		zmq_ctx_set(ms->zmq, ZMQ_MAX_SOCKETS, 2 * EB_PEERS_MAX + 16);
 	if (ms->epoll_fd < 0 || !ms->zmq || open_zap(ms) || open_router(ms)) {
 		eb_error_set(err, EB_EIO, "cannot listen on %s: %s",
 			     se->daemon_address, zmq_strerror(errno));
@@ -168,14 +120,12 @@
 		eb_mesh_close(ms, ms->peers[ms->peer_count - 1]);
 	if (ms->router)
 		zmq_close(ms->router);
-	if (ms->zap)
-		zmq_close(ms->zap);
+	eb_zap_free(ms->zap);
 	if (ms->zmq)
 		zmq_ctx_term(ms->zmq);
 	if (ms->epoll_fd >= 0)
 		close(ms->epoll_fd);
 	msgpack_sbuffer_destroy(&ms->out);
-	apr_pool_destroy(ms->pool);
 	free(ms);
 }
 
@@ -186,32 +136,43 @@
 }
 
 /*
- * Replaces the set of public keys that may connect by those of the daemons in
- * `cf`. Returns EB_ENOMEM, with the old set in force, when memory runs out.
+ * Replaces the set of public keys that may connect; see eb_zap_allow_keys().
  */
 enum eb_status eb_mesh_allow_keys(struct eb_mesh *ms,
 				  const struct eb_config *cf)
 {
-	apr_pool_t *pool;
-	apr_hash_t *keys;
-	uint8_t *key;
-	uint32_t i;
+	return ms->zap ? eb_zap_allow_keys(ms->zap, cf) : EB_OK;
+}
 
-	if (apr_pool_create(&pool, ms->pool) != APR_SUCCESS)
-		return EB_ENOMEM;
-	keys = apr_hash_make(pool);
-	for (i = 0; i < cf->upstream_total; i++) {
-		if (!cf->upstreams[i]->key[0])
-			continue;
-		key = apr_palloc(pool, KEY_BYTES);
-		if (zmq_z85_decode(key, cf->upstreams[i]->key))
-			apr_hash_set(keys, key, KEY_BYTES, key);
+static void close_socket(struct eb_mesh *ms, void *socket)
+{
+	size_t n = sizeof(int);
+	int fd;
+
+	if (!zmq_getsockopt(socket, ZMQ_FD, &fd, &n))
+		epoll_ctl(ms->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+	zmq_close(socket);
+}
+
+/* Opens a socket to the address of a peer; NULL on failure. */
+static void *open_dealer(struct eb_mesh *ms, struct eb_peer *pr)
+{
+	void *socket = zmq_socket(ms->zmq, ZMQ_DEALER);
+	char endpoint[96];
+
+	if (!socket)
+		return NULL;
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", pr->address);
+	eb_zmq_set_common(socket);
+	eb_zmq_set_int(socket, ZMQ_IMMEDIATE, 1);
+	eb_zmq_set_int(socket, ZMQ_RECONNECT_IVL, EB_PEER_RECONNECT_MS);
+	eb_zmq_set_int(socket, ZMQ_RECONNECT_IVL_MAX, EB_PEER_RECONNECT_MAX_MS);
+	if (eb_zmq_set_curve(socket, ms->settings, pr->key) ||
+	    zmq_connect(socket, endpoint) || add_to_epoll(ms, socket, pr)) {
+		zmq_close(socket);
+		return NULL;
 	}
-	if (ms->key_pool)
-		apr_pool_destroy(ms->key_pool);
-	ms->key_pool = pool;
-	ms->keys = keys;
-	return EB_OK;
+	return socket;
 }
 
 /*
@@ -224,7 +185,6 @@
 			     const char *key, uint32_t user, int64_t now_us)
 {
 	struct eb_peer *pr;
-	char endpoint[96];
 
 	if (ms->peer_count == EB_PEERS_MAX)
 		return NULL;
@@ -233,48 +193,42 @@
 		return NULL;
 	snprintf(pr->address, sizeof(pr->address), "%s", address);
 	snprintf(pr->key, sizeof(pr->key), "%s", key);
-	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
 	pr->user = user;
 	pr->last_used_us = now_us;
 	eb_liveness_received(&pr->liveness, now_us);
 	pr->dialled_us = now_us;
 	pr->idle_heartbeat_ms = EB_PEER_HEARTBEAT_IDLE_MS;
-	pr->socket = zmq_socket(ms->zmq, ZMQ_DEALER);
+	pr->socket = open_dealer(ms, pr);
 	if (!pr->socket) {
 		free(pr);
 		return NULL;
 	}
-	set_common(pr->socket);
-	set_int(pr->socket, ZMQ_IMMEDIATE, 1);
-	set_int(pr->socket, ZMQ_RECONNECT_IVL, EB_PEER_RECONNECT_MS);
-	set_int(pr->socket, ZMQ_RECONNECT_IVL_MAX, EB_PEER_RECONNECT_MAX_MS);
-	if (set_curve(ms, pr->socket, pr->key) ||
-	    zmq_connect(pr->socket, endpoint) ||
-	    add_to_epoll(ms, pr->socket, pr)) {
-		zmq_close(pr->socket);
-		free(pr);
-		return NULL;
-	}
 	ms->peers[ms->peer_count++] = pr;
 	eb_metrics_set(ms->metrics, EB_METRIC_PEERS_ACTIVE, ms->peer_count);
 	return pr;
 }
 
-/* Closes the socket to a peer and frees the peer. */
+/* Closes the second connection to a peer, if there is one. */
+static void close_second(struct eb_mesh *ms, struct eb_peer *pr)
+{
+	if (pr->second)
+		close_socket(ms, pr->second);
+	pr->second = NULL;
+	memset(&pr->reconnect, 0, sizeof(pr->reconnect));
+}
+
+/* Closes the sockets to a peer and frees the peer. */
 void eb_mesh_close(struct eb_mesh *ms, struct eb_peer *pr)
 {
-	size_t n = sizeof(int);
 	uint32_t i;
-	int fd;
 
 	for (i = 0; i < ms->peer_count; i++)
 		if (ms->peers[i] == pr)
 			break;
 	assert(i < ms->peer_count);
 	ms->peers[i] = ms->peers[--ms->peer_count];
-	if (!zmq_getsockopt(pr->socket, ZMQ_FD, &fd, &n))
-		epoll_ctl(ms->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-	zmq_close(pr->socket);
+	close_second(ms, pr);
+	close_socket(ms, pr->socket);
 	free(pr);
 	eb_metrics_set(ms->metrics, EB_METRIC_PEERS_ACTIVE, ms->peer_count);
 }
@@ -309,14 +263,8 @@
 	return pr->wire_version;
 }
 
-/*
- * Sends a frame to a peer; the reference stays with the caller. After an error
- * the frame has not been sent and will not be: EB_EAGAIN when the socket's
- * queue is full or it has no connection, EB_EINVAL for a frame that is not sent
- * between daemons, EB_EPEER for any other failure.
- */
-enum eb_status eb_mesh_send(struct eb_mesh *ms, struct eb_peer *pr,
-			    struct eb_frame *f, int64_t now_us)
+static enum eb_status send_on(struct eb_mesh *ms, struct eb_peer *pr,
+			      void *socket, struct eb_frame *f, int64_t now_us)
 {
 	f->sender = ms->incarnation;
 	/* A restarted daemon, with another incarnation, must accept it too. */
@@ -325,7 +273,7 @@
 	if (eb_wire_encode(f, version_for(pr, f), &ms->out))
 		return EB_EINVAL;
 	pr->readable = 1;
-	if (zmq_send(pr->socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
+	if (zmq_send(socket, ms->out.data, ms->out.size, ZMQ_DONTWAIT) < 0)
 		return send_failed(ms);
 	pr->last_sent_us = now_us;
 	if (f->type != EB_FRAME_HELLO)
@@ -334,6 +282,18 @@
 	return EB_OK;
 }
 
+/*
+ * Sends a frame to a peer; the reference stays with the caller. After an error
+ * the frame has not been sent and will not be: EB_EAGAIN when the socket's
+ * queue is full or it has no connection, EB_EINVAL for a frame that is not sent
+ * between daemons, EB_EPEER for any other failure.
+ */
+enum eb_status eb_mesh_send(struct eb_mesh *ms, struct eb_peer *pr,
+			    struct eb_frame *f, int64_t now_us)
+{
+	return send_on(ms, pr, pr->socket, f, now_us);
+}
+
 /*
  * Sends a frame to the sender of a received frame, through the ROUTER. The
  * errors are those of eb_mesh_send().
@@ -407,6 +367,29 @@
 	sink->up(sink->ctx, pr);
 }
 
+/* Reads the answers on the second connection to a peer. */
+static void receive_second(struct eb_mesh *ms, struct eb_peer *pr,
+			   int64_t now_us)
+{
+	struct eb_frame *f;
+	zmq_msg_t msg;
+
+	for (;;) {
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, pr->second, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&msg);
+			return;
+		}
+		f = decode(ms, zmq_msg_data(&msg), zmq_msg_size(&msg));
+		zmq_msg_close(&msg);
+		if (f)
+			eb_reconnect_answered(&pr->reconnect,
+					      f->sender != pr->incarnation,
+					      now_us);
+		eb_frame_unref(f);
+	}
+}
+
 static int receive_peer(struct eb_mesh *ms, struct eb_peer *pr,
 			const struct eb_mesh_sink *sink, int64_t now_us)
 {
@@ -414,6 +397,8 @@
 	zmq_msg_t msg;
 	int i;
 
+	if (pr->second)
+		receive_second(ms, pr, now_us);
 	for (i = 0; i < EB_BATCH_FRAMES; i++) {
 		zmq_msg_init(&msg);
 		if (zmq_msg_recv(&msg, pr->socket, ZMQ_DONTWAIT) < 0) {
@@ -425,30 +410,15 @@
 		zmq_msg_close(&msg);
 		if (!f)
 			continue;
+		if (f->type == EB_FRAME_HELLO)
+			pr->knows_checks =
+				f->reply->body_kind == EB_HELLO_KNOWS_CHECKS;
 		update_incarnation(ms, pr, f, sink, now_us);
 		sink->frame(sink->ctx, f, pr, NULL);
 	}
 	return 1;
 }
 
-/* Discards the remaining parts of a multipart message. */
-static void skip_parts(void *socket)
-{
-	size_t n = sizeof(int);
-	zmq_msg_t msg;
-	int more = 1;
-
-	while (more) {
-		zmq_msg_init(&msg);
-		if (zmq_msg_recv(&msg, socket, ZMQ_DONTWAIT) < 0) {
-			zmq_msg_close(&msg);
-			return;
-		}
-		zmq_msg_close(&msg);
-		zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &n);
-	}
-}
-
 static int receive_router(struct eb_mesh *ms, const struct eb_mesh_sink *sink)
 {
 	struct eb_routing_id back;
@@ -471,7 +441,7 @@
 		}
 		f = NULL;
 		if (zmq_msg_more(&msg)) {
-			skip_parts(ms->router);
+			eb_zmq_skip_parts(ms->router);
 			eb_metrics_add(ms->metrics, EB_METRIC_BAD_FRAMES, 1);
 		} else if (n <= (int)sizeof(back.bytes)) {
 			f = decode(ms, zmq_msg_data(&msg), zmq_msg_size(&msg));
@@ -487,76 +457,6 @@
 	return 1;
 }
 
-struct zap_request {
-	char parts[ZAP_PARTS_MAX][ZAP_PART_BYTES];
-	int sizes[ZAP_PARTS_MAX];
-	int count;
-};
-
-static int read_zap_request(void *socket, struct zap_request *rq)
-{
-	size_t size = sizeof(int);
-	int more = 1, n;
-
-	rq->count = 0;
-	while (more) {
-		if (rq->count == ZAP_PARTS_MAX) {
-			skip_parts(socket);
-			return 0;
-		}
-		n = zmq_recv(socket, rq->parts[rq->count], ZAP_PART_BYTES,
-			     ZMQ_DONTWAIT);
-		if (n < 0)
-			return -1;
-		if (n > ZAP_PART_BYTES)
-			n = ZAP_PART_BYTES;
-		rq->sizes[rq->count++] = n;
-		zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
-	}
-	return 0;
-}
-
-/*
- * Answers ZAP requests of ZeroMQ, which ask whether a peer may connect (RFC
- * 27). The parts are: version, request, domain, address, identity, mechanism,
- * key. Returns 1 when more requests may be waiting.
- */
-static int receive_zap(struct eb_mesh *ms)
-{
-	struct zap_request rq;
-	int ok, i;
-
-	for (i = 0; i < EB_BATCH_FRAMES; i++) {
-		if (read_zap_request(ms->zap, &rq)) {
-			ms->zap_readable = 0;
-			return 0;
-		}
-		ok = rq.count >= 7 && rq.sizes[6] == KEY_BYTES && ms->keys &&
-		     apr_hash_get(ms->keys, rq.parts[6], KEY_BYTES);
-		if (!ok) {
-			eb_metrics_add(ms->metrics, EB_METRIC_PEER_AUTH_FAILED,
-				       1);
-			eb_log_write(ms->log, EB_LOG_WARN, "mesh",
-				     "refused a peer with an unknown key",
-				     "address=%.*s",
-				     rq.count > 3 ? rq.sizes[3] : 0,
-				     rq.parts[3]);
-		}
-		zmq_send(ms->zap, "1.0", 3, ZMQ_SNDMORE);
-		zmq_send(ms->zap, rq.parts[1], (size_t)rq.sizes[1],
-			 ZMQ_SNDMORE);
-		/*
-		 * Status 300 lets the peer retry: its key may be in a release
-		 * that has not arrived here yet. After 400 it would not retry.
-		 */
-		zmq_send(ms->zap, ok ? "200" : "300", 3, ZMQ_SNDMORE);
-		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
-		zmq_send(ms->zap, "", 0, ZMQ_SNDMORE);
-		zmq_send(ms->zap, "", 0, 0);
-	}
-	return 1;
-}
-
 /* Marks the sockets that epoll reports as readable. */
 static void mark_readable(struct eb_mesh *ms)
 {
@@ -586,8 +486,10 @@
 	int more = 0;
 
 	mark_readable(ms);
-	if (ms->zap_readable && ms->zap)
-		more |= receive_zap(ms);
+	if (ms->zap_readable && ms->zap) {
+		ms->zap_readable = (uint8_t)eb_zap_receive(ms->zap);
+		more |= ms->zap_readable;
+	}
 	if (ms->router_readable)
 		more |= receive_router(ms, sink);
 	for (i = 0; i < ms->peer_count; i++)
@@ -598,16 +500,12 @@
 	return more || ms->router_readable;
 }
 
-/* Tells whether the socket to a peer has a connection that takes a frame. */
-static int is_connected(struct eb_peer *pr)
+/* Tells whether a socket to a peer has a connection that takes a frame. */
+static int is_connected(struct eb_peer *pr, void *socket)
 {
-	size_t n = sizeof(int);
-	int events = 0;
-
 	/* The call may consume an event of the descriptor. */
 	pr->readable = 1;
-	return !zmq_getsockopt(pr->socket, ZMQ_EVENTS, &events, &n) &&
-	       (events & ZMQ_POLLOUT);
+	return eb_zmq_is_connected(socket);
 }
 
 /*
@@ -630,7 +528,7 @@
 
 	pr->last_hello_us = now_us;
 	eb_liveness_heartbeat_sent(&pr->liveness, now_us);
-	if (!pr->up && !is_connected(pr))
+	if (!pr->up && !is_connected(pr, pr->socket))
 		return;
 	f = eb_frame_new(EB_FRAME_HELLO, 0);
 	if (!f)
@@ -684,7 +582,7 @@
 {
 	if (now_us - pr->dialled_us < EB_PEER_REDIAL_MS * 1000)
 		return;
-	if (is_connected(pr))
+	if (is_connected(pr, pr->socket))
 		pr->dialled_us = now_us;
 	else
 		reconnect(pr, now_us);
@@ -732,6 +630,90 @@
 	}
 }
 
+/* Sends a heartbeat on the second connection to a peer. */
+static void send_check(struct eb_mesh *ms, struct eb_peer *pr, int64_t now_us)
+{
+	struct eb_frame *f;
+
+	if (!is_connected(pr, pr->second))
+		return;
+	f = eb_frame_new(EB_FRAME_HELLO, 0);
+	if (!f)
+		return;
+	f->credit_bytes = EB_HELLO_CHECK;
+	if (!send_on(ms, pr, pr->second, f, now_us))
+		eb_reconnect_asked(&pr->reconnect, now_us);
+	eb_frame_unref(f);
+}
+
+/*
+ * Replaces the silent connection to a peer by the second one. The heartbeat
+ * that lists the waiting calls goes first: a new call that arrived before it
+ * would hide from the gate that older ones have not arrived.
+ */
+static void replace_connection(struct eb_mesh *ms, struct eb_peer *pr,
+			       const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	struct eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
+	enum eb_status st;
+
+	if (!f)
+		return;
+	f->credit_bytes = EB_HELLO_REPLACES;
+	sink->hello(sink->ctx, pr, f);
+	st = send_on(ms, pr, pr->second, f, now_us);
+	eb_log_write(ms->log, EB_LOG_WARN, "mesh",
+		     st ? "silent connection not replaced"
+			: "silent connection replaced",
+		     "address=%s silent_ms=%lld calls=%u restarted=%u",
+		     pr->address,
+		     (long long)(now_us - pr->liveness.asked_us) / 1000,
+		     f->data_bytes / (uint32_t)sizeof(uint64_t),
+		     pr->reconnect.restarted);
+	eb_frame_unref(f);
+	if (st) {
+		close_second(ms, pr);
+		return;
+	}
+	eb_metrics_add(ms->metrics, EB_METRIC_SILENT_REPLACED, 1);
+	close_socket(ms, pr->socket);
+	pr->socket = pr->second;
+	pr->second = NULL;
+	close_second(ms, pr);
+	pr->dialled_us = now_us;
+	pr->last_hello_us = now_us;
+	eb_liveness_received(&pr->liveness, now_us);
+	eb_liveness_heartbeat_sent(&pr->liveness, now_us);
+	sink->up(sink->ctx, pr);
+}
+
+/* Finds out whether a suspected peer or only the connection to it is silent. */
+static void check_connection(struct eb_mesh *ms, struct eb_peer *pr,
+			     const struct eb_mesh_sink *sink, int64_t now_us)
+{
+	int suspected = pr->up && pr->knows_checks && pr->liveness.suspected;
+
+	switch (eb_reconnect_next(&pr->reconnect, &ms->clock, suspected,
+				  now_us)) {
+	case EB_RECONNECT_WAIT:
+		return;
+	case EB_RECONNECT_DIAL:
+		close_second(ms, pr);
+		pr->second = open_dealer(ms, pr);
+		if (pr->second)
+			eb_reconnect_dialled(&pr->reconnect, now_us);
+		return;
+	case EB_RECONNECT_ASK:
+		send_check(ms, pr, now_us);
+		return;
+	case EB_RECONNECT_REPLACE:
+		replace_connection(ms, pr, sink, now_us);
+		return;
+	case EB_RECONNECT_CLOSE:
+		close_second(ms, pr);
+	}
+}
+
 /* Sends a heartbeat at once, unless one has not been answered yet. */
 void eb_mesh_heartbeat_now(struct eb_mesh *ms, struct eb_peer *pr,
 			   const struct eb_mesh_sink *sink, int64_t now_us)
@@ -757,6 +739,7 @@
 		if (paused)
 			reset_liveness(pr, sink);
 		check_liveness(ms, pr, sink, now_us);
+		check_connection(ms, pr, sink, now_us);
 		if (!pr->up)
 			redial(pr, now_us);
 		if (hello_due(pr, now_us))
--- a/src/eb_mesh.h
+++ b/src/eb_mesh.h
@@ -9,6 +9,7 @@
 #include "eb_metrics.h"
 #include "eb_settings.h"
 #include "eb_liveness.h"
+#include "eb_reconnect.h"
 #include "eb_status.h"
 
 /*
@@ -33,6 +34,8 @@
 	char address[64];
 	char key[41];
 	void *socket;
+	void *second; /* connection that may replace `socket`; NULL: none */
+	struct eb_reconnect reconnect;
 	uint64_t incarnation; /* 0: has not answered yet */
 	struct eb_liveness liveness;
 	int64_t last_sent_us;
@@ -45,6 +48,7 @@
 	uint32_t user;	      /* number of the node, for the core */
 	uint8_t wire_version; /* that it answered in; 0: has not answered */
 	uint8_t up;	      /* answers heartbeats */
+	uint8_t knows_checks; /* see EB_HELLO_KNOWS_CHECKS */
 	uint8_t readable;     /* may have messages to read */
 };
 
--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -82,6 +82,10 @@
 	  "Peers passed over because they owed an answer")                   \
 	X(PEERS_LOST, "peers_lost_total",                                    \
 	  "Peers found silent or in a new incarnation")                      \
+	X(SILENT_REPLACED, "silent_connections_replaced_total",              \
+	  "Connections to peers replaced because they were silent")          \
+	X(CALLS_RESENT, "calls_resent_total",                                \
+	  "Calls sent again that had not arrived at their gate")             \
 	X(PEER_SEND_FAILED, "peer_send_failed_total",                        \
 	  "Frames that could not be handed to a peer")                       \
 	X(PEER_AUTH_FAILED, "peer_auth_failed_total",                        \
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -481,45 +481,16 @@
 
 /* ---- Routing ---- */
 
-/*
- * Returns the call's HEAD with a single reference, so that it may be changed
- * for the next attempt; copies a shared one. Returns NULL without memory.
- */
-static struct eb_frame *unshare_head(struct call *ca)
-{
-	struct eb_frame *old = ca->head, *f;
-	struct eb_head *from = old->head, *to;
-
-	if (__atomic_load_n(&old->refs, __ATOMIC_ACQUIRE) == 1)
-		return old;
-	f = eb_frame_new_data(EB_FRAME_HEAD, 0, old->data, old->data_bytes);
-	if (!f)
-		return NULL;
-	to = f->head;
-	*to = *from;
-	memset(&to->headers, 0, sizeof(to->headers));
-	to->service = strdup(from->service);
-	to->upstream = NULL;
-	to->method = strdup(from->method);
-	to->target = strdup(from->target);
-	to->key = from->key ? strdup(from->key) : NULL;
-	to->instance = NULL;
-	eb_headers_load(&to->headers, from->headers.block,
-			from->headers.used_bytes);
-	eb_frame_unref(old);
-	ca->head = f;
-	return f;
-}
-
 /* Sets the fields of HEAD that differ by attempt; NULL without memory. */
 static struct eb_frame *prepare_head(struct eb_origin *og, struct call *ca,
 				     uint32_t node, int64_t now_us)
 {
 	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
-	struct eb_frame *f = unshare_head(ca);
+	struct eb_frame *f = eb_frame_unshare_head(ca->head);
 
 	if (!f)
 		return NULL;
+	ca->head = f;
 	free(f->head->upstream);
 	f->head->upstream = strdup(n->name);
 	free(f->head->instance);
@@ -745,6 +716,8 @@
 	    ca->reason == EB_REASON_HANDED_BACK)
 		out->reply->retry_after_ms +=
 			eb_route_extra_backoff_ms(ca->service->route);
+	if (type == EB_FRAME_REFUSE && ca->reason == EB_REASON_LOST_PEER)
+		out->reply->status = 503;
 	/* Clients retry on 503, which is safe only if nothing ran. */
 	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
 		out->reply->status = 502;
@@ -793,12 +766,19 @@
 		     int64_t now_us)
 {
 	struct eb_retry_attempt at = { 0 };
+	int lost;
 
 	if (f && f->reply)
 		save_reply(ca, f->reply);
 	eb_frame_unref(f);
 	end_attempt(og, ca, now_us);
 	log_attempt(og, ca, now_us);
+	lost = ca->outcome == EB_OUTCOME_NOT_RUN &&
+	       ca->reason == EB_REASON_LOST_PEER;
+	/* The gate may get it again, on a connection that works. */
+	if (lost && ca->tried_count &&
+	    ca->tried[ca->tried_count - 1] == ca->node)
+		ca->tried_count--;
 	at.outcome = ca->outcome;
 	at.reason = ca->reason;
 	at.idempotent = ca->idempotent;
@@ -808,6 +788,8 @@
 	if (ca->runs < ca->runs_max && !may_crash_upstreams(ca) &&
 	    eb_retry_allow(&ca->service->retry, &at)) {
 		eb_metrics_add(og->config.metrics, EB_METRIC_RETRIES, 1);
+		eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_RESENT,
+			       lost);
 		route(og, ca, now_us);
 		return;
 	}
@@ -1383,19 +1365,22 @@
 }
 
 /*
- * Adds the numbers of attempts that have been at a node's gate for long to
- * `f`, a heartbeat to that gate.
+ * Completes `f`, a heartbeat to a node's gate: adds the numbers of attempts
+ * that have been there for long, or of all if the connection was replaced.
  */
 void eb_origin_list_overdue(const struct eb_origin *og, uint32_t node,
 			    struct eb_frame *f, int64_t now_us)
 {
+	int all = f->credit_bytes == EB_HELLO_REPLACES;
 	apr_hash_index_t *hi;
 	const struct call *ca;
 
+	f->call = og->next_number;
 	for (hi = apr_hash_first(NULL, og->by_number); hi;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
-		if (ca->node == node && eb_overdue(ca->attempt_us, now_us) &&
+		if (ca->node == node &&
+		    (all || eb_overdue(ca->attempt_us, now_us)) &&
 		    eb_overdue_add(f, ca->number))
 			return;
 	}
--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -88,14 +88,18 @@
 	return 1;
 }
 
-/* Whether a gate refused for load or a drain, so that nothing has failed. */
+/*
+ * Whether a gate refused for load or a drain, or the call was lost on its way
+ * to it, so that nothing has failed.
+ */
 static int is_refusal(const struct eb_retry_attempt *at)
 {
 	return at->outcome == EB_OUTCOME_NOT_RUN &&
 	       (at->reason == EB_REASON_QUEUE_FULL ||
 		at->reason == EB_REASON_HANDED_BACK ||
 		at->reason == EB_REASON_DRAINING ||
-		at->reason == EB_REASON_NO_UPSTREAM);
+		at->reason == EB_REASON_NO_UPSTREAM ||
+		at->reason == EB_REASON_LOST_PEER);
 }
 
 /*
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -625,6 +625,9 @@
 		up->in_flight == 1 ? up->started_us : now_us - rs->elapsed_us;
 	up->in_flight--;
 	rt->far_in_flight -= up->info.distance == EB_DISTANCE_FAR;
+	/* Lost on a silent connection: says nothing about the upstream. */
+	if (refused && rs->reason == EB_REASON_LOST_PEER)
+		return;
 	learn_refusals(rt, up->info.distance == EB_DISTANCE_FAR, refused,
 		       now_us);
 	if (how != EB_EJECT_GOOD) {
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -87,6 +87,19 @@
  * gets a heartbeat. Most calls take less.
  */
 #define EB_PEER_CHECK_MS 200
+/*
+ * The same for a gate that has sent something since the call was sent, but
+ * nothing for this long. With the times below, a connection that goes silent is
+ * replaced within a second.
+ */
+#define EB_PEER_CHECK_AGAIN_MS 500
+/*
+ * The first connection to a peer has this long to answer after the peer has
+ * answered on the second one.
+ */
+#define EB_PEER_REPLACE_WAIT_MS 50
+/* A second connection without an answer is replaced by a newer one. */
+#define EB_PEER_SECOND_REDIAL_MS 1000
 /* A gap between two turns above this is a pause; an idle wait is shorter. */
 #define EB_PEER_STALL_MS 150
 /* A peer that has not answered a heartbeat for this long is lost. */
--- a/tests/it_hazards.cc
+++ b/tests/it_hazards.cc
@@ -274,6 +274,42 @@
 	wait_served("/far/x");
 }
 
+/*
+ * Guards against a silent connection that is believed for seconds: calls on it
+ * were answered 502 after four seconds, though new connections worked and the
+ * requests had not arrived or were still running.
+ */
+TEST_F(Hazard, ASilentConnectionIsReplaced)
+{
+	for (const std::string dir : { "both", "forward", "backward" }) {
+		double replaced =
+			near().metric("silent_connections_replaced_total");
+		int64_t from_us, executed;
+		HttpAnswer a, b;
+
+		wait_served("/far/x");
+		executed = far().runs_count("executed");
+		std::thread during([&] {
+			a = book("/far/x?delay_us=1500000", "in-" + dir);
+		});
+		wait_until("the run",
+			   [&] { return far().executions("in-" + dir) == 1; });
+		relay->silence_open(dir);
+		from_us = now_us();
+		/* A claim of a key would delay the request itself. */
+		b = http_post(near().url("/far/x"), "booking");
+		EXPECT_GT(1000, (now_us() - from_us) / 1000) << dir;
+		during.join();
+		EXPECT_TRUE(a.complete(200)) << dir << a.status;
+		EXPECT_TRUE(b.complete(200)) << dir << b.status;
+		EXPECT_EQ(executed + 2, far().runs_count("executed")) << dir;
+		EXPECT_EQ(replaced + 1,
+			  near().metric("silent_connections_replaced_total"))
+			<< dir;
+	}
+	EXPECT_EQ(2, near().metric("calls_resent_total"));
+}
+
 /* Guards against messages that are lost or duplicated when a link is cut. */
 TEST_F(Hazard, CutLinkRunsNothingTwice)
 {
@@ -551,6 +587,32 @@
 		check_outcome(answers[(size_t)i], "stale-" + std::to_string(i));
 }
 
+/*
+ * Guards against a paused gate that is taken for a silent connection: it would
+ * end the answer that it is sending.
+ */
+TEST_F(Hazard, APausedGateKeepsItsConnection)
+{
+	for (int pause_ms : { 300, 800, 2000 }) {
+		std::string key = "kept-" + std::to_string(pause_ms);
+		HttpAnswer a;
+
+		wait_served("/far/x");
+		std::thread pause([&] {
+			wait_until("the run",
+				   [&] { return far().executions(key) == 1; });
+			far().daemon->signal(SIGSTOP);
+			sleep_ms(pause_ms);
+			far().daemon->signal(SIGCONT);
+		});
+		a = book("/far/x?delay_us=100000", key);
+		pause.join();
+		EXPECT_TRUE(a.complete(200)) << a.status << key;
+		check_outcome(a, key);
+	}
+	EXPECT_EQ(0, near().metric("silent_connections_replaced_total"));
+}
+
 /* The same for a paused origin, whose calls have ended when it resumes. */
 TEST_F(Hazard, PausedOriginAnswersItsCallers)
 {
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -179,10 +179,15 @@
 			f->reply->rate_limit_milli = t == "limited" ? 500 : 0;
 			f->reply->upstream_leaving = t == "leaving";
 			eb_gate_from_client(gt, f, now_us);
-		} else if (t == "lists") {
-			eb_frame *f = make("hello", 0);
+		} else if (t == "lists" || t == "replaces" || t == "checks") {
+			/* A check and a replacement follow call 9. */
+			eb_frame *f = make("hello", t == "lists" ? 0 : 9);
 			f->sender = ORIGIN;
-			eb_overdue_add(f, (uint64_t)n);
+			f->credit_bytes = t == "lists"	  ? 0
+					  : t == "checks" ? EB_HELLO_CHECK
+							  : EB_HELLO_REPLACES;
+			if (t != "checks")
+				eb_overdue_add(f, (uint64_t)n);
 			eb_gate_from_origin(gt, f, &back, now_us);
 		} else {
 			eb_frame *f = make(t == "part"	   ? "rhead"
@@ -343,6 +348,38 @@
 	  { "origin head 1", "client rhead 1", "connect 2", "origin hello 0" },
 	  { "client head 1", "origin rhead 1", "origin@2 rhead 1",
 	    "origin@2 hello 0 unknown none" } },
+	{ "a check on a second connection moves answers off a working one",
+	  { "origin head 1", "connect 2", "origin checks", "connect 1",
+	    "client rhead 1" },
+	  { "client head 1", "origin@2 hello 0 unknown none",
+	    "origin rhead 1" } },
+	{ "a call that was lost on a silent connection counts as run",
+	  { "origin hello 0", "origin head 1", "connect 2",
+	    "origin replaces 2" },
+	  { "origin hello 0 unknown none", "client head 1",
+	    "origin@2 refuse 2 not-run lost-peer",
+	    "origin@2 hello 0 has 1 unknown none" } },
+	{ "a call that was refused as lost runs when it arrives late",
+	  { "origin hello 0", "connect 2", "origin replaces 2", "connect 1",
+	    "origin head 2", "connect 2", "origin head 3" },
+	  { "origin hello 0 unknown none",
+	    "origin@2 refuse 2 not-run lost-peer",
+	    "origin@2 hello 0 unknown none", "client head 3" } },
+	{ "a call that has ended is taken for one that never arrived",
+	  { "origin hello 0", "origin head 1", "client part 1", "client rend 1",
+	    "connect 2", "origin replaces 1" },
+	  { "origin hello 0 unknown none", "client head 1", "origin rhead 1",
+	    "origin rend 1 ran none", "origin@2 abort 1 unknown lost-peer",
+	    "origin@2 hello 0 unknown none" } },
+	{ "a gate that does not know the origin vouches for its calls",
+	  { "origin checks", "connect 2", "origin replaces 2" },
+	  { "origin hello 0 unknown none", "origin@2 abort 2 unknown lost-peer",
+	    "origin@2 hello 0 unknown none" } },
+	{ "an answer that was lost on a silent connection is not sent again",
+	  { "origin hello 0", "origin head 1", "client rhead 1", "connect 2",
+	    "origin replaces 1" },
+	  { "origin hello 0 unknown none", "client head 1", "origin rhead 1",
+	    "origin@2 rhead 1", "origin@2 hello 0 unknown none" } },
 	{ "a call that origin and gate both have continues",
 	  { "origin head 1", "client part 1", "wait 2000", "origin lists 1" },
 	  { "client head 1", "origin rhead 1",
--- a/tests/test_eb_liveness.cc
+++ b/tests/test_eb_liveness.cc
@@ -98,6 +98,8 @@
 		  false, true },
 		{ "another call was answered", 150, 100, 100 + EB_PEER_CHECK_MS,
 		  false, false },
+		{ "another call was answered, but long ago", 150, 100,
+		  150 + EB_PEER_CHECK_AGAIN_MS, false, true },
 		{ "heartbeat sent already", 0, 100, 100 + EB_PEER_CHECK_MS,
 		  true, false },
 	};
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -242,6 +242,9 @@
 		else if (ev.rfind("full", 0) == 0)
 			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
 			     EB_REASON_QUEUE_FULL, 0);
+		else if (ev.rfind("missed", 0) == 0)
+			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
+			     EB_REASON_LOST_PEER, 0);
 		else if (ev.rfind("refuse", 0) == 0)
 			gate(EB_FRAME_REFUSE, n, EB_OUTCOME_NOT_RUN,
 			     EB_REASON_CONNECT, 0);
@@ -263,9 +266,13 @@
 			eb_overdue_add(f, numbers.at((size_t)n - 1));
 			eb_origin_from_gate(og, nodes.at((size_t)n - 1), f,
 					    now_us);
-		} else if (ev.rfind("lists", 0) == 0) {
+		} else if (ev.rfind("lists", 0) == 0 ||
+			   ev.rfind("replaced", 0) == 0) {
 			eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
 
+			if (ev[0] == 'r')
+				f->credit_bytes = EB_HELLO_REPLACES;
+
 			eb_origin_list_overdue(og, nodes.at((size_t)n - 1), f,
 					       now_us);
 			out.push_back("lists " +
@@ -333,7 +340,7 @@
 	  { "gate head", "front rhead" } },
 	{ "only calls that have lasted for long are listed",
 	  { "post", "begin 1", "lists 1", "wait 2000", "lists 1" },
-	  { "gate head", "front rhead", "lists 0", "lists 1" } },
+	  { "gate head", "front rhead", "lists 0", "ask", "lists 1" } },
 	{ "a call refused by a leaving upstream waits for a first connection",
 	  { "undialled", "post", "leaves 1", "reached", "whole 2" },
 	  { "gate head", "gate head", "front rhead" } },
@@ -343,6 +350,12 @@
 	{ "a call does not wait for an unresponsive peer",
 	  { "silent", "post", "leaves 1" },
 	  { "gate head", "front refuse 503 not-run draining" } },
+	{ "a replaced connection leaves the calls that wait on it unmentioned",
+	  { "post", "replaced 1" },
+	  { "gate head", "lists 1" } },
+	{ "a call that did not arrive at the only gate is not sent there again",
+	  { "silent", "post", "missed 1", "whole 2" },
+	  { "gate head", "gate head", "front rhead" } },
 	{ "an idempotent call at a suspected gate is sent to another one",
 	  { "get", "suspect 1", "whole 2", "whole 1" },
 	  { "gate head", "gate cancel", "gate head", "front rhead" } },
