--- a/src/eb_retry.c
+++ b/src/eb_retry.c
@@ -88,6 +88,23 @@
 	return 1;
 }
 
+/*
+ * Whether the budget has a retry for a second copy of a request that has not
+ * failed. The last one is kept for a failure, unless the budget holds just one.
+ */
+int eb_retry_has_spare(const struct eb_retry *rb)
+{
+	int64_t need = 2 * TOKENS_PER_RETRY;
+
+	return rb->tokens >= (rb->tokens_max < need ? rb->tokens_max : need);
+}
+
+/* Takes the retry for a copy; only after eb_retry_has_spare(). */
+void eb_retry_take_spare(struct eb_retry *rb)
+{
+	rb->tokens -= TOKENS_PER_RETRY;
+}
+
 /* Whether a gate refused for load or a drain, so that nothing has failed. */
 static int is_refusal(const struct eb_retry_attempt *at)
 {
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -35,6 +35,8 @@
 uint8_t eb_retry_next_attempt(const struct eb_retry *rb, uint8_t attempts);
 int64_t eb_retry_left(const struct eb_retry *rb);
 int64_t eb_retry_reroutes_left(const struct eb_retry *rb);
+int eb_retry_has_spare(const struct eb_retry *rb);
+void eb_retry_take_spare(struct eb_retry *rb);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
 
 #endif
