--- a/src/eb_metrics.h
+++ b/src/eb_metrics.h
@@ -52,6 +52,18 @@
 	X(RETRIES, "retries_total", "Further attempts of a call")            \
 	X(RETRY_DENIED, "retries_denied_total",                              \
 	  "Retries that the budget turned away")                             \
+	X(COPY_REQUESTS, "copy_requests_total",                              \
+	  "Requests while copies of slow requests are on")                   \
+	X(COPIES_SENT, "copies_sent_total",                                  \
+	  "Slow requests of which a copy was sent")                          \
+	X(COPIES_WON, "copies_won_total",                                    \
+	  "Copies that answered first, the first attempt was cancelled")     \
+	X(COPIES_CANCELLED, "copies_cancelled_total",                        \
+	  "Copies cancelled as the first attempt answered")                  \
+	X(COPIES_REFUSED, "copies_refused_total",                            \
+	  "Copies refused by their gate")                                    \
+	X(COPIES_PERMILLE, "copies_permille",                                \
+	  "Copies sent for 1,000 requests since the start")                  \
 	X(LATE_FRAMES, "frames_late_total",                                  \
 	  "Frames for a call that no longer exists")                         \
 	X(BODY_GAPS, "body_gaps_total",                                      \
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -73,6 +73,7 @@
 		sv = apr_hash_this_val(hi);
 		eb_route_free(sv->route);
 		eb_limit_free(sv->limit);
+		eb_hedge_free(sv->hedge);
 		free(sv->name);
 		free(sv);
 	}
@@ -360,6 +361,7 @@
 	sv->index = index;
 	limit = limit_config(eb_nodes_rule(nd, sv));
 	sv->limit = eb_limit_new(&limit);
+	sv->hedge = eb_hedge_new(nd->settings->hedge_permille);
 	rule = eb_nodes_rule(nd, sv);
 	eb_retry_init(&sv->retry, rule->retry_permille);
 	eb_retry_limit(&sv->retry, rule->retry_permille, rule->retry_burst);
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "eb_config.h"
+#include "eb_hedge.h"
 #include "eb_home.h"
 #include "eb_limit.h"
 #include "eb_mesh.h"
@@ -52,6 +53,7 @@
 	struct eb_route *route;
 	struct eb_retry retry;
 	struct eb_limit *limit; /* of each caller */
+	struct eb_hedge *hedge; /* NULL: no copies of slow requests */
 	uint32_t index;		/* in the configuration in force, or EB_NONE */
 	int64_t dialled_us;	/* 0: not in use yet */
 };
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "eb_attempt.h"
 #include "eb_chart.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
@@ -100,15 +101,17 @@
 
 struct call {
 	uint64_t front_id;
-	uint64_t number; /* of the current attempt, unique here; 0: none */
+	struct eb_attempt slots[2];
+	struct eb_attempt *at;	  /* the current or last attempt */
+	struct eb_attempt *other; /* a second one; ended if its number is 0 */
 	struct eb_frame *head;
 	/* The last frame of the answer while its claim's end is recorded. */
 	struct eb_frame *last;
 	struct eb_service_state *service;
-	uint32_t node;
 	uint32_t tried[EB_TRIED_MAX];
 	uint8_t tried_count;
-	uint8_t attempts;
+	uint8_t attempts; /* copies included */
+	uint8_t copies;
 	uint8_t mark; /* eb_retry_next_attempt() of the last attempt */
 	uint8_t state;
 	uint8_t streamed;
@@ -119,7 +122,6 @@
 	uint8_t answer_whole; /* the front has it; the body is being sent */
 	uint8_t idempotent;
 	uint8_t parked;	     /* waits until a daemon of the service is up */
-	uint8_t at_gate;     /* the router counts an attempt in flight */
 	uint8_t maybe_ran;   /* an earlier attempt ran or may have run */
 	uint8_t claimed;     /* has its key's claim and must settle it */
 	uint8_t closed_runs; /* ended by the upstream's connection */
@@ -138,11 +140,10 @@
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	int64_t started_us;
-	int64_t attempt_us;
+	int64_t first_sent_us; /* of the first attempt */
 	int64_t started_wall_us;
 	struct eb_trace_id parent;
 	uint8_t call_span[8];
-	uint8_t attempt_span[8];
 };
 
 struct eb_origin {
@@ -168,8 +169,15 @@
 		 struct eb_frame *f, int64_t now_us);
 static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		      int64_t now_us);
+static void drop_attempt(struct eb_origin *og, struct call *ca,
+			 struct eb_attempt *at, int64_t now_us);
+static int is_first_answer(struct eb_origin *og, struct call *ca,
+			   struct eb_attempt *at, struct eb_frame *f,
+			   int64_t now_us);
+static void learn_answer(const struct call *ca, const struct eb_frame *f,
+			 int64_t now_us);
 static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
-			      int64_t now_us);
+			      struct eb_attempt *at, int64_t now_us);
 
 /*
  * Creates an origin. Returns NULL, with findings, when its state chart is
@@ -204,13 +212,21 @@
 	return og;
 }
 
+/* Makes the number of an attempt invalid: its late frames are dropped. */
+static void forget_number(struct eb_origin *og, struct eb_attempt *at)
+{
+	if (at->number)
+		apr_hash_set(og->by_number, &at->number, sizeof(at->number),
+			     NULL);
+	at->number = 0;
+}
+
 /* Frees a call and its share of the caller's limit. */
 static void free_call(struct eb_origin *og, struct call *ca)
 {
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), NULL);
-	if (ca->number)
-		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
-			     NULL);
+	forget_number(og, ca->at);
+	forget_number(og, ca->other);
 	if (ca->parked)
 		og->parked--;
 	eb_limit_done(ca->service->limit, ca->head->head->caller);
@@ -257,18 +273,19 @@
 
 /* Logs an attempt that ended without an answer. */
 static void log_attempt(const struct eb_origin *og, const struct call *ca,
-			int64_t now_us)
+			const struct eb_attempt *at, int64_t now_us)
 {
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, at->node);
 
-	eb_log_write(og->config.log, EB_LOG_INFO, "origin", "attempt ended",
-		     "id=%s upstream=%s distance=%s attempt=%u outcome=%s "
-		     "reason=%s attempt_ms=%lld left_ms=%lld",
-		     request_id(og, ca->head), n ? n->name : "-",
-		     n ? eb_distance_name(n->distance) : "-", ca->attempts,
-		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
-		     (long long)(now_us - ca->attempt_us) / 1000,
-		     (long long)(ca->deadline_us - now_us) / 1000);
+	eb_log_write(
+		og->config.log, EB_LOG_INFO, "origin", "attempt ended",
+		"id=%s upstream=%s distance=%s attempt=%u copy=%u outcome=%s "
+		"reason=%s attempt_ms=%lld left_ms=%lld",
+		request_id(og, ca->head), n ? n->name : "-",
+		n ? eb_distance_name(n->distance) : "-", ca->attempts, at->copy,
+		eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		(long long)(now_us - at->sent_us) / 1000,
+		(long long)(ca->deadline_us - now_us) / 1000);
 }
 
 /* Logs a finished call, as a warning unless its status is below 500. */
@@ -276,34 +293,35 @@
 		     int64_t now_us)
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->at->node);
 	char regions[REGIONS_TEXT_BYTES];
 
 	eb_nodes_print_regions(og->config.nodes, ca->regions, regions,
 			       sizeof(regions));
-	eb_log_write(og->config.log,
-		     ca->outcome == EB_OUTCOME_RAN && ca->status < 500
-			     ? EB_LOG_INFO
-			     : EB_LOG_WARN,
-		     "origin", "call ended",
-		     "id=%s service=%s upstream=%s distance=%s attempts=%u "
-		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
-		     "last_ms=%lld left_ms=%lld regions=%s release=%llu",
-		     request_id(og, ca->head), ca->service->name,
-		     n ? n->name : "-", n ? eb_distance_name(n->distance) : "-",
-		     ca->attempts, ca->runs, ca->status,
-		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
-		     (long long)(now_us - ca->started_us) / 1000,
-		     (long long)(now_us - ca->attempt_us) / 1000,
-		     (long long)(ca->deadline_us - now_us) / 1000, regions,
-		     (unsigned long long)cf->release);
+	eb_log_write(
+		og->config.log,
+		ca->outcome == EB_OUTCOME_RAN && ca->status < 500 ? EB_LOG_INFO
+								  : EB_LOG_WARN,
+		"origin", "call ended",
+		"id=%s service=%s upstream=%s distance=%s attempts=%u "
+		"copies=%u by_copy=%u runs=%u status=%u outcome=%s reason=%s "
+		"ms=%lld "
+		"last_ms=%lld left_ms=%lld regions=%s release=%llu",
+		request_id(og, ca->head), ca->service->name, n ? n->name : "-",
+		n ? eb_distance_name(n->distance) : "-", ca->attempts,
+		ca->copies, ca->at->copy, ca->runs, ca->status,
+		eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		(long long)(now_us - ca->started_us) / 1000,
+		(long long)(now_us - ca->at->sent_us) / 1000,
+		(long long)(ca->deadline_us - now_us) / 1000, regions,
+		(unsigned long long)cf->release);
 }
 
 /* Adds a finished call to the counts of its route. */
 static void count_call(struct eb_origin *og, const struct call *ca,
 		       int64_t now_us)
 {
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->at->node);
 	const struct eb_retry *rb = &ca->service->retry;
 	struct eb_call_stats_call tc = { 0 };
 
@@ -317,16 +335,20 @@
 			  &tc);
 }
 
+/* Adds the span of an attempt or, if `at` is NULL, that of the call. */
 static void add_span(struct eb_origin *og, const struct call *ca,
-		     enum eb_span_kind kind, const uint8_t *id,
-		     const uint8_t *parent, int64_t from_us, int64_t now_us)
+		     enum eb_span_kind kind, const struct eb_attempt *at,
+		     int64_t now_us)
 {
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	int64_t from_us = at ? at->sent_us : ca->started_us;
+	struct eb_node *n;
 	struct eb_span sp = { 0 };
 
+	n = eb_nodes_get(og->config.nodes, at ? at->node : ca->at->node);
 	memcpy(sp.trace, ca->parent.trace, sizeof(sp.trace));
-	memcpy(sp.id, id, sizeof(sp.id));
-	memcpy(sp.parent, parent, sizeof(sp.parent));
+	memcpy(sp.id, at ? at->span : ca->call_span, sizeof(sp.id));
+	memcpy(sp.parent, at ? ca->call_span : ca->parent.span,
+	       sizeof(sp.parent));
 	sp.kind = (uint8_t)kind;
 	sp.outcome = ca->outcome;
 	sp.reason = ca->reason;
@@ -338,54 +360,49 @@
 	eb_tracer_add(og->config.tracer, &sp);
 }
 
-/* Reports an attempt's result to the router; logs an ejection by it. */
-static void report_result(struct eb_origin *og, const struct call *ca,
-			  const struct eb_route_result *rs, int64_t now_us)
+/* Tells whether the last refusal shows that upstreams are overloaded. */
+static int refused_for_load(const struct call *ca)
 {
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
-	struct eb_route_stats before, after;
-
-	eb_route_read_stats(ca->service->route, &before);
-	eb_route_done(ca->service->route, ca->node, rs, now_us);
-	eb_route_read_stats(ca->service->route, &after);
-	if (after.ejections != before.ejections)
-		eb_log_write(og->config.log, EB_LOG_INFO, "origin",
-			     "upstream ejected",
-			     "upstream=%s service=%s outcome=%s reason=%s "
-			     "status=%u out=%u",
-			     n ? n->name : "-", ca->service->name,
-			     eb_outcome_name(rs->outcome),
-			     eb_reason_name(rs->reason), rs->status, after.out);
+	return ca->reason == EB_REASON_QUEUE_FULL ||
+	       ca->status == EB_STATUS_RATE_LIMITED;
 }
 
 /*
- * Ends the current attempt, if there is one: its number becomes invalid, and
- * the router and the trace receive its result.
+ * Ends an attempt, unless it has ended before: its number becomes invalid, and
+ * the router and the trace receive its result, which is that of the call. An
+ * attempt is superseded when another one has answered.
  */
-static void end_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
+static void end_attempt(struct eb_origin *og, struct call *ca,
+			struct eb_attempt *at, int superseded, int64_t now_us)
 {
-	struct eb_route_result rs = { ca->outcome, ca->reason, ca->status,
-				      now_us - ca->attempt_us, 0 };
+	struct eb_route_result rs = { 0 };
 
-	if (ca->outcome == EB_OUTCOME_NOT_RUN &&
-	    ca->status == EB_STATUS_RATE_LIMITED)
-		rs.rate_wait_ms = ca->retry_after_ms;
-	if (ca->number) {
-		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
-			     NULL);
-		ca->number = 0;
-	}
-	if (!ca->at_gate)
+	forget_number(og, at);
+	if (!at->in_flight)
 		return;
-	ca->at_gate = 0;
-	ca->maybe_ran |= ca->outcome != EB_OUTCOME_NOT_RUN;
-	ca->closed_runs += ca->reason == EB_REASON_UPSTREAM_CLOSED;
-	if (ca->outcome != EB_OUTCOME_NOT_RUN ||
-	    ca->reason == EB_REASON_UPSTREAM_REFUSED)
+	at->in_flight = 0;
+	rs.outcome = superseded ? EB_OUTCOME_UNKNOWN : ca->outcome;
+	rs.reason = superseded ? EB_REASON_NONE : ca->reason;
+	rs.status = superseded ? 0 : ca->status;
+	rs.elapsed_us = now_us - at->sent_us;
+	rs.superseded = (uint8_t)superseded;
+	if (rs.outcome == EB_OUTCOME_NOT_RUN &&
+	    rs.status == EB_STATUS_RATE_LIMITED)
+		rs.rate_wait_ms = ca->retry_after_ms;
+	ca->maybe_ran |= rs.outcome != EB_OUTCOME_NOT_RUN;
+	ca->closed_runs += rs.reason == EB_REASON_UPSTREAM_CLOSED;
+	if (rs.outcome != EB_OUTCOME_NOT_RUN ||
+	    rs.reason == EB_REASON_UPSTREAM_REFUSED)
 		ca->runs++;
-	report_result(og, ca, &rs, now_us);
-	add_span(og, ca, EB_SPAN_ATTEMPT, ca->attempt_span, ca->call_span,
-		 ca->attempt_us, now_us);
+	if (at->copy && rs.outcome == EB_OUTCOME_NOT_RUN)
+		eb_metrics_add(og->config.metrics, EB_METRIC_COPIES_REFUSED, 1);
+	if (!at->copy && !superseded)
+		eb_hedge_attempt_ended(ca->service->hedge,
+				       rs.outcome == EB_OUTCOME_NOT_RUN &&
+					       refused_for_load(ca));
+	eb_attempt_report(at, og->config.nodes, og->config.log, ca->service,
+			  &rs, now_us);
+	add_span(og, ca, EB_SPAN_ATTEMPT, at, now_us);
 }
 
 static void save_reply(struct call *ca, const struct eb_reply *r)
@@ -481,42 +498,13 @@
 
 /* ---- Routing ---- */
 
-/*
- * Returns the call's HEAD with a single reference, so that it may be changed
- * for the next attempt; copies a shared one. Returns NULL without memory.
- */
-static struct eb_frame *unshare_head(struct call *ca)
-{
-	struct eb_frame *old = ca->head, *f;
-	struct eb_head *from = old->head, *to;
-
-	if (__atomic_load_n(&old->refs, __ATOMIC_ACQUIRE) == 1)
-		return old;
-	f = eb_frame_new_data(EB_FRAME_HEAD, 0, old->data, old->data_bytes);
-	if (!f)
-		return NULL;
-	to = f->head;
-	*to = *from;
-	memset(&to->headers, 0, sizeof(to->headers));
-	to->service = strdup(from->service);
-	to->upstream = NULL;
-	to->method = strdup(from->method);
-	to->target = strdup(from->target);
-	to->key = from->key ? strdup(from->key) : NULL;
-	to->instance = NULL;
-	eb_headers_load(&to->headers, from->headers.block,
-			from->headers.used_bytes);
-	eb_frame_unref(old);
-	ca->head = f;
-	return f;
-}
-
 /* Sets the fields of HEAD that differ by attempt; NULL without memory. */
 static struct eb_frame *prepare_head(struct eb_origin *og, struct call *ca,
-				     uint32_t node, int64_t now_us)
+				     struct eb_attempt *at, uint32_t node,
+				     int64_t now_us)
 {
 	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
-	struct eb_frame *f = unshare_head(ca);
+	struct eb_frame *f = eb_attempt_unshare_head(&ca->head);
 
 	if (!f)
 		return NULL;
@@ -524,38 +512,49 @@
 	f->head->upstream = strdup(n->name);
 	free(f->head->instance);
 	f->head->instance = n->instance[0] ? strdup(n->instance) : NULL;
-	f->head->attempt =
-		eb_retry_next_attempt(&ca->service->retry, ca->attempts);
+	memcpy(at->instance, n->instance, sizeof(at->instance));
+	f->head->attempt = at->copy ? 0
+				    : eb_retry_next_attempt(&ca->service->retry,
+							    ca->attempts);
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
+	if (at->copy)
+		f->head->goal_us = EB_ATTEMPT_COPY_GOAL_US;
 	f->head->baseline_pace_percent =
 		eb_route_baseline_pace(ca->service->route);
 	f->head->hops = ca->hops;
 	f->head->trace = ca->parent;
-	eb_trace_new_span(&og->rand, ca->attempt_span);
-	memcpy(f->head->trace.span, ca->attempt_span, 8);
+	eb_trace_new_span(&og->rand, at->span);
+	memcpy(f->head->trace.span, at->span, 8);
 	f->call = ++og->next_number;
 	f->sender = og->config.incarnation;
 	f->target = 0;
 	return f;
 }
 
-/* Sends an attempt to the gate of a node; -1 when it did not leave. */
+/*
+ * Sends an attempt, or a copy, to the gate of a node; -1 when it did not leave.
+ */
 static int send_to(struct eb_origin *og, struct call *ca, uint32_t node,
-		   int64_t now_us)
+		   int copy, int64_t now_us)
 {
 	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
-	struct eb_frame *f = prepare_head(og, ca, node, now_us);
+	struct eb_attempt *at = copy ? ca->other : ca->at;
+	struct eb_frame *f;
 
+	at->copy = (uint8_t)copy;
+	f = prepare_head(og, ca, at, node, now_us);
 	if (!f || og->out.to_gate(og->out.ctx, node, eb_frame_ref(f)))
 		return -1;
-	ca->number = f->call;
-	ca->node = node;
+	if (!ca->attempts)
+		ca->first_sent_us = now_us;
+	at->number = f->call;
+	at->node = node;
 	ca->attempts++;
-	ca->attempt_us = now_us;
-	ca->at_gate = 1;
-	apr_hash_set(og->by_number, &ca->number, sizeof(ca->number), ca);
+	at->sent_us = now_us;
+	at->in_flight = 1;
+	apr_hash_set(og->by_number, &at->number, sizeof(at->number), ca);
 	eb_route_sent(ca->service->route, node, now_us);
 	eb_metrics_add(og->config.metrics,
 		       n->self ? EB_METRIC_LOCAL_CALLS : EB_METRIC_REMOTE_CALLS,
@@ -642,7 +641,7 @@
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
 			break;
 		ca->tried[ca->tried_count++] = node;
-		if (!send_to(og, ca, node, now_us)) {
+		if (!send_to(og, ca, node, 0, now_us)) {
 			step(og, ca, EVENT_SENT, NULL, now_us);
 			return;
 		}
@@ -719,7 +718,6 @@
 	enum eb_frame_type type = EB_FRAME_ABORT;
 	struct eb_frame *out;
 
-	(void)now_us;
 	if (f && f->reply)
 		save_reply(ca, f->reply);
 	eb_frame_unref(f);
@@ -732,6 +730,8 @@
 	}
 	if (ca->outcome == EB_OUTCOME_NOT_RUN)
 		type = EB_FRAME_REFUSE;
+	if (type == EB_FRAME_REFUSE && refused_for_load(ca))
+		eb_hedge_call_refused(ca->service->hedge, now_us);
 	out = eb_frame_new(type, ca->front_id);
 	if (!out)
 		return;
@@ -772,13 +772,13 @@
 		if (!ca->strict_deadline)
 			ca->deadline_us = now_us + ca->budget_us;
 	}
-	f->call = ca->number;
+	f->call = ca->at->number;
 	f->sender = og->config.incarnation;
-	if (!og->out.to_gate(og->out.ctx, ca->node, f))
+	if (!og->out.to_gate(og->out.ctx, ca->at->node, f))
 		return;
 	/* What follows on another connection would follow a gap. */
 	do_cancel(og, ca, NULL, now_us);
-	mark_attempt_lost(og, ca, now_us);
+	mark_attempt_lost(og, ca, ca->at, now_us);
 }
 
 /* Tells whether a retry might crash another upstream. */
@@ -797,8 +797,8 @@
 	if (f && f->reply)
 		save_reply(ca, f->reply);
 	eb_frame_unref(f);
-	end_attempt(og, ca, now_us);
-	log_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
+	log_attempt(og, ca, ca->at, now_us);
 	at.outcome = ca->outcome;
 	at.reason = ca->reason;
 	at.idempotent = ca->idempotent;
@@ -855,7 +855,7 @@
 		      int64_t now_us)
 {
 	save_result(ca, f);
-	end_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
 	ca->last = f;
 	settle_claim(og, ca, f, now_us);
 }
@@ -871,22 +871,28 @@
 	ca->last = NULL;
 }
 
-/* Cancels the current attempt at its gate. */
-static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
-		      int64_t now_us)
+/* Sends the gate of an attempt the request to cancel it. */
+static void cancel_attempt(struct eb_origin *og, const struct eb_attempt *at)
 {
 	struct eb_frame *out;
 
+	out = eb_attempt_cancel(at, og->config.incarnation);
+	if (out)
+		og->out.to_gate(og->out.ctx, at->node, out);
+}
+
+/* Cancels the attempts in flight at their gates. */
+static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
 	(void)now_us;
 	eb_frame_unref(f);
-	if (!ca->number)
-		return;
-	ca->outcome = EB_OUTCOME_UNKNOWN;
-	out = eb_frame_new(EB_FRAME_CANCEL, ca->number);
-	if (!out)
-		return;
-	out->sender = og->config.incarnation;
-	og->out.to_gate(og->out.ctx, ca->node, out);
+	if (ca->at->number) {
+		ca->outcome = EB_OUTCOME_UNKNOWN;
+		cancel_attempt(og, ca->at);
+	}
+	if (ca->other->number)
+		cancel_attempt(og, ca->other);
 }
 
 /*
@@ -984,12 +990,12 @@
 	ca->state = (uint8_t)next;
 	if (next != DONE)
 		return;
-	end_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
+	end_attempt(og, ca, ca->other, 1, now_us);
 	log_call(og, ca, now_us);
 	count_call(og, ca, now_us);
 	settle_claim(og, ca, NULL, now_us);
-	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
-		 ca->started_us, now_us);
+	add_span(og, ca, EB_SPAN_CALL, NULL, now_us);
 	free_call(og, ca);
 }
 
@@ -1086,7 +1092,9 @@
 
 	rule = eb_nodes_rule(og->config.nodes, ca->service);
 	ca->front_id = ca->head->call;
-	ca->node = EB_NONE;
+	ca->at = &ca->slots[0];
+	ca->other = &ca->slots[1];
+	ca->at->node = ca->other->node = EB_NONE;
 	ca->idempotent = (uint8_t)eb_matcher_idempotent(
 		rule->idempotent_methods, h->method);
 	h->idempotent = ca->idempotent;
@@ -1149,6 +1157,15 @@
 	return *sv && (*sv)->limit ? EB_REASON_NONE : EB_REASON_INTERNAL;
 }
 
+/* Counts a request that may get a copy, and updates the share of copies. */
+static void count_copy_request(struct eb_metrics *mt)
+{
+	eb_metrics_add(mt, EB_METRIC_COPY_REQUESTS, 1);
+	eb_metrics_set(mt, EB_METRIC_COPIES_PERMILLE,
+		       eb_metrics_get(mt, EB_METRIC_COPIES_SENT) * 1000 /
+			       eb_metrics_get(mt, EB_METRIC_COPY_REQUESTS));
+}
+
 /*
  * Creates the call of a request that came at `received_us`, or refuses the
  * request.
@@ -1185,6 +1202,8 @@
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), ca);
 	eb_metrics_add(og->config.metrics, EB_METRIC_CALLS_ACTIVE, 1);
 	eb_retry_request(&sv->retry);
+	if (sv->hedge)
+		count_copy_request(og->config.metrics);
 	if (needs_claim(og, ca))
 		start_claim(og, ca, now_us);
 	else
@@ -1360,26 +1379,25 @@
  * refuses calls as well, but has forgotten that after a restart.
  */
 static void note_leaving(struct eb_origin *og, const struct call *ca,
-			 const struct eb_frame *f, int64_t now_us)
+			 const struct eb_attempt *at, const struct eb_frame *f,
+			 int64_t now_us)
 {
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
-	const struct eb_dialect *dl = og->config.dialect;
-	const char *sent_to = ca->head->head->instance, *value;
+	struct eb_node *n = eb_nodes_get(og->config.nodes, at->node);
 
-	if (!n || n->says_leaving || !dl || !dl->leaving)
-		return;
-	value = eb_headers_find(&f->reply->headers, dl->leaving);
-	if (!value || strcmp(value, "1") != 0)
-		return;
-	/* The address may belong to another start by now. */
-	if (strcmp(sent_to ? sent_to : "", n->instance) != 0)
+	if (!eb_attempt_says_leaving(at, n, og->config.dialect, f))
 		return;
 	n->says_leaving = 1;
 	eb_log_write(og->config.log, EB_LOG_INFO, "origin",
 		     "answer says that the upstream leaves",
 		     "id=%s upstream=%s instance=%s", request_id(og, ca->head),
 		     n->name, n->instance);
-	eb_nodes_changed(og->config.nodes, ca->node, now_us);
+	eb_nodes_changed(og->config.nodes, at->node, now_us);
+}
+
+/* Returns the call's attempt with this number, which is in flight. */
+static struct eb_attempt *find_attempt(struct call *ca, uint64_t number)
+{
+	return ca->at->number == number ? ca->at : ca->other;
 }
 
 /*
@@ -1390,13 +1408,15 @@
 			    struct eb_frame *f, int64_t now_us)
 {
 	apr_hash_index_t *hi;
-	const struct call *ca;
+	const struct eb_attempt *at;
+	const uint64_t *number;
 
 	for (hi = apr_hash_first(NULL, og->by_number); hi;
 	     hi = apr_hash_next(hi)) {
-		ca = apr_hash_this_val(hi);
-		if (ca->node == node && eb_overdue(ca->attempt_us, now_us) &&
-		    eb_overdue_add(f, ca->number))
+		number = apr_hash_this_key(hi);
+		at = find_attempt(apr_hash_this_val(hi), *number);
+		if (at->node == node && eb_overdue(at->sent_us, now_us) &&
+		    eb_overdue_add(f, at->number))
 			return;
 	}
 }
@@ -1446,6 +1466,7 @@
 void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
 			 struct eb_frame *f, int64_t now_us)
 {
+	struct eb_attempt *at;
 	struct call *ca;
 
 	if (f->type == EB_FRAME_HELLO) {
@@ -1455,19 +1476,25 @@
 		return;
 	}
 	ca = apr_hash_get(og->by_number, &f->call, sizeof(f->call));
-	if (!ca || ca->node != node) {
+	at = ca ? find_attempt(ca, f->call) : NULL;
+	if (!at || at->node != node) {
 		do_drop(og, NULL, f, now_us);
 		return;
 	}
 	if (f->reply) {
 		apply_load(og, node, ca->service, &f->reply->load, now_us);
-		note_leaving(og, ca, f, now_us);
+		note_leaving(og, ca, at, f, now_us);
 	}
 	if (lacks_head(ca, f)) {
-		do_cancel(og, ca, f, now_us);
-		mark_attempt_lost(og, ca, now_us);
+		cancel_attempt(og, at);
+		eb_frame_unref(f);
+		mark_attempt_lost(og, ca, at, now_us);
 		return;
 	}
+	if (ca->other->number && !is_first_answer(og, ca, at, f, now_us))
+		return;
+	if (f->type == EB_FRAME_RHEAD && f->reply)
+		learn_answer(ca, f, now_us);
 	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
 	    f->type == EB_FRAME_ABORT)
 		f->type = EB_FRAME_REND;
@@ -1476,15 +1503,19 @@
 
 /*
  * Ends an attempt whose gate was lost or is unresponsive. It is unknown
- * whether the request ran; the chart decides whether it is retried.
+ * whether the request ran. Without another attempt in flight, the chart decides
+ * whether it is retried.
  */
 static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
-			      int64_t now_us)
+			      struct eb_attempt *at, int64_t now_us)
 {
 	ca->outcome = EB_OUTCOME_UNKNOWN;
 	ca->reason = EB_REASON_LOST_PEER;
 	ca->status = 0;
-	step(og, ca, EVENT_LOST, NULL, now_us);
+	if (ca->other->number)
+		drop_attempt(og, ca, at, now_us);
+	else
+		step(og, ca, EVENT_LOST, NULL, now_us);
 }
 
 /* Ends the attempts at the gate of a lost node; retries where allowed. */
@@ -1496,25 +1527,28 @@
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
 	     hi = apr_hash_next(hi)) {
 		ca = apr_hash_this_val(hi);
-		if (!ca->at_gate || ca->node != node)
-			continue;
-		mark_attempt_lost(og, ca, now_us);
+		if (ca->at->in_flight && ca->at->node == node)
+			mark_attempt_lost(og, ca, ca->at, now_us);
+		else if (ca->other->in_flight && ca->other->node == node)
+			mark_attempt_lost(og, ca, ca->other, now_us);
 	}
 	eb_nodes_changed(og->config.nodes, node, now_us);
 }
 
 /*
  * Tells whether an attempt at an unresponsive gate should be moved: the request
- * is idempotent, the retry limits allow it, and there is another upstream.
+ * is idempotent and not at another gate too, the retry limits allow it, and
+ * there is another upstream.
  */
 static int should_move(const struct eb_origin *og, struct call *ca,
 		       uint32_t node, int64_t now_us)
 {
 	struct eb_route_query q = { 0 };
 
-	if (!ca->at_gate || ca->node != node || ca->state != WAITING ||
-	    !ca->idempotent || ca->attempts >= EB_ATTEMPTS_MAX ||
-	    ca->runs + 1 >= ca->runs_max || !eb_retry_left(&ca->service->retry))
+	if (!ca->at->in_flight || ca->at->node != node ||
+	    ca->other->in_flight || ca->state != WAITING || !ca->idempotent ||
+	    ca->attempts >= EB_ATTEMPTS_MAX || ca->runs + 1 >= ca->runs_max ||
+	    !eb_retry_left(&ca->service->retry))
 		return 0;
 	update_regions(og, ca);
 	q.regions = ca->regions;
@@ -1523,21 +1557,134 @@
 	return eb_route_has_other(ca->service->route, &q, now_us);
 }
 
+/* Moves an idempotent call from an unresponsive gate to another upstream. */
+static void move_call(struct eb_origin *og, struct call *ca, uint32_t node,
+		      int64_t now_us)
+{
+	if (!should_move(og, ca, node, now_us))
+		return;
+	do_cancel(og, ca, NULL, now_us);
+	mark_attempt_lost(og, ca, ca->at, now_us);
+}
+
 /* Moves idempotent calls from an unresponsive gate to other upstreams. */
 void eb_origin_gate_suspected(struct eb_origin *og, uint32_t node,
 			      int64_t now_us)
 {
 	apr_hash_index_t *hi;
-	struct call *ca;
 
 	for (hi = apr_hash_first(NULL, og->by_front); hi;
-	     hi = apr_hash_next(hi)) {
-		ca = apr_hash_this_val(hi);
-		if (!should_move(og, ca, node, now_us))
-			continue;
-		do_cancel(og, ca, NULL, now_us);
-		mark_attempt_lost(og, ca, now_us);
+	     hi = apr_hash_next(hi))
+		move_call(og, apr_hash_this_val(hi), node, now_us);
+}
+
+/* ---- Second copies ---- */
+
+static void swap_attempts(struct call *ca)
+{
+	struct eb_attempt *at = ca->at;
+
+	ca->at = ca->other;
+	ca->other = at;
+}
+
+/*
+ * Ends one of two attempts in flight, with the result of the call; the call
+ * goes on with the other one. If that is at an unresponsive gate, it is moved,
+ * as it was left there because of this one.
+ */
+static void drop_attempt(struct eb_origin *og, struct call *ca,
+			 struct eb_attempt *at, int64_t now_us)
+{
+	const struct eb_node *n;
+
+	if (at == ca->at)
+		swap_attempts(ca);
+	end_attempt(og, ca, at, 0, now_us);
+	log_attempt(og, ca, at, now_us);
+	n = eb_nodes_get(og->config.nodes, ca->at->node);
+	if (n->peer && n->peer->liveness.suspected)
+		move_call(og, ca, ca->at->node, now_us);
+}
+
+/*
+ * Handles a frame of one of two attempts in flight. Returns 1 for the first
+ * answer, which the chart then handles; the other attempt is cancelled. A
+ * failure or refusal leaves the call to the other attempt.
+ */
+static int is_first_answer(struct eb_origin *og, struct call *ca,
+			   struct eb_attempt *at, struct eb_frame *f,
+			   int64_t now_us)
+{
+	if (f->type == EB_FRAME_RHEAD) {
+		if (at != ca->at)
+			swap_attempts(ca);
+		eb_metrics_add(og->config.metrics,
+			       at->copy ? EB_METRIC_COPIES_WON
+					: EB_METRIC_COPIES_CANCELLED,
+			       1);
+		cancel_attempt(og, ca->other);
+		end_attempt(og, ca, ca->other, 1, now_us);
+		return 1;
 	}
+	if (f->type == EB_FRAME_CREDIT) {
+		eb_frame_unref(f);
+		return 0;
+	}
+	if (f->reply)
+		save_reply(ca, f->reply);
+	eb_frame_unref(f);
+	drop_attempt(og, ca, at, now_us);
+	return 0;
+}
+
+/*
+ * Records the time to the first frame of an answer for the decisions on copies,
+ * if the request could have had one and no attempt before has failed.
+ */
+static void learn_answer(const struct call *ca, const struct eb_frame *f,
+			 int64_t now_us)
+{
+	if (ca->state == WAITING && ca->idempotent && !ca->streamed &&
+	    ca->attempts == 1 + ca->copies && f->reply->status < 500)
+		eb_hedge_answered(ca->service->hedge, ca->head->head->kind,
+				  ca->head->head->body_bytes,
+				  now_us - ca->first_sent_us, now_us);
+}
+
+/* Sends a copy of a request that has waited for long, if that is allowed. */
+static void consider_copy(struct eb_origin *og, struct call *ca, int64_t now_us)
+{
+	struct eb_service_state *sv = ca->service;
+	struct eb_hedge_request rq = { 0 };
+	struct eb_route_query q = { 0 };
+	uint32_t node;
+
+	if (!sv->hedge || ca->state != WAITING || ca->other->in_flight)
+		return;
+	rq.kind = ca->head->head->kind;
+	rq.body_bytes = ca->head->head->body_bytes;
+	rq.idempotent = ca->idempotent;
+	rq.inline_body = !ca->streamed;
+	rq.attempts = ca->attempts;
+	rq.runs_max = ca->runs_max;
+	rq.sent_us = ca->first_sent_us;
+	rq.deadline_us = ca->deadline_us;
+	if (eb_hedge_check(sv->hedge, &sv->retry, &rq, now_us) != EB_HEDGE_DUE)
+		return;
+	update_regions(og, ca);
+	q.regions = ca->regions;
+	q.tried = ca->tried;
+	q.tried_count = ca->tried_count;
+	if (ca->tried_count >= EB_TRIED_MAX ||
+	    eb_route_pick_spare(sv->route, &q, now_us, &node))
+		return;
+	ca->tried[ca->tried_count++] = node;
+	if (send_to(og, ca, node, 1, now_us))
+		return;
+	ca->copies++;
+	eb_hedge_sent(sv->hedge, &sv->retry);
+	eb_metrics_add(og->config.metrics, EB_METRIC_COPIES_SENT, 1);
 }
 
 /* Routes the parked requests again, after a node has come up. */
@@ -1556,18 +1703,18 @@
 	}
 }
 
-/* Sends a heartbeat to a gate that has not answered a call for long. */
-static void check_gate(struct eb_origin *og, const struct call *ca,
+/* Sends a heartbeat to a gate that has not answered an attempt for long. */
+static void check_gate(struct eb_origin *og, const struct eb_attempt *at,
 		       int64_t now_us)
 {
 	const struct eb_node *n;
 
-	if (!ca->at_gate)
+	if (!at->in_flight)
 		return;
-	n = eb_nodes_get(og->config.nodes, ca->node);
+	n = eb_nodes_get(og->config.nodes, at->node);
 	if (n->peer &&
-	    eb_liveness_check_due(&n->peer->liveness, ca->attempt_us, now_us))
-		og->out.ask(og->out.ctx, ca->node);
+	    eb_liveness_check_due(&n->peer->liveness, at->sent_us, now_us))
+		og->out.ask(og->out.ctx, at->node);
 }
 
 /*
@@ -1588,7 +1735,10 @@
 		else if (ends_at_deadline(ca) &&
 			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
 			step(og, ca, EVENT_EXPIRE, NULL, now_us);
-		else
-			check_gate(og, ca, now_us);
+		else {
+			check_gate(og, ca->at, now_us);
+			check_gate(og, ca->other, now_us);
+			consider_copy(og, ca, now_us);
+		}
 	}
 }
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -65,6 +65,14 @@
 #define LEAVE_US 3000
 #define EJECT_PERMILLE 500
 #define RAMP_US 1000000
+/*
+ * A copy needs a slot that gates give to requests of all kinds, and a VM that
+ * they do not hand requests back from: see SLOTS_USED_PERMILLE and
+ * PACE_SLOW_TIMES in eb_admit.
+ */
+#define SPARE_RESERVE_MIN 5
+#define SPARE_USED_PERMILLE 800
+#define SPARE_SLOW_TIMES 2
 
 const struct eb_route_tuning eb_route_tuning_default = {
 	.choices = CHOICES,
@@ -518,6 +526,63 @@
 	return EB_OK;
 }
 
+/*
+ * Whether an upstream can take a second copy of a request: its load report is
+ * recent and shows a slot that its gate gives to any request, its VM is not
+ * slow, and it is neither cold nor ramping up, failing or overdue.
+ */
+static int has_spare(const struct eb_route *rt, const struct upstream *up,
+		     int64_t now_us)
+{
+	uint32_t slots = up->info.slots, baseline = rt->pace_percent;
+
+	if (slots >= SPARE_RESERVE_MIN)
+		slots = slots * SPARE_USED_PERMILLE / 1000;
+	if (baseline < 100)
+		baseline = 100;
+	return up->report_at_us && now_us - up->report_at_us < rt->expiry_us &&
+	       up->reported + up->sent < slots && up->in_flight < slots &&
+	       up->pace_percent < SPARE_SLOW_TIMES * baseline &&
+	       !up->info.cold && up->eject.phase == EB_EJECT_ACTIVE &&
+	       !penalty_us(rt, up, now_us);
+}
+
+/*
+ * Picks an upstream with spare capacity for a second copy of a request, and
+ * stores its id: the one with the least expected time in this failure domain,
+ * else in the local region. Other regions get no copies, as traffic to them is
+ * billed. Returns EB_ENOTFOUND when no upstream is known to have spare
+ * capacity.
+ */
+enum eb_status eb_route_pick_spare(const struct eb_route *rt,
+				   const struct eb_route_query *q,
+				   int64_t now_us, uint32_t *id)
+{
+	const struct upstream *best = NULL;
+	int64_t score, best_us = 0;
+	uint32_t i;
+
+	if (!rt->count)
+		return EB_ENOTFOUND;
+	for (i = 0; i < rt->first[EB_DISTANCE_FAR]; i++) {
+		if (best && i >= rt->first[EB_DISTANCE_REGION] &&
+		    best->info.distance < EB_DISTANCE_REGION)
+			break;
+		if (!usable(&rt->ups[i], q, now_us) ||
+		    !has_spare(rt, &rt->ups[i], now_us))
+			continue;
+		score = score_us(rt, &rt->ups[i], now_us);
+		if (!best || score < best_us) {
+			best = &rt->ups[i];
+			best_us = score;
+		}
+	}
+	if (!best)
+		return EB_ENOTFOUND;
+	*id = best->info.id;
+	return EB_OK;
+}
+
 /*
  * Whether an upstream is left that was not tried, is not suspected and is not
  * at its rate limit.
@@ -625,6 +690,12 @@
 		up->in_flight == 1 ? up->started_us : now_us - rs->elapsed_us;
 	up->in_flight--;
 	rt->far_in_flight -= up->info.distance == EB_DISTANCE_FAR;
+	if (rs->superseded) {
+		/* It would have taken longer: only a higher latency counts. */
+		if (rs->elapsed_us > up->latency_us + mean_us(rt))
+			learn_latency(rt, up, rs->elapsed_us, now_us);
+		return;
+	}
 	learn_refusals(rt, up->info.distance == EB_DISTANCE_FAR, refused,
 		       now_us);
 	if (how != EB_EJECT_GOOD) {
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -76,6 +76,7 @@
 	uint16_t status; /* HTTP status, or 0 without an answer */
 	int64_t elapsed_us;
 	uint32_t rate_wait_ms; /* until its rate limit allows the next one */
+	uint8_t superseded;    /* another attempt of the call has answered */
 };
 
 /* One router for each service. */
@@ -88,6 +89,9 @@
 enum eb_status eb_route_pick(struct eb_route *rt,
 			     const struct eb_route_query *q, int64_t now_us,
 			     uint32_t *id);
+enum eb_status eb_route_pick_spare(const struct eb_route *rt,
+				   const struct eb_route_query *q,
+				   int64_t now_us, uint32_t *id);
 int eb_route_has_other(const struct eb_route *rt,
 		       const struct eb_route_query *q, int64_t now_us);
 void eb_route_sent(struct eb_route *rt, uint32_t id, int64_t now_us);
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -12,6 +12,7 @@
 
 #include "eb_address.h"
 #include "eb_check.h"
+#include "eb_hedge.h"
 #include "ebonypier.h"
 
 #define PARSE_ERRORS_MAX 20
@@ -30,6 +31,7 @@
 	SETTING_PORT,	   /* uint16_t */
 	SETTING_MS,	   /* uint32_t, milliseconds */
 	SETTING_MBPS,	   /* uint32_t, Mbit/s */
+	SETTING_HEDGE,	   /* uint32_t, permille of the requests */
 	SETTING_LEVEL,	   /* enum eb_log_level */
 	SETTING_SWITCH,	   /* uint8_t; its flag takes no value */
 };
@@ -101,6 +103,10 @@
 	{ "link-mbps", SETTING_MBPS, 0, AT(link_mbps), "12", "MBPS",
 	  "bandwidth of this machine's link, of which large configurations "
 	  "use half (default 12)" },
+	{ "hedge-permille", SETTING_HEDGE, 0, AT(hedge_permille), "0",
+	  "PERMILLE",
+	  "copies of slow idempotent requests, at most so many for 1000 "
+	  "requests, up to 100 (default 0: none)" },
 	{ "log-level", SETTING_LEVEL, 0, AT(log_level), "info", "LEVEL",
 	  "error, warn, info or debug (default info)" },
 };
@@ -226,6 +232,8 @@
 		return read_number(text, 0, DRAIN_TIMEOUT_MAX_MS, dest);
 	case SETTING_MBPS:
 		return read_number(text, 1, LINK_MAX_MBPS, dest);
+	case SETTING_HEDGE:
+		return read_number(text, 0, EB_HEDGE_PERMILLE_MAX, dest);
 	case SETTING_SWITCH:
 		return read_switch(text, dest);
 	case SETTING_LEVEL:
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -36,6 +36,7 @@
 	uint32_t drain_announce_ms;  /* --drain-announce-ms, default 1500 */
 	uint32_t entry_lapse_ms;     /* --entry-lapse-ms, default 4500 */
 	uint32_t link_mbps;	     /* --link-mbps, default 12 */
+	uint32_t hedge_permille;     /* --hedge-permille, default 0: off */
 	enum eb_log_level log_level; /* --log-level */
 };
 
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -99,6 +99,36 @@
 	}
 }
 
+/*
+ * Guards against a second copy of a request (its goal has passed) that waits,
+ * or that goes before a request that waits.
+ */
+TEST(Admit, CopiesRunAtOnceOrAreRefused)
+{
+	const struct {
+		uint32_t running, waiting;
+		int verdict;
+	} cases[] = { { 0, 0, EB_ADMIT_RUN },
+		      { 3, 0, EB_ADMIT_RUN },
+		      { 4, 0, EB_ADMIT_REFUSE },
+		      { 4, 2, EB_ADMIT_REFUSE } };
+
+	for (const auto &c : cases) {
+		gate g(4);
+		eb_admit_request rq = {};
+		eb_admit_action act;
+
+		g.fill(c.running);
+		for (uint32_t i = 0; i < c.waiting; i++)
+			EXPECT_EQ(EB_ADMIT_WAIT, g.offer(i).verdict);
+		rq.id = 50;
+		rq.deadline_us = DEADLINE_US;
+		rq.goal_us = g.now - 1;
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		EXPECT_EQ(c.verdict, act.verdict) << c.running;
+	}
+}
+
 /* Guards against a refusal without the time after which to retry. */
 TEST(Admit, RefusalForLoadHasRetryAfter)
 {
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -52,7 +52,9 @@
 	int64_t now_us = 1000000;
 	/* Regions of the service, as JSON, and of the second upstream. */
 	std::string regions = "null", second_region = "r";
+	char own_region[2] = "d";    /* of the origin */
 	uint32_t retry_after_ms = 0; /* of the last answer */
+	uint16_t slots = 0;	     /* in load reports; 0: none are sent */
 
 	void start()
 	{
@@ -63,7 +65,7 @@
 
 		se.upstream = (char *)"other-1";
 		se.daemon_address = (char *)"127.0.0.1:*";
-		se.region = se.failure_domain = (char *)"d";
+		se.region = se.failure_domain = own_region;
 		se.plain_peers = 1;
 		mt = eb_metrics_new();
 		tr = eb_tracer_new("test", 64);
@@ -144,6 +146,8 @@
 		}
 		t->out.push_back(std::string("gate ") +
 				 eb_frame_type_name(f->type));
+		if (f->head && f->head->goal_us < 0 && !f->head->attempt)
+			t->out.back() += " copy";
 		eb_frame_unref(f);
 		return EB_OK;
 	}
@@ -175,6 +179,7 @@
 			f->reply->outcome = (uint8_t)outcome;
 			f->reply->reason = (uint8_t)reason;
 			f->reply->body_kind = (uint8_t)kind;
+			f->reply->load.slots = slots;
 		}
 		eb_origin_from_gate(og, nodes.at((size_t)n - 1), f, now_us);
 	}
@@ -219,6 +224,8 @@
 				og,
 				eb_frame_new_data(EB_FRAME_DATA, 40, "x", 1),
 				now_us);
+		else if (ev == "elsewhere")
+			second_region = "s";
 		else if (ev.rfind("home ", 0) == 0) {
 			regions = "[\"" + ev.substr(5) + "\"]";
 			configure();
@@ -254,6 +261,9 @@
 		else if (ev.rfind("begin", 0) == 0)
 			gate(EB_FRAME_RHEAD, n, EB_OUTCOME_RAN, EB_REASON_NONE,
 			     EB_BODY_LENGTH);
+		else if (ev.rfind("end", 0) == 0)
+			gate(EB_FRAME_REND, n, EB_OUTCOME_RAN, EB_REASON_NONE,
+			     0);
 		else if (ev.rfind("credit", 0) == 0)
 			gate(EB_FRAME_CREDIT, n, EB_OUTCOME_RAN, EB_REASON_NONE,
 			     0);
@@ -527,6 +537,243 @@
 	}
 }
 
+struct copy_scenario {
+	const char *guards;
+	std::vector<std::string> events;
+	std::vector<std::string> expected;
+	int sent, won, cancelled, refused; /* counted copies */
+};
+
+/* A copy is due after 13 ms; the deadline is 100 ms. */
+const copy_scenario copy_scenarios[] = {
+	{ "no copy of a request that is not slow",
+	  { "get", "wait 9", "whole 1" },
+	  { "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "the copy answers first, the other answer is dropped",
+	  { "get", "wait 20", "whole 2", "whole 1" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  1,
+	  1,
+	  0,
+	  0 },
+	{ "the first attempt answers first",
+	  { "get", "wait 20", "whole 1", "whole 2" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  1,
+	  0,
+	  1,
+	  0 },
+	{ "one copy only",
+	  { "get", "wait 20", "wait 20", "whole 1" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  1,
+	  0,
+	  1,
+	  0 },
+	{ "the first attempt fails, the copy answers",
+	  { "get", "wait 20", "abort 1", "whole 2" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "the copy fails, the first attempt answers",
+	  { "get", "wait 20", "abort 2", "whole 1" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "the copy is refused, the first attempt answers",
+	  { "get", "wait 20", "full 2", "whole 1" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  1 },
+	{ "the first attempt is refused, the copy answers",
+	  { "get", "wait 20", "leaves 1", "whole 2" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "both fail: the request may have run and is not sent a third time",
+	  { "get", "wait 20", "abort 2", "abort 1" },
+	  { "gate head", "gate head copy",
+	    "front abort 502 unknown upstream-closed" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "both are refused: the request is sent again",
+	  { "get", "wait 20", "refuse 1", "refuse 2", "whole 3" },
+	  { "gate head", "gate head copy", "gate head", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  1 },
+	{ "all are refused: the request has not run",
+	  { "get", "wait 20", "refuse 1", "refuse 2", "refuse 3", "refuse 4" },
+	  { "gate head", "gate head copy", "gate head", "gate head",
+	    "front refuse 503 not-run connect-failed" },
+	  1,
+	  0,
+	  0,
+	  1 },
+	{ "refusals do not hide that the first attempt may have run",
+	  { "get", "wait 20", "abort 1", "refuse 2", "refuse 3", "refuse 4" },
+	  { "gate head", "gate head copy", "gate head", "gate head",
+	    "front abort 502 unknown connect-failed" },
+	  1,
+	  0,
+	  0,
+	  1 },
+	{ "both are cancelled when the caller leaves",
+	  { "get", "wait 20", "gone", "whole 2", "listed 1", "listed 2" },
+	  { "gate head", "gate head copy", "gate cancel", "gate cancel",
+	    "gate cancel", "gate cancel" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "both are cancelled at the deadline",
+	  { "get", "wait 20", "wait 150" },
+	  { "gate head", "gate head copy", "gate cancel", "gate cancel",
+	    "front abort 504 unknown deadline" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "one remains until the deadline",
+	  { "get", "wait 20", "abort 1", "wait 150" },
+	  { "gate head", "gate head copy", "gate cancel",
+	    "front abort 504 unknown deadline" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "the gate of the first attempt is lost",
+	  { "get", "wait 20", "lost 1", "whole 2" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "the gate of the copy is lost",
+	  { "get", "wait 20", "lost 2", "whole 1" },
+	  { "gate head", "gate head copy", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "a request is not moved from a suspected gate to the copy's",
+	  { "get", "wait 20", "suspect 1", "whole 1" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  1,
+	  0,
+	  1,
+	  0 },
+	{ "the head of a streamed answer decides; a cut answer stays cut",
+	  { "get", "wait 20", "begin 2", "whole 1", "lost 2" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead",
+	    "front abort 502 unknown lost-peer" },
+	  1,
+	  1,
+	  0,
+	  0 },
+	{ "part of an answer whose head was lost does not win",
+	  { "get", "wait 20", "end 2", "whole 1" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  1,
+	  0,
+	  0,
+	  0 },
+	{ "no copy once an answer has begun",
+	  { "get", "begin 1", "wait 20" },
+	  { "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "no copy of a request that may run only once",
+	  { "post", "wait 20", "whole 1" },
+	  { "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "no copy of a body that is not in the head",
+	  { "upload", "wait 20", "gone" },
+	  { "gate head", "gate cancel" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "no copy to an evacuated failure domain",
+	  { "evacuated 1", "get", "evacuated 2", "wait 20", "whole 1" },
+	  { "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "no copy outside the home regions",
+	  { "elsewhere", "home s", "get", "wait 20", "whole 1" },
+	  { "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+	{ "no copy after a retry",
+	  { "get", "refuse 1", "wait 20", "whole 2" },
+	  { "gate head", "gate head", "front rhead" },
+	  0,
+	  0,
+	  0,
+	  0 },
+};
+
+/*
+ * Guards against answers of both attempts, lost answers, wrong outcomes and
+ * attempts that go on without a call, whatever the order of events, and against
+ * copies that are not allowed.
+ */
+TEST_F(Origin, Copies)
+{
+	for (const copy_scenario &sc : copy_scenarios) {
+		SCOPED_TRACE(sc.guards);
+		se.hedge_permille = 30;
+		own_region[0] = 'r';
+		regions = "null";
+		second_region = "r";
+		slots = 1;
+		start();
+		for (int n = 1; n <= 100; n++) {
+			run("get");
+			run("wait 10");
+			gate(EB_FRAME_RHEAD, n, EB_OUTCOME_RAN, EB_REASON_NONE,
+			     EB_BODY_INLINE);
+		}
+		out.clear();
+		numbers.clear();
+		nodes.clear();
+		for (const std::string &event : sc.events)
+			run(event);
+		EXPECT_EQ(sc.expected, out);
+		EXPECT_EQ(sc.sent, eb_metrics_get(mt, EB_METRIC_COPIES_SENT));
+		EXPECT_EQ(sc.won, eb_metrics_get(mt, EB_METRIC_COPIES_WON));
+		EXPECT_EQ(sc.cancelled,
+			  eb_metrics_get(mt, EB_METRIC_COPIES_CANCELLED));
+		EXPECT_EQ(sc.refused,
+			  eb_metrics_get(mt, EB_METRIC_COPIES_REFUSED));
+		stop();
+	}
+}
+
 struct refusal {
 	const char *guards;
 	const char *target;
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -641,4 +642,128 @@
 		}
 }
 
+/*
+ * Guards against copies that take capacity from first attempts, or that go to
+ * an upstream which may not have them or would be slow itself.
+ */
+TEST(Route, CopiesGoWhereCapacityIsSpare)
+{
+	struct {
+		const char *state;
+		uint32_t expected; /* UINT32_MAX: none */
+		std::function<void(router &r, eb_route_query &q)> change;
+	} cases[] = {
+		{ "all idle", 1,
+		  [](router &, eb_route_query &) {
+		  } },
+		{ "few free slots", 2,
+		  [](router &r, eb_route_query &) {
+			  r.load(1, 4);
+		  } },
+		{ "slow VM", 2,
+		  [](router &r, eb_route_query &) {
+			  eb_load ld = { 0, 0, 6, 0, 4000, 100 };
+			  eb_route_load(r.rt, 2, &ld, r.now);
+			  ld.pace_percent = 250;
+			  eb_route_load(r.rt, 1, &ld, r.now);
+		  } },
+		{ "errors", 2,
+		  [](router &r, eb_route_query &) {
+			  r.done(1, EB_OUTCOME_RAN, 0, 500, 4000);
+			  r.load(1, 0);
+		  } },
+		{ "old report", UINT32_MAX,
+		  [](router &r, eb_route_query &) {
+			  r.now += 1600000;
+		  } },
+		{ "sent since the report", 2,
+		  [](router &r, eb_route_query &) {
+			  for (int i = 0; i < 4; i++)
+				  eb_route_sent(r.rt, 1, r.now);
+		  } },
+		{ "tried, leaving, suspected, cold", 2,
+		  [](router &r, eb_route_query &) {
+			  for (uint32_t i = 3; i < 6; i++)
+				  r.add(i, EB_DISTANCE_DOMAIN, i == 3);
+			  r.ups[4].suspected = 1;
+			  r.ups[5].cold = 1;
+			  r.ups[1].cold = 1;
+			  r.set();
+			  for (uint32_t i = 3; i < 6; i++)
+				  r.load(i, 0);
+		  } },
+		{ "new", UINT32_MAX,
+		  [](router &r, eb_route_query &) {
+			  for (uint32_t i = 0; i < 3; i++)
+				  eb_route_restarted(r.rt, i, r.now);
+			  for (uint32_t i = 0; i < 3; i++)
+				  r.load(i, 0);
+		  } },
+		{ "home regions", 2,
+		  [](router &, eb_route_query &q) {
+			  q.regions = 2;
+		  } },
+		{ "home region without upstreams", UINT32_MAX,
+		  [](router &, eb_route_query &q) {
+			  q.regions = 4;
+		  } },
+		{ "another region only", UINT32_MAX,
+		  [](router &, eb_route_query &q) {
+			  q.regions = 8;
+		  } },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.state);
+		router r;
+		eb_route_query q = {};
+		const uint32_t tried[] = { 0 };
+		uint32_t id = UINT32_MAX;
+
+		r.add(0, EB_DISTANCE_DOMAIN);
+		r.add(1, EB_DISTANCE_DOMAIN);
+		r.add(2, EB_DISTANCE_REGION);
+		r.add(9, EB_DISTANCE_FAR);
+		r.ups[1].region = 1;
+		r.ups[2].region = 2;
+		r.ups[3].region = 8;
+		r.set();
+		for (uint32_t i = 0; i < 10; i++)
+			r.load(i, 0);
+		q.tried = tried;
+		q.tried_count = 1;
+		c.change(r, q);
+		eb_route_pick_spare(r.rt, &q, r.now, &id);
+		EXPECT_EQ(c.expected, id);
+	}
+}
+
+/*
+ * Guards against a slow upstream that looks fast because its attempts were
+ * cancelled, and against one that is ejected because of that.
+ */
+TEST(Route, SupersededAttemptsAreNoFailures)
+{
+	even r;
+	eb_route_result rs = {};
+	eb_route_stats st;
+
+	rs.outcome = EB_OUTCOME_UNKNOWN;
+	rs.superseded = 1;
+	rs.elapsed_us = 90000;
+	for (int i = 0; i < 30; i++) {
+		eb_route_sent(r.rt, 1, r.now - rs.elapsed_us);
+		eb_route_done(r.rt, 1, &rs, r.now);
+	}
+	eb_route_read_stats(r.rt, &st);
+	EXPECT_EQ(0u, st.ejections);
+	EXPECT_GT(100, r.picks(600)[1]);
+	rs.elapsed_us = 100;
+	for (int i = 0; i < 30; i++) {
+		eb_route_sent(r.rt, 1, r.now - rs.elapsed_us);
+		eb_route_done(r.rt, 1, &rs, r.now);
+	}
+	EXPECT_GT(100, r.picks(600)[1]);
+}
+
 } // namespace
--- a/tests/test_eb_settings.cc
+++ b/tests/test_eb_settings.cc
@@ -84,6 +84,7 @@
 	EXPECT_EQ(1, se.plain_peers);
 	EXPECT_EQ(0, se.admin_remote);
 	EXPECT_EQ(600000u, se.drain_timeout_ms);
+	EXPECT_EQ(0u, se.hedge_permille);
 	EXPECT_EQ(EB_LOG_INFO, se.log_level);
 }
 
@@ -98,12 +99,14 @@
 	set("EBONYPIER_PLAIN_PEERS", "0");
 	set("EBONYPIER_LOG_LEVEL", "debug");
 	set("EBONYPIER_DRAIN_TIMEOUT_MS", "");
+	set("EBONYPIER_HEDGE_PERMILLE", "100");
 	strings args = good;
 	args.erase(args.begin() + 3); /* --admin-port */
 	ASSERT_EQ(EB_SETTINGS_RUN, read(args));
 	EXPECT_STREQ("santiago", se.region);
 	EXPECT_EQ(9, se.admin_port);
 	EXPECT_EQ(1, se.plain_peers);
+	EXPECT_EQ(100u, se.hedge_permille);
 	EXPECT_EQ(EB_LOG_DEBUG, se.log_level);
 	EXPECT_EQ(600000u, se.drain_timeout_ms);
 }
@@ -114,7 +117,8 @@
 	set("EBONYPIER_PEERS", "127.0.0.1:1,,");
 	EXPECT_EQ(EB_SETTINGS_INVALID,
 		  read({ "--listen=localhost:1", "--admin-port=70000",
-			 "--region=a b", "--platform=127.0.0.1:4" }));
+			 "--region=a b", "--platform=127.0.0.1:4",
+			 "--hedge-permille=101" }));
 	EXPECT_EQ((strings{
 			  "settings: upstream: required: set --upstream or "
 			  "EBONYPIER_UPSTREAM",
@@ -129,6 +133,8 @@
 			  "--failure-domain or EBONYPIER_FAILURE_DOMAIN",
 			  "EBONYPIER_PEERS: peers: expected IP:port, with "
 			  "commas between",
+			  "--hedge-permille: hedge-permille: the number is "
+			  "out of range",
 			  "settings: curve-public-key: required unless "
 			  "--plain-peers is set",
 			  "settings: curve-secret-key: required unless "
