--- a/src/eb_hedge.c
+++ b/src/eb_hedge.c
@@ -3,16 +3,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eb_tunables.h"
+
 /* Kinds and sizes whose response times are kept; the oldest is replaced. */
 #define CLASSES_MAX 32
 /* Bodies of a request from this size on are a class of their own. */
 #define LARGE_BODY_BYTES 2048
 /*
- * Buckets of response times: four for each doubling, so that a quantile is at
- * most a quarter too high. They cover 0.25 ms to 65 s.
+ * Buckets of response times: eight for each doubling, so that a quantile is at
+ * most an eighth too high. They cover 0.25 ms to 65 s.
  */
-#define STEPS 4
-#define BUCKETS 72
+#define STEPS 8
+#define BUCKETS 144
 #define LOWEST_US 256
 /*
  * Counts are halved when a class has this many, or after this time, so that a
@@ -29,8 +31,12 @@
 /* Thousandths of a copy that the budget holds at most. */
 #define TOKENS_PER_COPY 1000
 #define TOKENS_MAX 3000
-/* Share of refused attempts, smoothed, above which no copies are sent. */
-#define REFUSED_PERMILLE 20
+/*
+ * Share of refused attempts, smoothed, above which no copies are sent. With
+ * noisy hosts, gates that are full for a moment refused 140 in 1,000 at 75% of
+ * the capacity, where copies still helped, and 300 at 90%, where they did not.
+ */
+#define REFUSED_PERMILLE 200
 #define REFUSED_SHIFT 6
 /* After a request was refused to its caller, no copy is sent for this long. */
 #define REFUSED_HOLD_US 2000000
@@ -238,7 +244,8 @@
 
 /*
  * Tells whether a waiting request gets a copy now. A request that was retried
- * gets none: it has had its second run, and may have crashed an upstream.
+ * after a failure gets none: it has had its second run, and may have crashed an
+ * upstream. One that was only refused may get one.
  */
 enum eb_hedge_verdict eb_hedge_check(const struct eb_hedge *hg,
 				     const struct eb_retry *rb,
@@ -251,7 +258,7 @@
 		return EB_HEDGE_OFF;
 	if (!rq->idempotent || !rq->inline_body)
 		return EB_HEDGE_NOT_SAFE;
-	if (rq->attempts != 1 || rq->runs_max < 2)
+	if (rq->runs || rq->attempts >= EB_ATTEMPTS_MAX || rq->runs_max < 2)
 		return EB_HEDGE_ATTEMPTS;
 	delay_us = eb_hedge_delay_us(hg, rq->kind, rq->body_bytes);
 	if (delay_us == INT64_MAX || now_us - rq->sent_us < delay_us)
--- a/src/eb_hedge.h
+++ b/src/eb_hedge.h
@@ -24,6 +24,7 @@
 	uint8_t idempotent;
 	uint8_t inline_body; /* it has no body, or one that can be resent */
 	uint8_t attempts;    /* made so far */
+	uint8_t runs;	     /* of them, ended ones that may have run */
 	uint8_t runs_max;    /* limit on the runs of the request */
 	int64_t sent_us;     /* when its first attempt was sent */
 	int64_t deadline_us;
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -730,7 +730,8 @@
 	}
 	if (ca->outcome == EB_OUTCOME_NOT_RUN)
 		type = EB_FRAME_REFUSE;
-	if (type == EB_FRAME_REFUSE && refused_for_load(ca))
+	if (type == EB_FRAME_REFUSE &&
+	    (refused_for_load(ca) || ca->reason == EB_REASON_HANDED_BACK))
 		eb_hedge_call_refused(ca->service->hedge, now_us);
 	out = eb_frame_new(type, ca->front_id);
 	if (!out)
@@ -1646,7 +1647,7 @@
 			 int64_t now_us)
 {
 	if (ca->state == WAITING && ca->idempotent && !ca->streamed &&
-	    ca->attempts == 1 + ca->copies && f->reply->status < 500)
+	    ca->runs <= ca->copies && f->reply->status < 500)
 		eb_hedge_answered(ca->service->hedge, ca->head->head->kind,
 				  ca->head->head->body_bytes,
 				  now_us - ca->first_sent_us, now_us);
@@ -1667,6 +1668,7 @@
 	rq.idempotent = ca->idempotent;
 	rq.inline_body = !ca->streamed;
 	rq.attempts = ca->attempts;
+	rq.runs = ca->runs;
 	rq.runs_max = ca->runs_max;
 	rq.sent_us = ca->first_sent_us;
 	rq.deadline_us = ca->deadline_us;
