--- a/src/eb_attempt.h
+++ b/src/eb_attempt.h
@@ -19,6 +19,7 @@
 	uint8_t copy;	   /* of a request that is also at another gate */
 	uint8_t span[8];
 	int64_t sent_us;
+	void *owner;			    /* its call */
 	char instance[EB_NAME_SPACE_BYTES]; /* that must run it, or "" */
 };
 
@@ -29,14 +30,25 @@
 #define EB_ATTEMPT_COPY_GOAL_US (-1)
 
 struct eb_frame *eb_attempt_unshare_head(struct eb_frame **head);
-struct eb_frame *eb_attempt_cancel(const struct eb_attempt *at,
-				   uint64_t sender);
-int eb_attempt_says_leaving(const struct eb_attempt *at,
-			    const struct eb_node *n,
-			    const struct eb_dialect *dl,
-			    const struct eb_frame *f);
+struct eb_frame *eb_attempt_cancel(uint64_t number, uint64_t sender);
+void eb_attempt_note_leaving(const struct eb_attempt *at, struct eb_nodes *nd,
+			     const struct eb_dialect *dl, struct eb_log *log,
+			     const char *id, const struct eb_frame *f,
+			     int64_t now_us);
 void eb_attempt_report(const struct eb_attempt *at, struct eb_nodes *nd,
 		       struct eb_log *log, struct eb_service_state *sv,
 		       const struct eb_route_result *rs, int64_t now_us);
 
+/* The attempts of an origin that have a number. */
+struct eb_attempts;
+
+struct eb_attempts *eb_attempts_new(void);
+void eb_attempts_free(struct eb_attempts *as);
+void eb_attempts_add(struct eb_attempts *as, struct eb_attempt *at);
+void eb_attempts_remove(struct eb_attempts *as, struct eb_attempt *at);
+struct eb_attempt *eb_attempts_find(const struct eb_attempts *as,
+				    uint64_t number);
+void eb_attempts_list_overdue(const struct eb_attempts *as, uint32_t node,
+			      struct eb_frame *f, int64_t now_us);
+
 #endif
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -10,9 +10,12 @@
 
 #include "eb_attempt.h"
 #include "eb_chart.h"
+#include "eb_claim_frames.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_early.h"
+#include "eb_failure.h"
+#include "eb_goal.h"
 #include "eb_home.h"
 #include "eb_matcher.h"
 #include "eb_overdue.h"
@@ -78,27 +81,6 @@
 	"deliver",	 "cut_late",	NULL
 };
 
-/* The HTTP status of a call that failed, by reason. */
-static const uint16_t reason_status[EB_REASON_MAX + 1] = {
-	[EB_REASON_NONE] = 502,
-	[EB_REASON_NO_ROUTE] = 404,
-	[EB_REASON_NO_UPSTREAM] = 503,
-	[EB_REASON_QUEUE_FULL] = 503,
-	[EB_REASON_DEADLINE] = 504,
-	[EB_REASON_DRAINING] = 503,
-	[EB_REASON_CONNECT] = 503,
-	[EB_REASON_HANDED_BACK] = 503,
-	[EB_REASON_CALLER_LIMIT] = 429,
-	[EB_REASON_CRASHES] = 503,
-	[EB_REASON_CLAIM] = 409,
-	[EB_REASON_HOPS] = 508,
-	[EB_REASON_LOST_PEER] = 502,
-	[EB_REASON_UPSTREAM_CLOSED] = 502,
-	[EB_REASON_STALLED] = 504,
-	[EB_REASON_INTERNAL] = 500,
-	[EB_REASON_UPSTREAM_REFUSED] = 503,
-};
-
 struct call {
 	uint64_t front_id;
 	struct eb_attempt slots[2];
@@ -152,9 +134,9 @@
 	struct eb_chart *chart;
 	struct eb_rand rand; /* for span numbers */
 	apr_pool_t *pool;
-	apr_hash_t *by_front;  /* call number of the front -> call */
-	apr_hash_t *by_number; /* attempt number -> call */
-	apr_hash_t *longest;   /* match name -> longest deadline seen, us */
+	apr_hash_t *by_front;	      /* call number of the front -> call */
+	struct eb_attempts *attempts; /* by number */
+	struct eb_goal *goal;
 	uint64_t next_number;
 	struct eb_matcher matcher;
 	uint32_t parked;	/* number of parked calls */
@@ -171,11 +153,6 @@
 		      int64_t now_us);
 static void drop_attempt(struct eb_origin *og, struct call *ca,
 			 struct eb_attempt *at, int64_t now_us);
-static int is_first_answer(struct eb_origin *og, struct call *ca,
-			   struct eb_attempt *at, struct eb_frame *f,
-			   int64_t now_us);
-static void learn_answer(const struct call *ca, const struct eb_frame *f,
-			 int64_t now_us);
 static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
 			      struct eb_attempt *at, int64_t now_us);
 
@@ -199,34 +176,27 @@
 	og->matcher.split_position = (uint32_t)cf->incarnation;
 	og->chart = eb_chart_load("origin", &names, fs);
 	og->early = eb_early_new();
-	if (!og->chart || !og->early ||
+	og->goal = eb_goal_new();
+	og->attempts = eb_attempts_new();
+	if (!og->chart || !og->early || !og->goal || !og->attempts ||
 	    apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
 		eb_chart_free(og->chart);
 		eb_early_free(og->early);
+		eb_goal_free(og->goal);
+		eb_attempts_free(og->attempts);
 		free(og);
 		return NULL;
 	}
 	og->by_front = apr_hash_make(og->pool);
-	og->by_number = apr_hash_make(og->pool);
-	og->longest = apr_hash_make(og->pool);
 	return og;
 }
 
-/* Makes the number of an attempt invalid: its late frames are dropped. */
-static void forget_number(struct eb_origin *og, struct eb_attempt *at)
-{
-	if (at->number)
-		apr_hash_set(og->by_number, &at->number, sizeof(at->number),
-			     NULL);
-	at->number = 0;
-}
-
 /* Frees a call and its share of the caller's limit. */
 static void free_call(struct eb_origin *og, struct call *ca)
 {
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), NULL);
-	forget_number(og, ca->at);
-	forget_number(og, ca->other);
+	eb_attempts_remove(og->attempts, ca->at);
+	eb_attempts_remove(og->attempts, ca->other);
 	if (ca->parked)
 		og->parked--;
 	eb_limit_done(ca->service->limit, ca->head->head->caller);
@@ -250,6 +220,8 @@
 	apr_pool_destroy(og->pool);
 	eb_chart_free(og->chart);
 	eb_early_free(og->early);
+	eb_goal_free(og->goal);
+	eb_attempts_free(og->attempts);
 	free(og);
 }
 
@@ -377,7 +349,7 @@
 {
 	struct eb_route_result rs = { 0 };
 
-	forget_number(og, at);
+	eb_attempts_remove(og->attempts, at);
 	if (!at->in_flight)
 		return;
 	at->in_flight = 0;
@@ -429,25 +401,6 @@
 	       eb_nodes_rule(og->config.nodes, ca->service)->claims;
 }
 
-/*
- * Computes the digest that binds a key to its request. It covers the caller's
- * credentials, so that two callers that use the same key by accident never get
- * each other's answer. Of a streamed body only the length is known here.
- */
-static void digest_request(const struct eb_frame *f, uint8_t *digest)
-{
-	const struct eb_head *h = f->head;
-	const char *auth = eb_headers_find(&h->headers, "Authorization");
-	size_t n = strlen(h->target) + (auth ? strlen(auth) : 0) + 2;
-	char *text = malloc(n);
-
-	if (text)
-		snprintf(text, n, "%s\n%s", h->target, auth ? auth : "");
-	eb_claim_digest(h->method, text ? text : h->target, h->body_bytes,
-			f->data, f->data_bytes, digest);
-	free(text);
-}
-
 /* Asks the holders for the claim of the request's key. */
 static void start_claim(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
@@ -458,7 +411,7 @@
 	rq.call = ca->front_id;
 	rq.service = ca->service->name;
 	eb_claim_key(ca->service->name, ca->head->head->key, rq.key);
-	digest_request(ca->head, rq.digest);
+	eb_claim_digest_request(ca->head, rq.digest);
 	rq.deadline_us = ca->deadline_us;
 	eb_claimant_start(og->config.claims, &rq, now_us);
 }
@@ -470,8 +423,8 @@
 static void settle_claim(struct eb_origin *og, struct call *ca,
 			 const struct eb_frame *f, int64_t now_us)
 {
-	enum eb_claim_state state = EB_CLAIM_LOST;
 	struct eb_claim_response rs = { 0 };
+	enum eb_claim_state state;
 
 	if (!ca->claimed)
 		return;
@@ -480,19 +433,7 @@
 		eb_claimant_not_run(og->config.claims, ca->front_id, now_us);
 		return;
 	}
-	if (f && f->type == EB_FRAME_REND) {
-		state = EB_CLAIM_LARGE;
-	} else if (f) {
-		rs.status = f->reply->status;
-		rs.headers = (const uint8_t *)f->reply->headers.block;
-		rs.headers_bytes = f->reply->headers.used_bytes;
-		rs.body = f->data;
-		rs.body_bytes = f->data_bytes;
-		state = rs.headers_bytes + rs.body_bytes >
-					EB_CLAIM_RESPONSE_MAX_BYTES
-				? EB_CLAIM_LARGE
-				: EB_CLAIM_DONE;
-	}
+	state = eb_claim_result(f, &rs);
 	eb_claimant_ended(og->config.claims, ca->front_id, state, &rs, now_us);
 }
 
@@ -554,7 +495,7 @@
 	ca->attempts++;
 	at->sent_us = now_us;
 	at->in_flight = 1;
-	apr_hash_set(og->by_number, &at->number, sizeof(at->number), ca);
+	eb_attempts_add(og->attempts, at);
 	eb_route_sent(ca->service->route, node, now_us);
 	eb_metrics_add(og->config.metrics,
 		       n->self ? EB_METRIC_LOCAL_CALLS : EB_METRIC_REMOTE_CALLS,
@@ -715,8 +656,8 @@
 static void do_answer_failure(struct eb_origin *og, struct call *ca,
 			      struct eb_frame *f, int64_t now_us)
 {
-	enum eb_frame_type type = EB_FRAME_ABORT;
 	struct eb_frame *out;
+	uint32_t extra_ms = 0;
 
 	if (f && f->reply)
 		save_reply(ca, f->reply);
@@ -728,29 +669,17 @@
 		ca->outcome = EB_OUTCOME_NOT_RUN;
 		ca->reason = EB_REASON_NO_UPSTREAM;
 	}
-	if (ca->outcome == EB_OUTCOME_NOT_RUN)
-		type = EB_FRAME_REFUSE;
-	if (type == EB_FRAME_REFUSE &&
+	if (ca->outcome == EB_OUTCOME_NOT_RUN &&
 	    (refused_for_load(ca) || ca->reason == EB_REASON_HANDED_BACK))
 		eb_hedge_call_refused(ca->service->hedge, now_us);
-	out = eb_frame_new(type, ca->front_id);
-	if (!out)
-		return;
-	out->reply->outcome = ca->outcome;
-	out->reply->reason = ca->reason;
-	out->reply->status = reason_status[ca->reason];
-	if (ca->reason == EB_REASON_CLAIM && ca->status)
-		out->reply->status = ca->status;
-	out->reply->retry_after_ms = ca->retry_after_ms;
 	if (ca->reason == EB_REASON_QUEUE_FULL ||
 	    ca->reason == EB_REASON_HANDED_BACK)
-		out->reply->retry_after_ms +=
-			eb_route_extra_backoff_ms(ca->service->route);
-	/* Clients retry on 503, which is safe only if nothing ran. */
-	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
-		out->reply->status = 502;
-	if (out->reply->status == 503 && !ca->retry_after_ms)
-		out->reply->retry_after_ms = 1000;
+		extra_ms = eb_route_extra_backoff_ms(ca->service->route);
+	out = eb_failure_frame(ca->front_id, ca->outcome, ca->reason,
+			       ca->reason == EB_REASON_CLAIM ? ca->status : 0,
+			       ca->retry_after_ms, extra_ms);
+	if (!out)
+		return;
 	ca->status = out->reply->status;
 	to_front(og, ca, out);
 }
@@ -877,7 +806,7 @@
 {
 	struct eb_frame *out;
 
-	out = eb_attempt_cancel(at, og->config.incarnation);
+	out = eb_attempt_cancel(at->number, og->config.incarnation);
 	if (out)
 		og->out.to_gate(og->out.ctx, at->node, out);
 }
@@ -1008,7 +937,8 @@
 			   uint32_t retry_after_ms)
 {
 	struct eb_call_stats *tl = eb_metrics_call_stats(og->config.metrics);
-	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
+	struct eb_frame *out = eb_failure_frame(f->call, EB_OUTCOME_NOT_RUN,
+						reason, 0, retry_after_ms, 0);
 	struct eb_call_stats_call tc = { EB_OUTCOME_NOT_RUN,
 					 (uint8_t)reason,
 					 EB_CALL_STATS_NOT_SENT,
@@ -1026,15 +956,8 @@
 		f->head->target, eb_reason_name(reason),
 		(unsigned long long)eb_nodes_config(og->config.nodes)->release);
 	eb_frame_unref(f);
-	if (!out)
-		return;
-	out->reply->outcome = EB_OUTCOME_NOT_RUN;
-	out->reply->reason = (uint8_t)reason;
-	out->reply->status = reason_status[reason];
-	out->reply->retry_after_ms = retry_after_ms;
-	if (out->reply->status == 503 && !retry_after_ms)
-		out->reply->retry_after_ms = 1000;
-	og->out.to_front(og->out.ctx, out);
+	if (out)
+		og->out.to_front(og->out.ctx, out);
 }
 
 /* Applies the matched path's limits on time and attempts, and its priority. */
@@ -1056,32 +979,6 @@
 	ca->body_done = 1;
 }
 
-/*
- * Sets the time until which an answer meets the path's objective, counted from
- * the caller's first try. The time that passed since the first try is estimated
- * as the difference between the longest deadline seen on this match and
- * `remaining_us`, the time left to this request.
- */
-static void set_goal(struct eb_origin *og, struct call *ca,
-		     const struct eb_match *pt, int64_t remaining_us)
-{
-	int64_t *longest, spent_us = 0;
-
-	if (!pt->objective_ms)
-		return;
-	longest = apr_hash_get(og->longest, pt->name, APR_HASH_KEY_STRING);
-	if (!longest && apr_hash_count(og->longest) < EB_MATCH_DEADLINES_MAX) {
-		longest = apr_pcalloc(og->pool, sizeof(*longest));
-		apr_hash_set(og->longest, apr_pstrdup(og->pool, pt->name),
-			     APR_HASH_KEY_STRING, longest);
-	}
-	if (longest && remaining_us > *longest)
-		*longest = remaining_us;
-	if (longest && remaining_us > 0)
-		spent_us = *longest - remaining_us;
-	ca->goal_us = ca->started_us + pt->objective_ms * 1000LL - spent_us;
-}
-
 /* Sets the fields of a call from its request; `pt` is NULL without a match. */
 static void init_call(struct eb_origin *og, struct call *ca,
 		      const struct eb_match *pt, int64_t received_us)
@@ -1095,6 +992,7 @@
 	ca->front_id = ca->head->call;
 	ca->at = &ca->slots[0];
 	ca->other = &ca->slots[1];
+	ca->at->owner = ca->other->owner = ca;
 	ca->at->node = ca->other->node = EB_NONE;
 	ca->idempotent = (uint8_t)eb_matcher_idempotent(
 		rule->idempotent_methods, h->method);
@@ -1120,7 +1018,8 @@
 	ca->started_us = received_us;
 	ca->deadline_us = received_us + ca->budget_us;
 	if (pt)
-		set_goal(og, ca, pt, h->remaining_us);
+		ca->goal_us = eb_goal_of(og->goal, pt, h->remaining_us,
+					 ca->started_us);
 	ca->started_wall_us = eb_clock_wall_us();
 	ca->parent = h->trace;
 	eb_trace_new_span(&og->rand, ca->call_span);
@@ -1271,28 +1170,6 @@
 
 /* ---- Decisions on claims ---- */
 
-/* Returns an answer with the stored response; NULL without memory. */
-static struct eb_frame *stored_answer(const struct eb_claimant_action *act)
-{
-	const struct eb_claim_response *rs = &act->response;
-	struct eb_frame *f;
-
-	f = eb_frame_new_data(EB_FRAME_RHEAD, 0, rs->body, rs->body_bytes);
-	if (!f)
-		return NULL;
-	f->reply->status = rs->status;
-	f->reply->outcome = EB_OUTCOME_RAN;
-	f->reply->body_kind = EB_BODY_INLINE;
-	f->reply->body_bytes = rs->body_bytes;
-	if (eb_headers_load(&f->reply->headers, rs->headers,
-			    rs->headers_bytes) ||
-	    eb_headers_add(&f->reply->headers, "Ebonypier-Replayed", "1")) {
-		eb_frame_unref(f);
-		return NULL;
-	}
-	return f;
-}
-
 /*
  * Carries out the claimant's decision on a call: run it, answer with a stored
  * response, refuse it, or pass on the answer of its run. A grant for a call
@@ -1322,7 +1199,7 @@
 		return;
 	}
 	if (act->kind == EB_CLAIMANT_ANSWER_STORED)
-		f = stored_answer(act);
+		f = eb_claim_stored_answer(&act->response);
 	if (f) {
 		step(og, ca, EVENT_STORED, f, now_us);
 		return;
@@ -1375,32 +1252,6 @@
 		eb_route_load(sv->route, node, ld, now_us);
 }
 
-/*
- * Stops the use of an upstream whose answer says that it leaves. Its gate
- * refuses calls as well, but has forgotten that after a restart.
- */
-static void note_leaving(struct eb_origin *og, const struct call *ca,
-			 const struct eb_attempt *at, const struct eb_frame *f,
-			 int64_t now_us)
-{
-	struct eb_node *n = eb_nodes_get(og->config.nodes, at->node);
-
-	if (!eb_attempt_says_leaving(at, n, og->config.dialect, f))
-		return;
-	n->says_leaving = 1;
-	eb_log_write(og->config.log, EB_LOG_INFO, "origin",
-		     "answer says that the upstream leaves",
-		     "id=%s upstream=%s instance=%s", request_id(og, ca->head),
-		     n->name, n->instance);
-	eb_nodes_changed(og->config.nodes, at->node, now_us);
-}
-
-/* Returns the call's attempt with this number, which is in flight. */
-static struct eb_attempt *find_attempt(struct call *ca, uint64_t number)
-{
-	return ca->at->number == number ? ca->at : ca->other;
-}
-
 /*
  * Adds the numbers of attempts that have been at a node's gate for long to
  * `f`, a heartbeat to that gate.
@@ -1408,18 +1259,7 @@
 void eb_origin_list_overdue(const struct eb_origin *og, uint32_t node,
 			    struct eb_frame *f, int64_t now_us)
 {
-	apr_hash_index_t *hi;
-	const struct eb_attempt *at;
-	const uint64_t *number;
-
-	for (hi = apr_hash_first(NULL, og->by_number); hi;
-	     hi = apr_hash_next(hi)) {
-		number = apr_hash_this_key(hi);
-		at = find_attempt(apr_hash_this_val(hi), *number);
-		if (at->node == node && eb_overdue(at->sent_us, now_us) &&
-		    eb_overdue_add(f, at->number))
-			return;
-	}
+	eb_attempts_list_overdue(og->attempts, node, f, now_us);
 }
 
 /*
@@ -1435,12 +1275,11 @@
 
 	for (i = 0; i < n; i++) {
 		number = eb_overdue_at(f, i);
-		if (apr_hash_get(og->by_number, &number, sizeof(number)))
+		if (eb_attempts_find(og->attempts, number))
 			continue;
-		out = eb_frame_new(EB_FRAME_CANCEL, number);
+		out = eb_attempt_cancel(number, og->config.incarnation);
 		if (!out)
 			return;
-		out->sender = og->config.incarnation;
 		eb_log_write(og->config.log, EB_LOG_WARN, "origin",
 			     "gate lists an attempt unknown to this daemon, "
 			     "cancelling it",
@@ -1450,58 +1289,6 @@
 	}
 }
 
-/*
- * Tells whether the head of an answer was lost on the way to this frame, with
- * the connection to the gate.
- */
-static int lacks_head(const struct call *ca, const struct eb_frame *f)
-{
-	return (f->type == EB_FRAME_RDATA || f->type == EB_FRAME_REND) &&
-	       ca->state != ANSWERING;
-}
-
-/*
- * Handles a frame of the gate of a node; takes the reference over. A frame of
- * an attempt that has ended is dropped.
- */
-void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
-			 struct eb_frame *f, int64_t now_us)
-{
-	struct eb_attempt *at;
-	struct call *ca;
-
-	if (f->type == EB_FRAME_HELLO) {
-		apply_load(og, node, NULL, &f->reply->load, now_us);
-		cancel_unknown_calls(og, node, f);
-		eb_frame_unref(f);
-		return;
-	}
-	ca = apr_hash_get(og->by_number, &f->call, sizeof(f->call));
-	at = ca ? find_attempt(ca, f->call) : NULL;
-	if (!at || at->node != node) {
-		do_drop(og, NULL, f, now_us);
-		return;
-	}
-	if (f->reply) {
-		apply_load(og, node, ca->service, &f->reply->load, now_us);
-		note_leaving(og, ca, at, f, now_us);
-	}
-	if (lacks_head(ca, f)) {
-		cancel_attempt(og, at);
-		eb_frame_unref(f);
-		mark_attempt_lost(og, ca, at, now_us);
-		return;
-	}
-	if (ca->other->number && !is_first_answer(og, ca, at, f, now_us))
-		return;
-	if (f->type == EB_FRAME_RHEAD && f->reply)
-		learn_answer(ca, f, now_us);
-	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
-	    f->type == EB_FRAME_ABORT)
-		f->type = EB_FRAME_REND;
-	step(og, ca, gate_event(ca, f), f, now_us);
-}
-
 /*
  * Ends an attempt whose gate was lost or is unresponsive. It is unknown
  * whether the request ran. Without another attempt in flight, the chart decides
@@ -1653,6 +1440,60 @@
 				  now_us - ca->first_sent_us, now_us);
 }
 
+/*
+ * Tells whether the head of an answer was lost on the way to this frame, with
+ * the connection to the gate.
+ */
+static int lacks_head(const struct call *ca, const struct eb_frame *f)
+{
+	return (f->type == EB_FRAME_RDATA || f->type == EB_FRAME_REND) &&
+	       ca->state != ANSWERING;
+}
+
+/*
+ * Handles a frame of the gate of a node; takes the reference over. A frame of
+ * an attempt that has ended is dropped.
+ */
+void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
+			 struct eb_frame *f, int64_t now_us)
+{
+	struct eb_attempt *at;
+	struct call *ca;
+
+	if (f->type == EB_FRAME_HELLO) {
+		apply_load(og, node, NULL, &f->reply->load, now_us);
+		cancel_unknown_calls(og, node, f);
+		eb_frame_unref(f);
+		return;
+	}
+	at = eb_attempts_find(og->attempts, f->call);
+	if (!at || at->node != node) {
+		do_drop(og, NULL, f, now_us);
+		return;
+	}
+	ca = at->owner;
+	if (f->reply) {
+		apply_load(og, node, ca->service, &f->reply->load, now_us);
+		eb_attempt_note_leaving(at, og->config.nodes,
+					og->config.dialect, og->config.log,
+					request_id(og, ca->head), f, now_us);
+	}
+	if (lacks_head(ca, f)) {
+		cancel_attempt(og, at);
+		eb_frame_unref(f);
+		mark_attempt_lost(og, ca, at, now_us);
+		return;
+	}
+	if (ca->other->number && !is_first_answer(og, ca, at, f, now_us))
+		return;
+	if (f->type == EB_FRAME_RHEAD && f->reply)
+		learn_answer(ca, f, now_us);
+	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
+	    f->type == EB_FRAME_ABORT)
+		f->type = EB_FRAME_REND;
+	step(og, ca, gate_event(ca, f), f, now_us);
+}
+
 /* Sends a copy of a request that has waited for long, if that is allowed. */
 static void consider_copy(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
