--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -8,11 +8,15 @@
 #include <string.h>
 #include <strings.h>
 
+#include "eb_attempt.h"
 #include "eb_backoff.h"
 #include "eb_chart.h"
+#include "eb_claim_frames.h"
 #include "eb_clock.h"
 #include "eb_crash.h"
 #include "eb_early.h"
+#include "eb_failure.h"
+#include "eb_goal.h"
 #include "eb_home.h"
 #include "eb_matcher.h"
 #include "eb_overdue.h"
@@ -80,38 +84,19 @@
 	"deliver",	 "cut_late",	NULL
 };
 
-/* The HTTP status of a call that failed, by reason. */
-static const uint16_t reason_status[EB_REASON_MAX + 1] = {
-	[EB_REASON_NONE] = 502,
-	[EB_REASON_NO_ROUTE] = 404,
-	[EB_REASON_NO_UPSTREAM] = 503,
-	[EB_REASON_QUEUE_FULL] = 503,
-	[EB_REASON_DEADLINE] = 504,
-	[EB_REASON_DRAINING] = 503,
-	[EB_REASON_CONNECT] = 503,
-	[EB_REASON_HANDED_BACK] = 503,
-	[EB_REASON_CALLER_LIMIT] = 429,
-	[EB_REASON_CRASHES] = 503,
-	[EB_REASON_CLAIM] = 409,
-	[EB_REASON_HOPS] = 508,
-	[EB_REASON_LOST_PEER] = 502,
-	[EB_REASON_UPSTREAM_CLOSED] = 502,
-	[EB_REASON_STALLED] = 504,
-	[EB_REASON_INTERNAL] = 500,
-	[EB_REASON_UPSTREAM_REFUSED] = 503,
-};
-
 struct call {
 	uint64_t front_id;
-	uint64_t number; /* of the current attempt, unique here; 0: none */
+	struct eb_attempt slots[2];
+	struct eb_attempt *at;	  /* the current or last attempt */
+	struct eb_attempt *other; /* a second one; ended if its number is 0 */
 	struct eb_frame *head;
 	/* The last frame of the answer while its claim's end is recorded. */
 	struct eb_frame *last;
 	struct eb_service_state *service;
-	uint32_t node;
 	uint32_t tried[EB_TRIED_MAX];
 	uint8_t tried_count;
-	uint8_t attempts;
+	uint8_t attempts; /* copies included */
+	uint8_t copies;
 	uint8_t mark; /* eb_retry_next_attempt() of the last attempt */
 	uint8_t state;
 	uint8_t streamed;
@@ -122,7 +107,6 @@
 	uint8_t answer_whole; /* the front has it; the body is being sent */
 	uint8_t idempotent;
 	uint8_t parked;	     /* waits until a daemon of the service is up */
-	uint8_t at_gate;     /* the router counts an attempt in flight */
 	uint8_t maybe_ran;   /* an earlier attempt ran or may have run */
 	uint8_t claimed;     /* has its key's claim and must settle it */
 	uint8_t closed_runs; /* ended by the upstream's connection */
@@ -142,11 +126,10 @@
 	int64_t deadline_us;
 	int64_t goal_us; /* latest time of an answer in time; 0: no goal */
 	int64_t started_us;
-	int64_t attempt_us;
+	int64_t first_sent_us; /* of the first attempt */
 	int64_t started_wall_us;
 	struct eb_trace_id parent;
 	uint8_t call_span[8];
-	uint8_t attempt_span[8];
 };
 
 struct eb_origin {
@@ -155,10 +138,10 @@
 	struct eb_chart *chart;
 	struct eb_rand rand; /* for span numbers */
 	apr_pool_t *pool;
-	apr_hash_t *by_front;  /* call number of the front -> call */
-	apr_hash_t *by_number; /* attempt number -> call */
+	apr_hash_t *by_front;	      /* call number of the front -> call */
+	struct eb_attempts *attempts; /* by number */
+	struct eb_goal *goal;
 	struct eb_sizes sizes; /* of answers by kind */
-	apr_hash_t *longest;   /* match name -> longest deadline seen, us */
 	uint64_t next_number;
 	struct eb_matcher matcher;
 	uint32_t parked;	/* number of parked calls */
@@ -173,8 +156,10 @@
 		 struct eb_frame *f, int64_t now_us);
 static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
 		      int64_t now_us);
+static void drop_attempt(struct eb_origin *og, struct call *ca,
+			 struct eb_attempt *at, int64_t now_us);
 static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
-			      int64_t now_us);
+			      struct eb_attempt *at, int64_t now_us);
 
 /*
  * Creates an origin. Returns NULL, with findings, when its state chart is
@@ -196,16 +181,18 @@
 	og->matcher.split_position = (uint32_t)cf->incarnation;
 	og->chart = eb_chart_load("origin", &names, fs);
 	og->early = eb_early_new();
-	if (!og->chart || !og->early ||
+	og->goal = eb_goal_new();
+	og->attempts = eb_attempts_new();
+	if (!og->chart || !og->early || !og->goal || !og->attempts ||
 	    apr_pool_create(&og->pool, NULL) != APR_SUCCESS) {
 		eb_chart_free(og->chart);
 		eb_early_free(og->early);
+		eb_goal_free(og->goal);
+		eb_attempts_free(og->attempts);
 		free(og);
 		return NULL;
 	}
 	og->by_front = apr_hash_make(og->pool);
-	og->by_number = apr_hash_make(og->pool);
-	og->longest = apr_hash_make(og->pool);
 	return og;
 }
 
@@ -213,9 +200,8 @@
 static void free_call(struct eb_origin *og, struct call *ca)
 {
 	apr_hash_set(og->by_front, &ca->front_id, sizeof(ca->front_id), NULL);
-	if (ca->number)
-		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
-			     NULL);
+	eb_attempts_remove(og->attempts, ca->at);
+	eb_attempts_remove(og->attempts, ca->other);
 	if (ca->parked)
 		og->parked--;
 	eb_limit_done(ca->service->limit, ca->head->head->caller);
@@ -239,6 +225,8 @@
 	apr_pool_destroy(og->pool);
 	eb_chart_free(og->chart);
 	eb_early_free(og->early);
+	eb_goal_free(og->goal);
+	eb_attempts_free(og->attempts);
 	free(og);
 }
 
@@ -262,18 +250,19 @@
 
 /* Logs an attempt that ended without an answer. */
 static void log_attempt(const struct eb_origin *og, const struct call *ca,
-			int64_t now_us)
+			const struct eb_attempt *at, int64_t now_us)
 {
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, at->node);
 
-	eb_log_write(og->config.log, EB_LOG_INFO, "origin", "attempt ended",
-		     "id=%s upstream=%s distance=%s attempt=%u outcome=%s "
-		     "reason=%s attempt_ms=%lld left_ms=%lld",
-		     request_id(og, ca->head), n ? n->name : "-",
-		     n ? eb_distance_name(n->distance) : "-", ca->attempts,
-		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
-		     (long long)(now_us - ca->attempt_us) / 1000,
-		     (long long)(ca->deadline_us - now_us) / 1000);
+	eb_log_write(
+		og->config.log, EB_LOG_INFO, "origin", "attempt ended",
+		"id=%s upstream=%s distance=%s attempt=%u copy=%u outcome=%s "
+		"reason=%s attempt_ms=%lld left_ms=%lld",
+		request_id(og, ca->head), n ? n->name : "-",
+		n ? eb_distance_name(n->distance) : "-", ca->attempts, at->copy,
+		eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		(long long)(now_us - at->sent_us) / 1000,
+		(long long)(ca->deadline_us - now_us) / 1000);
 }
 
 /* Logs a finished call, as a warning unless its status is below 500. */
@@ -281,30 +270,31 @@
 		     int64_t now_us)
 {
 	const struct eb_config *cf = eb_nodes_config(og->config.nodes);
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->at->node);
 	char regions[REGIONS_TEXT_BYTES];
 
 	eb_nodes_print_regions(og->config.nodes, ca->regions, regions,
 			       sizeof(regions));
-	eb_log_write(og->config.log,
-		     ca->outcome == EB_OUTCOME_RAN && ca->status < 500
-			     ? EB_LOG_INFO
-			     : EB_LOG_WARN,
-		     "origin", "call ended",
-		     "id=%s service=%s upstream=%s distance=%s attempts=%u "
-		     "runs=%u status=%u outcome=%s reason=%s ms=%lld "
-		     "last_ms=%lld left_ms=%lld regions=%s release=%llu "
-		     "answer_bytes=%llu expected_bytes=%u",
-		     request_id(og, ca->head), ca->service->name,
-		     n ? n->name : "-", n ? eb_distance_name(n->distance) : "-",
-		     ca->attempts, ca->runs, ca->status,
-		     eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
-		     (long long)(now_us - ca->started_us) / 1000,
-		     (long long)(now_us - ca->attempt_us) / 1000,
-		     (long long)(ca->deadline_us - now_us) / 1000, regions,
-		     (unsigned long long)cf->release,
-		     (unsigned long long)ca->answer_bytes,
-		     eb_sizes_expected(&og->sizes, ca->head->head->kind));
+	eb_log_write(
+		og->config.log,
+		ca->outcome == EB_OUTCOME_RAN && ca->status < 500 ? EB_LOG_INFO
+								  : EB_LOG_WARN,
+		"origin", "call ended",
+		"id=%s service=%s upstream=%s distance=%s attempts=%u "
+		"copies=%u by_copy=%u runs=%u status=%u outcome=%s reason=%s "
+		"ms=%lld "
+		"last_ms=%lld left_ms=%lld regions=%s release=%llu "
+		"answer_bytes=%llu expected_bytes=%u",
+		request_id(og, ca->head), ca->service->name, n ? n->name : "-",
+		n ? eb_distance_name(n->distance) : "-", ca->attempts,
+		ca->copies, ca->at->copy, ca->runs, ca->status,
+		eb_outcome_name(ca->outcome), eb_reason_name(ca->reason),
+		(long long)(now_us - ca->started_us) / 1000,
+		(long long)(now_us - ca->at->sent_us) / 1000,
+		(long long)(ca->deadline_us - now_us) / 1000, regions,
+		(unsigned long long)cf->release,
+		(unsigned long long)ca->answer_bytes,
+		eb_sizes_expected(&og->sizes, ca->head->head->kind));
 }
 
 /* Learns the size of a successful answer, and counts its way. */
@@ -317,7 +307,7 @@
 		EB_METRIC_ANSWER_BYTES_REGION,
 		EB_METRIC_ANSWER_BYTES_FAR,
 	};
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->at->node);
 
 	if (n && ca->answer_bytes)
 		eb_metrics_add(og->config.metrics, ways[n->distance],
@@ -334,7 +324,7 @@
 static void count_call(struct eb_origin *og, const struct call *ca,
 		       int64_t now_us)
 {
-	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	const struct eb_node *n = eb_nodes_get(og->config.nodes, ca->at->node);
 	const struct eb_retry *rb = &ca->service->retry;
 	struct eb_call_stats_call tc = { 0 };
 
@@ -348,16 +338,20 @@
 			  &tc);
 }
 
+/* Adds the span of an attempt or, if `at` is NULL, that of the call. */
 static void add_span(struct eb_origin *og, const struct call *ca,
-		     enum eb_span_kind kind, const uint8_t *id,
-		     const uint8_t *parent, int64_t from_us, int64_t now_us)
+		     enum eb_span_kind kind, const struct eb_attempt *at,
+		     int64_t now_us)
 {
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
+	int64_t from_us = at ? at->sent_us : ca->started_us;
+	struct eb_node *n;
 	struct eb_span sp = { 0 };
 
+	n = eb_nodes_get(og->config.nodes, at ? at->node : ca->at->node);
 	memcpy(sp.trace, ca->parent.trace, sizeof(sp.trace));
-	memcpy(sp.id, id, sizeof(sp.id));
-	memcpy(sp.parent, parent, sizeof(sp.parent));
+	memcpy(sp.id, at ? at->span : ca->call_span, sizeof(sp.id));
+	memcpy(sp.parent, at ? ca->call_span : ca->parent.span,
+	       sizeof(sp.parent));
 	sp.kind = (uint8_t)kind;
 	sp.outcome = ca->outcome;
 	sp.reason = ca->reason;
@@ -369,54 +363,49 @@
 	eb_tracer_add(og->config.tracer, &sp);
 }
 
-/* Reports an attempt's result to the router; logs an ejection by it. */
-static void report_result(struct eb_origin *og, const struct call *ca,
-			  const struct eb_route_result *rs, int64_t now_us)
+/* Tells whether the last refusal shows that upstreams are overloaded. */
+static int refused_for_load(const struct call *ca)
 {
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
-	struct eb_route_stats before, after;
-
-	eb_route_read_stats(ca->service->route, &before);
-	eb_route_done(ca->service->route, ca->node, rs, now_us);
-	eb_route_read_stats(ca->service->route, &after);
-	if (after.ejections != before.ejections)
-		eb_log_write(og->config.log, EB_LOG_INFO, "origin",
-			     "upstream ejected",
-			     "upstream=%s service=%s outcome=%s reason=%s "
-			     "status=%u out=%u",
-			     n ? n->name : "-", ca->service->name,
-			     eb_outcome_name(rs->outcome),
-			     eb_reason_name(rs->reason), rs->status, after.out);
+	return ca->reason == EB_REASON_QUEUE_FULL ||
+	       ca->status == EB_STATUS_RATE_LIMITED;
 }
 
 /*
- * Ends the current attempt, if there is one: its number becomes invalid, and
- * the router and the trace receive its result.
+ * Ends an attempt, unless it has ended before: its number becomes invalid, and
+ * the router and the trace receive its result, which is that of the call. An
+ * attempt is superseded when another one has answered.
  */
-static void end_attempt(struct eb_origin *og, struct call *ca, int64_t now_us)
+static void end_attempt(struct eb_origin *og, struct call *ca,
+			struct eb_attempt *at, int superseded, int64_t now_us)
 {
-	struct eb_route_result rs = { ca->outcome, ca->reason, ca->status,
-				      now_us - ca->attempt_us, 0 };
+	struct eb_route_result rs = { 0 };
 
-	if (ca->outcome == EB_OUTCOME_NOT_RUN &&
-	    ca->status == EB_STATUS_RATE_LIMITED)
-		rs.rate_wait_ms = ca->retry_after_ms;
-	if (ca->number) {
-		apr_hash_set(og->by_number, &ca->number, sizeof(ca->number),
-			     NULL);
-		ca->number = 0;
-	}
-	if (!ca->at_gate)
+	eb_attempts_remove(og->attempts, at);
+	if (!at->in_flight)
 		return;
-	ca->at_gate = 0;
-	ca->maybe_ran |= ca->outcome != EB_OUTCOME_NOT_RUN;
-	ca->closed_runs += ca->reason == EB_REASON_UPSTREAM_CLOSED;
-	if (ca->outcome != EB_OUTCOME_NOT_RUN ||
-	    ca->reason == EB_REASON_UPSTREAM_REFUSED)
+	at->in_flight = 0;
+	rs.outcome = superseded ? EB_OUTCOME_UNKNOWN : ca->outcome;
+	rs.reason = superseded ? EB_REASON_NONE : ca->reason;
+	rs.status = superseded ? 0 : ca->status;
+	rs.elapsed_us = now_us - at->sent_us;
+	rs.superseded = (uint8_t)superseded;
+	if (rs.outcome == EB_OUTCOME_NOT_RUN &&
+	    rs.status == EB_STATUS_RATE_LIMITED)
+		rs.rate_wait_ms = ca->retry_after_ms;
+	ca->maybe_ran |= rs.outcome != EB_OUTCOME_NOT_RUN;
+	ca->closed_runs += rs.reason == EB_REASON_UPSTREAM_CLOSED;
+	if (rs.outcome != EB_OUTCOME_NOT_RUN ||
+	    rs.reason == EB_REASON_UPSTREAM_REFUSED)
 		ca->runs++;
-	report_result(og, ca, &rs, now_us);
-	add_span(og, ca, EB_SPAN_ATTEMPT, ca->attempt_span, ca->call_span,
-		 ca->attempt_us, now_us);
+	if (at->copy && rs.outcome == EB_OUTCOME_NOT_RUN)
+		eb_metrics_add(og->config.metrics, EB_METRIC_COPIES_REFUSED, 1);
+	if (!at->copy && !superseded)
+		eb_hedge_attempt_ended(ca->service->hedge,
+				       rs.outcome == EB_OUTCOME_NOT_RUN &&
+					       refused_for_load(ca));
+	eb_attempt_report(at, og->config.nodes, og->config.log, ca->service,
+			  &rs, now_us);
+	add_span(og, ca, EB_SPAN_ATTEMPT, at, now_us);
 }
 
 static void save_reply(struct call *ca, const struct eb_reply *r)
@@ -444,25 +433,6 @@
 	       eb_nodes_rule(og->config.nodes, ca->service)->claims;
 }
 
-/*
- * Computes the digest that binds a key to its request. It covers the caller's
- * credentials, so that two callers that use the same key by accident never get
- * each other's answer. Of a streamed body only the length is known here.
- */
-static void digest_request(const struct eb_frame *f, uint8_t *digest)
-{
-	const struct eb_head *h = f->head;
-	const char *auth = eb_headers_find(&h->headers, "Authorization");
-	size_t n = strlen(h->target) + (auth ? strlen(auth) : 0) + 2;
-	char *text = malloc(n);
-
-	if (text)
-		snprintf(text, n, "%s\n%s", h->target, auth ? auth : "");
-	eb_claim_digest(h->method, text ? text : h->target, h->body_bytes,
-			f->data, f->data_bytes, digest);
-	free(text);
-}
-
 /* Asks the holders for the claim of the request's key. */
 static void start_claim(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
@@ -473,7 +443,7 @@
 	rq.call = ca->front_id;
 	rq.service = ca->service->name;
 	eb_claim_key(ca->service->name, ca->head->head->key, rq.key);
-	digest_request(ca->head, rq.digest);
+	eb_claim_digest_request(ca->head, rq.digest);
 	rq.deadline_us = ca->deadline_us;
 	eb_claimant_start(og->config.claims, &rq, now_us);
 }
@@ -485,8 +455,8 @@
 static void settle_claim(struct eb_origin *og, struct call *ca,
 			 const struct eb_frame *f, int64_t now_us)
 {
-	enum eb_claim_state state = EB_CLAIM_LOST;
 	struct eb_claim_response rs = { 0 };
+	enum eb_claim_state state;
 
 	if (!ca->claimed)
 		return;
@@ -495,19 +465,7 @@
 		eb_claimant_not_run(og->config.claims, ca->front_id, now_us);
 		return;
 	}
-	if (f && f->type == EB_FRAME_REND) {
-		state = EB_CLAIM_LARGE;
-	} else if (f) {
-		rs.status = f->reply->status;
-		rs.headers = (const uint8_t *)f->reply->headers.block;
-		rs.headers_bytes = f->reply->headers.used_bytes;
-		rs.body = f->data;
-		rs.body_bytes = f->data_bytes;
-		state = rs.headers_bytes + rs.body_bytes >
-					EB_CLAIM_RESPONSE_MAX_BYTES
-				? EB_CLAIM_LARGE
-				: EB_CLAIM_DONE;
-	}
+	state = eb_claim_result(f, &rs);
 	eb_claimant_ended(og->config.claims, ca->front_id, state, &rs, now_us);
 }
 
@@ -522,7 +480,8 @@
 
 /* Sets the fields of HEAD that differ by attempt; NULL without memory. */
 static struct eb_frame *prepare_head(struct eb_origin *og, struct call *ca,
-				     uint32_t node, int64_t now_us)
+				     struct eb_attempt *at, uint32_t node,
+				     int64_t now_us)
 {
 	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
 	struct eb_frame *f = eb_frame_unshare_head(ca->head);
@@ -534,41 +493,53 @@
 	f->head->upstream = strdup(n->name);
 	free(f->head->instance);
 	f->head->instance = n->instance[0] ? strdup(n->instance) : NULL;
+	memcpy(at->instance, n->instance, sizeof(at->instance));
 	f->head->attempt = eb_retry_next_attempt_of(
 		&ca->service->retry, ca->attempts, rank_of(ca, now_us));
 	if (ca->goal_us &&
 	    eb_sizes_may_wait(&og->sizes, f->head->kind, ca->goal_us - now_us))
 		f->head->attempt = EB_ATTEMPTS_MAX - 1;
+	if (at->copy)
+		f->head->attempt = 0;
 	f->head->remaining_us =
 		ca->body_done ? ca->deadline_us - now_us : ca->budget_us;
 	f->head->goal_us = ca->goal_us ? ca->goal_us - now_us : INT64_MAX;
+	if (at->copy)
+		f->head->goal_us = EB_ATTEMPT_COPY_GOAL_US;
 	f->head->baseline_pace_percent =
 		eb_route_baseline_pace(ca->service->route);
 	f->head->hops = ca->hops;
 	f->head->trace = ca->parent;
-	eb_trace_new_span(&og->rand, ca->attempt_span);
-	memcpy(f->head->trace.span, ca->attempt_span, 8);
+	eb_trace_new_span(&og->rand, at->span);
+	memcpy(f->head->trace.span, at->span, 8);
 	f->call = ++og->next_number;
 	f->sender = og->config.incarnation;
 	f->target = 0;
 	return f;
 }
 
-/* Sends an attempt to the gate of a node; -1 when it did not leave. */
+/*
+ * Sends an attempt, or a copy, to the gate of a node; -1 when it did not leave.
+ */
 static int send_to(struct eb_origin *og, struct call *ca, uint32_t node,
-		   int64_t now_us)
+		   int copy, int64_t now_us)
 {
 	struct eb_node *n = eb_nodes_get(og->config.nodes, node);
-	struct eb_frame *f = prepare_head(og, ca, node, now_us);
+	struct eb_attempt *at = copy ? ca->other : ca->at;
+	struct eb_frame *f;
 
+	at->copy = (uint8_t)copy;
+	f = prepare_head(og, ca, at, node, now_us);
 	if (!f || og->out.to_gate(og->out.ctx, node, eb_frame_ref(f)))
 		return -1;
-	ca->number = f->call;
-	ca->node = node;
+	if (!ca->attempts)
+		ca->first_sent_us = now_us;
+	at->number = f->call;
+	at->node = node;
 	ca->attempts++;
-	ca->attempt_us = now_us;
-	ca->at_gate = 1;
-	apr_hash_set(og->by_number, &ca->number, sizeof(ca->number), ca);
+	at->sent_us = now_us;
+	at->in_flight = 1;
+	eb_attempts_add(og->attempts, at);
 	eb_route_sent(ca->service->route, node, now_us);
 	eb_metrics_add(og->config.metrics,
 		       n->self ? EB_METRIC_LOCAL_CALLS : EB_METRIC_REMOTE_CALLS,
@@ -659,7 +630,7 @@
 		if (eb_route_pick(ca->service->route, &q, now_us, &node))
 			break;
 		ca->tried[ca->tried_count++] = node;
-		if (!send_to(og, ca, node, now_us)) {
+		if (!send_to(og, ca, node, 0, now_us)) {
 			step(og, ca, EVENT_SENT, NULL, now_us);
 			return;
 		}
@@ -736,10 +707,9 @@
 static void do_answer_failure(struct eb_origin *og, struct call *ca,
 			      struct eb_frame *f, int64_t now_us)
 {
-	enum eb_frame_type type = EB_FRAME_ABORT;
 	struct eb_frame *out;
+	uint32_t extra_ms = 0;
 
-	(void)now_us;
 	if (f && f->reply)
 		save_reply(ca, f->reply);
 	eb_frame_unref(f);
@@ -750,30 +720,21 @@
 		ca->outcome = EB_OUTCOME_NOT_RUN;
 		ca->reason = EB_REASON_NO_UPSTREAM;
 	}
-	if (ca->outcome == EB_OUTCOME_NOT_RUN)
-		type = EB_FRAME_REFUSE;
-	out = eb_frame_new(type, ca->front_id);
-	if (!out)
-		return;
-	out->reply->outcome = ca->outcome;
-	out->reply->reason = ca->reason;
-	out->reply->status = reason_status[ca->reason];
-	if (ca->reason == EB_REASON_CLAIM && ca->status)
-		out->reply->status = ca->status;
-	out->reply->retry_after_ms = ca->retry_after_ms;
+	if (ca->outcome == EB_OUTCOME_NOT_RUN &&
+	    (refused_for_load(ca) || ca->reason == EB_REASON_HANDED_BACK))
+		eb_hedge_call_refused(ca->service->hedge, now_us);
 	if (ca->reason == EB_REASON_QUEUE_FULL ||
 	    ca->reason == EB_REASON_HANDED_BACK)
-		out->reply->retry_after_ms = eb_backoff_ms(
-			ca->retry_after_ms,
-			eb_route_extra_backoff_ms(ca->service->route),
-			eb_rand_below(&og->rand, 1001));
-	if (type == EB_FRAME_REFUSE && ca->reason == EB_REASON_LOST_PEER)
-		out->reply->status = 503;
-	/* Clients retry on 503, which is safe only if nothing ran. */
-	if (out->reply->status == 503 && type == EB_FRAME_ABORT)
-		out->reply->status = 502;
-	if (out->reply->status == 503 && !ca->retry_after_ms)
-		out->reply->retry_after_ms = 1000;
+		extra_ms = eb_backoff_ms(ca->retry_after_ms,
+					 eb_route_extra_backoff_ms(
+						 ca->service->route),
+					 eb_rand_below(&og->rand, 1001)) -
+			   ca->retry_after_ms;
+	out = eb_failure_frame(ca->front_id, ca->outcome, ca->reason,
+			       ca->reason == EB_REASON_CLAIM ? ca->status : 0,
+			       ca->retry_after_ms, extra_ms);
+	if (!out)
+		return;
 	ca->status = out->reply->status;
 	to_front(og, ca, out);
 }
@@ -796,13 +757,13 @@
 		if (!ca->strict_deadline)
 			ca->deadline_us = now_us + ca->budget_us;
 	}
-	f->call = ca->number;
+	f->call = ca->at->number;
 	f->sender = og->config.incarnation;
-	if (!og->out.to_gate(og->out.ctx, ca->node, f))
+	if (!og->out.to_gate(og->out.ctx, ca->at->node, f))
 		return;
 	/* What follows on another connection would follow a gap. */
 	do_cancel(og, ca, NULL, now_us);
-	mark_attempt_lost(og, ca, now_us);
+	mark_attempt_lost(og, ca, ca->at, now_us);
 }
 
 /* Tells whether a retry might crash another upstream. */
@@ -822,13 +783,13 @@
 	if (f && f->reply)
 		save_reply(ca, f->reply);
 	eb_frame_unref(f);
-	end_attempt(og, ca, now_us);
-	log_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
+	log_attempt(og, ca, ca->at, now_us);
 	lost = ca->outcome == EB_OUTCOME_NOT_RUN &&
 	       ca->reason == EB_REASON_LOST_PEER;
 	/* The gate may get it again, on a connection that works. */
 	if (lost && ca->tried_count &&
-	    ca->tried[ca->tried_count - 1] == ca->node)
+	    ca->tried[ca->tried_count - 1] == ca->at->node)
 		ca->tried_count--;
 	at.outcome = ca->outcome;
 	at.reason = ca->reason;
@@ -889,7 +850,7 @@
 		      int64_t now_us)
 {
 	save_result(ca, f);
-	end_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
 	ca->last = f;
 	settle_claim(og, ca, f, now_us);
 }
@@ -905,22 +866,28 @@
 	ca->last = NULL;
 }
 
-/* Cancels the current attempt at its gate. */
-static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
-		      int64_t now_us)
+/* Sends the gate of an attempt the request to cancel it. */
+static void cancel_attempt(struct eb_origin *og, const struct eb_attempt *at)
 {
 	struct eb_frame *out;
 
+	out = eb_attempt_cancel(at->number, og->config.incarnation);
+	if (out)
+		og->out.to_gate(og->out.ctx, at->node, out);
+}
+
+/* Cancels the attempts in flight at their gates. */
+static void do_cancel(struct eb_origin *og, struct call *ca, struct eb_frame *f,
+		      int64_t now_us)
+{
 	(void)now_us;
 	eb_frame_unref(f);
-	if (!ca->number)
-		return;
-	ca->outcome = EB_OUTCOME_UNKNOWN;
-	out = eb_frame_new(EB_FRAME_CANCEL, ca->number);
-	if (!out)
-		return;
-	out->sender = og->config.incarnation;
-	og->out.to_gate(og->out.ctx, ca->node, out);
+	if (ca->at->number) {
+		ca->outcome = EB_OUTCOME_UNKNOWN;
+		cancel_attempt(og, ca->at);
+	}
+	if (ca->other->number)
+		cancel_attempt(og, ca->other);
 }
 
 /*
@@ -1018,13 +985,13 @@
 	ca->state = (uint8_t)next;
 	if (next != DONE)
 		return;
-	end_attempt(og, ca, now_us);
+	end_attempt(og, ca, ca->at, 0, now_us);
+	end_attempt(og, ca, ca->other, 1, now_us);
 	log_call(og, ca, now_us);
 	count_call(og, ca, now_us);
 	count_answer(og, ca, now_us);
 	settle_claim(og, ca, NULL, now_us);
-	add_span(og, ca, EB_SPAN_CALL, ca->call_span, ca->parent.span,
-		 ca->started_us, now_us);
+	add_span(og, ca, EB_SPAN_CALL, NULL, now_us);
 	free_call(og, ca);
 }
 
@@ -1036,7 +1003,8 @@
 			   uint32_t retry_after_ms)
 {
 	struct eb_call_stats *tl = eb_metrics_call_stats(og->config.metrics);
-	struct eb_frame *out = eb_frame_new(EB_FRAME_REFUSE, f->call);
+	struct eb_frame *out = eb_failure_frame(f->call, EB_OUTCOME_NOT_RUN,
+						reason, 0, retry_after_ms, 0);
 	struct eb_call_stats_call tc = { EB_OUTCOME_NOT_RUN,
 					 (uint8_t)reason,
 					 EB_CALL_STATS_NOT_SENT,
@@ -1054,15 +1022,8 @@
 		f->head->target, eb_reason_name(reason),
 		(unsigned long long)eb_nodes_config(og->config.nodes)->release);
 	eb_frame_unref(f);
-	if (!out)
-		return;
-	out->reply->outcome = EB_OUTCOME_NOT_RUN;
-	out->reply->reason = (uint8_t)reason;
-	out->reply->status = reason_status[reason];
-	out->reply->retry_after_ms = retry_after_ms;
-	if (out->reply->status == 503 && !retry_after_ms)
-		out->reply->retry_after_ms = 1000;
-	og->out.to_front(og->out.ctx, out);
+	if (out)
+		og->out.to_front(og->out.ctx, out);
 }
 
 /* Applies the matched path's limits on time and attempts, and its priority. */
@@ -1084,32 +1045,6 @@
 	ca->body_done = 1;
 }
 
-/*
- * Sets the time until which an answer meets the path's objective, counted from
- * the caller's first try. The time that passed since the first try is estimated
- * as the difference between the longest deadline seen on this match and
- * `remaining_us`, the time left to this request.
- */
-static void set_goal(struct eb_origin *og, struct call *ca,
-		     const struct eb_match *pt, int64_t remaining_us)
-{
-	int64_t *longest, spent_us = 0;
-
-	if (!pt->objective_ms)
-		return;
-	longest = apr_hash_get(og->longest, pt->name, APR_HASH_KEY_STRING);
-	if (!longest && apr_hash_count(og->longest) < EB_MATCH_DEADLINES_MAX) {
-		longest = apr_pcalloc(og->pool, sizeof(*longest));
-		apr_hash_set(og->longest, apr_pstrdup(og->pool, pt->name),
-			     APR_HASH_KEY_STRING, longest);
-	}
-	if (longest && remaining_us > *longest)
-		*longest = remaining_us;
-	if (longest && remaining_us > 0)
-		spent_us = *longest - remaining_us;
-	ca->goal_us = ca->started_us + pt->objective_ms * 1000LL - spent_us;
-}
-
 /* Sets the fields of a call from its request; `pt` is NULL without a match. */
 static void init_call(struct eb_origin *og, struct call *ca,
 		      const struct eb_match *pt, int64_t received_us)
@@ -1121,7 +1056,10 @@
 
 	rule = eb_nodes_rule(og->config.nodes, ca->service);
 	ca->front_id = ca->head->call;
-	ca->node = EB_NONE;
+	ca->at = &ca->slots[0];
+	ca->other = &ca->slots[1];
+	ca->at->owner = ca->other->owner = ca;
+	ca->at->node = ca->other->node = EB_NONE;
 	ca->idempotent = (uint8_t)eb_matcher_idempotent(
 		rule->idempotent_methods, h->method);
 	h->idempotent = ca->idempotent;
@@ -1146,7 +1084,8 @@
 	ca->started_us = received_us;
 	ca->deadline_us = received_us + ca->budget_us;
 	if (pt)
-		set_goal(og, ca, pt, h->remaining_us);
+		ca->goal_us = eb_goal_of(og->goal, pt, h->remaining_us,
+					 ca->started_us);
 	ca->started_wall_us = eb_clock_wall_us();
 	ca->parent = h->trace;
 	eb_trace_new_span(&og->rand, ca->call_span);
@@ -1184,6 +1123,15 @@
 	return *sv && (*sv)->limit ? EB_REASON_NONE : EB_REASON_INTERNAL;
 }
 
+/* Counts a request that may get a copy, and updates the share of copies. */
+static void count_copy_request(struct eb_metrics *mt)
+{
+	eb_metrics_add(mt, EB_METRIC_COPY_REQUESTS, 1);
+	eb_metrics_set(mt, EB_METRIC_COPIES_PERMILLE,
+		       eb_metrics_get(mt, EB_METRIC_COPIES_SENT) * 1000 /
+			       eb_metrics_get(mt, EB_METRIC_COPY_REQUESTS));
+}
+
 /*
  * Creates the call of a request that came at `received_us`, or refuses the
  * request.
@@ -1222,6 +1170,8 @@
 	eb_retry_request(&sv->retry);
 	eb_urgency_record(&sv->urgency, ca->head->head->priority,
 			  EB_URGENCY_REQUEST, now_us);
+	if (sv->hedge)
+		count_copy_request(og->config.metrics);
 	if (needs_claim(og, ca))
 		start_claim(og, ca, now_us);
 	else
@@ -1288,28 +1238,6 @@
 
 /* ---- Decisions on claims ---- */
 
-/* Returns an answer with the stored response; NULL without memory. */
-static struct eb_frame *stored_answer(const struct eb_claimant_action *act)
-{
-	const struct eb_claim_response *rs = &act->response;
-	struct eb_frame *f;
-
-	f = eb_frame_new_data(EB_FRAME_RHEAD, 0, rs->body, rs->body_bytes);
-	if (!f)
-		return NULL;
-	f->reply->status = rs->status;
-	f->reply->outcome = EB_OUTCOME_RAN;
-	f->reply->body_kind = EB_BODY_INLINE;
-	f->reply->body_bytes = rs->body_bytes;
-	if (eb_headers_load(&f->reply->headers, rs->headers,
-			    rs->headers_bytes) ||
-	    eb_headers_add(&f->reply->headers, "Ebonypier-Replayed", "1")) {
-		eb_frame_unref(f);
-		return NULL;
-	}
-	return f;
-}
-
 /*
  * Carries out the claimant's decision on a call: run it, answer with a stored
  * response, refuse it, or pass on the answer of its run. A grant for a call
@@ -1339,7 +1267,7 @@
 		return;
 	}
 	if (act->kind == EB_CLAIMANT_ANSWER_STORED)
-		f = stored_answer(act);
+		f = eb_claim_stored_answer(&act->response);
 	if (f) {
 		step(og, ca, EVENT_STORED, f, now_us);
 		return;
@@ -1404,33 +1332,6 @@
 	eb_nodes_changed(og->config.nodes, node, now_us);
 }
 
-/*
- * Stops the use of an upstream whose answer says that it leaves. Its gate
- * refuses calls as well, but has forgotten that after a restart.
- */
-static void note_leaving(struct eb_origin *og, const struct call *ca,
-			 const struct eb_frame *f, int64_t now_us)
-{
-	struct eb_node *n = eb_nodes_get(og->config.nodes, ca->node);
-	const struct eb_dialect *dl = og->config.dialect;
-	const char *sent_to = ca->head->head->instance, *value;
-
-	if (!n || n->says_leaving || !dl || !dl->leaving)
-		return;
-	value = eb_headers_find(&f->reply->headers, dl->leaving);
-	if (!value || strcmp(value, "1") != 0)
-		return;
-	/* The address may belong to another start by now. */
-	if (strcmp(sent_to ? sent_to : "", n->instance) != 0)
-		return;
-	n->says_leaving = 1;
-	eb_log_write(og->config.log, EB_LOG_INFO, "origin",
-		     "answer says that the upstream leaves",
-		     "id=%s upstream=%s instance=%s", request_id(og, ca->head),
-		     n->name, n->instance);
-	eb_nodes_changed(og->config.nodes, ca->node, now_us);
-}
-
 /*
  * Completes `f`, a heartbeat to a node's gate: adds the numbers of attempts
  * that have been there for long, or of all if the connection was replaced.
@@ -1438,19 +1339,8 @@
 void eb_origin_list_overdue(const struct eb_origin *og, uint32_t node,
 			    struct eb_frame *f, int64_t now_us)
 {
-	int all = f->credit_bytes == EB_HELLO_REPLACES;
-	apr_hash_index_t *hi;
-	const struct call *ca;
-
 	f->call = og->next_number;
-	for (hi = apr_hash_first(NULL, og->by_number); hi;
-	     hi = apr_hash_next(hi)) {
-		ca = apr_hash_this_val(hi);
-		if (ca->node == node &&
-		    (all || eb_overdue(ca->attempt_us, now_us)) &&
-		    eb_overdue_add(f, ca->number))
-			return;
-	}
+	eb_attempts_list_overdue(og->attempts, node, f, now_us);
 }
 
 /*
@@ -1466,12 +1356,11 @@
 
 	for (i = 0; i < n; i++) {
 		number = eb_overdue_at(f, i);
-		if (apr_hash_get(og->by_number, &number, sizeof(number)))
+		if (eb_attempts_find(og->attempts, number))
 			continue;
-		out = eb_frame_new(EB_FRAME_CANCEL, number);
+		out = eb_attempt_cancel(number, og->config.incarnation);
 		if (!out)
 			return;
-		out->sender = og->config.incarnation;
 		eb_log_write(og->config.log, EB_LOG_WARN, "origin",
 			     "gate lists an attempt unknown to this daemon, "
 			     "cancelling it",
@@ -1481,6 +1370,157 @@
 	}
 }
 
+/*
+ * Ends an attempt whose gate was lost or is unresponsive. It is unknown
+ * whether the request ran. Without another attempt in flight, the chart decides
+ * whether it is retried.
+ */
+static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
+			      struct eb_attempt *at, int64_t now_us)
+{
+	ca->outcome = EB_OUTCOME_UNKNOWN;
+	ca->reason = EB_REASON_LOST_PEER;
+	ca->status = 0;
+	if (ca->other->number)
+		drop_attempt(og, ca, at, now_us);
+	else
+		step(og, ca, EVENT_LOST, NULL, now_us);
+}
+
+/* Ends the attempts at the gate of a lost node; retries where allowed. */
+void eb_origin_gate_lost(struct eb_origin *og, uint32_t node, int64_t now_us)
+{
+	apr_hash_index_t *hi;
+	struct call *ca;
+
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi)) {
+		ca = apr_hash_this_val(hi);
+		if (ca->at->in_flight && ca->at->node == node)
+			mark_attempt_lost(og, ca, ca->at, now_us);
+		else if (ca->other->in_flight && ca->other->node == node)
+			mark_attempt_lost(og, ca, ca->other, now_us);
+	}
+	eb_nodes_changed(og->config.nodes, node, now_us);
+}
+
+/*
+ * Tells whether an attempt at an unresponsive gate should be moved: the request
+ * is idempotent and not at another gate too, the retry limits allow it, and
+ * there is another upstream.
+ */
+static int should_move(const struct eb_origin *og, struct call *ca,
+		       uint32_t node, int64_t now_us)
+{
+	struct eb_route_query q = { 0 };
+
+	if (!ca->at->in_flight || ca->at->node != node ||
+	    ca->other->in_flight || ca->state != WAITING || !ca->idempotent ||
+	    ca->attempts >= EB_ATTEMPTS_MAX || ca->runs + 1 >= ca->runs_max ||
+	    !eb_retry_left(&ca->service->retry))
+		return 0;
+	update_regions(og, ca);
+	q.regions = ca->regions;
+	q.tried = ca->tried;
+	q.tried_count = ca->tried_count;
+	return eb_route_has_other(ca->service->route, &q, now_us);
+}
+
+/* Moves an idempotent call from an unresponsive gate to another upstream. */
+static void move_call(struct eb_origin *og, struct call *ca, uint32_t node,
+		      int64_t now_us)
+{
+	if (!should_move(og, ca, node, now_us))
+		return;
+	do_cancel(og, ca, NULL, now_us);
+	mark_attempt_lost(og, ca, ca->at, now_us);
+}
+
+/* Moves idempotent calls from an unresponsive gate to other upstreams. */
+void eb_origin_gate_suspected(struct eb_origin *og, uint32_t node,
+			      int64_t now_us)
+{
+	apr_hash_index_t *hi;
+
+	for (hi = apr_hash_first(NULL, og->by_front); hi;
+	     hi = apr_hash_next(hi))
+		move_call(og, apr_hash_this_val(hi), node, now_us);
+}
+
+/* ---- Second copies ---- */
+
+static void swap_attempts(struct call *ca)
+{
+	struct eb_attempt *at = ca->at;
+
+	ca->at = ca->other;
+	ca->other = at;
+}
+
+/*
+ * Ends one of two attempts in flight, with the result of the call; the call
+ * goes on with the other one. If that is at an unresponsive gate, it is moved,
+ * as it was left there because of this one.
+ */
+static void drop_attempt(struct eb_origin *og, struct call *ca,
+			 struct eb_attempt *at, int64_t now_us)
+{
+	const struct eb_node *n;
+
+	if (at == ca->at)
+		swap_attempts(ca);
+	end_attempt(og, ca, at, 0, now_us);
+	log_attempt(og, ca, at, now_us);
+	n = eb_nodes_get(og->config.nodes, ca->at->node);
+	if (n->peer && n->peer->liveness.suspected)
+		move_call(og, ca, ca->at->node, now_us);
+}
+
+/*
+ * Handles a frame of one of two attempts in flight. Returns 1 for the first
+ * answer, which the chart then handles; the other attempt is cancelled. A
+ * failure or refusal leaves the call to the other attempt.
+ */
+static int is_first_answer(struct eb_origin *og, struct call *ca,
+			   struct eb_attempt *at, struct eb_frame *f,
+			   int64_t now_us)
+{
+	if (f->type == EB_FRAME_RHEAD) {
+		if (at != ca->at)
+			swap_attempts(ca);
+		eb_metrics_add(og->config.metrics,
+			       at->copy ? EB_METRIC_COPIES_WON
+					: EB_METRIC_COPIES_CANCELLED,
+			       1);
+		cancel_attempt(og, ca->other);
+		end_attempt(og, ca, ca->other, 1, now_us);
+		return 1;
+	}
+	if (f->type == EB_FRAME_CREDIT) {
+		eb_frame_unref(f);
+		return 0;
+	}
+	if (f->reply)
+		save_reply(ca, f->reply);
+	eb_frame_unref(f);
+	drop_attempt(og, ca, at, now_us);
+	return 0;
+}
+
+/*
+ * Records the time to the first frame of an answer for the decisions on copies,
+ * if the request could have had one and no attempt before has failed.
+ */
+static void learn_answer(const struct call *ca, const struct eb_frame *f,
+			 int64_t now_us)
+{
+	if (ca->state == WAITING && ca->idempotent && !ca->streamed &&
+	    ca->runs <= ca->copies && f->reply->status < 500)
+		eb_hedge_answered(ca->service->hedge, ca->head->head->kind,
+				  ca->head->head->body_bytes,
+				  now_us - ca->first_sent_us, now_us);
+}
+
 /*
  * Tells whether the head of an answer was lost on the way to this frame, with
  * the connection to the gate.
@@ -1498,6 +1538,7 @@
 void eb_origin_from_gate(struct eb_origin *og, uint32_t node,
 			 struct eb_frame *f, int64_t now_us)
 {
+	struct eb_attempt *at;
 	struct call *ca;
 
 	if (f->type == EB_FRAME_HELLO) {
@@ -1507,90 +1548,68 @@
 		eb_frame_unref(f);
 		return;
 	}
-	ca = apr_hash_get(og->by_number, &f->call, sizeof(f->call));
-	if (!ca || ca->node != node) {
+	at = eb_attempts_find(og->attempts, f->call);
+	if (!at || at->node != node) {
 		do_drop(og, NULL, f, now_us);
 		return;
 	}
+	ca = at->owner;
 	if (f->reply) {
 		apply_load(og, node, ca->service, &f->reply->load, now_us);
-		note_leaving(og, ca, f, now_us);
+		eb_attempt_note_leaving(at, og->config.nodes,
+					og->config.dialect, og->config.log,
+					request_id(og, ca->head), f, now_us);
 	}
 	if (lacks_head(ca, f)) {
-		do_cancel(og, ca, f, now_us);
-		mark_attempt_lost(og, ca, now_us);
+		cancel_attempt(og, at);
+		eb_frame_unref(f);
+		mark_attempt_lost(og, ca, at, now_us);
 		return;
 	}
+	if (ca->other->number && !is_first_answer(og, ca, at, f, now_us))
+		return;
+	if (f->type == EB_FRAME_RHEAD && f->reply)
+		learn_answer(ca, f, now_us);
 	if (eb_test_off("whole-answer") && ca->state == ANSWERING &&
 	    f->type == EB_FRAME_ABORT)
 		f->type = EB_FRAME_REND;
 	step(og, ca, gate_event(ca, f), f, now_us);
 }
 
-/*
- * Ends an attempt whose gate was lost or is unresponsive. It is unknown
- * whether the request ran; the chart decides whether it is retried.
- */
-static void mark_attempt_lost(struct eb_origin *og, struct call *ca,
-			      int64_t now_us)
-{
-	ca->outcome = EB_OUTCOME_UNKNOWN;
-	ca->reason = EB_REASON_LOST_PEER;
-	ca->status = 0;
-	step(og, ca, EVENT_LOST, NULL, now_us);
-}
-
-/* Ends the attempts at the gate of a lost node; retries where allowed. */
-void eb_origin_gate_lost(struct eb_origin *og, uint32_t node, int64_t now_us)
-{
-	apr_hash_index_t *hi;
-	struct call *ca;
-
-	for (hi = apr_hash_first(NULL, og->by_front); hi;
-	     hi = apr_hash_next(hi)) {
-		ca = apr_hash_this_val(hi);
-		if (!ca->at_gate || ca->node != node)
-			continue;
-		mark_attempt_lost(og, ca, now_us);
-	}
-	eb_nodes_changed(og->config.nodes, node, now_us);
-}
-
-/*
- * Tells whether an attempt at an unresponsive gate should be moved: the request
- * is idempotent, the retry limits allow it, and there is another upstream.
- */
-static int should_move(const struct eb_origin *og, struct call *ca,
-		       uint32_t node, int64_t now_us)
+/* Sends a copy of a request that has waited for long, if that is allowed. */
+static void consider_copy(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
+	struct eb_service_state *sv = ca->service;
+	struct eb_hedge_request rq = { 0 };
 	struct eb_route_query q = { 0 };
+	uint32_t node;
 
-	if (!ca->at_gate || ca->node != node || ca->state != WAITING ||
-	    !ca->idempotent || ca->attempts >= EB_ATTEMPTS_MAX ||
-	    ca->runs + 1 >= ca->runs_max || !eb_retry_left(&ca->service->retry))
-		return 0;
+	if (!sv->hedge || ca->state != WAITING || ca->other->in_flight)
+		return;
+	rq.kind = ca->head->head->kind;
+	rq.body_bytes = ca->head->head->body_bytes;
+	rq.idempotent = ca->idempotent;
+	rq.inline_body = !ca->streamed;
+	rq.attempts = ca->attempts;
+	rq.runs = ca->runs;
+	rq.runs_max = ca->runs_max;
+	rq.sent_us = ca->first_sent_us;
+	rq.deadline_us = ca->deadline_us;
+	if (eb_hedge_check(sv->hedge, &sv->retry, &rq, now_us) != EB_HEDGE_DUE)
+		return;
 	update_regions(og, ca);
 	q.regions = ca->regions;
 	q.tried = ca->tried;
 	q.tried_count = ca->tried_count;
-	return eb_route_has_other(ca->service->route, &q, now_us);
-}
-
-/* Moves idempotent calls from an unresponsive gate to other upstreams. */
-void eb_origin_gate_suspected(struct eb_origin *og, uint32_t node,
-			      int64_t now_us)
-{
-	apr_hash_index_t *hi;
-	struct call *ca;
-
-	for (hi = apr_hash_first(NULL, og->by_front); hi;
-	     hi = apr_hash_next(hi)) {
-		ca = apr_hash_this_val(hi);
-		if (!should_move(og, ca, node, now_us))
-			continue;
-		do_cancel(og, ca, NULL, now_us);
-		mark_attempt_lost(og, ca, now_us);
-	}
+	if (ca->tried_count >= EB_TRIED_MAX ||
+	    eb_route_pick_spare(sv->route, &q, now_us, &node))
+		return;
+	ca->tried[ca->tried_count++] = node;
+	if (send_to(og, ca, node, 1, now_us))
+		return;
+	ca->copies++;
+	eb_hedge_sent(sv->hedge, &sv->retry);
+	eb_metrics_add(og->config.metrics, EB_METRIC_COPIES_SENT, 1);
 }
 
 /* Routes the parked requests again, after a node has come up. */
@@ -1609,18 +1628,18 @@
 	}
 }
 
-/* Sends a heartbeat to a gate that has not answered a call for long. */
-static void check_gate(struct eb_origin *og, const struct call *ca,
+/* Sends a heartbeat to a gate that has not answered an attempt for long. */
+static void check_gate(struct eb_origin *og, const struct eb_attempt *at,
 		       int64_t now_us)
 {
 	const struct eb_node *n;
 
-	if (!ca->at_gate)
+	if (!at->in_flight)
 		return;
-	n = eb_nodes_get(og->config.nodes, ca->node);
+	n = eb_nodes_get(og->config.nodes, at->node);
 	if (n->peer &&
-	    eb_liveness_check_due(&n->peer->liveness, ca->attempt_us, now_us))
-		og->out.ask(og->out.ctx, ca->node);
+	    eb_liveness_check_due(&n->peer->liveness, at->sent_us, now_us))
+		og->out.ask(og->out.ctx, at->node);
 }
 
 /*
@@ -1641,7 +1660,10 @@
 		else if (ends_at_deadline(ca) &&
 			 now_us >= ca->deadline_us + EXPIRE_GRACE_US)
 			step(og, ca, EVENT_EXPIRE, NULL, now_us);
-		else
-			check_gate(og, ca, now_us);
+		else {
+			check_gate(og, ca->at, now_us);
+			check_gate(og, ca->other, now_us);
+			consider_copy(og, ca, now_us);
+		}
 	}
 }
--- a/src/eb_retry.h
+++ b/src/eb_retry.h
@@ -40,6 +40,8 @@
 				 enum eb_urgency_rank rank);
 int64_t eb_retry_left(const struct eb_retry *rb);
 int64_t eb_retry_reroutes_left(const struct eb_retry *rb);
+int eb_retry_has_spare(const struct eb_retry *rb);
+void eb_retry_take_spare(struct eb_retry *rb);
 int eb_retry_allow(struct eb_retry *rb, const struct eb_retry_attempt *at);
 
 #endif
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -38,6 +38,7 @@
 	uint32_t link_mbps;	     /* --link-mbps, default 12 */
 	uint32_t answers_max_mb;     /* --answers-max-mb, 0: from memory */
 	uint32_t answer_unread_ms;   /* --answer-unread-ms, default 60000 */
+	uint32_t hedge_permille;     /* --hedge-permille, default 0: off */
 	enum eb_log_level log_level; /* --log-level */
 };
 
