origin: heartbeats show spare capacity for copies

Change: copies, and only they, also go by the loads in heartbeats, which are at most 2.5 s old. The load's own number of slots replaces an estimate. A test with real processes, which passes without the heartbeats too; that copies need them is shown by the case "a heartbeat tells of its load" of test_eb_origin, which fails without the change.

--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -370,6 +370,19 @@
 	return sv;
 }
 
+/* Returns the state of a node's service, or NULL if that is not in use. */
+struct eb_service_state *eb_nodes_service_of(const struct eb_nodes *nd,
+					     uint32_t id)
+{
+	const struct eb_node *n = eb_nodes_get(nd, id);
+
+	if (!n || !n->present || n->service == EB_NONE)
+		return NULL;
+	return apr_hash_get(nd->services,
+			    nd->config->services[n->service]->name,
+			    APR_HASH_KEY_STRING);
+}
+
 /* Applies the new configuration to the services in use. */
 static void update_services(struct eb_nodes *nd, int64_t now_us)
 {
--- a/src/eb_nodes.h
+++ b/src/eb_nodes.h
@@ -69,6 +69,8 @@
 uint32_t eb_nodes_count(const struct eb_nodes *nd);
 struct eb_service_state *eb_nodes_service(struct eb_nodes *nd, uint32_t index,
 					  int64_t now_us);
+struct eb_service_state *eb_nodes_service_of(const struct eb_nodes *nd,
+					     uint32_t id);
 struct eb_peer *eb_nodes_peer(struct eb_nodes *nd, uint32_t id, int64_t now_us);
 int eb_nodes_first_answer_pending(const struct eb_nodes *nd,
 				  const struct eb_service_state *sv,
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -1234,7 +1234,7 @@
 
 /*
  * Passes a load report to the router and notes whether the upstream leaves.
- * `sv` is NULL for a heartbeat reply, whose load the router does not use.
+ * `sv` is NULL for a heartbeat reply, whose load only second copies use.
  */
 static void apply_load(struct eb_origin *og, uint32_t node,
 		       struct eb_service_state *sv, const struct eb_load *ld,
@@ -1250,6 +1250,11 @@
 	}
 	if (sv && ld->slots)
 		eb_route_load(sv->route, node, ld, now_us);
+	if (sv)
+		return;
+	sv = eb_nodes_service_of(og->config.nodes, node);
+	if (sv && sv->hedge)
+		eb_route_heard(sv->route, node, ld, now_us);
 }
 
 /*
--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -66,12 +66,12 @@
 #define EJECT_PERMILLE 500
 #define RAMP_US 1000000
 /*
- * A copy needs a slot that gates give to requests of all kinds, and a VM that
- * they do not hand requests back from: see SLOTS_USED_PERMILLE and
- * PACE_SLOW_TIMES in eb_admit.
+ * Age of a load, longer than EB_PEER_HEARTBEAT_IDLE_MS, up to which it may show
+ * spare capacity. While load is low an origin hears of others by heartbeats
+ * only, as it sends most requests to the upstream beside it.
  */
-#define SPARE_RESERVE_MIN 5
-#define SPARE_USED_PERMILLE 800
+#define SPARE_HEARD_US 2500000
+/* From this many times the baseline pace on, gates hand requests back. */
 #define SPARE_SLOW_TIMES 2
 
 const struct eb_route_tuning eb_route_tuning_default = {
@@ -100,6 +100,9 @@
 	int64_t report_at_us;
 	int64_t latency_at_us;
 	int64_t failed_at_us;
+	struct eb_load heard;  /* last load, that of heartbeats included */
+	uint32_t heard_sent;   /* sent after that */
+	int64_t heard_at_us;   /* 0: never */
 	int64_t held_until_us; /* its rate limit is used up until then */
 	struct eb_eject_state eject;
 };
@@ -534,15 +537,16 @@
 static int has_spare(const struct eb_route *rt, const struct upstream *up,
 		     int64_t now_us)
 {
-	uint32_t slots = up->info.slots, baseline = rt->pace_percent;
+	uint32_t load = up->heard.in_flight + up->heard.queued + up->heard_sent;
+	uint32_t baseline = rt->pace_percent;
 
-	if (slots >= SPARE_RESERVE_MIN)
-		slots = slots * SPARE_USED_PERMILLE / 1000;
+	if (load < up->in_flight)
+		load = up->in_flight;
 	if (baseline < 100)
 		baseline = 100;
-	return up->report_at_us && now_us - up->report_at_us < rt->expiry_us &&
-	       up->reported + up->sent < slots && up->in_flight < slots &&
-	       up->pace_percent < SPARE_SLOW_TIMES * baseline &&
+	return up->heard_at_us && now_us - up->heard_at_us < SPARE_HEARD_US &&
+	       load < up->heard.slots &&
+	       up->heard.pace_percent < SPARE_SLOW_TIMES * baseline &&
 	       !up->info.cold && up->eject.phase == EB_EJECT_ACTIVE &&
 	       !penalty_us(rt, up, now_us);
 }
@@ -608,6 +612,7 @@
 	up->in_flight++;
 	rt->far_in_flight += up->info.distance == EB_DISTANCE_FAR;
 	up->sent++;
+	up->heard_sent++;
 	up->started_us += now_us;
 }
 
@@ -760,6 +765,22 @@
 	       EXTRA_BACKOFF_MAX_MS / (1000 - BACKOFF_REFUSAL_PERMILLE);
 }
 
+/*
+ * Records the load in a heartbeat, which only copies use: first attempts go by
+ * the load reports of answers. One without slots is ignored.
+ */
+void eb_route_heard(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
+		    int64_t now_us)
+{
+	struct upstream *up = find(rt, id);
+
+	if (!up || !ld->slots)
+		return;
+	up->heard = *ld;
+	up->heard_sent = 0;
+	up->heard_at_us = now_us;
+}
+
 /* Records the load report of an answer; one without slots is ignored. */
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us)
@@ -769,6 +790,7 @@
 
 	if (!up || !ld->slots)
 		return;
+	eb_route_heard(rt, id, ld, now_us);
 	up->reported = (uint32_t)ld->in_flight + ld->queued;
 	up->report_at_us = now_us;
 	up->sent = 0;
@@ -794,6 +816,7 @@
 	up->service_us = 0;
 	up->latency_us = 0;
 	up->report_at_us = 0;
+	up->heard_at_us = 0;
 	up->held_until_us = 0;
 	up->eject.error_permille = 0;
 	eb_eject_ramp(&rt->eject, &up->eject, now_us);
--- a/src/eb_route.h
+++ b/src/eb_route.h
@@ -99,6 +99,8 @@
 		   const struct eb_route_result *rs, int64_t now_us);
 void eb_route_load(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
 		   int64_t now_us);
+void eb_route_heard(struct eb_route *rt, uint32_t id, const struct eb_load *ld,
+		    int64_t now_us);
 void eb_route_restarted(struct eb_route *rt, uint32_t id, int64_t now_us);
 uint16_t eb_route_baseline_pace(const struct eb_route *rt);
 uint32_t eb_route_extra_backoff_ms(const struct eb_route *rt);
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -224,6 +224,13 @@
 				og,
 				eb_frame_new_data(EB_FRAME_DATA, 40, "x", 1),
 				now_us);
+		else if (ev == "heartbeats")
+			for (uint32_t i = 0; i < 2; i++) {
+				eb_frame *f = eb_frame_new(EB_FRAME_HELLO, 0);
+
+				f->reply->load.slots = slots;
+				eb_origin_from_gate(og, i, f, now_us);
+			}
 		else if (ev == "elsewhere")
 			second_region = "s";
 		else if (ev.rfind("home ", 0) == 0) {
@@ -654,6 +661,14 @@
 	  { "elsewhere", "home s", "get", "wait 20", "whole 1" },
 	  { "gate head", "front rhead" },
 	  { 0, 0, 0, 0 } },
+	{ "no copy without a recent load of another upstream",
+	  { "wait 2600", "get", "wait 20", "whole 1" },
+	  { "gate head", "front rhead" },
+	  { 0, 0, 0, 0 } },
+	{ "a heartbeat tells of its load",
+	  { "wait 2600", "heartbeats", "get", "wait 20", "whole 2" },
+	  { "gate head", "gate head copy", "gate cancel", "front rhead" },
+	  { 1, 1, 0, 0 } },
 	{ "no copy after a retry",
 	  { "get", "refuse 1", "wait 20", "whole 2" },
 	  { "gate head", "gate head", "front rhead" },
