warmup: the full pace counts against the allowance after a lost probe

Cause: The excess of the full pace was kept only when a result "not cold" followed a result "cold" directly. With a lost probe or a restart in between, a whole burst followed it: up to 1.75 x coldPerS + 4 requests in a second if the upstream was cold again at once. When a rate was raised, the interval of the old one, up to 1,000 s, stayed in force. Change: The time of the last request at the full pace is kept; a new rate shortens the wait to its own interval.

--- a/src/eb_warmup.c
+++ b/src/eb_warmup.c
@@ -37,6 +37,13 @@
 	return now_us < wu->carried_until_us ? wu->carried : 0;
 }
 
+/* Tells whether requests are paced at more than the stated rate. */
+static int has_full_pace(const struct eb_warmup *wu, int64_t now_us)
+{
+	return wu->state == EB_WARMUP_COLD &&
+	       carried(wu, now_us) <= CARRIED_LOW;
+}
+
 /*
  * Returns the least time between two requests to a cold upstream. An upstream
  * that is known to be cold gets the full pace once what was sent before the
@@ -46,7 +53,7 @@
 {
 	int64_t rate = wu->per_s_milli;
 
-	if (wu->state == EB_WARMUP_COLD && carried(wu, now_us) <= CARRIED_LOW)
+	if (has_full_pace(wu, now_us))
 		rate = rate * PACE_PERMILLE / 1000;
 	return (1000000000 + rate - 1) / rate;
 }
@@ -94,6 +101,9 @@
 		wu->next_us = now_us;
 	}
 	wu->per_s_milli = per_s_milli;
+	/* The interval of a lower rate may be minutes long. */
+	if (per_s_milli && wu->next_us > now_us + interval_us(wu, now_us))
+		wu->next_us = now_us + interval_us(wu, now_us);
 }
 
 /*
@@ -132,6 +142,8 @@
 		return;
 	wu->sent++;
 	wu->sent_open++;
+	if (has_full_pace(wu, now_us))
+		wu->full_until_us = now_us + WINDOW_US;
 	if (wu->next_us < now_us + interval_us(wu, now_us))
 		wu->next_us = now_us + interval_us(wu, now_us);
 }
@@ -181,7 +193,8 @@
 		set_cold(wu, cold_ms, now_us);
 		wu->unanswered = 0;
 	} else {
-		if (wu->state == EB_WARMUP_COLD)
+		/* A lost probe or a restart may lie in between. */
+		if (wu->state == EB_WARMUP_COLD || now_us < wu->full_until_us)
 			keep_excess(wu, now_us);
 		wu->state = EB_WARMUP_WARM;
 		wu->unanswered = 0;
--- a/src/eb_warmup.h
+++ b/src/eb_warmup.h
@@ -22,6 +22,7 @@
 	 * that reduces the allowance. */
 	uint32_t carried;
 	int64_t carried_until_us;
+	int64_t full_until_us;	/* a second after the last at the full pace */
 	int64_t next_us;	/* when pacing lets the next request through */
 	int64_t cold_until_us;	/* according to the last probe result */
 	int64_t entry_until_us; /* according to the entry */
--- a/tests/test_eb_warmup.cc
+++ b/tests/test_eb_warmup.cc
@@ -30,7 +30,8 @@
 	return n;
 }
 
-/* Steps: rate PER_S, entry MS, probe, result MS, restarted, run MS. */
+/* Steps: rate PER_S, milli PER_1000_S, entry MS, probe, result MS, restarted,
+ * run MS. */
 struct step {
 	std::string what;
 	int64_t value = 0;
@@ -113,6 +114,30 @@
 	    { "run", 400, 8 },
 	    { "entry", 500 },
 	    { "run", 150, 2 + 4 } } },
+	{ "a lost probe after the full pace leaves a whole burst",
+	  { { "rate", 100 },
+	    { "probe" },
+	    { "result", 5000 },
+	    { "run", 1000, 125 },
+	    { "probe" },
+	    { "result", EB_WARMUP_NO_ANSWER },
+	    { "probe" },
+	    { "result" },
+	    { "run", 1, 54 - 25 } } },
+	{ "a restart after the full pace leaves a whole burst",
+	  { { "rate", 100 },
+	    { "probe" },
+	    { "result", 5000 },
+	    { "run", 1000, 125 },
+	    { "restarted" },
+	    { "probe" },
+	    { "result" },
+	    { "run", 1, 54 - 25 } } },
+	{ "a rate that is raised takes effect after the interval of the old",
+	  { { "milli", 1 },
+	    { "run", 1, 1 },
+	    { "rate", 20 },
+	    { "run", 1000, 19 } } },
 	{ "a cold time that has ended lifts the limit without a probe",
 	  { { "rate", 20 },
 	    { "probe", 0 },
@@ -130,6 +155,8 @@
 		for (const step &s : c.steps) {
 			if (s.what == "rate")
 				eb_warmup_set_rate(&wu, 1000 * s.value, now_us);
+			else if (s.what == "milli")
+				eb_warmup_set_rate(&wu, s.value, now_us);
 			else if (s.what == "entry")
 				eb_warmup_entry(&wu, s.value, now_us);
 			else if (s.what == "probe")
