admission: no wake without a decision; no shift beyond the type

Cause: While the limit of the upstream was open and a less urgent request waited for a reserved slot, eb_admit_wake_us() returned a past time, so that the core polled without waiting. That also hid that a request which fits into a free slot, queued behind one that does not, was decided only at the next event. An attempt of 32 or more, as another daemon may send it, shifted beyond 64 bits. Change: The limit wakes only if it opens after the last decision; a request that may run now wakes at once; the shift comes after the check of the attempt.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -67,7 +67,8 @@
 	uint32_t slots_all; /* as configured; config.slots leaves some free */
 	struct eb_service_time service;
 	struct eb_kind_times kinds;
-	int64_t at_us; /* last arrival or end of a request */
+	int64_t at_us;	    /* last arrival or end of a request */
+	int64_t decided_us; /* when eb_admit_next() last had no decision */
 	struct eb_report_budget reports;
 	struct eb_rate rate; /* limit that the upstream has named */
 	struct eb_warmup warmup;
@@ -75,6 +76,7 @@
 	uint8_t draining;
 	uint8_t evacuated;
 	uint8_t mixed; /* recent requests differ in priority */
+	uint8_t due;   /* a request was queued that may run now */
 };
 
 /* Creates the admission state of an upstream. Returns NULL if out of memory. */
@@ -420,6 +422,7 @@
 		run(ad, rq, now_us, act);
 	} else if (may_wait(ad, &w, now_us) && !enqueue(ad, &w)) {
 		act->verdict = EB_ADMIT_WAIT;
+		ad->due |= !limited && has_slot(ad, &w, now_us);
 	} else {
 		refuse_for_load(ad, &w, limited, now_us, act);
 	}
@@ -481,7 +484,7 @@
 static int outwaits_cold(const struct eb_admit *ad,
 			 const struct eb_admit_waiter *w, int64_t now_us)
 {
-	int64_t most_us = ad->tune.wait_us << 2 * w->rq.attempt, wait_us;
+	int64_t wait_us;
 	uint32_t ahead;
 
 	if (!eb_warmup_wait_us(&ad->warmup, 0, now_us))
@@ -493,7 +496,8 @@
 	if (!ahead && is_next_when_cold(ad, now_us))
 		return 0;
 	return w->rq.attempt < ATTEMPT_LAST &&
-	       now_us + wait_us > w->since_us + most_us;
+	       now_us + wait_us >
+		       w->since_us + (ad->tune.wait_us << 2 * w->rq.attempt);
 }
 
 /*
@@ -544,8 +548,11 @@
 		for (i = 0; i < n; i++)
 			if (refuse_waiter(ad, &q[i], hand_back, now_us, act))
 				break;
-		if (i == n)
+		if (i == n) {
+			ad->decided_us = now_us;
+			ad->due = 0;
 			return 0;
+		}
 	}
 	act->id = q[i].rq.id;
 	act->waited_us = now_us - q[i].since_us;
@@ -583,7 +590,7 @@
 	uint32_t i, n = ad->queue.count;
 	int early = 0;
 
-	if (ad->queue.evicted)
+	if (ad->queue.evicted || (ad->due && n))
 		return 0;
 	for (i = 0; i < n; i++) {
 		w = &ad->queue.items[i];
@@ -594,8 +601,9 @@
 			wake_us = late_us;
 		early |= w->rq.attempt < ATTEMPT_LAST;
 	}
+	/* If the limit was open already, requests wait for reserved slots. */
 	if (ad->queue.count && ad->in_flight < ad->config.slots &&
-	    limit_wake_us(ad) < wake_us)
+	    limit_wake_us(ad) > ad->decided_us && limit_wake_us(ad) < wake_us)
 		wake_us = limit_wake_us(ad);
 	if (!early || !ad->in_flight || !ad->service.mean_us ||
 	    !ad->tune.stall_times)
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -740,6 +740,72 @@
 	EXPECT_EQ((std::vector<int>{ 1 }), g.pass(41000));
 }
 
+/*
+ * Guards against a wait of a request of the last attempt, or one with an
+ * attempt that no origin sends, that shifts by more than the type has bits.
+ */
+TEST(Admit, AnyAttemptMayWaitForAColdUpstream)
+{
+	for (uint8_t attempt : { 3, 32, 255 }) {
+		cold_gate g;
+
+		g.probe(5000);
+		EXPECT_EQ(EB_ADMIT_RUN, g.offer(1).verdict);
+		EXPECT_EQ(EB_ADMIT_WAIT, g.offer(2, attempt).verdict);
+		EXPECT_EQ((std::vector<int>{ 2 }), g.pass(41000));
+	}
+}
+
+/*
+ * Guards against a loop without waiting while the limit of the upstream is
+ * open, but all free slots are reserved, and against a request that waits
+ * for the next event although its slot is free.
+ */
+TEST(Admit, OnlyWhatCanBeDecidedWakes)
+{
+	cold_gate g;
+	eb_admit_request rq = {};
+	eb_admit_action act;
+
+	g.probe(0);
+	rq.deadline_us = DEADLINE_US;
+	rq.attempt = 3;
+	for (int i = 0; i < 40; i++) { /* of 20 ms each */
+		rq.kind = 1;
+		rq.priority = 0;
+		g.probe(0);
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		ASSERT_EQ(EB_ADMIT_RUN, act.verdict);
+		g.now += 20000;
+		eb_admit_sample_kind(g.ad, 1, 20000);
+		eb_admit_sample_kind(g.ad, 2, 90000);
+		eb_admit_sample_kind(g.ad, 3, 10000);
+		eb_admit_done(g.ad, 0, 20000, g.now);
+	}
+	rq.priority = 2;
+	rq.kind = 2;
+	for (rq.id = 1; rq.id < 9; rq.id++) {
+		g.probe(0);
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		if (act.verdict != EB_ADMIT_RUN)
+			break;
+	}
+	ASSERT_EQ(EB_ADMIT_WAIT, act.verdict);
+	ASSERT_EQ(4u, rq.id) << "the fourth slot is reserved";
+	g.now += 60000;
+	EXPECT_EQ(0, eb_admit_limit_wait_us(g.ad, g.now));
+	EXPECT_EQ(0, eb_admit_next(g.ad, g.now, &act));
+	EXPECT_LT(g.now, eb_admit_wake_us(g.ad));
+	rq.id = 20;
+	rq.kind = 3;
+	eb_admit_offer(g.ad, &rq, g.now, &act);
+	ASSERT_EQ(EB_ADMIT_WAIT, act.verdict);
+	EXPECT_GE(g.now, eb_admit_wake_us(g.ad));
+	ASSERT_EQ(1, eb_admit_next(g.ad, g.now, &act));
+	EXPECT_EQ(20u, act.id);
+	EXPECT_EQ(EB_ADMIT_RUN, act.verdict);
+}
+
 /*
  * Guards against a cold upstream that serves less urgent requests first, and
  * against one that lets a request wait that can no longer be on time.
