admission: a stall hands back what waits for reserved slots

Cause: Only an upstream with no free slot at all handed its queue back. A request kept out by reserved slots waited at a stalled upstream until its deadline, while eb_admit_wake_us() returned a past time. Change: A stall hands back each request that needs a slot, and wakes once. Result: build/tests/test_eb_admit failed in AStallHandsBackWhatWaitsForReservedSlots, now 29 of 29 pass; test_eb_urgency 9 of 9 and test_eb_gate 6 of 6 pass.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -260,6 +260,13 @@
 	       kind_us * SHORT_TIMES <= ad->service.mean_us;
 }
 
+/* Whether a request waits for the end of another one. */
+static int needs_slot(const struct eb_admit *ad,
+		      const struct eb_admit_waiter *w, int64_t now_us)
+{
+	return ad->in_flight >= ad->config.slots || !has_slot(ad, w, now_us);
+}
+
 /* Expected wait of a request with `ahead` requests before it. */
 static int64_t expected_wait_us(const struct eb_admit *ad,
 				const struct eb_admit_waiter *w, uint32_t ahead,
@@ -400,7 +407,6 @@
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act)
 {
-	uint32_t slots = ad->config.slots;
 	int limited = eb_admit_limit_wait_us(ad, now_us) > 0;
 	struct eb_admit_waiter w = { 0 };
 	int64_t wait_us;
@@ -415,8 +421,8 @@
 		refuse(act, EB_REASON_DEADLINE, 0);
 	} else if (is_slow(ad, rq) && rq->attempt < ATTEMPT_LAST) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
-		   stalled(ad, now_us)) {
+	} else if (rq->attempt < ATTEMPT_LAST && stalled(ad, now_us) &&
+		   needs_slot(ad, &w, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (has_slot(ad, &w, now_us) && !limited && runs_first(ad, rq)) {
 		run(ad, rq, now_us, act);
@@ -519,7 +525,8 @@
 	else if (w->evicted ||
 		 (eb_admit_is_late(w, now_us) && ad->queue.count > 1))
 		refuse_for_load(ad, w, 0, now_us, act);
-	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
+	else if (hand_back && w->rq.attempt < ATTEMPT_LAST &&
+		 needs_slot(ad, w, now_us))
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	else
 		return 0;
@@ -533,8 +540,7 @@
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act)
 {
-	int hand_back =
-		stalled(ad, now_us) && ad->in_flight >= ad->config.slots;
+	int hand_back = stalled(ad, now_us);
 	uint32_t i = first_to_run(ad, now_us), n = ad->queue.count;
 	const struct eb_admit_waiter *q = ad->queue.items;
 
@@ -613,7 +619,8 @@
 	if (left_us < 0)
 		left_us = 0;
 	stall_us = ad->service.busy_at_us + left_us / ad->in_flight + 1;
-	return stall_us < wake_us ? stall_us : wake_us;
+	return stall_us > ad->decided_us && stall_us < wake_us ? stall_us
+							       : wake_us;
 }
 
 /*
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -806,6 +806,40 @@
 	EXPECT_EQ(EB_ADMIT_RUN, act.verdict);
 }
 
+/*
+ * Guards against a request that waits for a reserved slot of a stalled upstream
+ * until its deadline, and against a loop without waiting meanwhile.
+ */
+TEST(Admit, AStallHandsBackWhatWaitsForReservedSlots)
+{
+	gate g(4);
+	eb_admit_request rq = {};
+	eb_admit_action act;
+
+	rq.deadline_us = DEADLINE_US;
+	for (int i = 0; i < 40; i++) {
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+		g.now += 20000;
+		eb_admit_sample_kind(g.ad, 2, 90000);
+		eb_admit_done(g.ad, 0, 20000, g.now);
+	}
+	rq.priority = 2;
+	rq.kind = 2;
+	for (rq.id = 1; rq.id < 4; rq.id++)
+		eb_admit_offer(g.ad, &rq, g.now, &act);
+	ASSERT_EQ(EB_ADMIT_RUN, act.verdict);
+	rq.attempt = 2;
+	eb_admit_offer(g.ad, &rq, g.now, &act);
+	ASSERT_EQ(EB_ADMIT_WAIT, act.verdict) << "one slot is reserved";
+	ASSERT_EQ(0, eb_admit_next(g.ad, g.now, &act));
+	g.now = eb_admit_wake_us(g.ad);
+	ASSERT_GT(2000000, g.now);
+	ASSERT_EQ(1, eb_admit_next(g.ad, g.now, &act));
+	EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+	eb_admit_offer(g.ad, &rq, g.now, &act);
+	EXPECT_EQ(EB_REASON_HANDED_BACK, act.reason);
+}
+
 /*
  * Guards against a cold upstream that serves less urgent requests first, and
  * against one that lets a request wait that can no longer be on time.
