platform: a huge cold rate or cold time loses nothing else

Cause: A whole number beyond 64 bits, such as a huge coldPerS, made the whole operator's state or entry unreadable. A coldLeftMs of 2^32 or more counted as not cold instead of 120 s, and a coldPerS that is no number was not logged.

--- a/tests/test_pf_compare.cc
+++ b/tests/test_pf_compare.cc
@@ -39,6 +39,9 @@
 		{ "op/config", "{\"version\":\"9\"}", "{\"version\":7}",
 		  EB_FEED_AGE_UNKNOWN },
 		{ "op/config", "[", "{\"version\":7}", EB_FEED_AGE_UNKNOWN },
+		/* A number that fits into no integer hides the version. */
+		{ "op/config", "{\"version\":9,\"x\":99999999999999999999}",
+		  "{\"version\":7}", EB_FEED_NEWER },
 		{ "op/config", nullptr, "{\"version\":7}", EB_FEED_OLDER },
 		{ "servers/a", "{\"born\":5,\"seq\":1}",
 		  "{\"born\":5,\"seq\":4}", EB_FEED_OLDER },
--- a/tests/test_pf_decode.cc
+++ b/tests/test_pf_decode.cc
@@ -45,7 +45,7 @@
 }
 
 /* Decodes items; the caller releases the configuration. */
-eb_config *decode(const std::vector<item> &items)
+eb_config *decode(const std::vector<item> &items, eb_log *lg = nullptr)
 {
 	pf_domain domains[] = { { (char *)"z1", (char *)"region-1" } };
 	eb_feed_change ch = {};
@@ -64,7 +64,7 @@
 		eb_feed_change_add(&ch, it.key.c_str(), it.value.data(),
 				   (uint32_t)it.value.size(), 5, 0);
 	eb_feed_apply(fd, &ch, 0, &changed);
-	cf = pf_decode(&ad.base, &se, fd, 0, nullptr);
+	cf = pf_decode(&ad.base, &se, fd, 0, lg);
 	eb_feed_change_clear(&ch);
 	eb_feed_free(fd);
 	return cf;
@@ -153,6 +153,61 @@
 	}
 }
 
+/*
+ * Guards against a rate or a cold time that is malformed, contradictory or huge
+ * and makes other values unreadable, lifts a limit, or sets one for ever.
+ */
+TEST(PfDecode, ColdRatesAndTimes)
+{
+	const struct {
+		std::string value;
+		uint32_t per_s_milli, cold_ms, rate_logs;
+	} cases[] = {
+		{ "0", 0, 0, 0 },
+		{ "20", 20000, 20, 0 },
+		{ "0.0001", 1, 0, 0 },
+		{ "-5", 0, 0, 1 },
+		{ "\"20\"", 0, 0, 1 },
+		{ "[20]", 0, 0, 1 },
+		{ "null", 0, 0, 0 },
+		{ "5000000000", 0, 120000, 1 },
+		{ "1e300", 0, 120000, 1 },
+		{ "99999999999999999999", 0, 120000, 1 },
+	};
+
+	for (const auto &c : cases) {
+		item st = state;
+		const std::string at = "\"healthPath\":\"/health\"";
+		FILE *file = tmpfile();
+		eb_log *lg = eb_log_new(fileno(file), EB_LOG_ERROR);
+		char line[1000];
+		uint32_t logs = 0;
+
+		SCOPED_TRACE(c.value);
+		st.value.insert(st.value.find(at),
+				"\"coldPerS\":" + c.value + ",");
+		eb_config *cf =
+			decode({ st, entry("i-1", "10.0.0.1:80",
+					   ",\"coldLeftMs\":" + c.value) },
+			       lg);
+		eb_log_free(lg);
+		rewind(file);
+		while (fgets(line, sizeof(line), file))
+			logs += strstr(line, "rate of cold") != nullptr;
+		fclose(file);
+		EXPECT_EQ(c.rate_logs, logs);
+		ASSERT_NE(nullptr, cf);
+		EXPECT_EQ(c.per_s_milli,
+			  cf->services[eb_config_find_service(cf, "near")]
+				  ->cold_per_s_milli);
+		EXPECT_EQ(7u, cf->release);
+		ASSERT_EQ(1u, cf->upstream_total);
+		EXPECT_EQ(6u, cf->upstreams[0]->slots);
+		EXPECT_EQ(c.cold_ms, cf->upstreams[0]->cold_ms);
+		eb_config_unref(cf);
+	}
+}
+
 /*
  * Guards against entries of other writers that count as evacuations, and
  * against an evacuation that is not read.
