admission: each limit wakes by itself

Cause: eb_admit_wake_us() named the later one of the named rate and the pace of a cold upstream. At a warm upstream the pace does not apply, so a request that waited for the named rate was decided only at the next event or tick. Change: The next limit that opens after the last decision wakes. Result: build/tests/test_eb_admit failed in AWarmUpstreamWakesWhenItsNamedRateDoes, now 30 of 30 pass; test_eb_gate 6 of 6 and test_eb_urgency 9 of 9 pass.

--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -567,21 +567,21 @@
 }
 
 /*
- * Returns when the limits let the next request run, or INT64_MAX without a
- * limit.
+ * Returns when the next limit opens after the last decision, or INT64_MAX. Each
+ * one counts alone, as a warm upstream may take requests before its pace does.
+ * If all were open already, requests wait for reserved slots.
  */
 static int64_t limit_wake_us(const struct eb_admit *ad)
 {
-	int64_t wake_us = ad->rate.at_us, cold_us;
+	int64_t rate_us = INT64_MAX, wake_us = eb_warmup_wake_us(&ad->warmup);
 
+	if (wake_us <= ad->decided_us)
+		wake_us = INT64_MAX;
 	if (ad->rate.per_s_milli)
-		wake_us += eb_rate_wait_us(&ad->rate, 0, wake_us);
-	else
-		wake_us = 0;
-	cold_us = eb_warmup_wake_us(&ad->warmup);
-	if (cold_us != INT64_MAX && cold_us > wake_us)
-		wake_us = cold_us;
-	return wake_us ? wake_us : INT64_MAX;
+		rate_us = ad->rate.at_us +
+			  eb_rate_wait_us(&ad->rate, 0, ad->rate.at_us);
+	return rate_us > ad->decided_us && rate_us < wake_us ? rate_us
+							     : wake_us;
 }
 
 /*
@@ -607,9 +607,8 @@
 			wake_us = late_us;
 		early |= w->rq.attempt < ATTEMPT_LAST;
 	}
-	/* If the limit was open already, requests wait for reserved slots. */
 	if (ad->queue.count && ad->in_flight < ad->config.slots &&
-	    limit_wake_us(ad) > ad->decided_us && limit_wake_us(ad) < wake_us)
+	    limit_wake_us(ad) < wake_us)
 		wake_us = limit_wake_us(ad);
 	if (!early || !ad->in_flight || !ad->service.mean_us ||
 	    !ad->tune.stall_times)
--- a/tests/test_eb_admit.cc
+++ b/tests/test_eb_admit.cc
@@ -806,6 +806,26 @@
 	EXPECT_EQ(EB_ADMIT_RUN, act.verdict);
 }
 
+/*
+ * Guards against a request that waits for a named rate for as long as if the
+ * upstream, which is warm, were cold.
+ */
+TEST(Admit, AWarmUpstreamWakesWhenItsNamedRateDoes)
+{
+	cold_gate g;
+	eb_admit_action act;
+
+	eb_warmup_set_rate(g.warmup(), 5000, g.now);
+	eb_admit_limit_rate(g.ad, 100000, g.now);
+	g.probe(0);
+	EXPECT_EQ(EB_ADMIT_RUN, g.offer(1).verdict);
+	ASSERT_EQ(EB_ADMIT_WAIT, g.offer(2, 3).verdict);
+	EXPECT_EQ(0, eb_admit_next(g.ad, g.now, &act));
+	EXPECT_EQ(g.now + 10000, eb_admit_wake_us(g.ad));
+	g.now += 10000;
+	EXPECT_EQ(1, eb_admit_next(g.ad, g.now, &act));
+}
+
 /*
  * Guards against a request that waits for a reserved slot of a stalled upstream
  * until its deadline, and against a loop without waiting meanwhile.
