--- a/src/eb_admit.c
+++ b/src/eb_admit.c
@@ -67,7 +67,8 @@
 	uint32_t slots_all; /* as configured; config.slots leaves some free */
 	struct eb_service_time service;
 	struct eb_kind_times kinds;
-	int64_t at_us; /* last arrival or end of a request */
+	int64_t at_us;	    /* last arrival or end of a request */
+	int64_t decided_us; /* when eb_admit_next() last had no decision */
 	struct eb_report_budget reports;
 	struct eb_rate rate; /* limit that the upstream has named */
 	struct eb_warmup warmup;
@@ -75,6 +76,7 @@
 	uint8_t draining;
 	uint8_t evacuated;
 	uint8_t mixed; /* recent requests differ in priority */
+	uint8_t due;   /* a request was queued that may run now */
 };
 
 /* Creates the admission state of an upstream. Returns NULL if out of memory. */
@@ -258,6 +260,13 @@
 	       kind_us * SHORT_TIMES <= ad->service.mean_us;
 }
 
+/* Whether a request waits for the end of another one. */
+static int needs_slot(const struct eb_admit *ad,
+		      const struct eb_admit_waiter *w, int64_t now_us)
+{
+	return ad->in_flight >= ad->config.slots || !has_slot(ad, w, now_us);
+}
+
 /* Expected wait of a request with `ahead` requests before it. */
 static int64_t expected_wait_us(const struct eb_admit *ad,
 				const struct eb_admit_waiter *w, uint32_t ahead,
@@ -398,7 +407,6 @@
 void eb_admit_offer(struct eb_admit *ad, const struct eb_admit_request *rq,
 		    int64_t now_us, struct eb_admit_action *act)
 {
-	uint32_t slots = ad->config.slots;
 	int limited = eb_admit_limit_wait_us(ad, now_us) > 0;
 	struct eb_admit_waiter w = { 0 };
 	int64_t wait_us;
@@ -413,13 +421,14 @@
 		refuse(act, EB_REASON_DEADLINE, 0);
 	} else if (is_slow(ad, rq) && rq->attempt < ATTEMPT_LAST) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
-	} else if (ad->in_flight >= slots && rq->attempt < ATTEMPT_LAST &&
-		   stalled(ad, now_us)) {
+	} else if (rq->attempt < ATTEMPT_LAST && stalled(ad, now_us) &&
+		   needs_slot(ad, &w, now_us)) {
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	} else if (has_slot(ad, &w, now_us) && !limited && runs_first(ad, rq)) {
 		run(ad, rq, now_us, act);
 	} else if (may_wait(ad, &w, now_us) && !enqueue(ad, &w)) {
 		act->verdict = EB_ADMIT_WAIT;
+		ad->due |= !limited && has_slot(ad, &w, now_us);
 	} else {
 		refuse_for_load(ad, &w, limited, now_us, act);
 	}
@@ -481,7 +490,7 @@
 static int outwaits_cold(const struct eb_admit *ad,
 			 const struct eb_admit_waiter *w, int64_t now_us)
 {
-	int64_t most_us = ad->tune.wait_us << 2 * w->rq.attempt, wait_us;
+	int64_t wait_us;
 	uint32_t ahead;
 
 	if (!eb_warmup_wait_us(&ad->warmup, 0, now_us))
@@ -493,7 +502,8 @@
 	if (!ahead && is_next_when_cold(ad, now_us))
 		return 0;
 	return w->rq.attempt < ATTEMPT_LAST &&
-	       now_us + wait_us > w->since_us + most_us;
+	       now_us + wait_us >
+		       w->since_us + (ad->tune.wait_us << 2 * w->rq.attempt);
 }
 
 /*
@@ -515,7 +525,8 @@
 	else if (w->evicted ||
 		 (eb_admit_is_late(w, now_us) && ad->queue.count > 1))
 		refuse_for_load(ad, w, 0, now_us, act);
-	else if (hand_back && w->rq.attempt < ATTEMPT_LAST)
+	else if (hand_back && w->rq.attempt < ATTEMPT_LAST &&
+		 needs_slot(ad, w, now_us))
 		refuse(act, EB_REASON_HANDED_BACK, wait_us);
 	else
 		return 0;
@@ -529,8 +540,7 @@
 int eb_admit_next(struct eb_admit *ad, int64_t now_us,
 		  struct eb_admit_action *act)
 {
-	int hand_back =
-		stalled(ad, now_us) && ad->in_flight >= ad->config.slots;
+	int hand_back = stalled(ad, now_us);
 	uint32_t i = first_to_run(ad, now_us), n = ad->queue.count;
 	const struct eb_admit_waiter *q = ad->queue.items;
 
@@ -544,8 +554,11 @@
 		for (i = 0; i < n; i++)
 			if (refuse_waiter(ad, &q[i], hand_back, now_us, act))
 				break;
-		if (i == n)
+		if (i == n) {
+			ad->decided_us = now_us;
+			ad->due = 0;
 			return 0;
+		}
 	}
 	act->id = q[i].rq.id;
 	act->waited_us = now_us - q[i].since_us;
@@ -554,21 +567,21 @@
 }
 
 /*
- * Returns when the limits let the next request run, or INT64_MAX without a
- * limit.
+ * Returns when the next limit opens after the last decision, or INT64_MAX. Each
+ * one counts alone, as a warm upstream may take requests before its pace does.
+ * If all were open already, requests wait for reserved slots.
  */
 static int64_t limit_wake_us(const struct eb_admit *ad)
 {
-	int64_t wake_us = ad->rate.at_us, cold_us;
+	int64_t rate_us = INT64_MAX, wake_us = eb_warmup_wake_us(&ad->warmup);
 
+	if (wake_us <= ad->decided_us)
+		wake_us = INT64_MAX;
 	if (ad->rate.per_s_milli)
-		wake_us += eb_rate_wait_us(&ad->rate, 0, wake_us);
-	else
-		wake_us = 0;
-	cold_us = eb_warmup_wake_us(&ad->warmup);
-	if (cold_us != INT64_MAX && cold_us > wake_us)
-		wake_us = cold_us;
-	return wake_us ? wake_us : INT64_MAX;
+		rate_us = ad->rate.at_us +
+			  eb_rate_wait_us(&ad->rate, 0, ad->rate.at_us);
+	return rate_us > ad->decided_us && rate_us < wake_us ? rate_us
+							     : wake_us;
 }
 
 /*
@@ -583,7 +596,7 @@
 	uint32_t i, n = ad->queue.count;
 	int early = 0;
 
-	if (ad->queue.evicted)
+	if (ad->queue.evicted || (ad->due && n))
 		return 0;
 	for (i = 0; i < n; i++) {
 		w = &ad->queue.items[i];
@@ -605,7 +618,8 @@
 	if (left_us < 0)
 		left_us = 0;
 	stall_us = ad->service.busy_at_us + left_us / ad->in_flight + 1;
-	return stall_us < wake_us ? stall_us : wake_us;
+	return stall_us > ad->decided_us && stall_us < wake_us ? stall_us
+							       : wake_us;
 }
 
 /*
