origin: a request whose deadline passed before its first attempt is refused

Cause: A request that was held until the daemon served, or until its claim was granted, was sent to a gate even after its deadline. The next timer reported it as 504 with an unknown outcome although nothing had run. Change: route() refuses such a request as not run. The default deadline of an upload still counts from the end of its body. Result: build/tests/test_eb_origin: Origin.HeldRequests failed before the change; all 7 tests pass.

--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -600,6 +600,16 @@
 		ca->reason == EB_REASON_DRAINING);
 }
 
+/*
+ * Tells whether the deadline of a request passed before its first attempt,
+ * while the daemon did not serve yet or its claim was not granted.
+ */
+static int is_late(const struct call *ca, int64_t now_us)
+{
+	return !ca->attempts && !ca->parked && ca->body_done &&
+	       now_us >= ca->deadline_us;
+}
+
 /*
  * Sends the request to the best upstream whose gate can be reached. Without
  * one, the request is parked or answered with the last failure.
@@ -610,6 +620,12 @@
 	struct eb_route_query q = { 0 };
 	uint32_t node;
 
+	if (is_late(ca, now_us)) {
+		ca->outcome = EB_OUTCOME_NOT_RUN;
+		ca->reason = EB_REASON_DEADLINE;
+		step(og, ca, EVENT_EXHAUSTED, NULL, now_us);
+		return;
+	}
 	park(og, ca, 0);
 	update_regions(og, ca);
 	q.caller = ca->head->head->caller;
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -56,7 +56,7 @@
 	uint32_t retry_after_ms = 0; /* of the last answer */
 	uint16_t slots = 0;	     /* in load reports; 0: none are sent */
 
-	void start()
+	void start(bool serving = true)
 	{
 		eb_origin_callbacks callbacks = { to_front, to_gate, ask,
 						  this };
@@ -77,7 +77,8 @@
 		og = eb_origin_new(&cf, &callbacks, &fs);
 		ASSERT_EQ(0u, fs.count);
 		configure();
-		eb_origin_serve(og, now_us);
+		if (serving)
+			eb_origin_serve(og, now_us);
 		out.clear();
 		numbers.clear();
 		nodes.clear();
@@ -758,6 +759,39 @@
 	}
 }
 
+const scenario held_scenarios[] = {
+	{ "a held request is sent when the daemon serves",
+	  { "post", "wait 90" },
+	  { "gate head" } },
+	{ "a request held past its deadline has not run, and is not sent",
+	  { "post", "wait 160" },
+	  { "front refuse 504 not-run deadline" } },
+	{ "the default deadline of an upload counts from the end of its body",
+	  { "upload", "wait 160" },
+	  { "gate head" } },
+	{ "a held request whose caller has left is not sent",
+	  { "post", "gone" },
+	  {} },
+};
+
+/*
+ * Guards against requests that are sent though they can't be answered in time
+ * any more, and reported as possibly run, when a daemon begins to serve.
+ */
+TEST_F(Origin, HeldRequests)
+{
+	for (const scenario &sc : held_scenarios) {
+		SCOPED_TRACE(sc.guards);
+		start(false);
+		for (const std::string &event : sc.events)
+			run(event);
+		eb_origin_serve(og, now_us);
+		eb_origin_tick(og, now_us);
+		EXPECT_EQ(sc.expected, out);
+		stop();
+	}
+}
+
 struct refusal {
 	const char *guards;
 	const char *target;
