route: no copies to an upstream whose share still rises after its cold time

Cause: eb_route_pick_spare() left out cold upstreams, but took one again as soon as its cold time ended, while ordinary requests still avoided it. Change: an upstream gets copies once it has its whole share again. Result: build/tests/test_eb_route: Route.CopiesGoWhereCapacityIsSpare failed before the change; all 27 tests pass.

--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -652,7 +652,8 @@
 	return up->report_at_us && now_us - up->report_at_us < rt->expiry_us &&
 	       up->reported + up->sent < slots && up->in_flight < slots &&
 	       up->pace_percent < SPARE_SLOW_TIMES * baseline &&
-	       !up->info.cold && up->eject.phase == EB_EJECT_ACTIVE &&
+	       cold_share(up, now_us) == 1000 &&
+	       up->eject.phase == EB_EJECT_ACTIVE &&
 	       !penalty_us(rt, up, now_us);
 }
 
--- a/tests/test_eb_route.cc
+++ b/tests/test_eb_route.cc
@@ -953,6 +953,13 @@
 			  for (uint32_t i = 0; i < 3; i++)
 				  r.load(i, 0);
 		  } },
+		{ "no longer cold, but still with a rising share", 2,
+		  [](router &r, eb_route_query &) {
+			  r.ups[1].cold = 1;
+			  r.set();
+			  r.ups[1].cold = 0;
+			  r.set();
+		  } },
 		{ "home regions", 2,
 		  [](router &, eb_route_query &q) {
 			  q.regions = 2;
