origin: a caller that leaves does not eject the upstream of its last attempt

Cause: The result of a cancelled attempt carried the reason for which an earlier attempt of the call had ended. With lost-peer or connect-failed the router ejected the upstream at once, although its gate was reached. Change: do_cancel() clears the reason; callers that have one set it afterwards. The call ended by its caller is logged and counted with reason none. Result: build/tests/test_eb_origin: Origin.CallersThatLeaveDoNotEject failed before the change; all 8 tests pass, and build/tests/test_eb_hedge.

--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -900,6 +900,8 @@
 	eb_frame_unref(f);
 	if (ca->at->number) {
 		ca->outcome = EB_OUTCOME_UNKNOWN;
+		/* That of an earlier attempt says nothing about this one. */
+		ca->reason = EB_REASON_NONE;
 		cancel_attempt(og, ca->at);
 	}
 	if (ca->other->number)
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -759,6 +759,25 @@
 	}
 }
 
+/*
+ * Guards against the ejection of an upstream whose caller left, because of the
+ * reason for which an earlier attempt of the call ended.
+ */
+TEST_F(Origin, CallersThatLeaveDoNotEject)
+{
+	eb_route_stats st;
+
+	start();
+	for (const char *event : { "silent", "post", "missed 1", "gone" })
+		run(event);
+	EXPECT_EQ((std::vector<std::string>{ "gate head", "gate head",
+					     "gate cancel" }),
+		  out);
+	eb_route_read_stats(eb_nodes_service(nd, 0, now_us)->route, &st);
+	EXPECT_EQ(0u, st.ejections);
+	stop();
+}
+
 const scenario held_scenarios[] = {
 	{ "a held request is sent when the daemon serves",
 	  { "post", "wait 90" },
