--- a/src/eb_route.c
+++ b/src/eb_route.c
@@ -656,7 +656,8 @@
 	return up->heard_at_us && now_us - up->heard_at_us < SPARE_HEARD_US &&
 	       load < up->heard.slots &&
 	       up->heard.pace_percent < SPARE_SLOW_TIMES * baseline &&
-	       !up->info.cold && up->eject.phase == EB_EJECT_ACTIVE &&
+	       cold_share(up, now_us) == 1000 &&
+	       up->eject.phase == EB_EJECT_ACTIVE &&
 	       !penalty_us(rt, up, now_us);
 }
 
