crash marks: crashes of one upstream count across restarts of its daemon

Cause: a mark tells the crashes of an upstream apart by a number that its daemon counts from its own start. Once the daemon had restarted, the next crash of the upstream had the name of the earlier one, which the mark already held from other daemons, and was not counted. A request that came again at the same upstream crashed it up to the number of restarts.

Change: the name of a crash also holds the time at which its outage was found. One outage still counts once. The wire format is unchanged.

--- a/src/eb_crash_detect.c
+++ b/src/eb_crash_detect.c
@@ -27,7 +27,8 @@
 	struct answer answers[EB_CRASH_DETECT_ANSWERS_MAX];
 	struct suspect suspects[EB_CRASH_DETECT_SUSPECTS_MAX];
 	uint32_t suspect_count;
-	uint32_t crashes;      /* of this upstream */
+	uint32_t crashes;      /* of this upstream, since the daemon started */
+	int64_t outage_us;     /* when the latest crash was found */
 	uint32_t changes;      /* of the marks, here or by other daemons */
 	uint32_t generation;   /* `changes` after the last one here */
 	int64_t checked_us;    /* when the check was sent; 0: none is pending */
@@ -281,10 +282,12 @@
 
 /*
  * Takes the result of a check. If the upstream has crashed, the suspects are
- * marked with this crash; one outage counts as one crash. If it is
- * up, suspects whose connections were closed at least
- * EB_CRASH_DETECT_CHECK_AFTER_MS before the check was sent are dropped; later
- * ones remain for the next check. Returns how many requests were marked.
+ * marked with this crash; one outage counts as one crash. Its name holds the
+ * time, because the number starts again with the daemon, and marks of before
+ * may come back from others. If the upstream is up, suspects whose connections
+ * were closed at least EB_CRASH_DETECT_CHECK_AFTER_MS before the check was sent
+ * are dropped; later ones remain for the next check. Returns how many requests
+ * were marked.
  */
 uint32_t eb_crash_detect_checked(struct eb_crash_detect *mk,
 				 const struct eb_crash_check *result,
@@ -295,7 +298,7 @@
 	int counted = mk->counted, down = 0;
 	uint32_t i, kept = 0, marked = 0;
 	const struct suspect *sp;
-	char crash[128];
+	char crash[144];
 
 	mk->checked_us = 0;
 	if (result->state == EB_CRASH_STATE_CUTS)
@@ -303,8 +306,10 @@
 	else
 		end_outage(mk);
 	down |= result->state == EB_CRASH_STATE_DOWN;
-	snprintf(crash, sizeof(crash), "%.100s %u", mk->upstream,
-		 mk->crashes + !counted);
+	if (!counted)
+		mk->outage_us = now_us;
+	snprintf(crash, sizeof(crash), "%.100s %u %lld", mk->upstream,
+		 mk->crashes + !counted, (long long)mk->outage_us);
 	for (i = 0; i < mk->suspect_count; i++) {
 		sp = &mk->suspects[i];
 		if (down || is_replaced(sp, result->instance)) {
--- a/tests/test_eb_crash_detect.cc
+++ b/tests/test_eb_crash_detect.cc
@@ -267,6 +267,41 @@
 	eb_crash_detect_free(mk);
 }
 
+/*
+ * Guards against crashes of one upstream that count as one, since its daemon
+ * has restarted in between and learned the earlier mark from another daemon.
+ */
+TEST(Marks, CrashesOfOneUpstreamAcrossARestart)
+{
+	eb_crash_detect *mk = eb_crash_detect_new("agenda-1"), *next;
+	eb_frame *bad = request("/x", 1);
+	eb_crash_run run = { eb_crash_detect_identify(bad), 0 };
+	eb_crash_id got;
+
+	for (int n = 0; n < 2; n++) {
+		int64_t now_us = (n + 1) * 3000 * MS;
+		msgpack_sbuffer sb;
+		uint32_t from = 0;
+
+		EXPECT_EQ(0u, eb_crash_detect_refuse(mk, bad, now_us, &got));
+		eb_crash_detect_closed(mk, &run, now_us);
+		now_us += 20 * MS;
+		ASSERT_TRUE(eb_crash_detect_check_due(mk, now_us));
+		eb_crash_detect_checked(mk, &results.at("down"), now_us);
+		msgpack_sbuffer_init(&sb);
+		eb_crash_detect_encode(mk, &from, 1, now_us, &sb);
+		next = eb_crash_detect_new("agenda-1");
+		EXPECT_EQ(EB_OK, eb_crash_detect_receive(next, sb.data, sb.size,
+							 now_us));
+		msgpack_sbuffer_destroy(&sb);
+		eb_crash_detect_free(mk);
+		mk = next;
+	}
+	EXPECT_LT(0u, eb_crash_detect_refuse(mk, bad, 7000 * MS, &got));
+	eb_frame_unref(bad);
+	eb_crash_detect_free(mk);
+}
+
 /*
  * Guards against a popular path that is refused since requests to it, each with
  * another query, ran when upstreams crashed; and against a query that crashes
