gate: the origin of the same daemon learns that its upstream no longer leaves

Cause: refusals carry whether the upstream leaves, and other origins learn by heartbeat replies when that ends. The origin of the same daemon gets none: after a call that waited when its failure domain was evacuated, it never used its own upstream again. The soak found it: with the last upstream of a service beside it, a daemon refused every call with no-upstream for 8 s after the evacuation was withdrawn. Change: a gate sends its load to the local origin as well.

--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -373,7 +373,7 @@
 }
 
 /*
- * Sends the load to all remote origins. Used when the upstream starts or stops
+ * Sends the load to all origins. Used when the upstream starts or stops
  * leaving: an idle origin learns of that only by its next heartbeat, which may
  * be seconds away, and could send a call to a daemon that is stopping.
  */
@@ -390,6 +390,13 @@
 		if (out)
 			gt->out.to_origin(gt->out.ctx, &og->back, out);
 	}
+	/*
+	 * The origin of this daemon gets no heartbeat replies: one that a
+	 * refusal has told of a departure would never use the upstream again.
+	 */
+	out = new_load_report(gt, gt->config.incarnation);
+	if (out)
+		gt->out.to_origin(gt->out.ctx, NULL, out);
 }
 
 /* Tells admission and the origins when refuses_calls() is not `before`. */
