soak: evacuation, home regions and cold upstreams

Change: Random events evacuate failure domain b and take it back, and make upstreams cold and warm. They have a generator of their own, so a seed gives the same sequence of draws for the faults as before. Every fifth request uses a route with a home region. Periods and the times of runs at the upstreams are compared. The switch "placement" turns off the three mechanisms, and the checkers must then report all three rules.

In earlier trials it hung: the last upstream of a service was not used after an evacuation had been withdrawn.

--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -6,6 +6,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "eb_test_off.h"
+
 /* The first members of each kind of item. */
 struct item {
 	int32_t refs;
@@ -321,6 +323,8 @@
 {
 	uint32_t i;
 
+	if (eb_test_off("placement"))
+		return 0;
 	for (i = 0; i < cf->evacuated_count; i++)
 		if (!strcmp(cf->evacuated[i], failure_domain))
 			return 1;
--- a/src/eb_gate_check.c
+++ b/src/eb_gate_check.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "eb_home.h"
+#include "eb_test_off.h"
 
 /* Frees what the checks own. */
 void eb_gate_check_clear(struct eb_gate_check *gc)
@@ -114,7 +115,7 @@
 int eb_gate_check_region(const struct eb_gate_check *gc,
 			 const struct eb_head *h)
 {
-	if (!gc->config || !gc->region ||
+	if (!gc->config || !gc->region || eb_test_off("placement") ||
 	    eb_home_allows(gc->config, h, gc->region))
 		return 1;
 	eb_metrics_add(gc->metrics, EB_METRIC_GATE_REGION_REFUSED, 1);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -676,6 +676,8 @@
 	uint64_t set = 0;
 	uint32_t i;
 
+	if (eb_test_off("placement"))
+		return 0;
 	if (!hm->restricted || eb_test_off("origin-regions"))
 		return 0;
 	for (i = 0; i < hm->count; i++)
--- a/src/eb_warmup.c
+++ b/src/eb_warmup.c
@@ -1,5 +1,6 @@
 #include "eb_warmup.h"
 
+#include "eb_test_off.h"
 #include "eb_tunables.h"
 
 /* Requests that may be unverified in addition to half of the cold rate. */
@@ -87,6 +88,8 @@
 void eb_warmup_set_rate(struct eb_warmup *wu, uint32_t per_s_milli,
 			int64_t now_us)
 {
+	if (eb_test_off("placement"))
+		per_s_milli = 0;
 	if (per_s_milli && !wu->per_s_milli) {
 		wu->state = EB_WARMUP_UNKNOWN;
 		wu->unanswered = 0;
--- a/tests/it_soak.cc
+++ b/tests/it_soak.cc
@@ -28,6 +28,16 @@
 const size_t LARGE_BODY_BYTES = 60000;
 /* Longest time for which an upstream that has left still gets new requests. */
 const int64_t LEAVE_LIMIT_US = 5000000;
+/*
+ * Events that are drawn from a generator of their own, so that a seed gives
+ * the same choices of faults as without them. Numbers from WARM + 1 to
+ * EVENTS - 1 stand for no event.
+ */
+enum { EVACUATE, TAKE_BACK, COLD, COLD_TOO, WARM, EVENTS = 12 };
+/* Low, as a cold upstream of the soak gets only a few requests a second. */
+const int COLD_PER_S = 4;
+/* The rule FAILBACK of docs/hard-load.md. */
+const size_t COLD_BOUND = COLD_PER_S * 3 / 2 + 8;
 
 int64_t env_number(const char *name, int64_t fallback)
 {
@@ -56,24 +66,40 @@
 	std::function<void()> act;
 };
 
+/* A time in which upstreams are cold, or their domain is evacuated. */
+struct period {
+	SiteUpstream *up; /* null: all of failure domain b */
+	int64_t from_us;
+	int64_t to_us;
+	/* Time in it for which the store has not answered. */
+	int64_t stretch_us;
+};
+
 class Soak
 {
 public:
 	/*
 	 * `off` names a mechanism of the daemons to switch off. Unless it is
-	 * -1, fault kind `forced_fault` replaces every second random choice.
+	 * -1, fault kind `forced_fault` replaces every second random choice;
+	 * FAULTS stands for evacuations and cold upstreams as all events.
 	 */
 	Soak(uint32_t seed, size_t machines, const std::string &off = "",
 	     int forced_fault = -1)
-		: site_(services(machines)), random_(seed), seed_(seed),
-		  forced_fault_(forced_fault), withdrawn_(machines),
-		  stopped_(machines), starts_(machines), seen_starts_(machines),
+		: site_(services(machines)), random_(seed), event_random_(seed),
+		  seed_(seed), forced_fault_(forced_fault),
+		  withdrawn_(machines), stopped_(machines), starts_(machines),
+		  seen_starts_(machines),
 		  relay_((uint16_t)atoi(
 			  site_.store->address.substr(10).c_str()))
 	{
 		site_.store_address = loopback(relay_.port);
 		site_.test_off = off;
+		site_.more_service =
+			"\"coldPerS\":" + std::to_string(COLD_PER_S) + ",";
+		for (size_t i = 0; i < machines; i++)
+			site_.upstreams[i]->zone = i % 4 < 2 ? "a" : "b";
 		site_.start_all();
+		site_.publish(2, home_route());
 		for (auto &up : site_.upstreams)
 			add_faulty_paths(*up);
 	}
@@ -89,6 +115,7 @@
 			apply_due_updates(now_us());
 			restart_stopped();
 			fault();
+			event();
 			sleep_ms(random_below(400) + 50);
 		}
 		end_faults();
@@ -183,6 +210,10 @@
 			std::string path = "/" + service +
 					   (once ? "/once/" : "/") +
 					   kinds[random_below(9)];
+			if (n % 5 == 4) {
+				once = false;
+				path = "/home/" + service;
+			}
 			std::string body(once ? random_below(3) * 30000 : 0,
 					 'x');
 			std::string caller = service_of(i);
@@ -233,13 +264,17 @@
 			      "probe")
 			.status;
 	}
+	std::string home_route()
+	{
+		return site_.route("home", "/home/", "safe", "far", "[\"r\"]");
+	}
 	void publish()
 	{
-		std::string more;
+		std::string more = home_route();
 
 		version_++;
 		for (int v = 1; v <= version_; v++)
-			more += (v > 1 ? "," : "") +
+			more += "," +
 				site_.route("v" + std::to_string(v),
 					    "/v" + std::to_string(v) + "/",
 					    "safe", v % 2 ? "near" : "far");
@@ -256,7 +291,8 @@
 			"busy",	  "cut",    "forget", "reassign", "answers"
 		};
 
-		if (forced_fault_ >= 0 && random_below(2))
+		if (forced_fault_ >= 0 && forced_fault_ < (int)FAULTS &&
+		    random_below(2))
 			what = (uint32_t)forced_fault_;
 		/* A daemon that is being stopped gets no further signal. */
 		if ((what < 4 || what == REASSIGN) && stopped_[i])
@@ -295,13 +331,13 @@
 			publish();
 			break;
 		case 8:
-			site_.store->set_mode(SiteStore::SILENT);
+			set_store(SiteStore::SILENT);
 			break;
 		case 9:
 			site_.store->forget_history();
 			break;
 		case 10:
-			site_.store->set_mode(SiteStore::BUSY);
+			set_store(SiteStore::BUSY);
 			break;
 		case 11:
 			relay_.cut();
@@ -313,10 +349,85 @@
 			reassign(i);
 			break;
 		default:
-			site_.store->set_mode(SiteStore::ANSWERS);
+			set_store(SiteStore::ANSWERS);
 			break;
 		}
 	}
+	/* The events after the faults; see EVENTS. */
+	void event()
+	{
+		uint32_t what = event_random_() % EVENTS;
+		size_t i = event_random_() % site_.upstreams.size();
+
+		if (forced_fault_ >= (int)FAULTS)
+			what = what % 2 ? COLD : EVACUATE;
+		if (what <= WARM)
+			faults += what == EVACUATE    ? " evacuate"
+				  : what == TAKE_BACK ? " take-back"
+				  : what == WARM      ? " warm"
+						      : " cold";
+		if (what == EVACUATE && !open_period(nullptr)) {
+			site_.store->put("op/evacuate/b", "{}");
+			periods_.push_back({ nullptr, now_us(), INT64_MAX, 0 });
+		} else if (what == TAKE_BACK) {
+			take_back();
+		} else if (what == COLD || what == COLD_TOO) {
+			cold(*site_.upstreams[i]);
+		} else if (what == WARM) {
+			warm(*site_.upstreams[i]);
+		}
+	}
+	period *open_period(const SiteUpstream *up)
+	{
+		for (period &p : periods_)
+			if (p.up == up && p.to_us == INT64_MAX)
+				return &p;
+		return nullptr;
+	}
+	void take_back()
+	{
+		if (!open_period(nullptr))
+			return;
+		open_period(nullptr)->to_us = now_us();
+		site_.store->remove("op/evacuate/b");
+	}
+	void cold(SiteUpstream &up)
+	{
+		if (open_period(&up))
+			return;
+		up.say("Ebonypier-Cold-Ms: 60000\r\n");
+		periods_.push_back({ &up, now_us(), INT64_MAX, 0 });
+	}
+	void warm(SiteUpstream &up)
+	{
+		if (!open_period(&up))
+			return;
+		open_period(&up)->to_us = now_us();
+		up.say("Ebonypier-Cold-Ms: 0\r\n");
+	}
+	/* Sets the store's mode, and adds up the time without answers. */
+	void set_store(SiteStore::Mode mode)
+	{
+		int64_t now = now_us();
+
+		for (period &p : periods_)
+			if (silent_from_us_ && p.to_us > silent_from_us_)
+				p.stretch_us +=
+					std::min(now, p.to_us) -
+					std::max(p.from_us, silent_from_us_);
+		silent_from_us_ = mode == SiteStore::ANSWERS ? 0 : now;
+		site_.store->set_mode(mode);
+	}
+	/* Whether each service has an upstream outside failure domain b. */
+	bool served_without_b(size_t gone)
+	{
+		std::set<std::string> served;
+
+		for (size_t j = 0; j < site_.upstreams.size(); j++)
+			if (j != gone && site_.upstreams[j]->zone != "b")
+				served.insert(site_.services[j]);
+		return served.size() == 2;
+	}
 	std::string service_of(size_t i)
 	{
 		std::lock_guard<std::mutex> hold(lock_);
@@ -425,7 +536,7 @@
 			return std::find(stopped_.begin(), stopped_.end(),
 					 true) == stopped_.end();
 		});
-		site_.store->set_mode(SiteStore::ANSWERS);
+		set_store(SiteStore::ANSWERS);
 		apply_due_updates(INT64_MAX);
 		for (size_t i = 0; i < withdrawn_.size(); i++) {
 			if (withdrawn_[i] && gone == withdrawn_.size())
@@ -433,29 +544,93 @@
 			else
 				restore_upstream(i);
 		}
+		for (auto &up : site_.upstreams)
+			warm(*up);
+		if (!served_without_b(gone))
+			take_back();
 		publish();
 		for (size_t i = 0; i < withdrawn_.size(); i++)
 			site_.wait_status(
 				i, "/v" + std::to_string(version_) + "/plain",
 				200);
-		if (gone < withdrawn_.size())
-			check_left(gone);
+		check_left(gone);
 	}
-	/* Checks that an upstream that has left stops getting requests. */
-	void check_left(size_t i)
+	/* Runs at the upstream that has left and at evacuated ones. */
+	int runs_of_absent(size_t gone)
+	{
+		int n = 0;
+
+		for (size_t j = 0; j < site_.upstreams.size(); j++)
+			if (j == gone || (open_period(nullptr) &&
+					  site_.upstreams[j]->zone == "b"))
+				n += site_.upstreams[j]->runs();
+		return n;
+	}
+	/* Checks that upstreams that left or are evacuated get no requests. */
+	void check_left(size_t gone)
 	{
 		int64_t begun = now_us();
 		int before;
 
+		if (gone == withdrawn_.size() && !open_period(nullptr))
+			return;
 		do {
-			before = site_.upstreams[i]->runs();
+			before = runs_of_absent(gone);
 			sleep_ms(1000);
-		} while (site_.upstreams[i]->runs() != before &&
+		} while (runs_of_absent(gone) != before &&
 			 now_us() - begun < LEAVE_LIMIT_US);
-		if (site_.upstreams[i]->runs() != before)
-			violation("upstream " + std::to_string(i) +
+		if (runs_of_absent(gone) != before)
+			violation("upstream " + std::to_string(gone) +
+				  (open_period(nullptr) ? " or domain b" : "") +
 				  " still gets requests after it left");
 	}
+	/* Checks the runs of an upstream against the periods that concern it.
+	 */
+	void check_periods(SiteUpstream &up)
+	{
+		std::vector<int64_t> times;
+
+		for (const auto &run : up.all_runs())
+			times.insert(times.end(), run.second.begun_us.begin(),
+				     run.second.begun_us.end());
+		std::sort(times.begin(), times.end());
+		for (const period &p : periods_)
+			if (p.up == &up)
+				check_cold(p, times);
+			else if (!p.up && up.zone == "b")
+				check_evacuated(p, times);
+	}
+	void check_cold(const period &p, const std::vector<int64_t> &times)
+	{
+		size_t most = 0;
+
+		for (size_t i = 0, j = 0; i < times.size(); i++) {
+			while (times[j] < p.from_us && j < i)
+				j++;
+			while (times[i] - times[j] >= 1000000)
+				j++;
+			if (times[j] >= p.from_us && times[i] < p.to_us)
+				most = std::max(most, i - j + 1);
+		}
+		if (most > COLD_BOUND)
+			violation(p.up->id + " was cold and got " +
+				  std::to_string(most) +
+				  " requests in a second");
+	}
+	void check_evacuated(const period &p, const std::vector<int64_t> &times)
+	{
+		int64_t limit = p.from_us + LEAVE_LIMIT_US + p.stretch_us;
+
+		for (int64_t at : times)
+			if (at > limit && at < p.to_us) {
+				violation("a request ran in an evacuated "
+					  "domain " +
+					  std::to_string((at - p.from_us) /
+							 1000) +
+					  " ms after the order");
+				return;
+			}
+	}
 	/* Returns how often each request ran, also at ended upstreams. */
 	std::map<std::string, int> collect_runs()
 	{
@@ -465,12 +640,14 @@
 		for (const exchange &t : exchanges_)
 			callers[t.id] = t.caller;
 		for (auto *list : { &site_.upstreams, &site_.ended_upstreams })
-			for (auto &up : *list)
+			for (auto &up : *list) {
+				check_periods(*up);
 				for (const auto &run : up->all_runs()) {
 					runs[run.first] += run.second.count;
 					check_run(run.first, run.second, *up,
 						  callers[run.first]);
 				}
+			}
 		return runs;
 	}
 	void check_run(const std::string &id, const SiteRun &run,
@@ -480,6 +657,8 @@
 
 		if (!run.target.compare(0, wanted.size(), wanted))
 			violation(id + " ran at another service");
+		if (!run.target.compare(0, 6, "/home/") && up.zone != "a")
+			violation(id + " ran outside its home regions");
 		if (!caller.empty() && run.caller != caller)
 			violation(id + " came from " + caller +
 				  " and was sent as from " + run.caller);
@@ -520,13 +699,15 @@
 	}
 	Site site_;
 	std::mutex lock_;
-	std::mt19937 random_;
+	std::mt19937 random_, event_random_;
 	uint32_t seed_;
 	int forced_fault_;
 	std::vector<bool> withdrawn_, stopped_;
 	std::vector<std::atomic<int>> starts_, seen_starts_;
 	Relay relay_; /* between the daemons and the store */
 	std::vector<delayed_update> delayed_updates_;
+	std::vector<period> periods_;
+	int64_t silent_from_us_ = 0; /* 0: the store answers */
 	int replaced_ = 0;
 	std::atomic<int> version_{ 0 };
 	std::atomic<bool> stopping_{ false };
@@ -571,34 +752,49 @@
 
 struct disabled_case {
 	const char *off;
-	const char *found; /* part of the expected violation text */
-	int forced_fault;  /* fault kind to choose more often, or -1 */
+	/* Parts of the expected violation texts. */
+	std::vector<std::string> found;
+	int forced_fault; /* fault kind to choose more often, or -1 */
 };
 
 /*
  * Guards against a checker that never fails: with a mechanism of the daemons
- * switched off, one of up to 10 seeds must give the matching violation.
+ * switched off, up to 10 seeds must give the matching violations.
  */
 TEST(SiteSoak, CheckersDetectDisabledMechanisms)
 {
 	const disabled_case cases[] = {
-		{ "retry-rule", " ran 2 times", -1 },
-		{ "not-run-rule", " was refused and ran", -1 },
-		{ "whole-answer", " got a part of its answer", -1 },
-		{ "expect-instance", " ran at another service", (int)REASSIGN },
+		{ "retry-rule", { " ran 2 times" }, -1 },
+		{ "not-run-rule", { " was refused and ran" }, -1 },
+		{ "whole-answer", { " got a part of its answer" }, -1 },
+		{ "expect-instance",
+		  { " ran at another service" },
+		  (int)REASSIGN },
+		/* Home regions, the limit on cold upstreams, evacuation. */
+		{ "placement",
+		  { " ran outside its home regions", " was cold and got ",
+		    " still gets requests after" },
+		  (int)FAULTS },
 	};
 
 	for (const disabled_case &c : cases) {
-		bool found = false;
+		std::vector<std::string> left = c.found;
 
-		for (uint32_t seed = 1; seed <= 10 && !found; seed++) {
+		for (uint32_t seed = 1; seed <= 10 && !left.empty(); seed++) {
 			Soak soak(seed, 4, c.off, c.forced_fault);
 
 			for (const std::string &text : soak.run(2))
-				found |=
-					text.find(c.found) != std::string::npos;
+				left.erase(std::remove_if(
+						   left.begin(), left.end(),
+						   [&](const std::string &f) {
+							   return text.find(
+									  f) !=
+								  std::string::
+									  npos;
+						   }),
+					   left.end());
 		}
-		EXPECT_TRUE(found) << c.off;
+		EXPECT_EQ(std::vector<std::string>(), left) << c.off;
 	}
 }
 
--- a/tests/site.cc
+++ b/tests/site.cc
@@ -605,6 +605,7 @@
 			SiteRun &sr = runs_[rq.header("ebonypier-request-id")];
 
 			sr.count++;
+			sr.begun_us.push_back(now_us());
 			sr.target = rq.target;
 			sr.caller = rq.header("ebonypier-caller-service");
 			total_++;
@@ -745,6 +746,7 @@
 	services[i] = service;
 	upstreams[i] = std::make_unique<SiteUpstream>(ip(i), upstream_port_, id,
 						      service);
+	upstreams[i]->zone = ended_upstreams.back()->zone;
 }
 
 void Site::restart_upstream(size_t i)
--- a/tests/site.h
+++ b/tests/site.h
@@ -188,6 +188,7 @@
 	int count = 0;
 	std::string target;
 	std::string caller; /* Ebonypier-Caller-Service of the last run */
+	std::vector<int64_t> begun_us; /* now_us() at the start of each run */
 };
 
 /*
