config: keep regions and evacuations in the list type of strings

Cause: matches and configurations held regions and evacuated failure domains as pointer and count, each with its own code to append, search and free, next to struct eb_texts, which services use for the same purpose. Three searches for an upstream filled in the same query fields, two setters of the gate ended in the same three calls, and the share of the memory for answers, the largest number of regions and a comparison of numbers were defined twice.

Change: struct eb_texts holds all of these lists, and eb_home_has() replaces eb_config_allows_region(), which only a test called. init_query() in eb_origin, update_evacuated() in eb_gate and play() in the gate's tests serve their callers; the constants have one definition each. The comment on link_mbps named a default that was removed. No behaviour changes.

--- a/bench/priorities.h
+++ b/bench/priorities.h
@@ -526,17 +526,10 @@
 	{ "priorities-none", 1.5, 1, { PR_STATUS, PR_SYNC, PR_EXPORT } },
 };
 
-static int pr_compare(const void *a, const void *b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
 static void pr_print(const struct pr_load *ld, const char *kind, int urgency,
 		     const char *figure, double *v)
 {
-	qsort(v, PR_SEEDS, sizeof(*v), pr_compare);
+	qsort(v, PR_SEEDS, sizeof(*v), compare_doubles);
 	printf("{\"bench\":\"routing\",\"case\":\"%s\",\"kind\":\"%s\","
 	       "\"urgency\":%d,\"seeds\":%d,\"figure\":\"%s\",\"value\":%.1f,"
 	       "\"least\":%.1f,\"most\":%.1f}\n",
--- a/bench/routing.c
+++ b/bench/routing.c
@@ -1566,13 +1566,6 @@
 	return tn;
 }
 
-static int compare_doubles(const void *a, const void *b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
 struct spread {
 	double least, median, most;
 };
--- a/bench/virtual.h
+++ b/bench/virtual.h
@@ -26,6 +26,14 @@
 	uint32_t order; /* of the next event */
 };
 
+/* Orders numbers for qsort(). */
+static inline int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
 static inline int event_before(const struct event *a, const struct event *b)
 {
 	if (a->at_us != b->at_us)
--- a/src/eb_config.c
+++ b/src/eb_config.c
@@ -188,16 +188,6 @@
 	return cf;
 }
 
-/* Frees a list of strings. */
-static void free_texts(char **texts, uint32_t count)
-{
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		free(texts[i]);
-	free(texts);
-}
-
 static void free_matches(struct eb_config *cf)
 {
 	uint32_t i;
@@ -206,7 +196,7 @@
 		free(cf->matches[i].name);
 		free(cf->matches[i].host);
 		free(cf->matches[i].prefix);
-		free_texts(cf->matches[i].regions, cf->matches[i].region_count);
+		eb_texts_clear(&cf->matches[i].regions);
 	}
 	free(cf->matches);
 }
@@ -262,7 +252,7 @@
 		eb_config_unref(cf->matches_owner);
 	else
 		free_matches(cf);
-	free_texts(cf->evacuated, cf->evacuated_count);
+	eb_texts_clear(&cf->evacuated);
 	free(cf->evacuation_invalid);
 	free(cf->rules);
 	free(cf->services);
@@ -321,25 +311,8 @@
 int eb_config_is_evacuated(const struct eb_config *cf,
 			   const char *failure_domain)
 {
-	uint32_t i;
-
-	if (eb_test_off("placement"))
-		return 0;
-	for (i = 0; i < cf->evacuated_count; i++)
-		if (!strcmp(cf->evacuated[i], failure_domain))
-			return 1;
-	return 0;
-}
-
-/* Tells whether the requests of a match may be sent to a region. */
-int eb_config_allows_region(const struct eb_match *mt, const char *region)
-{
-	uint32_t i;
-
-	for (i = 0; i < mt->region_count; i++)
-		if (!strcmp(mt->regions[i], region))
-			return 1;
-	return !mt->restricted;
+	return !eb_test_off("placement") &&
+	       eb_texts_has(&cf->evacuated, failure_domain);
 }
 
 /* Returns the index of a service by its name, or EB_NONE. */
--- a/src/eb_config.h
+++ b/src/eb_config.h
@@ -110,8 +110,7 @@
 	 * regions only; none if they could not be read.
 	 */
 	uint8_t restricted;
-	char **regions;
-	uint32_t region_count;
+	struct eb_texts regions;
 };
 
 /*
@@ -139,8 +138,7 @@
 	/* Owns `matches`, which are shared with it; NULL: this one does. */
 	struct eb_config *matches_owner;
 	/* Failure domains whose upstreams get no new requests. */
-	char **evacuated;
-	uint32_t evacuated_count;
+	struct eb_texts evacuated;
 	/* Entries among the evacuations that are none, and one of them. */
 	uint32_t evacuations_invalid;
 	char *evacuation_invalid;
@@ -156,7 +154,6 @@
 uint32_t eb_config_find_upstream(const struct eb_config *cf, const char *name);
 int eb_config_is_evacuated(const struct eb_config *cf,
 			   const char *failure_domain);
-int eb_config_allows_region(const struct eb_match *mt, const char *region);
 int eb_config_is_other_start(const struct eb_upstream *up, const char *instance,
 			     uint64_t start_ms);
 uint32_t eb_config_find_service(const struct eb_config *cf, const char *name);
--- a/src/eb_evacuation.c
+++ b/src/eb_evacuation.c
@@ -179,8 +179,8 @@
 
 	for (i = 0; i < ev->count; i++)
 		ev->domains[i].listed = 0;
-	for (i = 0; i < cf->evacuated_count; i++)
-		list_domain(ev, cf, cf->evacuated[i], now_us);
+	for (i = 0; i < cf->evacuated.count; i++)
+		list_domain(ev, cf, cf->evacuated.items[i], now_us);
 	for (i = ev->count; i > 0; i--)
 		if (!ev->domains[i - 1].listed)
 			end_domain(ev, &ev->domains[i - 1], now_us);
--- a/src/eb_gate.c
+++ b/src/eb_gate.c
@@ -476,6 +476,14 @@
 	update_draining(gt, before);
 }
 
+/* Refuses the calls that wait if nothing may run; see update_draining(). */
+static void update_evacuated(struct eb_gate *gt, int before, int64_t now_us)
+{
+	eb_admit_evacuate(gt->admit, gt->evacuated || gt->unconfirmed);
+	update_draining(gt, before);
+	run_admission(gt, now_us);
+}
+
 /*
  * Sets whether the upstream's failure domain is evacuated. If so, new calls and
  * those that wait for a slot are refused; calls that run are finished.
@@ -485,9 +493,7 @@
 	int before = refuses_calls(gt);
 
 	gt->evacuated = evacuated != 0;
-	eb_admit_evacuate(gt->admit, gt->evacuated || gt->unconfirmed);
-	update_draining(gt, before);
-	run_admission(gt, now_us);
+	update_evacuated(gt, before, now_us);
 }
 
 /*
@@ -500,9 +506,7 @@
 	int before = refuses_calls(gt);
 
 	gt->unconfirmed = unconfirmed != 0;
-	eb_admit_evacuate(gt->admit, gt->evacuated || gt->unconfirmed);
-	update_draining(gt, before);
-	run_admission(gt, now_us);
+	update_evacuated(gt, before, now_us);
 }
 
 /* Refuses new calls from now on; calls that have arrived are finished. */
--- a/src/eb_home.c
+++ b/src/eb_home.c
@@ -1,19 +1,15 @@
 #include "eb_home.h"
 
-#include <string.h>
-
 /* Returns the regions of a match or, when it is NULL, of a service. */
 void eb_home_of(const struct eb_match *mt, const struct eb_service *sv,
 		struct eb_home *hm)
 {
 	if (mt) {
-		hm->regions = mt->regions;
-		hm->count = mt->region_count;
+		hm->regions = &mt->regions;
 		hm->restricted = mt->restricted;
 		return;
 	}
-	hm->regions = sv->regions.items;
-	hm->count = sv->regions.count;
+	hm->regions = &sv->regions;
 	hm->restricted = sv->regions.count > 0;
 }
 
@@ -40,6 +36,12 @@
 	return mt || service != EB_NONE;
 }
 
+/* Tells whether requests with these regions may run in a region. */
+int eb_home_has(const struct eb_home *hm, const char *region)
+{
+	return !hm->restricted || eb_texts_has(hm->regions, region);
+}
+
 /* Tells whether a configuration restricts any request to regions. */
 int eb_home_any(const struct eb_config *cf)
 {
@@ -63,12 +65,6 @@
 		   const char *region)
 {
 	struct eb_home hm;
-	uint32_t i;
 
-	if (!eb_home_find(cf, h, &hm) || !hm.restricted)
-		return 1;
-	for (i = 0; i < hm.count; i++)
-		if (!strcmp(hm.regions[i], region))
-			return 1;
-	return 0;
+	return !eb_home_find(cf, h, &hm) || eb_home_has(&hm, region);
 }
--- a/src/eb_home.h
+++ b/src/eb_home.h
@@ -9,8 +9,7 @@
  * in a configuration without matches.
  */
 struct eb_home {
-	char *const *regions;
-	uint32_t count;
+	const struct eb_texts *regions;
 	uint8_t restricted; /* to `regions`; may be none */
 };
 
@@ -18,6 +17,7 @@
 		 struct eb_home *hm);
 void eb_home_of(const struct eb_match *mt, const struct eb_service *sv,
 		struct eb_home *hm);
+int eb_home_has(const struct eb_home *hm, const char *region);
 int eb_home_any(const struct eb_config *cf);
 int eb_home_allows(const struct eb_config *cf, const struct eb_head *h,
 		   const char *region);
--- a/src/eb_nodes.c
+++ b/src/eb_nodes.c
@@ -680,8 +680,8 @@
 		return 0;
 	if (!hm->restricted || eb_test_off("origin-regions"))
 		return 0;
-	for (i = 0; i < hm->count; i++)
-		set |= eb_regions_find(nd->regions, hm->regions[i]);
+	for (i = 0; i < hm->regions->count; i++)
+		set |= eb_regions_find(nd->regions, hm->regions->items[i]);
 	return set ? set : NO_REGION;
 }
 
--- a/src/eb_origin.c
+++ b/src/eb_origin.c
@@ -564,6 +564,17 @@
 		ca->regions = eb_nodes_allowed_regions(nd, &hm);
 }
 
+/* Sets what every search for an upstream of a call takes into account. */
+static void init_query(const struct eb_origin *og, struct call *ca,
+		       struct eb_route_query *q)
+{
+	update_regions(og, ca);
+	memset(q, 0, sizeof(*q));
+	q->regions = ca->regions;
+	q->tried = ca->tried;
+	q->tried_count = ca->tried_count;
+}
+
 /*
  * Tells whether a request may wait, for EB_UPSTREAM_WAIT_MS at most, because a
  * daemon of its service and regions has not answered for the first time yet.
@@ -617,7 +628,7 @@
 static void route(struct eb_origin *og, struct call *ca, int64_t now_us)
 {
 	enum eb_urgency_rank rank = rank_of(ca, now_us);
-	struct eb_route_query q = { 0 };
+	struct eb_route_query q;
 	uint32_t node;
 
 	if (is_late(ca, now_us)) {
@@ -627,15 +638,13 @@
 		return;
 	}
 	park(og, ca, 0);
-	update_regions(og, ca);
+	init_query(og, ca, &q);
 	q.caller = ca->head->head->caller;
 	q.idempotent = ca->idempotent;
 	q.remaining_us = ca->deadline_us - now_us;
 	q.keep_in_region = ca->streamed && !og->config.uploads_leave_region;
-	q.regions = ca->regions;
 	q.answer_bytes = eb_sizes_expected(&og->sizes, ca->head->head->kind);
 	q.link_mbps = og->config.link_mbps;
-	q.tried = ca->tried;
 	q.refused = ca->attempts && (ca->reason == EB_REASON_QUEUE_FULL ||
 				     ca->reason == EB_REASON_HANDED_BACK);
 	q.urgent = rank == EB_URGENCY_FIRST;
@@ -1435,17 +1444,14 @@
 static int should_move(const struct eb_origin *og, struct call *ca,
 		       uint32_t node, int64_t now_us)
 {
-	struct eb_route_query q = { 0 };
+	struct eb_route_query q;
 
 	if (!ca->at->in_flight || ca->at->node != node ||
 	    ca->other->in_flight || ca->state != WAITING || !ca->idempotent ||
 	    ca->attempts >= EB_ATTEMPTS_MAX || ca->runs + 1 >= ca->runs_max ||
 	    !eb_retry_left(&ca->service->retry))
 		return 0;
-	update_regions(og, ca);
-	q.regions = ca->regions;
-	q.tried = ca->tried;
-	q.tried_count = ca->tried_count;
+	init_query(og, ca, &q);
 	return eb_route_has_other(ca->service->route, &q, now_us);
 }
 
@@ -1604,7 +1610,7 @@
 {
 	struct eb_service_state *sv = ca->service;
 	struct eb_hedge_request rq = { 0 };
-	struct eb_route_query q = { 0 };
+	struct eb_route_query q;
 	uint32_t node;
 
 	if (!sv->hedge || ca->state != WAITING || ca->other->in_flight)
@@ -1620,10 +1626,7 @@
 	rq.deadline_us = ca->deadline_us;
 	if (eb_hedge_check(sv->hedge, &sv->retry, &rq, now_us) != EB_HEDGE_DUE)
 		return;
-	update_regions(og, ca);
-	q.regions = ca->regions;
-	q.tried = ca->tried;
-	q.tried_count = ca->tried_count;
+	init_query(og, ca, &q);
 	if (ca->tried_count >= EB_TRIED_MAX ||
 	    eb_route_pick_spare(sv->route, &q, now_us, &node))
 		return;
--- a/src/eb_release.h
+++ b/src/eb_release.h
@@ -5,6 +5,7 @@
 
 #include "eb_config.h"
 #include "eb_findings.h"
+#include "eb_regions.h"
 #include "eb_status.h"
 
 /* The platform stores no larger value. */
@@ -17,7 +18,7 @@
 #define EB_RELEASE_SERVICES_MAX 4096
 #define EB_RELEASE_RULES_MAX 4096
 /* Bits that eb_regions has for regions. */
-#define EB_RELEASE_SERVICE_REGIONS_MAX 63
+#define EB_RELEASE_SERVICE_REGIONS_MAX (EB_REGIONS_MAX - 1)
 
 /*
  * A release note lists the items that are added, changed and withdrawn.
--- a/src/eb_settings.c
+++ b/src/eb_settings.c
@@ -14,6 +14,7 @@
 #include "eb_address.h"
 #include "eb_check.h"
 #include "eb_hedge.h"
+#include "eb_tunables.h"
 #include "ebonypier.h"
 
 #define PARSE_ERRORS_MAX 20
@@ -21,8 +22,6 @@
 #define DRAIN_TIMEOUT_MAX_MS 86400000
 #define LINK_MAX_MBPS 1000000
 #define ANSWERS_MAX_MB 1000000
-/* Answers get this part of the memory, as a VM also holds its upstream. */
-#define ANSWERS_MEMORY_SHARE 8
 
 enum setting_type {
 	SETTING_TEXT = 0,  /* char * */
@@ -542,7 +541,7 @@
 	memory = group_limit("/sys/fs/cgroup/memory.max", memory);
 	memory = group_limit("/sys/fs/cgroup/memory/memory.limit_in_bytes",
 			     memory);
-	return memory / ANSWERS_MEMORY_SHARE;
+	return memory / EB_ANSWERS_MEMORY_SHARE;
 }
 
 /* Frees all values, after overwriting the secret key, and empties `se`. */
--- a/src/eb_settings.h
+++ b/src/eb_settings.h
@@ -35,7 +35,7 @@
 	uint32_t drain_timeout_ms;   /* --drain-timeout-ms, default 600000 */
 	uint32_t drain_announce_ms;  /* --drain-announce-ms, default 1500 */
 	uint32_t entry_lapse_ms;     /* --entry-lapse-ms, default 4500 */
-	uint32_t link_mbps;	     /* --link-mbps, default 12 */
+	uint32_t link_mbps;	     /* --link-mbps, 0: unknown */
 	uint32_t answers_max_mb;     /* --answers-max-mb, 0: from memory */
 	uint32_t answer_unread_ms;   /* --answer-unread-ms, default 60000 */
 	uint32_t hedge_permille;     /* --hedge-permille, default 0: off */
--- a/src/eb_tunables.h
+++ b/src/eb_tunables.h
@@ -21,6 +21,8 @@
 #define EB_OUTFLOW_WINDOW_MIN_BYTES 98304
 /* Grants in the queue of a link; a link of 1 Gbit/s has 77. */
 #define EB_OUTFLOW_ENTRIES_MAX 512
+/* Answers get this part of the memory, as a VM also holds its upstream. */
+#define EB_ANSWERS_MEMORY_SHARE 8
 /* Kinds of request whose answers' size an origin knows. */
 #define EB_SIZES_KINDS 256
 /*
--- a/src/eb_zap.c
+++ b/src/eb_zap.c
@@ -26,15 +26,15 @@
 struct eb_zap *eb_zap_new(void *zmq, struct eb_metrics *mt, struct eb_log *lg)
 {
 	struct eb_zap *zp = calloc(1, sizeof(*zp));
-	int zero = 0;
 
 	if (!zp)
 		return NULL;
 	zp->metrics = mt;
 	zp->log = lg;
 	zp->socket = zmq_socket(zmq, ZMQ_REP);
+	if (zp->socket)
+		eb_zmq_set_int(zp->socket, ZMQ_LINGER, 0);
 	if (!zp->socket || apr_pool_create(&zp->pool, NULL) != APR_SUCCESS ||
-	    zmq_setsockopt(zp->socket, ZMQ_LINGER, &zero, sizeof(zero)) ||
 	    zmq_bind(zp->socket, ZAP_ENDPOINT)) {
 		eb_zap_free(zp);
 		return NULL;
--- a/tests/test_eb_evacuation.cc
+++ b/tests/test_eb_evacuation.cc
@@ -34,10 +34,8 @@
 		up->failure_domain = strdup(domain.c_str());
 		cf->upstreams[cf->upstream_total++] = up;
 	}
-	cf->evacuated =
-		(char **)calloc(st.listed.size() + 1, sizeof(*cf->evacuated));
 	for (const std::string &domain : st.listed)
-		cf->evacuated[cf->evacuated_count++] = strdup(domain.c_str());
+		eb_texts_add(&cf->evacuated, domain.c_str());
 	cf->evacuations_invalid = st.invalid;
 	if (st.invalid)
 		cf->evacuation_invalid = strdup("x\n");
--- a/tests/test_eb_gate.cc
+++ b/tests/test_eb_gate.cc
@@ -17,6 +17,12 @@
 const uint64_t ORIGIN = 77;
 const int64_t MS = 1000;
 
+struct scenario {
+	const char *guards;
+	std::vector<std::string> events;
+	std::vector<std::string> expected;
+};
+
 /* A gate with one slot and a queue of one; the frames it sends are recorded. */
 class Gate : public ::testing::Test
 {
@@ -117,6 +123,15 @@
 		note(ctx, where.c_str(), f);
 	}
 
+	/* Runs the events of a scenario and checks what the gate sends. */
+	void play(const scenario &sc)
+	{
+		out.clear();
+		for (const std::string &event : sc.events)
+			run(event);
+		EXPECT_EQ(sc.expected, out);
+	}
+
 	/* Puts a configuration into force with one route, of these regions. */
 	void allow(const std::vector<std::string> &regions, int restricted = 1,
 		   const char *prefix = "/agenda/")
@@ -131,10 +146,8 @@
 		mt->host = strdup("");
 		mt->prefix = strdup(prefix);
 		mt->restricted = (uint8_t)restricted;
-		mt->regions =
-			(char **)calloc(regions.size() + 1, sizeof(char *));
 		for (const std::string &name : regions)
-			mt->regions[mt->region_count++] = strdup(name.c_str());
+			eb_texts_add(&mt->regions, name.c_str());
 		eb_gate_set_config(gt, cf);
 		eb_config_unref(cf);
 	}
@@ -258,12 +271,6 @@
 	}
 };
 
-struct scenario {
-	const char *guards;
-	std::vector<std::string> events;
-	std::vector<std::string> expected;
-};
-
 const scenario scenarios[] = {
 	{ "a request that fits is run and its answer goes back",
 	  { "origin head 1", "client rhead 1" },
@@ -454,10 +461,7 @@
 	for (const scenario &sc : scenarios) {
 		SCOPED_TRACE(sc.guards);
 		restart();
-		out.clear();
-		for (const std::string &event : sc.events)
-			run(event);
-		EXPECT_EQ(sc.expected, out);
+		play(sc);
 	}
 }
 
@@ -505,10 +509,7 @@
 	for (const scenario &sc : homes) {
 		SCOPED_TRACE(sc.guards);
 		restart();
-		out.clear();
-		for (const std::string &event : sc.events)
-			run(event);
-		EXPECT_EQ(sc.expected, out);
+		play(sc);
 		ASSERT_FALSE(out.empty());
 		EXPECT_EQ(out.back().find("refuse") != std::string::npos ||
 				  out.size() == 4,
@@ -593,10 +594,7 @@
 		SCOPED_TRACE(sc.guards);
 		restart();
 		configure("/health");
-		out.clear();
-		for (const std::string &event : sc.events)
-			run(event);
-		EXPECT_EQ(sc.expected, out);
+		play(sc);
 	}
 }
 
--- a/tests/test_eb_origin.cc
+++ b/tests/test_eb_origin.cc
@@ -112,11 +112,8 @@
 			"region", json_string(second_region.c_str()));
 		ASSERT_EQ(EB_OK,
 			  eb_release_apply(base, note, 1, "t", &fs, &cf));
-		cf->evacuated =
-			(char **)calloc(evacuated.size() + 1, sizeof(char *));
 		for (const std::string &domain : evacuated)
-			cf->evacuated[cf->evacuated_count++] =
-				strdup(domain.c_str());
+			eb_texts_add(&cf->evacuated, domain.c_str());
 		eb_nodes_configure(nd, cf, now_us);
 		for (uint32_t i = 0; i < eb_nodes_count(nd); i++) {
 			eb_nodes_get(nd, i)->peer->up = 1;
--- a/tests/test_pf_decode.cc
+++ b/tests/test_pf_decode.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 extern "C" {
+#include "eb_home.h"
 #include "pf_adapter.h"
 #include "pf_cache.h"
 #include "pf_decode.h"
@@ -145,9 +146,11 @@
 			eb_config_find_match(cf, "a.example", "/y/1");
 		ASSERT_TRUE(x && y) << "nothing else is lost";
 		EXPECT_EQ(c.restricted, x->restricted);
-		EXPECT_EQ(c.count, x->region_count);
-		EXPECT_EQ(c.allows_x1, eb_config_allows_region(x, "x1"));
-		EXPECT_EQ(c.allows_other, eb_config_allows_region(x, "z"));
+		EXPECT_EQ(c.count, x->regions.count);
+		eb_home hm;
+		eb_home_of(x, nullptr, &hm);
+		EXPECT_EQ(c.allows_x1, eb_home_has(&hm, "x1"));
+		EXPECT_EQ(c.allows_other, eb_home_has(&hm, "z"));
 		EXPECT_EQ(0, y->restricted);
 		eb_config_unref(cf);
 	}
@@ -235,10 +238,10 @@
 		eb_config *cf = decode({ state, c.it });
 
 		ASSERT_NE(nullptr, cf) << c.it.key;
-		ASSERT_EQ(c.domain ? 1u : 0u, cf->evacuated_count) << c.it.key;
+		ASSERT_EQ(c.domain ? 1u : 0u, cf->evacuated.count) << c.it.key;
 		EXPECT_EQ(c.domain ? 0u : 1u, cf->evacuations_invalid);
 		if (c.domain)
-			EXPECT_STREQ(c.domain, cf->evacuated[0]);
+			EXPECT_STREQ(c.domain, cf->evacuated.items[0]);
 		else
 			EXPECT_EQ(c.it.key, cf->evacuation_invalid);
 		eb_config_unref(cf);
