--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,9 +1,9 @@
 #include "../common-2.h"
 
 /*
- * A backend is slow, and five uploads reach its daemon at once: four run, the
- * fifth waits at the daemon. Then the backend reports that it leaves. The case
- * fails if the upload that waits reaches the backend later than drainMs.
+ * A backend is slow, and uploads reach its daemon at once: four run, the others
+ * wait at the daemon. Then the backend reports that it leaves. The case fails
+ * if an upload that waits reaches the backend later than drainMs.
  */
 
 const char *const BOUNDS =
